--- a/primrosereel/_registry.py
+++ b/primrosereel/_registry.py
@@ -22,6 +22,13 @@
         'reclaim': 'core._reclaim:ReclaimSystem',
         'orders': 'core._orders:OrdersSystem',
     },
+    'command': {
+        'check': 'cmd._check:CheckCommand',
+        'demo': 'cmd._demo:DemoCommand',
+        'drain': 'cmd._remote:DrainCommand',
+        'explain': 'cmd._remote:ExplainCommand',
+        'status': 'cmd._remote:StatusCommand',
+    },
 }
 
 # Tables are written before the systems that read them run.
--- /dev/null
+++ b/primrosereel/bench/_texts.py
@@ -0,0 +1,197 @@
+"""Operators' texts for the demonstration, the load tool and the tests.
+
+``lynreg`` and ``guadalajara`` follow the two deployments under ``examples``;
+``scale`` multiplies their runners and customers' rates.
+"""
+
+import hashlib
+from typing import Any
+
+__all__ = ['demo', 'guadalajara', 'key_of', 'lynreg']
+
+# 8,000 prompt tokens are 0.32 s of prefill and 320 MB of KV cache.
+MODEL = {
+    'prefill_tokens_s': 25_000.0,
+    'decode_step_s': 0.03,
+    'kv_bytes_per_token': 40_000,
+    'context_tokens': 131_072,
+}
+BASE_PORT = 18_100
+
+
+def key_of(customer: str) -> str:
+    """Return the API key that the texts here hold the hash of."""
+    return f'demo-{customer}'
+
+
+def _customer(
+    name: str, services: list[str], priority: int = 0, rate: float = 1000.0
+) -> dict[str, Any]:
+    return {
+        'key_sha256': hashlib.sha256(key_of(name).encode()).hexdigest(),
+        'services': services,
+        'priority': priority,
+        'rate': rate,
+        'burst': rate,
+    }
+
+
+def _llm(
+    name: str,
+    region: str,
+    zones: list[str],
+    prefill: int,
+    decode: int,
+    port: int,
+    **more: Any,
+) -> dict[str, Any]:
+    runners = {}
+    roles = ['prefill'] * prefill + ['decode'] * decode
+    for number, role in enumerate(roles):
+        runners[f'{name}-{number + 1}'] = {
+            'address': f'127.0.0.1:{port + number}',
+            'availability_zone': zones[number % len(zones)],
+            'role': role,
+            'checks_fencing': True,
+        }
+    return {
+        'kind': 'llm',
+        'region': region,
+        'model': 'base',
+        'runners': runners,
+        **more,
+    }
+
+
+def _plain(
+    name: str,
+    region: str,
+    zones: list[str],
+    count: int,
+    port: int,
+    calls: list[dict[str, Any]],
+    **more: Any,
+) -> dict[str, Any]:
+    runners = {
+        f'{name}-{number + 1}': {
+            'address': f'127.0.0.1:{port + number}',
+            'availability_zone': zones[number % len(zones)],
+            'role': 'plain',
+        }
+        for number in range(count)
+    }
+    return {
+        'kind': 'plain',
+        'region': region,
+        'runners': runners,
+        'calls': calls,
+        **more,
+    }
+
+
+def _call(method: str, path: str, kind: str) -> dict[str, Any]:
+    return {'method': method, 'path': path, 'kind': kind}
+
+
+def demo() -> dict[str, Any]:
+    """Return a small text: one LLM service, one plain service."""
+    zones = ['dk-east-a', 'dk-east-b']
+    return {
+        'models': {'base': MODEL},
+        'services': {
+            'analyst': _llm('analyst', 'dk-east', zones, 2, 2, BASE_PORT),
+            'office': _plain(
+                'office',
+                'dk-east',
+                zones,
+                2,
+                BASE_PORT + 50,
+                [
+                    _call('GET', '/archive', 'idempotent'),
+                    _call('POST', '/certifications', 'non_idempotent'),
+                ],
+            ),
+        },
+        'customers': {
+            'analysts': _customer('analysts', ['analyst', 'office']),
+            'records': _customer('records', ['analyst', 'office'], 5),
+        },
+    }
+
+
+def lynreg(scale: int = 1) -> dict[str, Any]:
+    """Return Lynreg's text: long prompts, 5 and 3 runners."""
+    zones = ['dk-east-a', 'dk-east-b', 'dk-east-c']
+    return {
+        'models': {'base': MODEL},
+        'services': {
+            'log-analyst': _llm(
+                'log-analyst',
+                'dk-east',
+                zones,
+                2 * scale,
+                3 * scale,
+                BASE_PORT,
+            ),
+            'records-office': _plain(
+                'records-office',
+                'dk-east',
+                zones,
+                3 * scale,
+                BASE_PORT + 100 * scale,
+                [
+                    _call('GET', '/archive', 'idempotent'),
+                    _call('POST', '/corrections', 'non_idempotent'),
+                    _call('POST', '/certifications', 'non_idempotent'),
+                ],
+                depends_on=['log-analyst'],
+            ),
+        },
+        'customers': {
+            'analysts': _customer('analysts', ['log-analyst']),
+            'grid-operators': _customer('grid-operators', ['log-analyst']),
+            'assessors': _customer('assessors', ['log-analyst']),
+            'records-office': _customer(
+                'records-office', ['log-analyst', 'records-office'], 5
+            ),
+        },
+    }
+
+
+def guadalajara(scale: int = 1) -> dict[str, Any]:
+    """Return Guadalajara's text: bursts, 6 and 4 runners."""
+    zones = ['jal-occ-a', 'jal-occ-b', 'jal-occ-c', 'jal-occ-d']
+    return {
+        'models': {'base': MODEL},
+        'services': {
+            'lectores-modelo': _llm(
+                'lectores-modelo',
+                'jal-occ',
+                zones,
+                2 * scale,
+                4 * scale,
+                BASE_PORT,
+            ),
+            'ventanilla-app': _plain(
+                'ventanilla-app',
+                'jal-occ',
+                zones,
+                4 * scale,
+                BASE_PORT + 100 * scale,
+                [
+                    _call('GET', '/badges', 'idempotent'),
+                    _call('POST', '/renewals', 'non_idempotent'),
+                    _call('POST', '/fees', 'non_idempotent'),
+                ],
+                depends_on=['lectores-modelo'],
+            ),
+        },
+        'customers': {
+            'clerks': _customer(
+                'clerks', ['lectores-modelo', 'ventanilla-app']
+            ),
+            'supervisors': _customer(
+                'supervisors', ['lectores-modelo', 'ventanilla-app'], 5
+            ),
+        },
+    }
--- /dev/null
+++ b/primrosereel/cmd/_demo.py
@@ -0,0 +1,30 @@
+"""The ``demo`` command."""
+
+import argparse
+
+from primrosereel.bench import _demo as demo
+from primrosereel.cmd import _command as command
+
+__all__ = ['DemoCommand']
+
+
+class DemoCommand:
+    """Runs the whole path as separate processes and shows what happened."""
+
+    summary = (
+        'Starts stand-in engines, plain services, a platform and two daemons '
+        'on loopback, sends requests, prints what happened and stops all.'
+    )
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Declare the command's options."""
+        command.add_json(parser)
+
+    def run(self, options: argparse.Namespace) -> int:
+        """Run; 1 when a request was lost or the call ran twice."""
+        report = demo.run()
+        command.print_result(report, options.json)
+        completions = report['completions']
+        whole = completions['answered'] == completions['asked']
+        once = report['certification']['executed'] == 1
+        return 0 if whole and once else 1
--- /dev/null
+++ b/primrosereel/cmd/_remote.py
@@ -0,0 +1,89 @@
+"""The commands that ask a running daemon."""
+
+import argparse
+import os
+import sys
+from typing import Any
+
+import httpx
+
+from primrosereel.cmd import _command as command
+
+__all__ = ['DrainCommand', 'ExplainCommand', 'StatusCommand']
+
+TOKEN_VARIABLE = 'PRIMROSEREEL_TOKEN'
+TIMEOUT_S = 5.0
+
+
+def _add_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        '--operators',
+        required=True,
+        metavar='URL',
+        help="the daemon's operators' port, such as http://127.0.0.1:18001",
+    )
+    parser.add_argument(
+        '--token',
+        default=os.environ.get(TOKEN_VARIABLE, ''),
+        help=f"the operators' token; {TOKEN_VARIABLE} by default",
+    )
+    command.add_json(parser)
+
+
+def _ask(options: argparse.Namespace, method: str, path: str) -> int:
+    try:
+        response = httpx.request(
+            method,
+            f'{options.operators}{path}',
+            headers={'authorization': f'Bearer {options.token}'},
+            timeout=TIMEOUT_S,
+        )
+        document: Any = response.json()
+    except (httpx.HTTPError, httpx.InvalidURL, ValueError) as error:
+        print(f'{options.operators}: {error}', file=sys.stderr)
+        return 1
+    command.print_result(document, options.json)
+    return 0 if response.is_success else 1
+
+
+class StatusCommand:
+    """Shows what a daemon knows."""
+
+    summary = 'Shows revision, instances, peers, runners and counters.'
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Declare the command's options."""
+        _add_arguments(parser)
+
+    def run(self, options: argparse.Namespace) -> int:
+        """Run; 1 when the daemon does not answer."""
+        return _ask(options, 'GET', '/status')
+
+
+class ExplainCommand:
+    """Shows why a request went where it went."""
+
+    summary = 'Shows why a request went where it went, or was refused.'
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Declare the command's options."""
+        parser.add_argument('request_id', metavar='REQUEST-ID')
+        _add_arguments(parser)
+
+    def run(self, options: argparse.Namespace) -> int:
+        """Run; 1 when the daemon does not know the request."""
+        return _ask(options, 'GET', f'/explain/{options.request_id}')
+
+
+class DrainCommand:
+    """Stops a daemon gracefully."""
+
+    summary = 'Stops a daemon gracefully: it finishes what is in progress.'
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Declare the command's options."""
+        _add_arguments(parser)
+
+    def run(self, options: argparse.Namespace) -> int:
+        """Run; 1 when the daemon does not answer."""
+        return _ask(options, 'POST', '/drain')
--- /dev/null
+++ b/primrosereel/daemon/_callers.py
@@ -0,0 +1,402 @@
+"""The HTTP application for callers."""
+
+import hashlib
+import math
+from typing import Any
+
+import anyio
+import msgspec
+import xxhash
+
+from primrosereel import _ids as ids
+from primrosereel import _prefix as prefix
+from primrosereel import _states as states
+from primrosereel import settings as settings_module
+from primrosereel.core import _messages as messages
+from primrosereel.daemon import _asgi as asgi
+from primrosereel.daemon import _completions as completions
+from primrosereel.daemon import _driver as driver_module
+from primrosereel.daemon import _parents as parents
+from primrosereel.daemon import _problem as problem_module
+from primrosereel.daemon import _protocols as protocols
+from primrosereel.daemon import _sse as sse
+
+__all__ = ['CallerApplication']
+
+Problem = problem_module.Problem
+Reason = states.RefusalReason
+
+JSON = (b'content-type', b'application/json')
+EVENT_STREAM = [
+    (b'content-type', b'text/event-stream'),
+    (b'cache-control', b'no-store'),
+]
+SERVICES = '/services/'
+MAX_PRIORITY = 9
+MAX_CALLER_REQUEST_ID = 128
+# Credentials end here, and the router sets the request id itself.
+KEPT_BACK = frozenset({'authorization', 'x-priority', 'x-request-id'})
+
+INTERFACES = {
+    '/v1/completions': (completions.parse_text, completions.TextFormatter),
+    '/v1/chat/completions': (
+        completions.parse_chat,
+        completions.ChatFormatter,
+    ),
+}
+
+
+class _Refused(Exception):
+    """A call is refused before the core sees it."""
+
+    def __init__(self, reason: states.RefusalReason, detail: str = '') -> None:
+        super().__init__(reason.value)
+        self.problem = Problem(reason, detail=detail)
+
+
+class _Call:
+    """One HTTP request: its scope, channels, id and effects."""
+
+    def __init__(self, scope, receive: asgi.Receive, send: asgi.Send) -> None:
+        self.scope = scope
+        self.receive = receive
+        self.send = send
+        self.effects: list[Any] = []
+        self.arrived = anyio.Event()
+        self.request = ids.RequestId('')
+        self.started = False
+
+    def sink(self, effect: driver_module.Answer) -> None:
+        """Take an effect from the driver."""
+        self.effects.append(effect)
+        self.arrived.set()
+
+    async def take(self) -> list[Any]:
+        """Wait for effects and return all that have come."""
+        if not self.effects:
+            self.arrived = anyio.Event()
+            await self.arrived.wait()
+        taken, self.effects = self.effects, []
+        return taken
+
+
+class CallerApplication:
+    """Takes calls, hands them to the core and writes the answers."""
+
+    def __init__(
+        self,
+        driver: driver_module.Driver,
+        settings: settings_module.Callers,
+        signer: parents.Signer,
+        clock: protocols.Clock,
+        metrics: protocols.Metrics,
+        log: Any,
+    ) -> None:
+        self._driver = driver
+        self._settings = settings
+        self._signer = signer
+        self._clock = clock
+        self._metrics = metrics
+        self._log = log
+        self._open = 0
+
+    @property
+    def open_requests(self) -> int:
+        """Requests that are being read or answered."""
+        return self._open
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Serve one ASGI connection."""
+        if scope['type'] == 'lifespan':
+            await asgi.run_lifespan(receive, send)
+            return
+        if scope['type'] != 'http':
+            return
+        call = _Call(scope, receive, send)
+        self._open += 1
+        try:
+            await self._serve(call)
+        except asgi.CallerGone:
+            self._metrics.count('caller_left.reading')
+        finally:
+            self._open -= 1
+
+    async def _serve(self, call: _Call) -> None:
+        try:
+            self._check_bounds(call.scope)
+            await self._route(call)
+        except _Refused as refused:
+            await self._refuse(call, refused.problem)
+        except asgi.BodyTooLarge:
+            await self._refuse(call, Problem(Reason.BODY_TOO_LARGE))
+        except msgspec.MsgspecError as error:
+            await self._refuse(
+                call, Problem(Reason.BAD_REQUEST, detail=str(error))
+            )
+
+    def _check_bounds(self, scope) -> None:
+        if self._open > self._settings.max_requests:
+            raise _Refused(Reason.TOO_MANY_CONNECTIONS)
+        size = sum(len(k) + len(v) for k, v in scope['headers'])
+        if size > self._settings.max_header_bytes:
+            raise _Refused(Reason.HEADERS_TOO_LARGE)
+
+    async def _route(self, call: _Call) -> None:
+        path, method = call.scope['path'], call.scope['method']
+        if path in INTERFACES:
+            if method != 'POST':
+                raise _Refused(Reason.UNKNOWN_CALL, f'{method} {path}')
+            await self._complete(call, *INTERFACES[path])
+        elif path == '/v1/models' and method == 'GET':
+            await self._list_models(call)
+        elif path.startswith(SERVICES):
+            await self._call_plain(call)
+        else:
+            raise _Refused(Reason.UNKNOWN_CALL, f'{method} {path}')
+
+    async def _complete(self, call: _Call, parse, formatter_class) -> None:
+        raw = await asgi.read_body(call.receive, self._settings.max_body_bytes)
+        body = parse(raw)
+        if body.prompt_tokens > self._settings.max_prompt_tokens:
+            raise _Refused(Reason.PROMPT_TOO_LARGE)
+        if body.max_tokens > self._settings.max_output_tokens:
+            raise _Refused(
+                Reason.BAD_REQUEST,
+                f'max_tokens is above {self._settings.max_output_tokens}',
+            )
+        message = messages.CompletionReceived(
+            request_id=self._begin(call),
+            caller_request_id=_caller_request_id(call.scope),
+            key_sha256=_key_sha256(call.scope),
+            service=body.service,
+            prompt=body.prompt,
+            prompt_tokens=body.prompt_tokens,
+            max_tokens=body.max_tokens,
+            prefix_hashes=prefix.prefix_hashes(body.prompt),
+            priority=_priority(call.scope),
+            parent=self._signer.verify(call.scope),
+        )
+        formatter = formatter_class(
+            call.request, body.service, int(self._clock.wall())
+        )
+        answer = self._stream if body.stream else self._collect
+        await self._run(call, message, answer, formatter)
+
+    async def _call_plain(self, call: _Call) -> None:
+        scope = call.scope
+        service, _, rest = scope['path'][len(SERVICES) :].partition('/')
+        path = f'/{rest}'
+        raw = await asgi.read_body(call.receive, self._settings.max_body_bytes)
+        query = scope.get('query_string', b'').decode('latin-1')
+        full_path = f'{path}?{query}' if query else path
+        request = self._begin(call)
+        message = messages.PlainReceived(
+            request_id=request,
+            caller_request_id=_caller_request_id(scope),
+            key_sha256=_key_sha256(scope),
+            service=ids.ServiceId(service),
+            method=scope['method'],
+            path=full_path,
+            headers=self._passed_on(scope, request),
+            body=raw,
+            idempotency_key=asgi.header(scope, b'idempotency-key'),
+            fingerprint=_fingerprint(scope['method'], full_path, raw),
+            priority=_priority(scope),
+            parent=self._signer.verify(scope),
+        )
+        await self._run(call, message, self._answer_plain, None)
+
+    def _begin(self, call: _Call) -> ids.RequestId:
+        call.request = self._driver.open(call.sink)
+        return call.request
+
+    def _passed_on(self, scope, request) -> tuple[tuple[str, str], ...]:
+        kept = [
+            (name, value.decode('latin-1'))
+            for name, value in (
+                (key.decode('latin-1').lower(), value)
+                for key, value in scope['headers']
+            )
+            if name not in KEPT_BACK and name != parents.HEADER
+        ]
+        kept.append(('x-request-id', request))
+        kept.append((parents.HEADER, self._signer.sign(request)))
+        return tuple(kept)
+
+    async def _run(self, call: _Call, message, answer, formatter) -> None:
+        """Answer a call, and tell the core when its caller leaves first."""
+        log = self._log.bind(
+            request_id=call.request,
+            caller_request_id=message.caller_request_id,
+            service=message.service,
+        )
+        done = False
+        started = self._clock.monotonic()
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._watch_caller, call, group)
+                self._driver.handle(message)
+                await answer(call, formatter)
+                done = True
+                group.cancel_scope.cancel()
+        finally:
+            self._driver.close(call.request)
+            if not done:
+                self._metrics.count('caller_left.answering')
+                self._driver.handle(messages.CallerLeft(call.request))
+            log.info(
+                'request ended',
+                answered=done,
+                seconds=round(self._clock.monotonic() - started, 4),
+            )
+
+    async def _watch_caller(self, call: _Call, group) -> None:
+        while (await call.receive())['type'] != 'http.disconnect':
+            pass
+        group.cancel_scope.cancel()
+
+    async def _stream(self, call: _Call, formatter) -> None:
+        while True:
+            out = []
+            for effect in await call.take():
+                if isinstance(effect, messages.RefuseCaller):
+                    await self._refuse(call, _problem(effect))
+                    return
+                out.append(self._event(effect, formatter, call.request))
+                if not isinstance(effect, messages.SendTokens):
+                    await self._send_chunk(call, b''.join(out), last=True)
+                    return
+            await self._send_chunk(call, b''.join(out), last=False)
+
+    def _event(self, effect, formatter, request: ids.RequestId) -> bytes:
+        if isinstance(effect, messages.SendTokens):
+            return sse.encode(formatter.chunk(effect.tokens, None))
+        if isinstance(effect, messages.FinishCaller):
+            end = sse.encode(formatter.chunk((), effect.finish))
+            return end + sse.encode(sse.DONE)
+        problem = Problem(
+            effect.reason, states.Ran.UNKNOWN, None, effect.detail
+        )
+        return sse.encode_error(problem_module.body(problem, request))
+
+    async def _send_chunk(self, call: _Call, body: bytes, last: bool) -> None:
+        if not call.started:
+            call.started = True
+            await call.send(
+                {
+                    'type': 'http.response.start',
+                    'status': 200,
+                    'headers': [*EVENT_STREAM, _request_header(call)],
+                }
+            )
+        await call.send(
+            {
+                'type': 'http.response.body',
+                'body': body,
+                'more_body': not last,
+            }
+        )
+
+    async def _collect(self, call: _Call, formatter) -> None:
+        tokens: list[str] = []
+        while True:
+            for effect in await call.take():
+                if isinstance(effect, messages.SendTokens):
+                    tokens.extend(effect.tokens)
+                elif isinstance(effect, messages.FinishCaller):
+                    body = formatter.whole(
+                        ''.join(tokens),
+                        effect.finish,
+                        effect.prompt_tokens,
+                        effect.output_tokens,
+                    )
+                    headers = [JSON, _request_header(call)]
+                    await asgi.respond(call.send, 200, body, headers)
+                    return
+                else:
+                    await self._refuse(call, _problem(effect))
+                    return
+
+    async def _answer_plain(self, call: _Call, formatter) -> None:
+        effect = (await call.take())[0]
+        if not isinstance(effect, messages.AnswerPlain):
+            await self._refuse(call, _problem(effect))
+            return
+        headers = [
+            (key.lower().encode('latin-1'), value.encode('latin-1'))
+            for key, value in effect.headers
+        ]
+        headers.append(_request_header(call))
+        if effect.replayed:
+            headers.append((b'idempotency-replayed', b'true'))
+        await asgi.respond(call.send, effect.status, effect.body, headers)
+
+    async def _list_models(self, call: _Call) -> None:
+        world = self._driver.core.world
+        customer = world.customers_by_key.get(_key_sha256(call.scope))
+        if customer is None or world.text is None:
+            raise _Refused(Reason.UNAUTHENTICATED)
+        allowed = world.customers[customer].facts.services
+        rows = [
+            {'id': name, 'object': 'model', 'owned_by': 'primrosereel'}
+            for name in allowed
+            if name in world.text.services
+            and world.text.services[name].kind is states.ServiceKind.LLM
+        ]
+        body = msgspec.json.encode({'object': 'list', 'data': rows})
+        await asgi.respond(call.send, 200, body, [JSON])
+
+    async def _refuse(self, call: _Call, problem: Problem) -> None:
+        if not call.request:
+            # The core counts the refusals it decides itself.
+            self._metrics.count(f'refusal.{problem.reason.value}')
+        headers = problem_module.headers(problem)
+        headers.append(_request_header(call))
+        body = problem_module.body(problem, call.request)
+        status = problem_module.status(problem)
+        await asgi.respond(call.send, status, body, headers)
+
+
+def _problem(effect) -> Problem:
+    if isinstance(effect, messages.RefuseCaller):
+        return Problem(
+            effect.reason, effect.ran, effect.retry_after_s, effect.detail
+        )
+    return Problem(effect.reason, states.Ran.UNKNOWN, None, effect.detail)
+
+
+def _request_header(call: _Call) -> tuple[bytes, bytes]:
+    given = _caller_request_id(call.scope)
+    return b'x-request-id', (given or call.request).encode('latin-1')
+
+
+def _caller_request_id(scope) -> str:
+    given = asgi.header(scope, b'x-request-id') or ''
+    return given[:MAX_CALLER_REQUEST_ID]
+
+
+def _key_sha256(scope) -> str:
+    given = asgi.header(scope, b'authorization') or ''
+    scheme, _, key = given.partition(' ')
+    if scheme.lower() != 'bearer':
+        return ''
+    return hashlib.sha256(key.strip().encode('latin-1')).hexdigest()
+
+
+def _priority(scope) -> int | None:
+    given = asgi.header(scope, b'x-priority')
+    if given is None:
+        return None
+    if not given.isascii() or not given.isdecimal():
+        raise _Refused(Reason.BAD_REQUEST, 'X-Priority is not a number')
+    value = int(given) if len(given) < 4 else math.inf
+    if value > MAX_PRIORITY:
+        raise _Refused(Reason.BAD_REQUEST, 'X-Priority is above 9')
+    return int(value)
+
+
+def _fingerprint(method: str, path: str, body: bytes) -> int:
+    digest = xxhash.xxh3_64(method.encode())
+    digest.update(b'\0' + path.encode() + b'\0')
+    digest.update(body)
+    return digest.intdigest()
--- /dev/null
+++ b/primrosereel/daemon/_composition.py
@@ -0,0 +1,220 @@
+"""The composition root: the only place that constructs adapters."""
+
+import random
+import signal
+from typing import Any
+
+import anyio
+import anyio.abc
+import httpx
+import hypercorn
+import hypercorn.asyncio
+
+from primrosereel import _ids as ids
+from primrosereel import core as core_module
+from primrosereel import settings as settings_module
+from primrosereel.core import _messages as messages
+from primrosereel.daemon import _callers as callers
+from primrosereel.daemon import _clock as clock_module
+from primrosereel.daemon import _driver as driver_module
+from primrosereel.daemon import _engine as engine
+from primrosereel.daemon import _log as log_module
+from primrosereel.daemon import _metrics as metrics_module
+from primrosereel.daemon import _operators as operators
+from primrosereel.daemon import _parents as parents
+from primrosereel.daemon import _peers as peers
+from primrosereel.daemon import _plain_upstream as plain_upstream
+from primrosereel.daemon import _platform as platform
+
+__all__ = ['Daemon', 'serve']
+
+FLUSH_INTERVAL_S = 1.0
+# How long the servers wait for connections to close once nothing is left.
+CLOSE_TIMEOUT_S = 2.0
+# Without this the answer's headers could carry a compressed body.
+HEADERS = {'accept-encoding': 'identity', 'user-agent': 'primrosereel'}
+
+
+class Daemon:
+    """One process: the core, its adapters and its servers."""
+
+    def __init__(self, settings: settings_module.Settings) -> None:
+        self._settings = settings
+        self._clock = clock_module.SystemClock()
+        self._metrics = metrics_module.StatsdMetrics(settings.statsd)
+        incarnation = settings.incarnation or int(self._clock.wall() * 1000)
+        self._identity = core_module.Identity(
+            settings.instance,
+            ids.Incarnation(incarnation),
+            settings.region,
+            settings.availability_zone,
+            settings.peers.address,
+        )
+        self._log = log_module.configure(
+            settings.log_level, instance=settings.instance
+        )
+        self._stop_asked = anyio.Event()
+        self._stopped = anyio.Event()
+
+    async def run(self) -> None:
+        """Serve until a stop is asked for and nothing is in progress."""
+        limits = httpx.Limits(max_connections=None)
+        once = httpx.Limits(max_connections=None, max_keepalive_connections=0)
+        async with (
+            httpx.AsyncClient(limits=limits, headers=HEADERS) as client,
+            httpx.AsyncClient(limits=once, headers=HEADERS) as fresh,
+            anyio.create_task_group() as tasks,
+        ):
+            driver = self._driver(tasks)
+            transport = self._transport(tasks, driver)
+            driver.connect(
+                engine.HttpEngineClient(client, fresh, self._clock),
+                plain_upstream.HttpPlainClient(client, fresh, self._clock),
+                platform.HttpConfigurationService(
+                    client, self._settings.platform.configuration
+                ),
+                platform.HttpInstanceList(
+                    client, self._settings.platform.instances
+                ),
+                transport,
+            )
+            server = peers.PeerServer(
+                self._identity.instance,
+                self._identity.incarnation,
+                driver.exchange,
+                self._settings.peers.tls,
+            )
+            await server.start(self._settings.peers.address)
+            driver.handle(self._seeds())
+            tasks.start_soon(driver.run)
+            tasks.start_soon(self._flush_metrics, driver)
+            tasks.start_soon(self._wait_for_signal)
+            tasks.start_soon(self._serve_http, driver)
+            self._log.info('started', incarnation=self._identity.incarnation)
+            await self._drain(driver)
+            self._stopped.set()
+            await server.stop(CLOSE_TIMEOUT_S)
+            await anyio.sleep(0)
+            await transport.close()
+            self._log.info('stopped')
+            tasks.cancel_scope.cancel()
+
+    def _driver(self, tasks: anyio.abc.TaskGroup) -> driver_module.Driver:
+        core = core_module.Core(self._identity, random.Random())
+        return driver_module.Driver(
+            core, self._clock, self._metrics, self._log, tasks
+        )
+
+    def _transport(self, tasks, driver) -> peers.GrpcPeerTransport:
+        return peers.GrpcPeerTransport(
+            self._identity.instance,
+            self._identity.incarnation,
+            tasks,
+            self._clock,
+            driver.handle,
+            self._settings.peers.tls,
+        )
+
+    def _seeds(self) -> messages.InstanceListRead:
+        """Return the peers of the settings as the oldest possible list."""
+        rows = [
+            messages.ListedInstance(
+                seed.instance,
+                ids.Incarnation(0),
+                self._identity.region,
+                self._identity.availability_zone,
+                seed.address,
+            )
+            for seed in self._settings.peers.seeds
+            if seed.instance != self._identity.instance
+        ]
+        return messages.InstanceListRead(0, 0.0, tuple(rows))
+
+    def _ask_stop(self) -> None:
+        self._stop_asked.set()
+
+    async def _wait_for_signal(self) -> None:
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as signals:
+            async for number in signals:
+                self._log.info('stop asked for', signal=number.name)
+                self._ask_stop()
+
+    async def _drain(self, driver: driver_module.Driver) -> None:
+        """Wait for a stop, then until no request is in progress."""
+        await self._stop_asked.wait()
+        self._log.info('draining')
+        await anyio.sleep(self._settings.drain.grace_s)
+        driver.handle(messages.DrainRequested())
+        with anyio.move_on_after(self._settings.drain.limit_s):
+            await driver.drained.wait()
+            return
+        self._log.error('requests cut', limit_s=self._settings.drain.limit_s)
+
+    async def _flush_metrics(self, driver: driver_module.Driver) -> None:
+        while True:
+            await anyio.sleep(FLUSH_INTERVAL_S)
+            world = driver.core.world
+            self._metrics.gauge('configuration.revision', world.revision)
+            self._metrics.gauge('listing.revision', world.listing.revision)
+            self._metrics.flush()
+
+    async def _serve_http(self, driver: driver_module.Driver) -> None:
+        caller_application = callers.CallerApplication(
+            driver,
+            self._settings.callers,
+            parents.Signer(self._settings.secret),
+            self._clock,
+            self._metrics,
+            self._log,
+        )
+        operator_application = operators.OperatorApplication(
+            driver,
+            self._settings.operators,
+            self._metrics,
+            self._ask_stop,
+            self._stop_asked.is_set,
+        )
+        async with anyio.create_task_group() as servers:
+            servers.start_soon(
+                self._serve_application,
+                caller_application,
+                self._caller_config(),
+            )
+            servers.start_soon(
+                self._serve_application,
+                operator_application,
+                self._config(self._settings.operators.address),
+            )
+
+    async def _serve_application(
+        self, application: Any, config: hypercorn.Config
+    ) -> None:
+        await hypercorn.asyncio.serve(
+            application, config, shutdown_trigger=self._stopped.wait
+        )
+
+    def _caller_config(self) -> hypercorn.Config:
+        settings = self._settings.callers
+        config = self._config(settings.address)
+        config.h11_max_incomplete_size = settings.max_header_bytes * 2
+        config.h2_max_header_list_size = settings.max_header_bytes * 2
+        if settings.tls is not None:
+            config.certfile = settings.tls.certificate
+            config.keyfile = settings.tls.key
+        return config
+
+    def _config(self, address: str) -> hypercorn.Config:
+        config = hypercorn.Config()
+        config.bind = [address]
+        config.graceful_timeout = CLOSE_TIMEOUT_S
+        config.accesslog = None
+        config.errorlog = None
+        config.include_server_header = False
+        return config
+
+
+async def serve(settings: settings_module.Settings) -> None:
+    """Run a daemon until it has stopped gracefully."""
+    await Daemon(settings).run()
--- /dev/null
+++ b/primrosereel/daemon/_driver.py
@@ -0,0 +1,309 @@
+"""Feeds the decision core and carries out its effects."""
+
+from collections.abc import Callable
+import math
+from typing import Any
+
+import anyio
+import anyio.abc
+
+from primrosereel import _ids as ids
+from primrosereel import _states as states
+from primrosereel import core as core_module
+from primrosereel.core import _messages as messages
+from primrosereel.daemon import _peers as peers
+from primrosereel.daemon import _protocols as protocols
+
+__all__ = ['Answer', 'Driver']
+
+TICK_S = 0.1
+# Below this a wake-up would only spin.
+MIN_SLEEP_S = 0.001
+
+# Effects that end a caller's answer or are part of it.
+Answer = (
+    messages.SendTokens
+    | messages.FinishCaller
+    | messages.RefuseCaller
+    | messages.AbortCaller
+    | messages.AnswerPlain
+)
+
+
+class Driver:
+    """Owns the core; the only object that calls it.
+
+    Callers' handlers register a sink for their request and feed messages;
+    effects for the caller go to the sink in order. The adapters are set by
+    the composition root before ``run``.
+    """
+
+    def __init__(
+        self,
+        core: core_module.Core,
+        clock: protocols.Clock,
+        metrics: protocols.Metrics,
+        log: Any,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        self._core = core
+        self._clock = clock
+        self._metrics = metrics
+        self._log = log
+        self._tasks = tasks
+        self._sinks: dict[ids.RequestId, Callable[[Answer], None]] = {}
+        self._woken = anyio.Event()
+        self._sleeping_until = -math.inf
+        self._drained = anyio.Event()
+        self._engine: protocols.EngineClient | None = None
+        self._plain: protocols.PlainClient | None = None
+        self._configuration: protocols.ConfigurationService | None = None
+        self._instances: protocols.InstanceList | None = None
+        self._peers: protocols.PeerTransport | None = None
+        self._carriers: dict[type, Callable[[Any], None]] = {
+            messages.SendTokens: self._to_caller,
+            messages.FinishCaller: self._to_caller,
+            messages.RefuseCaller: self._to_caller,
+            messages.AbortCaller: self._to_caller,
+            messages.AnswerPlain: self._to_caller,
+            messages.StartPrefill: self._prefill,
+            messages.StartDecode: self._decode,
+            messages.ReattachStream: self._reattach,
+            messages.CancelUpstream: self._cancel,
+            messages.CallPlain: self._call_plain,
+            messages.SendPeer: self._send_peer,
+            messages.WatchConfiguration: self._watch,
+            messages.ReadInstanceList: self._read_instances,
+            messages.Count: self._count,
+            messages.DrainFinished: self._drain_finished,
+            messages.PollLoad: self._control,
+            messages.PollCacheEvents: self._control,
+            messages.ListRequests: self._control,
+            messages.GiveOrder: self._control,
+            messages.ReadRunnerState: self._control,
+            messages.PauseUpstream: self._control,
+            messages.ResumeUpstream: self._control,
+        }
+
+    @property
+    def core(self) -> core_module.Core:
+        """The core; for reading its tables."""
+        return self._core
+
+    @property
+    def drained(self) -> anyio.Event:
+        """Set when no request is left after a drain was asked for."""
+        return self._drained
+
+    def connect(
+        self,
+        engine: protocols.EngineClient,
+        plain: protocols.PlainClient,
+        configuration: protocols.ConfigurationService,
+        instances: protocols.InstanceList,
+        transport: protocols.PeerTransport,
+    ) -> None:
+        """Set the adapters."""
+        self._engine = engine
+        self._plain = plain
+        self._configuration = configuration
+        self._instances = instances
+        self._peers = transport
+
+    def open(self, sink: Callable[[Answer], None]) -> ids.RequestId:
+        """Return a new request id whose answer goes to the sink."""
+        request = self._core.next_request_id()
+        self._sinks[request] = sink
+        return request
+
+    def close(self, request: ids.RequestId) -> None:
+        """Forget a sink; effects for it are dropped from now on."""
+        self._sinks.pop(request, None)
+
+    def handle(self, message: messages.Inbound) -> None:
+        """Feed one message and carry out what follows."""
+        effects = self._core.handle(
+            message, self._clock.monotonic(), self._clock.wall()
+        )
+        self._carry(effects)
+        if self._core.wake < self._sleeping_until:
+            self._woken.set()
+
+    def exchange(self, envelope: peers.Envelope) -> list[messages.PeerMessage]:
+        """Feed a peer's messages; return the replies that follow at once."""
+        replies: list[messages.PeerMessage] = []
+        others: list[messages.Outbound] = []
+        for message in envelope.messages:
+            effects = self._core.handle(
+                messages.FromPeer(
+                    envelope.sender, envelope.incarnation, message
+                ),
+                self._clock.monotonic(),
+                self._clock.wall(),
+            )
+            for effect in effects:
+                if (
+                    isinstance(effect, messages.SendPeer)
+                    and effect.destination == envelope.sender
+                ):
+                    replies.append(effect.message)
+                else:
+                    others.append(effect)
+        self._carry(others)
+        return replies
+
+    async def run(self) -> None:
+        """Tick until cancelled; sooner than a beat when the core asks."""
+        while True:
+            effects = self._core.tick(
+                self._clock.monotonic(), self._clock.wall()
+            )
+            self._carry(effects)
+            await self._sleep(self._clock.monotonic() + TICK_S)
+
+    async def _sleep(self, until: float) -> None:
+        """Sleep until the next beat or the core's earlier wake-up time."""
+        while True:
+            self._sleeping_until = min(until, self._core.wake)
+            wait_s = self._sleeping_until - self._clock.monotonic()
+            if wait_s <= 0:
+                await anyio.sleep(MIN_SLEEP_S)
+                return
+            self._woken = anyio.Event()
+            with anyio.move_on_after(wait_s):
+                await self._woken.wait()
+                continue
+            return
+
+    def _carry(self, effects: list[messages.Outbound]) -> None:
+        for effect in effects:
+            self._carriers[type(effect)](effect)
+
+    def _start(self, call, *args) -> None:
+        self._tasks.start_soon(self._guarded, call, *args)
+
+    async def _guarded(self, call, *args) -> None:
+        """Run an adapter's call; a fault in it costs that call only."""
+        try:
+            await call(*args)
+        except Exception:
+            self._metrics.count('internal.adapter_error')
+            self._log.exception('adapter call failed', call=call.__qualname__)
+
+    def _to_caller(self, effect: Any) -> None:
+        sink = self._sinks.get(effect.request_id)
+        if sink is not None:
+            sink(effect)
+
+    def _address(self, runner: ids.RunnerId) -> str | None:
+        row = self._core.world.runners.get(runner)
+        return None if row is None else row.facts.address
+
+    def _model(self, service: ids.ServiceId) -> str:
+        text = self._core.world.text
+        if text is None or service not in text.services:
+            return ''
+        return text.services[service].model or ''
+
+    def _prefill(self, effect: messages.StartPrefill) -> None:
+        address = self._address(effect.runner)
+        if address is None:
+            self.handle(
+                messages.PrefillFailed(
+                    effect.request_id,
+                    effect.attempt,
+                    effect.runner,
+                    states.UpstreamError.CONNECT,
+                    states.Ran.NOT_RUN,
+                )
+            )
+            return
+        model = self._model(effect.service)
+        assert self._engine is not None
+        self._start(self._engine.prefill, effect, address, model, self.handle)
+
+    def _decode(self, effect: messages.StartDecode) -> None:
+        address = self._address(effect.runner)
+        if address is None:
+            self._closed(effect)
+            return
+        model = self._model(effect.service)
+        assert self._engine is not None
+        self._start(self._engine.decode, effect, address, model, self.handle)
+
+    def _reattach(self, effect: messages.ReattachStream) -> None:
+        address = self._address(effect.runner)
+        if address is None:
+            self._closed(effect)
+            return
+        assert self._engine is not None
+        self._start(self._engine.reattach, effect, address, self.handle)
+
+    def _closed(self, effect: Any) -> None:
+        self.handle(
+            messages.StreamClosed(
+                effect.request_id,
+                effect.attempt,
+                effect.runner,
+                states.UpstreamError.CONNECT,
+            )
+        )
+
+    def _cancel(self, effect: messages.CancelUpstream) -> None:
+        address = self._address(effect.runner)
+        if address is None:
+            self.handle(
+                messages.CancelFailed(effect.runner, effect.engine_request_id)
+            )
+            return
+        assert self._engine is not None
+        self._start(self._engine.cancel, effect, address, self.handle)
+
+    def _control(self, effect: Any) -> None:
+        address = self._address(effect.runner)
+        if address is not None:
+            assert self._engine is not None
+            self._start(self._engine.control, effect, address, self.handle)
+
+    def _call_plain(self, effect: messages.CallPlain) -> None:
+        address = self._address(effect.runner)
+        if address is None:
+            self.handle(
+                messages.PlainFailed(
+                    effect.request_id,
+                    effect.attempt,
+                    effect.runner,
+                    states.UpstreamError.CONNECT,
+                    states.Ran.NOT_RUN,
+                )
+            )
+            return
+        assert self._plain is not None
+        self._start(self._plain.call, effect, address, self.handle)
+
+    def _send_peer(self, effect: messages.SendPeer) -> None:
+        row = self._core.world.listing.instances.get(effect.destination)
+        if row is None:
+            failed = messages.PeerFailed(effect.destination, (effect.message,))
+            # Not at once: the core is still handling its own effects.
+            self._start(self._deliver_later, failed)
+            return
+        assert self._peers is not None
+        self._peers.send(effect.destination, row.address, (effect.message,))
+
+    async def _deliver_later(self, message: messages.Inbound) -> None:
+        self.handle(message)
+
+    def _watch(self, effect: messages.WatchConfiguration) -> None:
+        assert self._configuration is not None
+        self._start(self._configuration.watch, effect, self.handle)
+
+    def _read_instances(self, effect: messages.ReadInstanceList) -> None:
+        assert self._instances is not None
+        self._start(self._instances.read, self.handle)
+
+    def _count(self, effect: messages.Count) -> None:
+        self._metrics.count(effect.name, effect.value)
+
+    def _drain_finished(self, effect: messages.DrainFinished) -> None:
+        self._drained.set()
--- /dev/null
+++ b/primrosereel/daemon/_engine.py
@@ -0,0 +1,486 @@
+"""Calls to engines over HTTP.
+
+Every failure of a call becomes a message with an ``UpstreamError``; nothing
+that an engine sends can raise out of this module. What an engine sends is
+held against the request it was asked for: another request id, a gap in the
+offsets or a line that is too long ends that stream only.
+"""
+
+from collections.abc import AsyncIterator
+
+import anyio
+import httpx
+import msgspec
+
+from primrosereel import _ids as ids
+from primrosereel import _states as states
+from primrosereel.core import _messages as messages
+from primrosereel.daemon import _protocols as protocols
+from primrosereel.daemon import _sse as sse
+
+__all__ = ['HttpEngineClient']
+
+CONNECT_TIMEOUT_S = 0.5
+CONTROL_TIMEOUT_S = 1.0
+# Streams are watched by the core's progress limit, so a read has no timeout.
+STREAM_TIMEOUT = httpx.Timeout(CONTROL_TIMEOUT_S, read=None, pool=None)
+MAX_ANSWER_BYTES = 4_000_000
+
+Error = states.UpstreamError
+
+STATUS_ERRORS = {
+    404: Error.NOT_FOUND,
+    410: Error.KV_GONE,
+    503: Error.FULL,
+}
+
+
+class _Event(msgspec.Struct):
+    """One token of a stream."""
+
+    request_id: str
+    offset: int
+    token: str = ''
+    finish: str | None = None
+
+
+class _Kv(msgspec.Struct):
+    """Transfer parameters of an exported KV cache."""
+
+    handle: str
+    runner: str
+    tokens: int
+    bytes: int
+
+
+class _PrefillAnswer(msgspec.Struct):
+    """The answer to a prefill."""
+
+    request_id: str
+    kv: _Kv
+    cached_tokens: int = 0
+
+
+class _Load(msgspec.Struct):
+    """A load report on the wire."""
+
+    busy: int
+    queued: int
+    free_pieces: int
+    backlog_tokens: int = 0
+    leaving: bool = False
+    incarnation: int = 0
+    age_s: float = 0.0
+
+
+class _CacheEvents(msgspec.Struct):
+    """Cache events on the wire."""
+
+    first: int
+    next: int
+    stored: list[int] = []
+    evicted: list[int] = []
+
+
+class _Held(msgspec.Struct):
+    """One request that an engine holds."""
+
+    id: str
+
+
+class _Requests(msgspec.Struct):
+    """The requests that an engine holds."""
+
+    requests: list[_Held]
+
+
+class _State(msgspec.Struct):
+    """What an engine has loaded."""
+
+    role: str
+    models: list[str] = []
+    adapters: list[str] = []
+    fencing_token: int = 0
+
+
+class _ProtocolError(Exception):
+    """An engine sent what does not belong to the stream."""
+
+
+class HttpEngineClient:
+    """Calls engines through httpx.
+
+    ``client`` keeps connections; ``fresh`` opens one for each call and is
+    used where the old connection may have gone silent.
+    """
+
+    def __init__(
+        self,
+        client: httpx.AsyncClient,
+        fresh: httpx.AsyncClient,
+        clock: protocols.Clock,
+    ) -> None:
+        self._client = client
+        self._fresh = fresh
+        self._clock = clock
+        self._event = msgspec.json.Decoder(_Event)
+        self._streams: dict[ids.EngineRequestId, anyio.CancelScope] = {}
+        self._controls = {
+            messages.PollLoad: self._poll_load,
+            messages.PollCacheEvents: self._poll_cache_events,
+            messages.ListRequests: self._list_requests,
+            messages.GiveOrder: self._give_order,
+            messages.ReadRunnerState: self._read_state,
+            messages.PauseUpstream: self._pause,
+            messages.ResumeUpstream: self._resume,
+        }
+
+    async def prefill(
+        self,
+        effect: messages.StartPrefill,
+        address: str,
+        model: str,
+        deliver: protocols.Deliver,
+    ) -> None:
+        """Run a prefill; deliver PrefillDone or PrefillFailed."""
+        engine_id = ids.engine_request_id(effect.request_id, effect.attempt)
+        body = {
+            'request_id': engine_id,
+            'model': model,
+            'prompt': effect.prompt,
+            'continuation': effect.continuation,
+            'priority': effect.priority,
+            'lease_s': effect.lease_s,
+        }
+        started = self._clock.monotonic()
+        with self._scope(engine_id):
+            answer = await self._post_prefill(
+                f'http://{address}/v1/prefill', body, effect.timeout_s
+            )
+            if isinstance(answer, states.UpstreamError):
+                ran = states.Ran.UNKNOWN
+                if answer in (Error.CONNECT, Error.FULL):
+                    ran = states.Ran.NOT_RUN
+                deliver(
+                    messages.PrefillFailed(
+                        effect.request_id,
+                        effect.attempt,
+                        effect.runner,
+                        answer,
+                        ran,
+                    )
+                )
+                return
+            kv = answer.kv
+            deliver(
+                messages.PrefillDone(
+                    effect.request_id,
+                    effect.attempt,
+                    effect.runner,
+                    messages.KvTransfer(
+                        kv.handle, effect.runner, kv.tokens, kv.bytes
+                    ),
+                    answer.cached_tokens,
+                    self._clock.monotonic() - started,
+                )
+            )
+
+    async def decode(
+        self,
+        effect: messages.StartDecode,
+        address: str,
+        model: str,
+        deliver: protocols.Deliver,
+    ) -> None:
+        """Stream tokens; deliver TokensReceived and at most one end."""
+        engine_id = ids.engine_request_id(effect.request_id, effect.attempt)
+        body = {
+            'request_id': engine_id,
+            'model': model,
+            'kv': msgspec.structs.asdict(effect.kv),
+            'prompt': effect.prompt,
+            'max_tokens': effect.max_tokens,
+            'priority': effect.priority,
+            'offset': effect.offset,
+        }
+        request = self._client.build_request(
+            'POST',
+            f'http://{address}/v1/decode',
+            content=msgspec.json.encode(body),
+            timeout=STREAM_TIMEOUT,
+        )
+        await self._stream(self._client, request, effect, deliver)
+
+    async def reattach(
+        self,
+        effect: messages.ReattachStream,
+        address: str,
+        deliver: protocols.Deliver,
+    ) -> None:
+        """Stream tokens again over a new connection."""
+        engine_id = ids.engine_request_id(effect.request_id, effect.attempt)
+        request = self._fresh.build_request(
+            'GET',
+            f'http://{address}/v1/requests/{engine_id}/stream',
+            params={'offset': effect.offset},
+            timeout=STREAM_TIMEOUT,
+        )
+        self._stop(engine_id)
+        await self._stream(self._fresh, request, effect, deliver)
+
+    async def cancel(
+        self,
+        effect: messages.CancelUpstream,
+        address: str,
+        deliver: protocols.Deliver,
+    ) -> None:
+        """Free what an engine holds, over a connection of its own."""
+        self._stop(effect.engine_request_id)
+        url = f'http://{address}/v1/requests/{effect.engine_request_id}'
+        confirmed = False
+        try:
+            response = await self._fresh.delete(url, timeout=CONTROL_TIMEOUT_S)
+            confirmed = response.status_code in (200, 204, 404)
+        except httpx.HTTPError:
+            confirmed = False
+        kind = messages.CancelConfirmed if confirmed else messages.CancelFailed
+        deliver(kind(effect.runner, effect.engine_request_id))
+
+    async def control(
+        self,
+        effect: messages.Outbound,
+        address: str,
+        deliver: protocols.Deliver,
+    ) -> None:
+        """Carry out one of the short calls."""
+        await self._controls[type(effect)](effect, address, deliver)
+
+    def _scope(self, engine_id: ids.EngineRequestId) -> anyio.CancelScope:
+        """Return a scope that ends the call when the id is cancelled."""
+        scope = anyio.CancelScope()
+        self._streams[engine_id] = scope
+        return scope
+
+    def _stop(self, engine_id: ids.EngineRequestId) -> None:
+        scope = self._streams.pop(engine_id, None)
+        if scope is not None:
+            scope.cancel()
+
+    async def _post_prefill(
+        self, url: str, body: dict, timeout_s: float
+    ) -> _PrefillAnswer | states.UpstreamError:
+        try:
+            response = await self._client.post(
+                url,
+                content=msgspec.json.encode(body),
+                timeout=httpx.Timeout(timeout_s, connect=CONNECT_TIMEOUT_S),
+            )
+            if response.status_code != 200:
+                return STATUS_ERRORS.get(response.status_code, Error.STATUS)
+            answer = msgspec.json.decode(response.content, type=_PrefillAnswer)
+        except (httpx.HTTPError, msgspec.MsgspecError) as error:
+            return _classify(error)
+        if answer.request_id != body['request_id']:
+            return Error.PROTOCOL
+        return answer
+
+    async def _stream(self, client, request, effect, deliver) -> None:
+        engine_id = ids.engine_request_id(effect.request_id, effect.attempt)
+        scope = self._scope(engine_id)
+        error: states.UpstreamError | None = Error.BROKEN
+        with scope:
+            try:
+                error = await self._read_stream(
+                    client, request, effect, engine_id, deliver
+                )
+            except httpx.HTTPError as failure:
+                error = _classify(failure)
+            except (msgspec.MsgspecError, sse.LineTooLong, _ProtocolError):
+                error = Error.PROTOCOL
+        if self._streams.get(engine_id) is scope:
+            del self._streams[engine_id]
+        if error is not None and not scope.cancel_called:
+            deliver(
+                messages.StreamClosed(
+                    effect.request_id, effect.attempt, effect.runner, error
+                )
+            )
+
+    async def _read_stream(
+        self, client, request, effect, engine_id, deliver
+    ) -> states.UpstreamError | None:
+        """Deliver the tokens of a stream; return None when it finished."""
+        response = await client.send(request, stream=True)
+        try:
+            if response.status_code != 200:
+                return STATUS_ERRORS.get(response.status_code, Error.STATUS)
+            offset = effect.offset
+            async for events in self._events(response):
+                tokens, finish = _checked(events, engine_id, offset)
+                deliver(
+                    messages.TokensReceived(
+                        effect.request_id,
+                        effect.attempt,
+                        effect.runner,
+                        offset,
+                        tokens,
+                        finish,
+                    )
+                )
+                offset += len(tokens)
+                if finish is not None:
+                    return None
+            return Error.BROKEN
+        finally:
+            with anyio.CancelScope(shield=True), anyio.move_on_after(1):
+                await response.aclose()
+
+    async def _events(
+        self, response: httpx.Response
+    ) -> AsyncIterator[list[_Event]]:
+        """Yield the events of each chunk that was received."""
+        lines = sse.EventParser()
+        async for chunk in response.aiter_raw():
+            data = lines.feed(chunk)
+            events = [self._event.decode(d) for d in data if d != sse.DONE]
+            if events:
+                yield events
+
+    async def _request(
+        self, method: str, url: str, body: dict | None = None
+    ) -> httpx.Response | None:
+        """Make a short call; return None when it failed."""
+        content = None if body is None else msgspec.json.encode(body)
+        try:
+            response = await self._client.request(
+                method, url, content=content, timeout=CONTROL_TIMEOUT_S
+            )
+        except httpx.HTTPError:
+            return None
+        if len(response.content) > MAX_ANSWER_BYTES:
+            return None
+        return response
+
+    async def _get(self, url: str, kind):
+        """Read a typed answer; return None when there is none."""
+        response = await self._request('GET', url)
+        if response is None or response.status_code != 200:
+            return None
+        try:
+            return msgspec.json.decode(response.content, type=kind)
+        except msgspec.MsgspecError:
+            return None
+
+    async def _poll_load(self, effect, address, deliver) -> None:
+        load = await self._get(f'http://{address}/v1/load', _Load)
+        if load is None:
+            deliver(messages.LoadFailed(effect.runner))
+            return
+        report = messages.LoadReport(**msgspec.structs.asdict(load))
+        deliver(messages.LoadReported(effect.runner, report))
+
+    async def _poll_cache_events(self, effect, address, deliver) -> None:
+        url = f'http://{address}/v1/cache-events?since={effect.since}'
+        found = await self._get(url, _CacheEvents)
+        if found is None:
+            return
+        deliver(
+            messages.CacheEventsReceived(
+                effect.runner,
+                effect.since,
+                found.first,
+                found.next,
+                tuple(found.stored),
+                tuple(found.evicted),
+            )
+        )
+
+    async def _list_requests(self, effect, address, deliver) -> None:
+        found = await self._get(f'http://{address}/v1/requests', _Requests)
+        if found is None:
+            return
+        held = tuple(ids.EngineRequestId(row.id) for row in found.requests)
+        deliver(messages.RequestsListed(effect.runner, held))
+
+    async def _give_order(self, effect, address, deliver) -> None:
+        body = {
+            'fencing_token': effect.fencing_token,
+            'kind': effect.kind,
+            'value': effect.value,
+        }
+        response = await self._request(
+            'POST', f'http://{address}/v1/orders', body
+        )
+        accepted = None
+        if response is not None and response.status_code in (200, 202, 409):
+            accepted = response.status_code != 409
+        deliver(
+            messages.OrderAnswered(
+                effect.runner, effect.fencing_token, accepted
+            )
+        )
+
+    async def _read_state(self, effect, address, deliver) -> None:
+        found = await self._get(f'http://{address}/v1/state', _State)
+        if found is None:
+            return
+        deliver(
+            messages.RunnerStateRead(
+                effect.runner,
+                found.role,
+                tuple(found.models),
+                tuple(found.adapters),
+                found.fencing_token,
+            )
+        )
+
+    async def _pause(self, effect, address, deliver) -> None:
+        if await self._switch(effect, address, 'pause'):
+            deliver(
+                messages.StreamPaused(
+                    effect.request_id, effect.attempt, effect.runner
+                )
+            )
+
+    async def _resume(self, effect, address, deliver) -> None:
+        if await self._switch(effect, address, 'resume'):
+            deliver(
+                messages.StreamResumed(
+                    effect.request_id, effect.attempt, effect.runner
+                )
+            )
+
+    async def _switch(self, effect, address, verb: str) -> bool:
+        engine_id = ids.engine_request_id(effect.request_id, effect.attempt)
+        response = await self._request(
+            'POST', f'http://{address}/v1/requests/{engine_id}/{verb}'
+        )
+        return response is not None and response.status_code in (200, 202)
+
+
+def _checked(
+    events: list[_Event], engine_id: ids.EngineRequestId, offset: int
+) -> tuple[tuple[str, ...], str | None]:
+    """Return the tokens and the finish of events that belong together."""
+    tokens: list[str] = []
+    for event in events:
+        if event.request_id != engine_id:
+            raise _ProtocolError('another request id')
+        if event.token:
+            if event.offset != offset + len(tokens):
+                raise _ProtocolError('a gap in the offsets')
+            tokens.append(event.token)
+        if event.finish is not None:
+            return tuple(tokens), event.finish
+    return tuple(tokens), None
+
+
+def _classify(error: Exception) -> states.UpstreamError:
+    """Turn a library's error into this layer's own."""
+    if isinstance(error, (httpx.ConnectError, httpx.ConnectTimeout)):
+        return Error.CONNECT
+    if isinstance(error, httpx.TimeoutException):
+        return Error.TIMEOUT
+    if isinstance(error, (httpx.RemoteProtocolError, msgspec.MsgspecError)):
+        return Error.PROTOCOL
+    return Error.BROKEN
--- /dev/null
+++ b/primrosereel/daemon/_peers.py
@@ -0,0 +1,253 @@
+"""Messages between daemons: one gRPC method, MessagePack in both directions.
+
+Generic handlers with msgspec as codec need no generated code. grpcio works on
+asyncio only, so the daemon runs anyio on its asyncio back end.
+"""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import typing
+
+import anyio
+import anyio.abc
+import grpc
+import grpc.aio
+import msgspec
+
+from primrosereel import _ids as ids
+from primrosereel import settings as settings_module
+from primrosereel.core import _messages as messages
+from primrosereel.daemon import _protocols as protocols
+
+__all__ = ['Envelope', 'GrpcPeerTransport', 'PeerServer', 'decode', 'encode']
+
+SERVICE = 'primrosereel.Peer'
+METHOD = f'/{SERVICE}/Exchange'
+CALL_TIMEOUT_S = 1.0
+# A connection that timed out is replaced at most once in this time, so that
+# a slow peer is not flooded with new connections.
+REPLACE_INTERVAL_S = 1.0
+CALLS_PER_PEER = 4
+MAX_QUEUED = 4096
+OPTIONS = (
+    ('grpc.initial_reconnect_backoff_ms', 100),
+    ('grpc.min_reconnect_backoff_ms', 100),
+    ('grpc.max_reconnect_backoff_ms', 1000),
+    ('grpc.enable_retries', 0),
+)
+
+# The union of all peer messages, by which msgspec finds a message's type.
+AnyPeerMessage: typing.Any = typing.Union[  # noqa: UP007
+    tuple(messages.PeerMessage.__subclasses__())
+]
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """A batch of messages and who sent it."""
+
+    sender: ids.InstanceId
+    incarnation: ids.Incarnation
+    messages: list[AnyPeerMessage]
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Envelope)
+
+
+def encode(envelope: Envelope) -> bytes:
+    """Encode a batch for the wire."""
+    return _ENCODER.encode(envelope)
+
+
+def decode(body: bytes) -> Envelope:
+    """Decode a batch; raise msgspec.MsgspecError when it is not one."""
+    return _DECODER.decode(body)
+
+
+class _Link:
+    """The connection to one peer and what waits for it."""
+
+    def __init__(self, address: str, channel: grpc.aio.Channel) -> None:
+        self.address = address
+        self.channel = channel
+        self.call = channel.unary_unary(METHOD)
+        self.queue: list[messages.PeerMessage] = []
+        self.running = 0
+        self.replaced_at = -REPLACE_INTERVAL_S
+
+
+class GrpcPeerTransport:
+    """Sends messages to peers; batches what waits at the same moment."""
+
+    def __init__(
+        self,
+        instance: ids.InstanceId,
+        incarnation: ids.Incarnation,
+        tasks: anyio.abc.TaskGroup,
+        clock: protocols.Clock,
+        deliver: protocols.Deliver,
+        tls: settings_module.Tls | None = None,
+    ) -> None:
+        self._instance = instance
+        self._incarnation = incarnation
+        self._tasks = tasks
+        self._clock = clock
+        self._deliver = deliver
+        self._credentials = None if tls is None else _client_credentials(tls)
+        self._links: dict[ids.InstanceId, _Link] = {}
+
+    def send(
+        self,
+        peer: ids.InstanceId,
+        address: str,
+        outgoing: Sequence[messages.PeerMessage],
+    ) -> None:
+        """Queue messages; replies or PeerFailed are delivered later."""
+        link = self._links.get(peer)
+        if link is None or link.address != address:
+            link = _Link(address, self._channel(peer, address))
+            self._links[peer] = link
+        if len(link.queue) + len(outgoing) > MAX_QUEUED:
+            self._deliver(messages.PeerFailed(peer, tuple(outgoing)))
+            return
+        link.queue.extend(outgoing)
+        if link.running < CALLS_PER_PEER:
+            link.running += 1
+            self._tasks.start_soon(self._flush, peer, link)
+
+    async def close(self) -> None:
+        """Close every connection."""
+        for link in self._links.values():
+            await link.channel.close()
+
+    def _channel(self, peer, address: str) -> grpc.aio.Channel:
+        if self._credentials is None:
+            return grpc.aio.insecure_channel(address, OPTIONS)
+        # Certificates name the instance, not its address.
+        options = (*OPTIONS, ('grpc.ssl_target_name_override', peer))
+        return grpc.aio.secure_channel(address, self._credentials, options)
+
+    async def _flush(self, peer: ids.InstanceId, link: _Link) -> None:
+        try:
+            while link.queue:
+                batch, link.queue = link.queue, []
+                await self._exchange(peer, link, batch)
+        finally:
+            link.running -= 1
+
+    async def _exchange(self, peer, link: _Link, batch) -> None:
+        envelope = Envelope(self._instance, self._incarnation, batch)
+        try:
+            body = await link.call(encode(envelope), timeout=CALL_TIMEOUT_S)
+            answer = decode(body)
+        except (grpc.aio.AioRpcError, msgspec.MsgspecError) as error:
+            if _timed_out(error):
+                await self._replace(peer, link)
+            self._deliver(messages.PeerFailed(peer, tuple(batch)))
+            return
+        if answer.sender != peer:
+            self._deliver(messages.PeerFailed(peer, tuple(batch)))
+            return
+        for message in answer.messages:
+            self._deliver(
+                messages.FromPeer(answer.sender, answer.incarnation, message)
+            )
+
+    async def _replace(self, peer, link: _Link) -> None:
+        """Open a new connection where the old one may have gone silent."""
+        now = self._clock.monotonic()
+        if now - link.replaced_at < REPLACE_INTERVAL_S:
+            return
+        link.replaced_at = now
+        old, link.channel = link.channel, self._channel(peer, link.address)
+        link.call = link.channel.unary_unary(METHOD)
+        await old.close()
+
+
+class PeerServer:
+    """Takes messages from peers."""
+
+    def __init__(
+        self,
+        instance: ids.InstanceId,
+        incarnation: ids.Incarnation,
+        exchange: Callable[[Envelope], list[messages.PeerMessage]],
+        tls: settings_module.Tls | None = None,
+    ) -> None:
+        self._instance = instance
+        self._incarnation = incarnation
+        self._exchange = exchange
+        self._tls = tls
+        self._server = grpc.aio.server()
+        handler = grpc.unary_unary_rpc_method_handler(self._handle)
+        self._server.add_generic_rpc_handlers(
+            (
+                grpc.method_handlers_generic_handler(
+                    SERVICE, {'Exchange': handler}
+                ),
+            )
+        )
+
+    async def start(self, address: str) -> int:
+        """Listen on an address and return the port."""
+        if self._tls is None:
+            port = self._server.add_insecure_port(address)
+        else:
+            credentials = _server_credentials(self._tls)
+            port = self._server.add_secure_port(address, credentials)
+        await self._server.start()
+        return port
+
+    async def stop(self, grace_s: float) -> None:
+        """Stop taking calls and wait for those in progress."""
+        await self._server.stop(grace_s)
+
+    async def _handle(self, body: bytes, context) -> bytes:
+        try:
+            envelope = decode(body)
+        except msgspec.MsgspecError:
+            await context.abort(
+                grpc.StatusCode.INVALID_ARGUMENT, 'not a batch of messages'
+            )
+        if self._tls is not None and not _names(context, envelope.sender):
+            await context.abort(
+                grpc.StatusCode.PERMISSION_DENIED,
+                'the certificate does not name the sender',
+            )
+        replies = self._exchange(envelope)
+        return encode(Envelope(self._instance, self._incarnation, replies))
+
+
+def _names(context, sender: ids.InstanceId) -> bool:
+    """Tell whether the peer's certificate is the sender's."""
+    found = context.auth_context()
+    names = found.get('x509_subject_alternative_name', [])
+    return sender.encode() in names
+
+
+def _timed_out(error: Exception) -> bool:
+    return (
+        isinstance(error, grpc.aio.AioRpcError)
+        and error.code() is grpc.StatusCode.DEADLINE_EXCEEDED
+    )
+
+
+def _read(path: str) -> bytes:
+    with open(path, 'rb') as file:
+        return file.read()
+
+
+def _client_credentials(tls: settings_module.Tls) -> grpc.ChannelCredentials:
+    return grpc.ssl_channel_credentials(
+        _read(tls.authority or tls.certificate),
+        _read(tls.key),
+        _read(tls.certificate),
+    )
+
+
+def _server_credentials(tls: settings_module.Tls) -> grpc.ServerCredentials:
+    return grpc.ssl_server_credentials(
+        [(_read(tls.key), _read(tls.certificate))],
+        _read(tls.authority or tls.certificate),
+        require_client_auth=True,
+    )
--- /dev/null
+++ b/primrosereel/daemon/_plain_upstream.py
@@ -0,0 +1,120 @@
+"""Calls to plain services over HTTP."""
+
+import httpx
+
+from primrosereel import _states as states
+from primrosereel.core import _messages as messages
+from primrosereel.daemon import _protocols as protocols
+
+__all__ = ['HttpPlainClient']
+
+CONNECT_TIMEOUT_S = 0.5
+MAX_ANSWER_BYTES = 8_000_000
+# Headers that belong to one connection and are not passed on (RFC 9110,
+# section 7.6.1), and those that httpx sets itself.
+HOP_BY_HOP = frozenset(
+    {
+        'accept-encoding',
+        'connection',
+        'content-encoding',
+        'content-length',
+        'host',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    }
+)
+
+Error = states.UpstreamError
+
+
+class HttpPlainClient:
+    """Calls plain services through httpx.
+
+    Each non-idempotent call has a connection of its own: on a kept
+    connection that the service closes at the same moment it could not be
+    known whether the call arrived.
+    """
+
+    def __init__(
+        self,
+        client: httpx.AsyncClient,
+        fresh: httpx.AsyncClient,
+        clock: protocols.Clock,
+    ) -> None:
+        self._client = client
+        self._fresh = fresh
+        self._clock = clock
+
+    async def call(
+        self,
+        effect: messages.CallPlain,
+        address: str,
+        deliver: protocols.Deliver,
+    ) -> None:
+        """Send a call; deliver PlainAnswered or PlainFailed."""
+        client = self._client if effect.method == 'GET' else self._fresh
+        started = self._clock.monotonic()
+        try:
+            async with client.stream(
+                effect.method,
+                f'http://{address}{effect.path}',
+                headers=_passed_on(effect.headers),
+                content=effect.body,
+                timeout=httpx.Timeout(
+                    effect.timeout_s, connect=CONNECT_TIMEOUT_S
+                ),
+            ) as response:
+                body = await _read_bounded(response)
+        except (httpx.HTTPError, httpx.InvalidURL) as error:
+            kind, ran = _classify(error)
+            deliver(
+                messages.PlainFailed(
+                    effect.request_id,
+                    effect.attempt,
+                    effect.runner,
+                    kind,
+                    ran,
+                )
+            )
+            return
+        deliver(
+            messages.PlainAnswered(
+                effect.request_id,
+                effect.attempt,
+                effect.runner,
+                response.status_code,
+                _passed_on(tuple(response.headers.items())),
+                body,
+                self._clock.monotonic() - started,
+            )
+        )
+
+
+async def _read_bounded(response: httpx.Response) -> bytes:
+    """Read a body; raise RemoteProtocolError when it is too large."""
+    body = bytearray()
+    async for chunk in response.aiter_bytes():
+        body += chunk
+        if len(body) > MAX_ANSWER_BYTES:
+            raise httpx.RemoteProtocolError('the answer is too large')
+    return bytes(body)
+
+
+def _passed_on(
+    headers: tuple[tuple[str, str], ...],
+) -> tuple[tuple[str, str], ...]:
+    return tuple((k, v) for k, v in headers if k.lower() not in HOP_BY_HOP)
+
+
+def _classify(error: Exception) -> tuple[states.UpstreamError, states.Ran]:
+    """Only a connection that was never made proves that nothing ran."""
+    if isinstance(error, (httpx.ConnectError, httpx.ConnectTimeout)):
+        return Error.CONNECT, states.Ran.NOT_RUN
+    if isinstance(error, httpx.TimeoutException):
+        return Error.TIMEOUT, states.Ran.UNKNOWN
+    return Error.BROKEN, states.Ran.UNKNOWN
--- /dev/null
+++ b/primrosereel/daemon/_platform.py
@@ -0,0 +1,105 @@
+"""The platform's configuration service and instance list over HTTP."""
+
+import httpx
+import msgspec
+
+from primrosereel import _ids as ids
+from primrosereel.core import _messages as messages
+from primrosereel.daemon import _protocols as protocols
+
+__all__ = ['HttpConfigurationService', 'HttpInstanceList']
+
+REVISION_HEADER = 'X-Revision'
+# A watch that the service does not end in time is given up this much later.
+WATCH_MARGIN_S = 5.0
+READ_TIMEOUT_S = 2.0
+MAX_TEXT_BYTES = 1_000_000
+
+
+class _Row(msgspec.Struct):
+    """One instance on the wire."""
+
+    instance: ids.InstanceId
+    incarnation: ids.Incarnation
+    region: ids.Region
+    availability_zone: ids.AvailabilityZone
+    address: str
+    leaving: bool = False
+
+
+class _Listing(msgspec.Struct):
+    """The instance list on the wire."""
+
+    revision: int
+    as_of: float
+    instances: list[_Row]
+
+
+class HttpConfigurationService:
+    """Reads and watches the operators' text."""
+
+    def __init__(self, client: httpx.AsyncClient, url: str) -> None:
+        self._client = client
+        self._url = f'{url}/v1/configuration'
+
+    async def watch(
+        self,
+        effect: messages.WatchConfiguration,
+        deliver: protocols.Deliver,
+    ) -> None:
+        """Wait for a text newer than the effect names."""
+        try:
+            response = await self._client.get(
+                self._url,
+                params={'after': effect.after, 'wait': effect.wait_s},
+                timeout=effect.wait_s + WATCH_MARGIN_S,
+            )
+            if response.status_code == 204:
+                return
+            response.raise_for_status()
+            revision = int(response.headers[REVISION_HEADER])
+        except (httpx.HTTPError, KeyError, ValueError):
+            deliver(messages.ConfigurationFailed())
+            return
+        if len(response.content) > MAX_TEXT_BYTES:
+            deliver(messages.ConfigurationFailed())
+            return
+        deliver(
+            messages.ConfigurationRead(
+                ids.Revision(revision), response.content
+            )
+        )
+
+
+class HttpInstanceList:
+    """Reads the list of live and leaving instances."""
+
+    def __init__(self, client: httpx.AsyncClient, url: str) -> None:
+        self._client = client
+        self._url = f'{url}/v1/instances'
+        self._decoder = msgspec.json.Decoder(_Listing)
+
+    async def read(self, deliver: protocols.Deliver) -> None:
+        """Read the list; nothing is delivered when that fails."""
+        try:
+            response = await self._client.get(
+                self._url, timeout=READ_TIMEOUT_S
+            )
+            response.raise_for_status()
+            listing = self._decoder.decode(response.content)
+        except (httpx.HTTPError, msgspec.MsgspecError):
+            return
+        rows = tuple(
+            messages.ListedInstance(
+                row.instance,
+                row.incarnation,
+                row.region,
+                row.availability_zone,
+                row.address,
+                row.leaving,
+            )
+            for row in listing.instances
+        )
+        deliver(
+            messages.InstanceListRead(listing.revision, listing.as_of, rows)
+        )
--- /dev/null
+++ b/primrosereel/daemon/_sse.py
@@ -0,0 +1,47 @@
+"""Server-sent events as bytes, in and out."""
+
+__all__ = ['DONE', 'EventParser', 'LineTooLong', 'encode', 'encode_error']
+
+DONE = b'[DONE]'
+# An event of one token is a few hundred bytes.
+MAX_EVENT_BYTES = 65_536
+FIELD = b'data:'
+
+
+class LineTooLong(ValueError):
+    """An event is longer than any that an engine has reason to send."""
+
+
+class EventParser:
+    """Splits chunks into the data of whole events.
+
+    Only ``data`` fields are read; comments and other fields are passed over::
+
+        parser = EventParser()
+        parser.feed(b'data: {"a"')  # []
+        parser.feed(b': 1}\\n\\n')  # [b'{"a": 1}']
+    """
+
+    def __init__(self) -> None:
+        self._rest = b''
+
+    def feed(self, chunk: bytes) -> list[bytes]:
+        """Take a chunk and return the data of the events it completes."""
+        *lines, self._rest = (self._rest + chunk).split(b'\n')
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise LineTooLong(f'more than {MAX_EVENT_BYTES} bytes')
+        return [
+            line[len(FIELD) :].strip()
+            for line in lines
+            if line.startswith(FIELD)
+        ]
+
+
+def encode(data: bytes) -> bytes:
+    """Encode one event."""
+    return b'data: ' + data + b'\n\n'
+
+
+def encode_error(data: bytes) -> bytes:
+    """Encode an event that ends a stream with an error."""
+    return b'event: error\ndata: ' + data + b'\n\n'
