--- a/primrosereel/_registry.py
+++ b/primrosereel/_registry.py
@@ -23,6 +23,7 @@
         'orders': 'core._orders:OrdersSystem',
     },
     'command': {
+        'bench': 'cmd._bench:BenchCommand',
         'check': 'cmd._check:CheckCommand',
         'demo': 'cmd._demo:DemoCommand',
         'drain': 'cmd._remote:DrainCommand',
--- /dev/null
+++ b/primrosereel/bench/_experiments.py
@@ -0,0 +1,268 @@
+"""Experiments under virtual time: the measures and their targets.
+
+Each experiment runs the policy and, where it means something, the baseline
+on the same arrivals, for every seed, and returns rows with the median and
+the spread over the seeds.
+"""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import statistics
+import time
+from typing import Any
+
+from primrosereel.bench import _load as load
+from primrosereel.bench import _naive as naive
+from primrosereel.bench import _simulation as simulation
+from primrosereel.bench import _workloads as workloads
+
+__all__ = ['EXPERIMENTS', 'POLICIES', 'Row', 'run']
+
+FIRST_TOKEN_S = 0.36
+TOKEN_GAP_S = 0.069
+DAEMONS = 6
+WARM_UP_S = 10.0
+SECONDS = 40.0
+# After the last arrival, so that everything can end.
+TAIL_S = 60.0
+
+POLICIES: dict[str, Callable[..., simulation.Router]] = {
+    'primrosereel': simulation.core_router,
+    'naive': naive.naive_router,
+}
+
+Row = dict[str, Any]
+
+
+def _simulate(
+    shape: workloads.Shape,
+    policy: str,
+    arrivals: list[simulation.Arrival],
+    seed: int,
+    prepare: Callable[[simulation.Simulation], None] | None = None,
+) -> simulation.Simulation:
+    sim = simulation.Simulation(
+        shape.text,
+        DAEMONS,
+        seed,
+        POLICIES[policy],
+        shape.region,
+    )
+    if prepare is not None:
+        prepare(sim)
+    last = arrivals[-1].time if arrivals else 0.0
+    sim.run(arrivals, last + TAIL_S)
+    return sim
+
+
+def _is_good(outcome: simulation.Outcome) -> bool:
+    return (
+        outcome.whole
+        and outcome.first_token_s <= FIRST_TOKEN_S
+        and outcome.mean_gap_s <= TOKEN_GAP_S
+    )
+
+
+def _within(
+    outcomes: Sequence[simulation.Outcome], start: float, end: float
+) -> list[simulation.Outcome]:
+    return [o for o in outcomes if start <= o.arrival.time < end]
+
+
+def _goodput(outcomes: Sequence[simulation.Outcome]) -> float:
+    """Return the share of requests that met both targets."""
+    if not outcomes:
+        return 0.0
+    return sum(map(_is_good, outcomes)) / len(outcomes)
+
+
+def _first_tokens(outcomes: Sequence[simulation.Outcome]) -> list[float]:
+    return [o.first_token_s for o in outcomes if o.tokens]
+
+
+def _median(values: Sequence[float]) -> float:
+    return statistics.median(values)
+
+
+def _spread(values: Sequence[float]) -> float:
+    return max(values) - min(values)
+
+
+def _row(measure: str, values: Sequence[float], **more: Any) -> Row:
+    return {
+        'measure': measure,
+        'median': _median(values),
+        'spread': _spread(values),
+        **more,
+    }
+
+
+def goodput(shape: workloads.Shape, seeds: Sequence[int]) -> list[Row]:
+    """Measure goodput at 90% of what the pools carry.
+
+    At that load the upper bound is that every request meets both targets.
+    """
+    rate = 0.9 * workloads.capacity(shape)
+    shares: dict[str, list[float]] = {name: [] for name in POLICIES}
+    for seed in seeds:
+        arrivals = workloads.arrivals(shape, rate, WARM_UP_S + SECONDS, seed)
+        for policy in POLICIES:
+            sim = _simulate(shape, policy, arrivals, seed)
+            found = _within(sim.outcomes, 1 + WARM_UP_S, 1e9)
+            shares[policy].append(_goodput(found))
+    ratio = _median(shares['primrosereel']) / max(
+        1e-9, _median(shares['naive'])
+    )
+    return [
+        _row('goodput/bound', shares['primrosereel'], target='>= 0.95'),
+        _row('goodput/bound, naive', shares['naive']),
+        _row('goodput/naive', [ratio], target='>= 1.5'),
+    ]
+
+
+def waste(shape: workloads.Shape, seeds: Sequence[int]) -> list[Row]:
+    """Measure prefill work wasted, without faults and with kills."""
+    rate = 0.9 * workloads.capacity(shape)
+    rows = []
+    for label, kills, target in (
+        ('no faults', False, '<= 0.001'),
+        ('one runner killed a minute', True, '<= 0.01'),
+    ):
+        for policy in POLICIES:
+            shares = []
+            for seed in seeds:
+                arrivals = workloads.arrivals(shape, rate, 120.0, seed)
+                sim = _simulate(
+                    shape, policy, arrivals, seed, _kills if kills else None
+                )
+                done, wasted = sim.wasted_tokens()
+                shares.append(wasted / max(1, done))
+            more = {'target': target} if policy == 'primrosereel' else {}
+            name = f'prefill wasted, {label}'
+            if policy == 'naive':
+                name += ', naive'
+            rows.append(_row(name, shares, **more))
+    return rows
+
+
+def _kills(sim: simulation.Simulation) -> None:
+    """Kill one runner in the middle of each minute, in turn."""
+    runners = sorted(sim.engines)
+    for minute in range(2):
+        runner = runners[-1 - minute]
+        sim.at(30.0 + 60.0 * minute, lambda r=runner: sim.crash(r))
+
+
+def priority(shape: workloads.Shape, seeds: Sequence[int]) -> list[Row]:
+    """Measure a rare priority customer on a full and on an empty fleet."""
+    rate = 1.1 * workloads.capacity(shape)
+    full, empty = [], []
+    for seed in seeds:
+        rare = workloads.arrivals(shape, 0.5, 60.0, seed + 500, 1.0, 20.0)
+        patient = workloads.arrivals(shape, rate, 79.0, seed)
+        mixed = sorted(rare + patient)
+        sim = _simulate(shape, 'primrosereel', mixed, seed)
+        mine = [
+            o
+            for o in sim.outcomes
+            if o.arrival.customer == shape.priority_customer
+        ]
+        full.append(_percentile(_first_tokens(mine), 0.99, len(mine)))
+        sim = _simulate(shape, 'primrosereel', rare, seed)
+        alone = sim.outcomes
+        empty.append(_percentile(_first_tokens(alone), 0.99, len(alone)))
+    ratios = [f / e for f, e in zip(full, empty, strict=True)]
+    return [
+        _row('priority first token p99, full fleet, s', full),
+        _row('priority first token p99, empty fleet, s', empty),
+        _row('priority p99 full/empty', ratios, target='<= 1.25'),
+    ]
+
+
+def _percentile(values: list[float], share: float, asked: int) -> float:
+    """Return a percentile; requests without a token count as endless."""
+    values = values + [float('inf')] * (asked - len(values))
+    found = load.percentile(values, share)
+    return float('inf') if found is None else found
+
+
+def crest(shape: workloads.Shape, seeds: Sequence[int]) -> list[Row]:
+    """Measure goodput in the ten seconds of a five-times swing."""
+    capacity = workloads.capacity(shape)
+    rate = 0.4 * capacity
+    rows = []
+    for policy in POLICIES:
+        shares = []
+        for seed in seeds:
+            arrivals = workloads.crest(shape, rate, seed)
+            sim = _simulate(shape, policy, arrivals, seed)
+            found = _within(sim.outcomes, 11.0, 21.0)
+            bound = min(len(found), capacity * 10.0)
+            shares.append(sum(map(_is_good, found)) / bound)
+        more = {'target': '>= 0.9'} if policy == 'primrosereel' else {}
+        name = 'goodput at the crest/bound'
+        rows.append(_row(f'{name}{_label(policy)}', shares, **more))
+    return rows
+
+
+def _label(policy: str) -> str:
+    return '' if policy == 'primrosereel' else f', {policy}'
+
+
+def straggler(shape: workloads.Shape, seeds: Sequence[int]) -> list[Row]:
+    """Measure p99 of the first token with one runner slowed ten times."""
+    rate = 0.4 * workloads.capacity(shape)
+    runners = shape.text['services'][shape.service]['runners']
+    rows = []
+    for role in ('prefill', 'decode'):
+        name = next(r for r, row in runners.items() if row['role'] == role)
+
+        def slow(sim: simulation.Simulation, runner=name) -> None:
+            sim.at(WARM_UP_S, lambda: sim.slow(runner, 10.0))
+
+        for policy in POLICIES:
+            ratios = []
+            for seed in seeds:
+                arrivals = workloads.arrivals(shape, rate, 110.0, seed)
+                p99 = []
+                for prepare in (None, slow):
+                    sim = _simulate(shape, policy, arrivals, seed, prepare)
+                    found = _within(sim.outcomes, WARM_UP_S, 1e9)
+                    tokens = _first_tokens(found)
+                    p99.append(_percentile(tokens, 0.99, len(found)))
+                ratios.append(p99[1] / p99[0])
+            more = {'target': '<= 1.3'} if policy == 'primrosereel' else {}
+            label = f'first token p99, 1 {role} runner slowed/none'
+            rows.append(_row(f'{label}{_label(policy)}', ratios, **more))
+    return rows
+
+
+EXPERIMENTS = {
+    'goodput': goodput,
+    'waste': waste,
+    'priority': priority,
+    'crest': crest,
+    'straggler': straggler,
+}
+
+
+def run(
+    names: Sequence[str],
+    workload: str,
+    scale: int,
+    seeds: Sequence[int],
+) -> dict[str, Any]:
+    """Run experiments on a workload and return their rows."""
+    shape = workloads.shapes(workload, scale)
+    started = time.perf_counter()
+    rows = []
+    for name in names:
+        rows += EXPERIMENTS[name](shape, seeds)
+    return {
+        'workload': workload,
+        'scale': scale,
+        'seeds': list(seeds),
+        'capacity_requests_s': workloads.capacity(shape),
+        'rows': rows,
+        'run_seconds': time.perf_counter() - started,
+    }
--- /dev/null
+++ b/primrosereel/bench/_naive.py
@@ -0,0 +1,151 @@
+"""The baseline router: what one gets without reservation or order.
+
+A random ready runner of each role, no reservation, first come first served
+and a blind retry from the start on every failure.
+"""
+
+import math
+import random
+from typing import Any
+
+import msgspec
+
+from primrosereel import _ids as ids
+from primrosereel import _states as states
+from primrosereel import core as core_module
+from primrosereel.core import _messages as messages
+
+__all__ = ['NaiveRouter', 'naive_router']
+
+MAX_ATTEMPTS = 4
+LEASE_S = 10.0
+TIMEOUT_S = 60.0
+
+
+class _Request:
+    """One request and its current attempt."""
+
+    def __init__(self, call: messages.CompletionReceived) -> None:
+        self.call = call
+        self.attempt = 0
+        self.tokens = 0
+        self.decode: ids.RunnerId | None = None
+
+
+class NaiveRouter:
+    """Routes by chance; has the core's interface."""
+
+    def __init__(
+        self, identity: core_module.Identity, source: random.Random
+    ) -> None:
+        self._identity = identity
+        self._random = source
+        self._sequence = 0
+        self._requests: dict[ids.RequestId, _Request] = {}
+        self._runners: dict[tuple[str, str], list[ids.RunnerId]] = {}
+
+    @property
+    def wake(self) -> float:
+        """Nothing is ever due."""
+        return math.inf
+
+    def next_request_id(self) -> ids.RequestId:
+        """Return a request id that was not used before."""
+        self._sequence += 1
+        return ids.request_id(
+            self._identity.instance, self._identity.incarnation, self._sequence
+        )
+
+    def tick(self, now: float, wall: float) -> list[messages.Outbound]:
+        """Return nothing."""
+        return []
+
+    def handle(
+        self, message: messages.Inbound, now: float, wall: float
+    ) -> list[messages.Outbound]:
+        """Take one message and return the effects."""
+        if isinstance(message, messages.ConfigurationRead):
+            self._read_text(msgspec.json.decode(message.body))
+            return []
+        if isinstance(message, messages.CompletionReceived):
+            self._requests[message.request_id] = _Request(message)
+            return self._start(self._requests[message.request_id])
+        request = self._requests.get(getattr(message, 'request_id', ''))
+        if request is None or message.attempt != request.attempt:
+            return []
+        if isinstance(message, messages.PrefillDone):
+            return self._decode(request, message)
+        if isinstance(message, messages.TokensReceived):
+            return self._pass_on(request, message)
+        return self._start(request)
+
+    def _read_text(self, text: dict[str, Any]) -> None:
+        for service, row in text['services'].items():
+            for runner, facts in row['runners'].items():
+                key = (service, facts['role'])
+                self._runners.setdefault(key, []).append(runner)
+
+    def _start(self, request: _Request) -> list[messages.Outbound]:
+        call = request.call
+        request.attempt += 1
+        if request.attempt > MAX_ATTEMPTS or request.tokens:
+            del self._requests[call.request_id]
+            return [
+                messages.AbortCaller(
+                    call.request_id, states.RefusalReason.UPSTREAM_FAILED
+                )
+            ]
+        runner = self._random.choice(self._runners[call.service, 'prefill'])
+        return [
+            messages.StartPrefill(
+                call.request_id,
+                request.attempt,
+                runner,
+                call.service,
+                call.prompt,
+                '',
+                0,
+                LEASE_S,
+                TIMEOUT_S,
+            )
+        ]
+
+    def _decode(self, request, done: messages.PrefillDone):
+        call = request.call
+        runner = self._random.choice(self._runners[call.service, 'decode'])
+        return [
+            messages.StartDecode(
+                call.request_id,
+                request.attempt,
+                runner,
+                call.service,
+                done.kv,
+                call.prompt,
+                call.max_tokens,
+                0,
+                0,
+            )
+        ]
+
+    def _pass_on(self, request, received: messages.TokensReceived):
+        call = request.call
+        request.tokens += len(received.tokens)
+        effects: list[messages.Outbound] = [
+            messages.SendTokens(call.request_id, received.tokens)
+        ]
+        if received.finish is not None:
+            del self._requests[call.request_id]
+            effects.append(
+                messages.FinishCaller(
+                    call.request_id,
+                    received.finish,
+                    call.prompt_tokens,
+                    request.tokens,
+                )
+            )
+        return effects
+
+
+def naive_router(identity: core_module.Identity, seed: int) -> NaiveRouter:
+    """Build the baseline."""
+    return NaiveRouter(identity, random.Random(seed))
