Add the engine model of the stand-ins

It takes the time from its caller and works per event, not per token. Prompt token counts and prefix block hashes are in _prefix.py, since the router computes the same values.

--- /dev/null
+++ b/primrosereel/standin/_batch.py
@@ -0,0 +1,180 @@
+"""Continuous batching, computed per change of the batch.
+
+Between two changes every step takes the same time, so the position of each
+stream follows from the number of steps; nothing is done per token. Changes
+take effect at the end of the step in progress.
+"""
+
+import heapq
+import math
+from typing import NamedTuple
+
+__all__ = ['Batch', 'BatchEvent', 'step_seconds']
+
+# Share of a full batch's step time that a batch of one takes.
+SMALLEST_STEP = 0.6
+
+
+class BatchEvent(NamedTuple):
+    """A stream produced its first token or, with ``last``, its last one."""
+
+    time: float
+    key: str
+    last: bool
+
+
+def step_seconds(full_s: float, places: int, members: int) -> float:
+    """Return the time of one step of a batch, in seconds."""
+    if places <= 1:
+        return full_s
+    share = (members - 1) / (places - 1)
+    return full_s * (SMALLEST_STEP + (1 - SMALLEST_STEP) * share)
+
+
+class _Member(NamedTuple):
+    joined: int
+    stamp: int
+
+
+class Batch:
+    """The running streams of one engine."""
+
+    def __init__(self, full_s: float, places: int) -> None:
+        self._full_s = full_s
+        self._places = places
+        self._slow = 1.0
+        self._members: dict[str, _Member] = {}
+        self._joining: dict[str, int] = {}
+        self._marks: list[tuple[int, int, str, bool]] = []
+        self._stamp = 0
+        self._base_time = 0.0
+        self._base_step = 0
+        self._step_s = full_s
+        self._change_step: int | None = None
+
+    @property
+    def size(self) -> int:
+        """Number of streams, with those that wait for the next step."""
+        return len(self._members) + len(self._joining)
+
+    def set_slow(self, factor: float, now: float) -> None:
+        """Multiply step times by ``factor`` from the next step on."""
+        self._slow = factor
+        if self._members:
+            self._change_at_boundary(now)
+
+    def join(self, key: str, tokens: int, now: float) -> None:
+        """Add a stream that is to produce ``tokens`` (1 or more) tokens."""
+        self._joining[key] = tokens
+        if not self._members:
+            self._rebase(now, self._base_step)
+        else:
+            self._change_at_boundary(now)
+
+    def leave(self, key: str, now: float) -> int:
+        """Remove a stream; return how many tokens it produced."""
+        if self._joining.pop(key, None) is not None:
+            return 0
+        produced = self.produced(key, now)
+        del self._members[key]
+        if self._members:
+            self._change_at_boundary(now)
+        else:
+            # An empty batch abandons its step; those who wait start at once.
+            self._rebase(now, self._steps(now))
+        return produced
+
+    def produced(self, key: str, now: float) -> int:
+        """Return how many tokens a stream has produced since it joined."""
+        member = self._members.get(key)
+        if member is None:
+            return 0
+        return self._steps(now) - member.joined
+
+    def next_time(self) -> float:
+        """Return the time of the next event or change, else infinity."""
+        if not self._members:
+            return math.inf
+        step = self._next_mark()
+        if self._change_step is not None and self._change_step < step:
+            step = self._change_step
+        return self._time_of(step)
+
+    def next_step(self, now: float) -> float:
+        """Return when the step in progress ends, else infinity."""
+        if not self._members:
+            return math.inf
+        return self._time_of(self._steps(now) + 1)
+
+    def advance(self, now: float) -> list[BatchEvent]:
+        """Process the events at ``now``, which is at most next_time()."""
+        events: list[BatchEvent] = []
+        if self.next_time() > now:
+            return events
+        step = self._steps(now)
+        while self._marks and self._marks[0][0] <= step:
+            _, stamp, key, last = heapq.heappop(self._marks)
+            member = self._members.get(key)
+            if member is None or member.stamp != stamp:
+                continue
+            events.append(BatchEvent(now, key, last))
+            if last:
+                del self._members[key]
+                self._change_step = step
+        if self._change_step is not None and self._change_step <= step:
+            self._rebase(self._time_of(step), step)
+        return events
+
+    def clear(self) -> None:
+        """Remove every stream."""
+        self._members.clear()
+        self._joining.clear()
+        self._marks.clear()
+        self._change_step = None
+
+    def _next_mark(self) -> int:
+        while True:
+            step, stamp, key, _ = self._marks[0]
+            member = self._members.get(key)
+            if member is not None and member.stamp == stamp:
+                return step
+            heapq.heappop(self._marks)
+
+    def _time_of(self, step: int) -> float:
+        return self._base_time + (step - self._base_step) * self._step_s
+
+    def _steps(self, now: float) -> int:
+        """Return how many steps have ended; consistent with _time_of."""
+        if not self._members:
+            return self._base_step
+        step = self._base_step + int((now - self._base_time) / self._step_s)
+        while self._time_of(step + 1) <= now:
+            step += 1
+        while step > self._base_step and self._time_of(step) > now:
+            step -= 1
+        return step
+
+    def _change_at_boundary(self, now: float) -> None:
+        step = self._steps(now)
+        if self._time_of(step) == now:
+            self._rebase(now, step)
+        elif self._change_step is None or self._change_step > step + 1:
+            self._change_step = step + 1
+
+    def _rebase(self, now: float, step: int) -> None:
+        """Start the next step at ``now`` with all who wait."""
+        for key, tokens in self._joining.items():
+            self._stamp += 1
+            self._members[key] = _Member(step, self._stamp)
+            if tokens > 1:
+                mark = (step + 1, self._stamp, key, False)
+                heapq.heappush(self._marks, mark)
+            mark = (step + tokens, self._stamp, key, True)
+            heapq.heappush(self._marks, mark)
+        self._joining.clear()
+        self._change_step = None
+        self._base_time = now
+        self._base_step = step
+        size = max(1, len(self._members))
+        step_s = step_seconds(self._full_s, self._places, size)
+        self._step_s = step_s * self._slow
--- /dev/null
+++ b/primrosereel/standin/_link.py
@@ -0,0 +1,102 @@
+"""A link that moves one KV cache at a time, and the weight store."""
+
+import heapq
+import math
+
+__all__ = ['Link', 'WeightStore']
+
+
+class Link:
+    """Transfers queue by priority, then by arrival.
+
+    While the link is stalled the transfer in progress keeps its place and
+    makes no progress.
+    """
+
+    def __init__(self, bytes_s: float) -> None:
+        self._bytes_s = bytes_s
+        self._waiting: list[tuple[int, int, str, int]] = []
+        self._arrivals: dict[str, int] = {}
+        self._sequence = 0
+        self._current: str | None = None
+        self._remaining = 0.0
+        self._since = 0.0
+        self._stalled = False
+
+    @property
+    def busy(self) -> int:
+        """Number of transfers in progress or waiting."""
+        return len(self._arrivals)
+
+    def add(self, key: str, size: int, priority: int, now: float) -> None:
+        """Queue a transfer of ``size`` bytes."""
+        self._sequence += 1
+        self._arrivals[key] = self._sequence
+        entry = (-priority, self._sequence, key, size)
+        heapq.heappush(self._waiting, entry)
+        if self._current is None:
+            self._start(now)
+
+    def remove(self, key: str, now: float) -> None:
+        """Abandon a transfer; the next one starts."""
+        if self._arrivals.pop(key, None) is None:
+            return
+        if self._current == key:
+            self._start(now)
+
+    def stall(self, stalled: bool, now: float) -> None:
+        """Stop or continue all transfers."""
+        if stalled == self._stalled:
+            return
+        if stalled:
+            self._remaining -= now - self._since
+        self._since = now
+        self._stalled = stalled
+
+    def next_time(self) -> float:
+        """Return when the transfer in progress ends, else infinity."""
+        if self._current is None or self._stalled:
+            return math.inf
+        return self._since + self._remaining
+
+    def advance(self, now: float) -> str | None:
+        """Return the key of the transfer that ended by ``now``."""
+        if self.next_time() > now:
+            return None
+        key = self._current
+        if key is not None:
+            del self._arrivals[key]
+            self._start(now)
+        return key
+
+    def clear(self) -> None:
+        """Abandon every transfer."""
+        self._waiting.clear()
+        self._arrivals.clear()
+        self._current = None
+
+    def _start(self, now: float) -> None:
+        self._current = None
+        while self._waiting:
+            _, sequence, key, size = heapq.heappop(self._waiting)
+            if self._arrivals.get(key) == sequence:
+                self._current = key
+                self._remaining = size / self._bytes_s
+                self._since = now
+                return
+
+
+class WeightStore:
+    """A store of model weights whose rate all engines share.
+
+    Loads are served in order of arrival.
+    """
+
+    def __init__(self, bytes_s: float) -> None:
+        self._bytes_s = bytes_s
+        self._free_at = 0.0
+
+    def reserve(self, size: int, now: float) -> float:
+        """Return when a load of ``size`` bytes that starts now ends."""
+        self._free_at = max(self._free_at, now) + size / self._bytes_s
+        return self._free_at
--- /dev/null
+++ b/primrosereel/standin/_model.py
@@ -0,0 +1,418 @@
+"""Model of an LLM engine without I/O and without a clock.
+
+The HTTP stand-in, the tests and the bench tool drive it with their own time.
+Every call takes ``now`` in seconds, which must not decrease. Work is done per
+event, not per token::
+
+    engine = EngineModel(EngineConfig(), random.Random(1))
+    engine.decode('a.1.1.1', prompt, 100, kv.bytes, 0, 0, now=0.0)
+    engine.advance(engine.next_event())
+"""
+
+import math
+import random
+from typing import Any
+from typing import NamedTuple
+
+from primrosereel import _states as states
+from primrosereel.standin import _cache as cache
+from primrosereel.standin import _decodes as decodes
+from primrosereel.standin import _faults as faults
+from primrosereel.standin import _link as link
+from primrosereel.standin import _orders as orders
+from primrosereel.standin import _prefills as prefills
+from primrosereel.standin import _shared as shared
+from primrosereel.standin import _tokens as tokens
+from primrosereel.standin import _types as types
+
+__all__ = ['EngineModel']
+
+Outcome = types.Outcome
+State = types.State
+
+PREFILL_STATES = (State.QUEUED, State.PREFILLING, State.EXPORTED)
+
+
+class _Load(NamedTuple):
+    busy: int
+    queued: int
+    free_pieces: int
+    backlog_tokens: int
+
+
+class EngineModel:
+    """One engine: prefill or decode, by its role."""
+
+    def __init__(
+        self,
+        config: types.EngineConfig,
+        random: random.Random,
+        now: float = 0.0,
+        incarnation: int = 1,
+        store: link.WeightStore | None = None,
+    ) -> None:
+        self.config = config
+        self.incarnation = incarnation
+        self.alive = True
+        self._common = shared.Shared(config)
+        self._log = cache.EventLog(
+            config.cache_event_lag_s, config.cache_event_loss, random
+        )
+        self._blocks = cache.PrefixCache(config.cache_blocks, self._log)
+        self._prefills = prefills.Prefills(self._common, self._blocks)
+        self._decodes = decodes.Decodes(self._common)
+        self._orders = orders.Orders(
+            self._common,
+            store or link.WeightStore(config.weight_store_bytes_s),
+        )
+        self._readers: dict[int, shared.Held] = {}
+        self._last_reader = 0
+        self._silent_through = 0
+        self._now = now
+        self._load_interval_s = config.load_lag_s / 2
+        self._load_sample = self._sample_number(now)
+        self._load_latest = self._load_before = self._current_load(now)
+
+    @property
+    def role(self) -> states.Role:
+        """Role after the orders taken so far."""
+        return self._orders.role
+
+    @property
+    def counters(self) -> types.Counters:
+        """What happened so far; live, not a copy."""
+        return self._common.counters
+
+    @property
+    def faults(self) -> faults.EngineFaults:
+        """Faults now on; change them with ``set_faults``."""
+        return self._common.faults
+
+    def next_event(self) -> float:
+        """Return when ``advance`` next has something to do, else infinity."""
+        if self._common.events:
+            return self._now
+        return self._next_due()
+
+    def next_step(self) -> float:
+        """Return when the decode step in progress ends, else infinity."""
+        return self._decodes.next_step(self._now)
+
+    def advance(self, now: float) -> list[types.Event]:
+        """Process everything up to ``now`` and return what happened."""
+        self._catch_up(now)
+        events = self._common.events
+        self._common.events = []
+        return events
+
+    def prefill(
+        self,
+        request_id: str,
+        prompt: tokens.Prompt,
+        priority: int,
+        now: float,
+        lease_s: float = math.inf,
+        model: str | None = None,
+    ) -> Outcome:
+        """Queue a prefill; a ``PrefillEnded`` event follows."""
+        self._catch_up(now)
+        outcome = self._check_new(request_id, states.Role.PREFILL, model)
+        if outcome is not Outcome.OK:
+            return outcome
+        outcome = self._prefills.add(request_id, prompt, priority, lease_s)
+        self._prefills.start_next(now)
+        return outcome
+
+    def take_export(self, request_id: str, now: float) -> types.Kv | None:
+        """Keep a prefill's result for a transfer; None when it is gone."""
+        self._catch_up(now)
+        return self._prefills.take_export(request_id, now)
+
+    def release_export(self, request_id: str, used: bool, now: float) -> bool:
+        """End a transfer; ``used`` frees the result."""
+        self._catch_up(now)
+        released = self._prefills.release_export(request_id, used, now)
+        self._prefills.start_next(now)
+        return released
+
+    def check_decode(
+        self,
+        request_id: str,
+        prompt: tokens.Prompt,
+        max_tokens: int,
+        now: float,
+        model: str | None = None,
+    ) -> Outcome:
+        """Return what ``decode`` would answer now."""
+        self._catch_up(now)
+        outcome = self._check_new(request_id, states.Role.DECODE, model)
+        if outcome is not Outcome.OK:
+            return outcome
+        if not self._decodes.fits(prompt, max_tokens):
+            self._common.counters.refused_full += 1
+            return Outcome.FULL
+        return Outcome.OK
+
+    def decode(
+        self,
+        request_id: str,
+        prompt: tokens.Prompt,
+        max_tokens: int,
+        kv_bytes: int,
+        priority: int,
+        offset: int,
+        now: float,
+        model: str | None = None,
+    ) -> Outcome:
+        """Import a KV cache and generate tokens from ``offset`` on.
+
+        The stream is abandoned when nobody attaches within the grace time.
+        """
+        self._catch_up(now)
+        outcome = self._check_new(request_id, states.Role.DECODE, model)
+        if outcome is not Outcome.OK:
+            return outcome
+        return self._decodes.add(
+            request_id, prompt, max_tokens, kv_bytes, priority, offset, now
+        )
+
+    def attach(self, request_id: str, now: float) -> int | None:
+        """Open a connection to a stream; None when there is none."""
+        self._catch_up(now)
+        held = self._stream(request_id)
+        if held is None:
+            return None
+        self._decodes.attach(held)
+        self._last_reader += 1
+        self._readers[self._last_reader] = held
+        return self._last_reader
+
+    def detach(self, reader: int, now: float) -> None:
+        """Close a connection to a stream."""
+        self._catch_up(now)
+        held = self._readers.pop(reader, None)
+        if held is None:
+            return
+        if self._common.held.get(held.request_id) is held:
+            self._decodes.detach(held, now)
+
+    def read(self, reader: int, offset: int, now: float) -> types.Chunk:
+        """Return the tokens from ``offset`` on that are there at ``now``."""
+        self._catch_up(now)
+        held = self._readers.get(reader)
+        if held is None or self._common.held.get(held.request_id) is not held:
+            return types.Chunk('', offset, (), gone=True)
+        if reader <= self._silent_through:
+            return types.Chunk(held.request_id, offset, ())
+        reached = self._decodes.produced(held, now)
+        key = held.prompt.key
+        texts = tuple(tokens.text_of(key, i) for i in range(offset, reached))
+        finish = held.reason if held.state is State.FINISHED else None
+        chunk = types.Chunk(held.request_id, offset, texts, finish)
+        return self._with_faults(chunk) if texts else chunk
+
+    def produced(self, request_id: str, now: float) -> int | None:
+        """Return the offset a stream has reached; None when it is gone."""
+        self._catch_up(now)
+        held = self._stream(request_id)
+        return None if held is None else self._decodes.produced(held, now)
+
+    def state_of(self, request_id: str) -> State | None:
+        """Return where a request stands; None when it is not held."""
+        held = self._common.held.get(request_id)
+        return None if held is None else held.state
+
+    def pause(self, request_id: str, now: float) -> Outcome:
+        """Move a stream to host memory; a ``Paused`` event follows."""
+        self._catch_up(now)
+        held = self._stream(request_id)
+        if held is None:
+            return Outcome.NOT_FOUND
+        return self._decodes.pause(held, now)
+
+    def resume(self, request_id: str, now: float) -> Outcome:
+        """Continue a paused stream; a ``Resumed`` event follows."""
+        self._catch_up(now)
+        held = self._stream(request_id)
+        if held is None:
+            return Outcome.NOT_FOUND
+        return self._decodes.resume(held, now)
+
+    def cancel(self, request_id: str, now: float) -> Outcome:
+        """Free everything held for an id; OK also when there is nothing."""
+        self._catch_up(now)
+        if not self.alive:
+            return Outcome.DROPPED
+        if faults.use(self.faults, 'drop_cancels'):
+            self._common.counters.cancels_dropped += 1
+            return Outcome.DROPPED
+        held = self._common.held.get(request_id)
+        if held is None:
+            return Outcome.OK
+        self._common.counters.cancelled += 1
+        if held.state in PREFILL_STATES:
+            self._prefills.cancel(held, now)
+        else:
+            self._decodes.cancel(held, now, 'cancelled')
+        self._prefills.start_next(now)
+        return Outcome.OK
+
+    def requests(self, now: float) -> list[types.HeldRequest]:
+        """Return the requests that hold something, without finished ones."""
+        self._catch_up(now)
+        return [
+            types.HeldRequest(held.request_id, held.state, held.pieces)
+            for held in self._common.held.values()
+            if held.state is not State.FINISHED
+        ]
+
+    def load(self, now: float) -> types.LoadView:
+        """Return a load report of half to the whole load lag ago."""
+        self._catch_up(now)
+        load = self._load_before
+        taken = (self._load_sample - 1) * self._load_interval_s
+        if self._load_interval_s == 0:
+            load, taken = self._current_load(now), now
+        return types.LoadView(
+            places=self.config.places,
+            busy=load.busy,
+            queued=load.queued,
+            pieces=self.config.pieces,
+            free_pieces=load.free_pieces,
+            backlog_tokens=load.backlog_tokens,
+            incarnation=self.incarnation,
+            leaving=self.faults.leaving,
+            age_s=now - taken,
+        )
+
+    def cache_events(self, since: int, now: float) -> cache.CacheEvents:
+        """Return the prefix cache events from number ``since`` on."""
+        self._catch_up(now)
+        return self._log.read(since, now)
+
+    def order(
+        self, fencing_token: int, kind: str, value: str, now: float
+    ) -> Outcome:
+        """Take an order; a load takes time and ends with an event."""
+        self._catch_up(now)
+        return self._orders.take(fencing_token, kind, value, now)
+
+    def state(self) -> types.EngineState:
+        """Return what is loaded and the last fencing token."""
+        return self._orders.state(self.incarnation)
+
+    def set_faults(self, values: dict[str, Any], now: float) -> None:
+        """Change some faults; raise FaultError for unknown ones."""
+        self._catch_up(now)
+        self._common.faults = faults.changed(self.faults, values)
+        self._decodes.stall(self.faults.stall_transfers, now)
+        self._decodes.set_slow(self.faults.slow, now)
+        self._prefills.set_slow(self.faults.slow, now)
+
+    def silence(self) -> None:
+        """Send nothing more on the connections that are open now."""
+        self._silent_through = self._last_reader
+
+    def crash(self, now: float) -> None:
+        """Drop everything; calls are not answered until ``restart``."""
+        self._catch_up(now)
+        self.alive = False
+        self._common.counters.crashes += 1
+        self._decodes.clear(now)
+        self._prefills.clear()
+        self._common.clear()
+        self._blocks.clear()
+        self._readers.clear()
+        self._orders.clear()
+
+    def restart(self, now: float) -> None:
+        """Start again as a new incarnation."""
+        self._catch_up(now)
+        self.alive = True
+        self.incarnation += 1
+
+    def _next_due(self) -> float:
+        return min(self._common.next_timer(), self._decodes.next_time())
+
+    def _catch_up(self, now: float) -> None:
+        while (due := self._next_due()) <= now:
+            self._sample_load(due)
+            self._now = due
+            self._decodes.advance(due)
+            self._common.run_timers(due)
+            self._prefills.start_next(due)
+        self._sample_load(now)
+        self._now = now
+
+    def _check_new(
+        self, request_id: str, role: states.Role, model: str | None
+    ) -> Outcome:
+        if not self.alive:
+            return Outcome.DROPPED
+        if self.faults.leaving:
+            return Outcome.LEAVING
+        if self.faults.full:
+            self._common.counters.refused_full += 1
+            return Outcome.FULL
+        if role is not self._orders.role:
+            return Outcome.WRONG_ROLE
+        if model is not None and not self._orders.serves(model):
+            return Outcome.NO_MODEL
+        if request_id in self._common.held:
+            return Outcome.CONFLICT
+        return Outcome.OK
+
+    def _stream(self, request_id: str) -> shared.Held | None:
+        held = self._common.held.get(request_id)
+        if held is None or held.state in PREFILL_STATES:
+            return None
+        return held
+
+    def _with_faults(self, chunk: types.Chunk) -> types.Chunk:
+        if faults.use(self.faults, 'garble'):
+            return chunk._replace(garbled=True)
+        if faults.use(self.faults, 'end_early'):
+            return chunk._replace(finish=None, cut=True)
+        if faults.use(self.faults, 'wrong_id'):
+            return self._swapped(chunk)
+        return chunk
+
+    def _swapped(self, chunk: types.Chunk) -> types.Chunk:
+        """Return what another stream sends, as a mixed-up engine would."""
+        for held in self._common.held.values():
+            if held.request_id != chunk.request_id:
+                texts = tuple(
+                    tokens.text_of(held.prompt.key, chunk.offset + i)
+                    for i in range(len(chunk.tokens))
+                )
+                return chunk._replace(request_id=held.request_id, tokens=texts)
+        return chunk._replace(request_id=f'{chunk.request_id}0')
+
+    def _current_load(self, now: float) -> _Load:
+        busy = self._common.counters.places_held
+        return _Load(
+            busy=busy + self._prefills.busy,
+            queued=self._prefills.queued,
+            free_pieces=self._common.free_pieces,
+            backlog_tokens=self._prefills.backlog_tokens(now),
+        )
+
+    def _sample_number(self, now: float) -> int:
+        if self._load_interval_s == 0:
+            return 0
+        return int(now / self._load_interval_s)
+
+    def _sample_load(self, now: float) -> None:
+        """Take the samples due, before anything changes at ``now``.
+
+        The report shows the sample before the last one, so its age is from
+        half of the lag to the whole lag.
+        """
+        number = self._sample_number(now)
+        if number <= self._load_sample:
+            return
+        load = self._current_load(now)
+        following = number == self._load_sample + 1
+        self._load_before = self._load_latest if following else load
+        self._load_latest = load
+        self._load_sample = number
--- /dev/null
+++ b/primrosereel/standin/_orders.py
@@ -0,0 +1,93 @@
+"""Orders that an engine takes: models, adapters and its role."""
+
+from primrosereel import _states as states
+from primrosereel.standin import _link as link
+from primrosereel.standin import _shared as shared
+from primrosereel.standin import _tokens as tokens
+from primrosereel.standin import _types as types
+
+__all__ = ['LOAD_ADAPTER', 'LOAD_MODEL', 'Orders', 'SET_ROLE']
+
+LOAD_MODEL = 'load_model'
+LOAD_ADAPTER = 'load_adapter'
+SET_ROLE = 'set_role'
+
+ROLES = {'prefill': states.Role.PREFILL, 'decode': states.Role.DECODE}
+NOTHING = tokens.Prompt(key=0, tokens=0)
+
+Outcome = types.Outcome
+
+
+class Orders:
+    """Order state of one engine."""
+
+    def __init__(self, common: shared.Shared, store: link.WeightStore) -> None:
+        self._common = common
+        self._store = store
+        self.clear()
+
+    def clear(self) -> None:
+        """Forget all orders, as a restart does."""
+        config = self._common.config
+        self.role = config.role
+        self._token = 0
+        self._loaded: dict[str, list[str]] = {
+            LOAD_MODEL: list(config.models),
+            LOAD_ADAPTER: list(config.adapters),
+        }
+        self._loading: set[tuple[str, str]] = set()
+
+    def serves(self, model: str) -> bool:
+        """Tell whether requests for a model are accepted."""
+        any_model = not self._common.config.models
+        return any_model or model in self._loaded[LOAD_MODEL]
+
+    def state(self, incarnation: int) -> types.EngineState:
+        """Return what is loaded and the last fencing token."""
+        return types.EngineState(
+            role=self.role,
+            models=tuple(self._loaded[LOAD_MODEL]),
+            adapters=tuple(self._loaded[LOAD_ADAPTER]),
+            fencing_token=self._token,
+            incarnation=incarnation,
+        )
+
+    def take(self, token: int, kind: str, value: str, now: float) -> Outcome:
+        """Carry out an order or refuse it."""
+        counters = self._common.counters
+        if self._refuses(token):
+            counters.orders_refused += 1
+            return Outcome.OLD_TOKEN
+        if kind == SET_ROLE and value in ROLES:
+            self.role = ROLES[value]
+        elif kind in self._loaded and value:
+            self._load(kind, value, now)
+        else:
+            counters.orders_refused += 1
+            return Outcome.CONFLICT
+        counters.orders_taken += 1
+        self._token = token
+        return Outcome.OK
+
+    def _refuses(self, token: int) -> bool:
+        fencing = self._common.faults.fencing
+        if fencing == 'refuse':
+            return True
+        checks = self._common.config.checks_fencing
+        return checks and fencing != 'ignore' and token < self._token
+
+    def _load(self, kind: str, value: str, now: float) -> None:
+        if value in self._loaded[kind] or (kind, value) in self._loading:
+            return
+        self._loading.add((kind, value))
+        done = self._store.reserve(self._common.config.weights_bytes, now)
+        # A timer needs an owner; this one is in no list of requests.
+        owner = shared.Held(value, NOTHING, 0, types.State.QUEUED, 0)
+
+        def loaded(_: shared.Held, time: float) -> None:
+            self._loading.discard((kind, value))
+            self._loaded[kind].append(value)
+            event = types.OrderEnded(time, kind, value)
+            self._common.events.append(event)
+
+        self._common.set_timer(owner, done, loaded)
--- /dev/null
+++ b/primrosereel/standin/_tokens.py
@@ -0,0 +1,87 @@
+"""The text a simulated engine generates.
+
+Every token is a pure function of the prompt and its offset, so that a test
+can compute a whole answer and compare it with what a caller received.
+"""
+
+import functools
+import re
+from typing import NamedTuple
+
+import xxhash
+
+from primrosereel import _prefix as prefix
+
+__all__ = [
+    'Finish',
+    'Prompt',
+    'answer',
+    'describe',
+    'finish_of',
+    'text_of',
+    'token_text',
+]
+
+STOP = re.compile(r'\[stop=(\d{1,9})\]')
+CACHED_PROMPTS = 256
+
+
+class Prompt(NamedTuple):
+    """What the engine model needs to know of a prompt.
+
+    ``key`` selects the generated text, ``hashes`` are the prefix blocks and
+    ``stop`` is the number of tokens after which the model stops by itself.
+    """
+
+    key: int
+    tokens: int
+    hashes: tuple[int, ...] = ()
+    stop: int | None = None
+
+
+class Finish(NamedTuple):
+    """The absolute offset at which a stream ends and why."""
+
+    end: int
+    reason: str
+
+
+@functools.lru_cache(maxsize=CACHED_PROMPTS)
+def describe(prompt: str) -> Prompt:
+    """Return the description of a prompt's text.
+
+    The marker ``[stop=K]`` anywhere in the text makes the answer end with
+    finish reason ``stop`` after K tokens.
+    """
+    marker = STOP.search(prompt)
+    return Prompt(
+        key=xxhash.xxh3_64_intdigest(prompt.encode('utf-8', 'surrogatepass')),
+        tokens=prefix.prompt_tokens(prompt),
+        hashes=prefix.prefix_hashes(prompt),
+        stop=int(marker.group(1)) if marker else None,
+    )
+
+
+def text_of(key: int, offset: int) -> str:
+    """Return the token at an offset for a prompt's key."""
+    digest = xxhash.xxh3_64_intdigest(offset.to_bytes(4, 'big'), seed=key)
+    return f' {digest & 0xFFFF:04x}'
+
+
+def token_text(prompt: str, offset: int) -> str:
+    """Return the token at an offset of the answer to a prompt."""
+    return text_of(describe(prompt).key, offset)
+
+
+def finish_of(prompt: Prompt, max_tokens: int) -> Finish:
+    """Return where the answer to a prompt ends."""
+    if prompt.stop is not None and prompt.stop < max_tokens:
+        return Finish(prompt.stop, 'stop')
+    return Finish(max_tokens, 'length')
+
+
+def answer(prompt: str, max_tokens: int) -> str:
+    """Return the whole answer to a prompt."""
+    described = describe(prompt)
+    end = finish_of(described, max_tokens).end
+    return ''.join(text_of(described.key, i) for i in range(end))
--- /dev/null
+++ b/tests/property/test_standin_batch.py
@@ -0,0 +1,111 @@
+"""The batch that computes per change equals one that simulates each step."""
+
+import math
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from primrosereel.standin import _batch as batch
+
+PLACES = 4
+# Powers of two, so that both versions compute times without rounding and
+# meet the same boundaries.
+FULL_S = 0.0625
+GRID_S = 1 / 64
+
+ACTIONS = st.lists(
+    st.tuples(
+        st.integers(0, 40),
+        st.sampled_from(['join', 'leave']),
+        st.integers(0, PLACES - 1),
+        st.integers(1, 9),
+    ),
+    max_size=20,
+)
+
+
+class NaiveBatch:
+    """Runs one step after the other and counts every token."""
+
+    def __init__(self):
+        self.running = {}
+        self.waiting = {}
+        self.tokens = {}
+        self.left = {}
+        self.ends = []
+        self.step_end = math.inf
+        self.stepping = set()
+
+    def join(self, key, tokens, now):
+        self.waiting[key] = tokens
+        self.tokens[key] = 0
+        if not self.running:
+            self._start(now)
+
+    def leave(self, key, now):
+        if self.waiting.pop(key, None) is None:
+            del self.running[key]
+            if not self.running:
+                self._start(now)
+        return self.tokens.pop(key)
+
+    def advance(self, now):
+        while self.step_end <= now:
+            self._end_step(self.step_end)
+
+    def _end_step(self, now):
+        for key in list(self.running):
+            self.tokens[key] += 1
+            self.running[key] -= 1
+            if not self.running[key]:
+                del self.running[key]
+                self.ends.append((now, key, self.tokens.pop(key)))
+        self._start(now)
+
+    def _start(self, now):
+        self.running.update(self.waiting)
+        self.waiting.clear()
+        self.step_end = math.inf
+        if self.running:
+            self.step_end = now + batch.step_seconds(
+                FULL_S, PLACES, len(self.running)
+            )
+
+
+def advance(real, now, ends, totals):
+    while (due := real.next_time()) <= now:
+        for event in real.advance(due):
+            if event.last:
+                ends.append((due, event.key, totals[event.key]))
+
+
+@settings(max_examples=100)
+@given(ACTIONS)
+def test_batch_equals_steps(actions):
+    """Guards against tokens gained or lost when the batch changes."""
+    real = batch.Batch(FULL_S, PLACES)
+    naive = NaiveBatch()
+    ends, totals, now = [], {}, 0.0
+    for wait, action, name, tokens in [*actions, (9999, '', 0, 0)]:
+        # An odd fraction keeps the actions off the step boundaries, where
+        # rounding would decide which version counts the step.
+        now += (wait + 0.37) * GRID_S
+        advance(real, now, ends, totals)
+        naive.advance(now)
+        key = str(name)
+        assert real.size == len(naive.tokens)
+        for other, count in naive.tokens.items():
+            assert real.produced(other, now) == count
+        if action == 'join' and key not in naive.tokens:
+            totals[key] = tokens
+            real.join(key, tokens, now)
+            naive.join(key, tokens, now)
+        elif action == 'leave' and key in naive.tokens:
+            assert real.leave(key, now) == naive.leave(key, now)
+    assert real.size == 0
+    assert sorted((k, n) for _, k, n in ends) == sorted(
+        (k, n) for _, k, n in naive.ends
+    )
+    for one, other in zip(sorted(ends), sorted(naive.ends), strict=True):
+        assert math.isclose(one[0], other[0], abs_tol=1e-9)
