Add the operators' text, configuration and membership systems

Daemons need an accepted text and a view of their peers before they can place requests. Adds the text's parser, checker and differences, the configuration system (readers, differences, relay, catch-up) and the membership system (instance list, heartbeats, pause detection, drain).

--- a/primrosereel/_options.py
+++ b/primrosereel/_options.py
@@ -172,6 +172,9 @@
     host, _, port = value.rpartition(':')
     if not port.isascii() or not port.isdecimal():
         return False
+    # int() raises for thousands of digits.
+    if len(port) > 5:
+        return False
     if not 0 < int(port) < 65536:
         return False
     try:
--- /dev/null
+++ b/primrosereel/core/_backoff.py
@@ -0,0 +1,32 @@
+"""Growing waits between tries, with jitter."""
+
+import random as random_module
+
+__all__ = ['Backoff']
+
+
+class Backoff:
+    """Returns the wait before the next try.
+
+    The bound of the wait doubles with each try up to ``limit_s``; the wait is
+    drawn from its upper half, so that tries of many daemons spread out, and
+    is never below ``first_s``.
+    """
+
+    def __init__(
+        self, random: random_module.Random, first_s: float, limit_s: float
+    ) -> None:
+        self._random = random
+        self._first_s = first_s
+        self._limit_s = limit_s
+        self._bound_s = first_s
+
+    def next_s(self) -> float:
+        """Return the next wait in seconds."""
+        self._bound_s = min(self._limit_s, 2 * self._bound_s)
+        lowest = max(self._first_s, self._bound_s / 2)
+        return self._random.uniform(lowest, self._bound_s)
+
+    def reset(self) -> None:
+        """Start again with short waits."""
+        self._bound_s = self._first_s
--- a/primrosereel/core/_messages.py
+++ b/primrosereel/core/_messages.py
@@ -29,6 +29,7 @@
     'CompletionReceived',
     'ConfigurationFailed',
     'ConfigurationRead',
+    'ConfigurationUnchanged',
     'Count',
     'DemandReport',
     'DrainFinished',
@@ -369,6 +370,13 @@
     """A read or watch of the configuration service failed."""
 
 
+class ConfigurationUnchanged(Message):
+    """The configuration service has no text newer than the one held.
+
+    The answer to a read or watch that ended with status 204.
+    """
+
+
 class InstanceListRead(Message):
     """The platform's instance list; ``as_of`` is wall-clock seconds."""
 
@@ -565,11 +573,17 @@
 
 
 class ListingUpdate(PeerMessage):
-    """An instance list, as one daemon read it."""
+    """An instance list, as one daemon read it.
+
+    With ``base`` above 0, ``instances`` holds only the rows that are new or
+    changed since the list of that revision, and ``removed`` those that left.
+    """
 
     revision: int
     as_of: float
     instances: tuple[ListedInstance, ...]
+    base: int = 0
+    removed: tuple[ids.InstanceId, ...] = ()
 
 
 class TextDifference(PeerMessage):
--- /dev/null
+++ b/primrosereel/core/_service_reads.py
@@ -0,0 +1,108 @@
+"""Decides when this daemon reads or watches the configuration service.
+
+The service answers a bounded number of reads for the whole fleet, and a
+waiting watch counts as one. So 2 readers per region watch, chosen again for
+each revision; all others read only at start and after a pause.
+"""
+
+import math
+
+from primrosereel import _ids as ids
+from primrosereel.core import _backoff as backoff
+from primrosereel.core import _messages as messages
+from primrosereel.core import _ownership as ownership
+from primrosereel.core import _tables as tables
+
+__all__ = ['READERS', 'ServiceReads']
+
+READERS = 2
+WATCH_S = 20.0
+# The adapter reports each end of a read; this covers a report that is lost.
+ANSWER_SLACK_S = 5.0
+# With these, 390 daemons that wait for the service make at most 390 reads in
+# a second, at their start, and about 52 later on, of the 2,000 it serves.
+RETRY_FIRST_S = 1.0
+RETRY_LIMIT_S = 10.0
+
+
+class ServiceReads:
+    """One daemon's reads of the configuration service."""
+
+    def __init__(self, world: tables.World) -> None:
+        self._world = world
+        self._backoff = backoff.Backoff(
+            world.random, RETRY_FIRST_S, RETRY_LIMIT_S
+        )
+        self._catching_up = True
+        self._answer_by: float | None = None
+        self._sent_at = -math.inf
+        self._wait_s = 0.0
+        self._not_before = -math.inf
+        self._reader = False
+        self._reader_key: tuple[int, ids.Revision] | None = None
+
+    @property
+    def catching_up(self) -> bool:
+        """Whether the service is still to be asked since start or pause."""
+        return self._catching_up
+
+    def is_reader(self) -> bool:
+        """Tell whether this daemon watches for the next revision."""
+        world = self._world
+        key = (world.view, world.revision)
+        if key != self._reader_key:
+            self._reader_key = key
+            self._reader = not world.draining and world.identity.instance in (
+                ownership.rank(
+                    f'configuration/{world.identity.region}/{world.revision}',
+                    ownership.live_instances(world, world.identity.region),
+                    READERS,
+                )
+            )
+        return self._reader
+
+    def catch_up(self) -> None:
+        """Read at once, whoever the reader is."""
+        self._catching_up = True
+        self._answer_by = None
+        self._not_before = -math.inf
+        self._backoff.reset()
+
+    def answered(self, now: float, news: bool) -> None:
+        """Take note of an answer; ``news`` when it held a newer text."""
+        early = now - self._sent_at < self._wait_s / 2
+        self._answer_by = None
+        self._catching_up = False
+        if news or not early:
+            self._backoff.reset()
+            self._not_before = self._sent_at + RETRY_FIRST_S
+        else:
+            # A service that does not wait would be asked without a pause.
+            self._not_before = now + self._backoff.next_s()
+
+    def failed(self, now: float) -> None:
+        """Take note that a read or watch brought no answer."""
+        self._answer_by = None
+        self._not_before = now + self._backoff.next_s()
+
+    def run(self, now: float, after: ids.Revision) -> None:
+        """Ask the service when that is due."""
+        if self._answer_by is not None:
+            if now < self._answer_by:
+                return
+            self.failed(now)
+        wait_s = self._due_wait_s()
+        if wait_s is None:
+            return
+        if now < self._not_before:
+            self._world.wake_at(self._not_before)
+            return
+        self._sent_at = now
+        self._wait_s = wait_s
+        self._answer_by = now + wait_s + ANSWER_SLACK_S
+        self._world.emit(messages.WatchConfiguration(after, wait_s))
+
+    def _due_wait_s(self) -> float | None:
+        if self._catching_up or self._world.text is None:
+            return 0.0
+        return WATCH_S if self.is_reader() else None
--- a/primrosereel/core/_tables.py
+++ b/primrosereel/core/_tables.py
@@ -23,6 +23,7 @@
     'Peer',
     'Runner',
     'System',
+    'TextRefusal',
     'World',
 ]
 
@@ -101,6 +102,14 @@
     demand: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TextRefusal:
+    """A text that did not check; written by the configuration system."""
+
+    revision: ids.Revision
+    faults: tuple[str, ...]
+
+
 class System(Protocol):
     """One concern of the core; runs over the tables."""
 
@@ -128,8 +137,24 @@
         self.wall = 0.0
         self.text: text_module.Text | None = None
         self.revision = ids.Revision(0)
+        # Why the newest refused text was refused, for operators.
+        self.refusal: TextRefusal | None = None
         self.draining = False
+        # Requests of callers in progress; written by the entry systems.
+        self.active_requests = 0
+        # Monotonic time at which this process last resumed after a pause.
+        self.paused_at = -math.inf
         self.listing = Listing()
+        # Monotonic time at which ``listing.as_of`` last advanced.
+        self.listed_at = -math.inf
+        # The ``as_of`` of the first list that showed an instance with its
+        # incarnation, for those in the list.
+        self.listed_since: dict[
+            tuple[ids.InstanceId, ids.Incarnation], float
+        ] = {}
+        # Incremented whenever the list, a peer's state or draining changes;
+        # what is computed from them can be kept until then.
+        self.view = 0
         self.peers: dict[ids.InstanceId, Peer] = {}
         self.runners: dict[ids.RunnerId, Runner] = {}
         self.groups: dict[ids.GroupId, tuple[ids.RunnerId, ...]] = {}
--- /dev/null
+++ b/primrosereel/core/_text_tables.py
@@ -0,0 +1,122 @@
+"""Fills the tables from an accepted text.
+
+Only services and customers that differ from the text before are touched.
+"""
+
+from primrosereel import _ids as ids
+from primrosereel import text as text_module
+from primrosereel.core import _groups as groups
+from primrosereel.core import _tables as tables
+
+__all__ = ['put_in_force']
+
+EMPTY = text_module.Text({}, {}, {})
+
+
+def put_in_force(
+    world: tables.World, text: text_module.Text, revision: ids.Revision
+) -> None:
+    """Make a text the one in force and bring the tables in line with it."""
+    old = world.text or EMPTY
+    world.text = text
+    world.revision = revision
+    _update_services(world, old, text)
+    _update_customers(world, old, text)
+    world.owners.clear()
+
+
+def _update_services(
+    world: tables.World, old: text_module.Text, new: text_module.Text
+) -> None:
+    changed = _changed(old.services, new.services)
+    # Before rows are added: a runner may have moved to another service.
+    for service in changed:
+        _remove_runners(world, service, old, new)
+    for service in changed:
+        if service in new.services:
+            facts = new.services[service]
+            _update_groups(world, service, old.services.get(service), facts)
+            _update_runners(world, service, facts)
+        else:
+            _remove_groups(world, service)
+
+
+def _changed(old, new) -> list:
+    """Return the keys whose values differ, are new or are gone."""
+    names = [n for n in old if n not in new]
+    for name, value in new.items():
+        before = old.get(name)
+        if before is not value and before != value:
+            names.append(name)
+    return names
+
+
+def _remove_runners(world, service, old, new) -> None:
+    before = old.services.get(service)
+    after = new.services.get(service)
+    for runner in before.runners if before else ():
+        if after is None or runner not in after.runners:
+            world.runners.pop(runner, None)
+
+
+def _update_groups(
+    world: tables.World,
+    service: ids.ServiceId,
+    old: text_module.Service | None,
+    new: text_module.Service,
+) -> None:
+    if old is None or _roles(old) != _roles(new):
+        _remove_groups(world, service)
+        found = groups.split(service, new)
+        world.groups.update(found)
+        world.service_groups[service] = tuple(found)
+    for group in world.service_groups[service]:
+        world.group_regions[group] = new.region
+
+
+def _roles(service: text_module.Service):
+    return {runner: row.role for runner, row in service.runners.items()}
+
+
+def _remove_groups(world: tables.World, service: ids.ServiceId) -> None:
+    for group in world.service_groups.pop(service, ()):
+        world.groups.pop(group, None)
+        world.group_regions.pop(group, None)
+
+
+def _update_runners(
+    world: tables.World, service: ids.ServiceId, facts: text_module.Service
+) -> None:
+    for group in world.service_groups[service]:
+        for runner in world.groups[group]:
+            row = world.runners.get(runner)
+            after = facts.runners[runner]
+            if row is None or row.service != service or row.facts != after:
+                world.runners[runner] = tables.Runner(
+                    runner, service, group, after, leaving=after.leaving
+                )
+            else:
+                row.group = group
+
+
+def _update_customers(
+    world: tables.World, old: text_module.Text, new: text_module.Text
+) -> None:
+    changed = _changed(old.customers, new.customers)
+    # All old keys go first: two customers may have swapped theirs.
+    for customer in changed:
+        before = old.customers.get(customer)
+        if before is not None:
+            world.customers_by_key.pop(before.key_sha256, None)
+    for customer in changed:
+        facts = new.customers.get(customer)
+        if facts is None:
+            world.customers.pop(customer, None)
+            continue
+        world.customers_by_key[facts.key_sha256] = customer
+        row = world.customers.get(customer)
+        if row is None:
+            world.customers[customer] = tables.Customer(customer, facts)
+        else:
+            # Its tokens and share stay: a change must not refill a rate.
+            row.facts = facts
--- /dev/null
+++ b/primrosereel/text/_differences.py
@@ -0,0 +1,235 @@
+"""Differences between two texts, and the wire form of whole texts.
+
+A difference lists changed paths::
+
+    ('models', 'm')                              a model
+    ('customers', 'c')                           a customer
+    ('services', 's')                            a whole service
+    ('services', 's', 'calls')                   one field of a service
+    ('services', 's', 'runners', 'r')            one runner
+
+Each with the new value in MessagePack, or None where the path is removed.
+Applied to the old text it gives the new one; the digest of the result tells
+whether both sides hold the same text. Structures that no path touches are
+shared between the old and the new text.
+"""
+
+from collections.abc import Mapping
+from typing import Any
+from typing import TypeVar
+
+import msgspec
+from returns import result
+import xxhash
+
+from primrosereel.text import _model as model
+
+__all__ = [
+    'Change',
+    'Difference',
+    'apply',
+    'decode',
+    'decode_text',
+    'difference',
+    'digest',
+    'encode',
+    'encode_text',
+]
+
+Value = TypeVar('Value')
+Path = tuple[str, ...]
+
+
+class Change(msgspec.Struct, frozen=True, array_like=True):
+    """A path and its new value in MessagePack; None removes the path."""
+
+    path: Path
+    value: bytes | None = None
+
+
+class Difference(msgspec.Struct, frozen=True, array_like=True):
+    """The changes that turn one text into another."""
+
+    changes: tuple[Change, ...]
+
+
+class DoesNotApply(ValueError):
+    """A change does not fit the text or its path."""
+
+
+# Sorted keys, so that equal texts have equal encodings.
+ENCODER = msgspec.msgpack.Encoder(order='deterministic')
+DIFFERENCE_DECODER = msgspec.msgpack.Decoder(Difference)
+TEXT_DECODER = msgspec.msgpack.Decoder(model.Text)
+SECTION_DECODERS: dict[str, msgspec.msgpack.Decoder[Any]] = {
+    'models': msgspec.msgpack.Decoder(model.Model),
+    'services': msgspec.msgpack.Decoder(model.Service),
+    'customers': msgspec.msgpack.Decoder(model.Customer),
+}
+RUNNER_DECODER = msgspec.msgpack.Decoder(model.Runner)
+FIELD_DECODERS: dict[str, msgspec.msgpack.Decoder[Any]] = {
+    field.name: msgspec.msgpack.Decoder(field.type)
+    for field in msgspec.structs.fields(model.Service)
+    if field.name != 'runners'
+}
+
+
+def difference(old: model.Text, new: model.Text) -> Difference:
+    """Return the changes from ``old`` to ``new``."""
+    changes: list[Change] = []
+    _compare_rows(('models',), old.models, new.models, changes)
+    _compare_services(old.services, new.services, changes)
+    _compare_rows(('customers',), old.customers, new.customers, changes)
+    return Difference(tuple(changes))
+
+
+def apply(
+    text: model.Text, changes: Difference
+) -> result.Result[model.Text, str]:
+    """Return the text with the changes made, or why they do not fit."""
+    editor = _Editor(text)
+    try:
+        for change in changes.changes:
+            editor.make(change)
+    except (DoesNotApply, msgspec.MsgspecError) as error:
+        return result.Failure(str(error))
+    return result.Success(editor.text())
+
+
+def encode(changes: Difference) -> bytes:
+    """Return the MessagePack of a difference."""
+    return ENCODER.encode(changes)
+
+
+def decode(body: bytes) -> result.Result[Difference, str]:
+    """Return the difference that ``encode`` wrote."""
+    try:
+        return result.Success(DIFFERENCE_DECODER.decode(body))
+    except (msgspec.MsgspecError, RecursionError) as error:
+        return result.Failure(str(error))
+
+
+def encode_text(text: model.Text) -> bytes:
+    """Return the canonical MessagePack of a text."""
+    return ENCODER.encode(text)
+
+
+def decode_text(body: bytes) -> result.Result[model.Text, str]:
+    """Return the text that ``encode_text`` wrote; its fields unchecked."""
+    try:
+        return result.Success(TEXT_DECODER.decode(body))
+    except (msgspec.MsgspecError, RecursionError) as error:
+        return result.Failure(str(error))
+
+
+def digest(text: model.Text) -> int:
+    """Return 64 bits that differ, in all likelihood, for unequal texts."""
+    return xxhash.xxh3_64_intdigest(encode_text(text))
+
+
+def _compare_rows(
+    path: Path,
+    old: Mapping[Any, Any],
+    new: Mapping[Any, Any],
+    changes: list[Change],
+) -> None:
+    for name in old:
+        if name not in new:
+            changes.append(Change((*path, name)))
+    for name, row in new.items():
+        before = old.get(name)
+        if before is not row and before != row:
+            changes.append(Change((*path, name), ENCODER.encode(row)))
+
+
+def _compare_services(old, new, changes: list[Change]) -> None:
+    for name in old:
+        if name not in new:
+            changes.append(Change(('services', name)))
+    for name, service in new.items():
+        before = old.get(name)
+        path = ('services', name)
+        if before is None:
+            changes.append(Change(path, ENCODER.encode(service)))
+        elif before is not service:
+            _compare_service(path, before, service, changes)
+
+
+def _compare_service(path, old, new, changes: list[Change]) -> None:
+    for field in FIELD_DECODERS:
+        value = getattr(new, field)
+        if getattr(old, field) != value:
+            changes.append(Change((*path, field), ENCODER.encode(value)))
+    _compare_rows((*path, 'runners'), old.runners, new.runners, changes)
+
+
+class _Editor:
+    """Makes changes on copies of what they touch."""
+
+    def __init__(self, text: model.Text) -> None:
+        self._sections: dict[str, dict[Any, Any]] = {
+            'models': dict(text.models),
+            'services': dict(text.services),
+            'customers': dict(text.customers),
+        }
+        self._runners: dict[str, dict[Any, Any]] = {}
+
+    def text(self) -> model.Text:
+        """Return the edited text."""
+        services = self._sections['services']
+        for name, runners in self._runners.items():
+            services[name] = msgspec.structs.replace(
+                services[name], runners=runners
+            )
+        return model.Text(**self._sections)
+
+    def make(self, change: Change) -> None:
+        """Make one change; raise DoesNotApply where it does not fit."""
+        match change.path:
+            case (section, name) if section in SECTION_DECODERS:
+                if section == 'services':
+                    self._runners.pop(name, None)
+                _put(
+                    self._sections[section],
+                    name,
+                    change,
+                    SECTION_DECODERS[section],
+                )
+            case ('services', name, field) if field in FIELD_DECODERS:
+                self._put_field(name, field, change)
+            case ('services', name, 'runners', runner):
+                _put(self._runners_of(name), runner, change, RUNNER_DECODER)
+            case _:
+                raise DoesNotApply(f'no such path: {change.path!r}'[:200])
+
+    def _put_field(self, name: str, field: str, change: Change) -> None:
+        if change.value is None:
+            raise DoesNotApply(f'field {field} cannot be removed')
+        service = self._service(name)
+        value = FIELD_DECODERS[field].decode(change.value)
+        self._sections['services'][name] = msgspec.structs.replace(
+            service, **{field: value}
+        )
+
+    def _runners_of(self, name: str) -> dict[Any, Any]:
+        if name not in self._runners:
+            self._runners[name] = dict(self._service(name).runners)
+        return self._runners[name]
+
+    def _service(self, name: str) -> model.Service:
+        service = self._sections['services'].get(name)
+        if service is None:
+            raise DoesNotApply(f'no service {name!r}'[:200])
+        return service
+
+
+def _put(
+    rows: dict[Any, Value],
+    name: str,
+    change: Change,
+    decoder: msgspec.msgpack.Decoder[Value],
+) -> None:
+    if change.value is not None:
+        rows[name] = decoder.decode(change.value)
+    elif rows.pop(name, None) is None:
+        raise DoesNotApply(f'{change.path!r} is not there'[:200])
--- /dev/null
+++ b/primrosereel/text/_parser.py
@@ -0,0 +1,85 @@
+"""Parses the operators' text: JSON with comments, then every check."""
+
+import msgspec
+import pyjson5
+from returns import result
+
+from primrosereel import _options as options
+from primrosereel.text import _checker as checker
+from primrosereel.text import _fields as fields
+from primrosereel.text import _model as model
+
+__all__ = ['MAX_BODY_BYTES', 'check', 'parse']
+
+Faults = tuple[options.Fault, ...]
+
+# The configuration service holds values up to 1 MB.
+MAX_BODY_BYTES = 1_000_000
+# The deepest value of a text is five objects down.
+MAX_DEPTH = 16
+# A text that is no text at all would give a fault for every word of it.
+MAX_FAULTS = 1000
+MAX_SHOWN = 200
+
+
+def parse(body: bytes) -> result.Result[model.Text, Faults]:
+    """Return the text, or all its faults.
+
+    No input makes it raise::
+
+        match parse(b'{models: {}, services: {}, customers: {}}'):
+            case result.Success(text): ...
+            case result.Failure(faults): ...
+    """
+    if len(body) > MAX_BODY_BYTES:
+        return _failure(f'{len(body)} bytes', f'at most {MAX_BODY_BYTES}')
+    try:
+        data = pyjson5.decode(body.decode(), maxdepth=MAX_DEPTH)
+    except UnicodeDecodeError as error:
+        return _failure(f'byte {error.start}', 'UTF-8')
+    except pyjson5.Json5Exception as error:
+        return _failure(str(error.args[0]), 'JSON with comments')
+    except (ArithmeticError, RecursionError, ValueError) as error:
+        return _failure(str(error), 'JSON with comments')
+    return _read(data)
+
+
+def check(text: model.Text) -> Faults:
+    """Return the faults of a text that did not come through ``parse``."""
+    return _read(msgspec.to_builtins(text)).swap().value_or(())
+
+
+def _read(data: object) -> result.Result[model.Text, Faults]:
+    faults: list[options.Fault] = []
+    text = fields.read_text(data, faults)
+    checker.check_references(text, faults)
+    if not faults:
+        return result.Success(text)
+    left = len(faults) - MAX_FAULTS
+    found = [_bounded(fault) for fault in faults[:MAX_FAULTS]]
+    if left > 0:
+        found.append(options.Fault('', f'{left} more faults', 'free of them'))
+    return result.Failure(tuple(found))
+
+
+def _failure(value: str, allowed: str) -> result.Result[model.Text, Faults]:
+    return result.Failure((options.Fault('', value[:MAX_SHOWN], allowed),))
+
+
+def _bounded(fault: options.Fault) -> options.Fault:
+    """Keep a fault short enough for a log line."""
+    return options.Fault(
+        fault.path[:MAX_SHOWN], _shown(fault.value), fault.allowed
+    )
+
+
+def _shown(value: object) -> object:
+    if isinstance(value, str):
+        return value[:MAX_SHOWN]
+    if isinstance(value, int) and abs(value) >= 2**64:
+        return 'a number of 2**64 or more'
+    if isinstance(value, (list, tuple)):
+        return f'a list of {len(value)}'
+    if isinstance(value, dict):
+        return f'an object of {len(value)}'
+    return value
