Add the entry's request state machine and straggler detection

The core had no system that runs a completion request. EntrySystem asks a group's owner for places, runs prefill and decode, and recovers from lost runners, silent connections and evicted KV caches within a shared retry budget. StragglersSystem marks runners that are three times slower than their peers. GrantQueued lets an entry tell a busy owner from an unreachable one.

--- a/primrosereel/_registry.py
+++ b/primrosereel/_registry.py
@@ -22,6 +22,9 @@
         'reclaim': 'core._reclaim:ReclaimSystem',
         'orders': 'core._orders:OrdersSystem',
     },
+    'placement': {
+        'direct': 'core._placement:direct_choice',
+    },
 }
 
 # Tables are written before the systems that read them run.
--- /dev/null
+++ b/primrosereel/core/_cancels.py
@@ -0,0 +1,90 @@
+"""Cancels at upstreams, repeated until they are confirmed.
+
+An engine that holds memory for a request nobody needs loses a place for good,
+so a cancel ends only when the engine confirms it, the runner is gone from the
+text, or the time is over after which the group owner's comparison of the
+engine's list (section 5.9 of the design page) has freed it.
+"""
+
+import dataclasses
+from typing import NamedTuple
+
+from primrosereel import _ids as ids
+from primrosereel import _states as states
+from primrosereel.core import _messages as messages
+from primrosereel.core import _tables as tables
+from primrosereel.core import _timers as timers
+
+__all__ = ['Cancels', 'Hold']
+
+FIRST_REPEAT_S = 0.2
+LONGEST_REPEAT_S = 2.0
+GIVE_UP_S = 60.0
+
+
+class Hold(NamedTuple):
+    """What a runner may hold for one attempt of a request."""
+
+    runner: ids.RunnerId
+    engine_request_id: ids.EngineRequestId
+
+
+@dataclasses.dataclass(slots=True)
+class Cancel:
+    """A cancel that is not confirmed yet."""
+
+    until: float
+    repeat_s: float = FIRST_REPEAT_S
+
+
+class Cancels:
+    """The cancels of one daemon that are not confirmed yet."""
+
+    def __init__(self, world: tables.World) -> None:
+        self._world = world
+        self._pending: dict[Hold, Cancel] = {}
+        self._timers: timers.Timers[Hold] = timers.Timers()
+
+    def __len__(self) -> int:
+        """Return how many cancels are not confirmed."""
+        return len(self._pending)
+
+    def start(self, hold: Hold, now: float) -> None:
+        """Cancel at once, and again until it is confirmed."""
+        if hold in self._pending or hold.runner not in self._world.runners:
+            return
+        cancel = Cancel(now + GIVE_UP_S)
+        self._pending[hold] = cancel
+        self._send(hold, cancel, now)
+
+    def confirmed(self, hold: Hold) -> None:
+        """End a cancel that the engine confirmed."""
+        if self._pending.pop(hold, None) is not None:
+            self._timers.cancel(hold)
+
+    def forget_gone_runners(self) -> None:
+        """End the cancels at runners that the text no longer names."""
+        gone = [
+            h for h in self._pending if h.runner not in self._world.runners
+        ]
+        for hold in gone:
+            self.confirmed(hold)
+
+    def run(self, now: float) -> None:
+        """Repeat the cancels that are due."""
+        for hold in self._timers.expired(now):
+            cancel = self._pending[hold]
+            if now >= cancel.until:
+                self._world.count('cancel.given_up')
+                del self._pending[hold]
+                continue
+            self._world.count_retry(states.RetryReason.CANCEL_UNCONFIRMED)
+            cancel.repeat_s = min(2 * cancel.repeat_s, LONGEST_REPEAT_S)
+            self._send(hold, cancel, now)
+        self._world.wake_at(self._timers.next())
+
+    def _send(self, hold: Hold, cancel: Cancel, now: float) -> None:
+        self._world.emit(
+            messages.CancelUpstream(hold.runner, hold.engine_request_id)
+        )
+        self._timers.set(hold, now + cancel.repeat_s)
--- /dev/null
+++ b/primrosereel/core/_failures.py
@@ -0,0 +1,103 @@
+"""What follows when an upstream fails a request."""
+
+from primrosereel import _ids as ids
+from primrosereel import _states as states
+from primrosereel.core import _attempts as attempts
+from primrosereel.core import _grants as grants
+from primrosereel.core import _messages as messages
+from primrosereel.core import _requests as requests
+from primrosereel.core import _retries as retries
+
+__all__ = ['may_retry', 'prefill_failed', 'prefill_late', 'replace']
+
+Error = states.UpstreamError
+Retry = states.RetryReason
+Refusal = states.RefusalReason
+
+PREFILL_REASONS = {
+    Error.CONNECT: Retry.CONNECT_FAILED,
+    Error.FULL: Retry.ENGINE_FULL,
+}
+TIMEOUTS = frozenset((Retry.STREAM_SILENT,))
+
+
+def may_retry(
+    entry: requests.Requests,
+    row: requests.Request,
+    reason: states.RetryReason,
+    now: float,
+    detail: str,
+) -> bool:
+    """Take one retry from the budget; without one, end the request."""
+    entry.world.explain(row.id, f'{reason.value}: {detail}')
+    if row.retries >= retries.MAX_RETRIES:
+        refusal = (
+            Refusal.UPSTREAM_TIMEOUT
+            if reason in TIMEOUTS
+            else Refusal.UPSTREAM_FAILED
+        )
+        attempts.conclude(entry, row, refusal, now, detail)
+        return False
+    if not entry.world.retry_budget.take(now):
+        attempts.conclude(entry, row, Refusal.RETRY_BUDGET, now, detail)
+        return False
+    entry.world.count_retry(reason)
+    return True
+
+
+def replace(
+    entry: requests.Requests,
+    row: requests.Request,
+    reason: states.RetryReason,
+    now: float,
+    detail: str,
+    failed: ids.RunnerId | None = None,
+) -> None:
+    """Give the attempt up and ask for other places.
+
+    The KV cache is decoded elsewhere while it still stands. A stream of which
+    the caller has a part waits as long again as a new request would.
+    """
+    if not may_retry(entry, row, reason, now, detail):
+        return
+    row.retries += 1
+    keep_kv = row.prefill is not None and row.prefill.stands(now)
+    attempts.give_up(entry, row, now, keep_kv)
+    if failed is not None and failed not in row.exclude:
+        row.exclude += (failed,)
+    if row.text:
+        row.deadline = now + row.service.max_wait_s
+    grants.begin(entry, row, now)
+
+
+def prefill_failed(
+    entry: requests.Requests,
+    row: requests.Request,
+    failure: messages.PrefillFailed,
+    now: float,
+) -> None:
+    """Run the prefill on another runner."""
+    prefill = row.prefill
+    assert prefill is not None
+    if failure.ran is states.Ran.NOT_RUN:
+        row.may_have_run.discard(row.attempt)
+        row.holds.discard(row.hold(failure.runner))
+        prefill.tokens = 0
+    replace(
+        entry,
+        row,
+        PREFILL_REASONS.get(failure.error, Retry.PREFILL_FAILED),
+        now,
+        f'prefill on {failure.runner}: {failure.error.value}',
+        failure.runner,
+    )
+
+
+def prefill_late(
+    entry: requests.Requests, row: requests.Request, now: float
+) -> None:
+    """Cancel a prefill that takes too long and run it elsewhere."""
+    assert row.prefill is not None
+    runner = row.prefill.runner
+    detail = f'prefill on {runner}: no answer in time'
+    replace(entry, row, Retry.PREFILL_FAILED, now, detail, runner)
--- a/primrosereel/core/_messages.py
+++ b/primrosereel/core/_messages.py
@@ -37,6 +37,7 @@
     'FromPeer',
     'GiveOrder',
     'Grant',
+    'GrantQueued',
     'GrantRefused',
     'GrantRequest',
     'Heartbeat',
@@ -427,6 +428,17 @@
     explanation: str = ''
 
 
+class GrantQueued(PeerMessage):
+    """The owner has no place yet and keeps the request in its queue.
+
+    It answers each GrantRequest that stays queued, also a repeated one, so
+    that an entry can tell a busy owner from an unreachable one.
+    """
+
+    request_id: ids.RequestId
+    attempt: int
+
+
 class GrantRefused(PeerMessage):
     """The owner has no place within the request's deadline."""
 
--- /dev/null
+++ b/primrosereel/core/_pauses.py
@@ -0,0 +1,132 @@
+"""Pause and resume of a stream on the owner's word (preemption).
+
+The engine's answers may be lost, doubled or out of order, so each order is
+repeated until the engine confirms it, and an answer that does not fit the
+wanted state is met with the order again.
+"""
+
+import math
+
+from primrosereel import _states as states
+from primrosereel.core import _attempts as attempts
+from primrosereel.core import _messages as messages
+from primrosereel.core import _requests as requests
+
+__all__ = [
+    'UNCONFIRMED',
+    'due',
+    'pause',
+    'paused',
+    'repeat',
+    'resume',
+    'resumed',
+]
+
+Pause = requests.Pause
+Stage = states.Stage
+
+REPEAT_S = 1.0
+UNCONFIRMED = frozenset((Pause.PAUSING, Pause.RESUMING))
+
+
+def pause(entry: requests.Requests, row: requests.Request, now: float) -> None:
+    """Pause a stream; one without a token yet is paused at its first."""
+    stream = row.stream
+    if stream is None or stream.pause is Pause.PAUSING:
+        return
+    if stream.pause is Pause.PAUSED:
+        _report(entry, row, Stage.PAUSED)
+    elif not stream.begun:
+        stream.pause = Pause.WANTED
+    else:
+        _order(entry, row, Pause.PAUSING, now)
+
+
+def resume(
+    entry: requests.Requests, row: requests.Request, now: float
+) -> None:
+    """Let a paused stream continue."""
+    stream = row.stream
+    if stream is None or stream.pause is Pause.RESUMING:
+        return
+    if stream.pause in (Pause.RUNNING, Pause.WANTED):
+        stream.pause = Pause.RUNNING
+        _report(entry, row, Stage.RESUMED)
+    else:
+        _order(entry, row, Pause.RESUMING, now)
+
+
+def paused(
+    entry: requests.Requests, row: requests.Request, now: float
+) -> None:
+    """Tell the owner that the engine freed the place."""
+    stream = row.stream
+    if stream is None or stream.pause is Pause.PAUSED:
+        return
+    if stream.pause is Pause.PAUSING:
+        stream.pause = Pause.PAUSED
+        entry.world.explain(row.id, f'paused on {stream.runner}')
+        _report(entry, row, Stage.PAUSED)
+    else:
+        # An answer to an order that was withdrawn since.
+        _order(entry, row, Pause.RESUMING, now)
+
+
+def resumed(
+    entry: requests.Requests, row: requests.Request, now: float
+) -> None:
+    """Tell the owner that the engine took the place again."""
+    stream = row.stream
+    if stream is None or stream.pause is not Pause.RESUMING:
+        return
+    stream.pause = Pause.RUNNING
+    stream.progress_at = now
+    stream.window_at = now
+    stream.window_tokens = 0
+    entry.world.explain(row.id, f'resumed on {stream.runner}')
+    _report(entry, row, Stage.RESUMED)
+    if stream.detached:
+        stream.detached = False
+        entry.world.emit(
+            messages.ReattachStream(
+                row.id, row.attempt, stream.runner, len(row.text)
+            )
+        )
+    entry.timers.set(row.id, now)
+
+
+def due(stream: requests.Stream) -> float:
+    """Return when an unconfirmed order is repeated."""
+    if stream.pause in UNCONFIRMED:
+        return stream.pause_sent_at + REPEAT_S
+    return math.inf
+
+
+def repeat(
+    entry: requests.Requests, row: requests.Request, now: float
+) -> None:
+    """Repeat an order that the engine has not confirmed in time."""
+    if row.stream is not None and now >= due(row.stream):
+        _send(entry, row, now)
+
+
+def _order(entry, row, wanted: Pause, now: float) -> None:
+    row.stream.pause = wanted
+    row.stream.pause_at = now
+    _send(entry, row, now)
+
+
+def _send(entry, row, now: float) -> None:
+    stream = row.stream
+    stream.pause_sent_at = now
+    kind = (
+        messages.PauseUpstream
+        if stream.pause is Pause.PAUSING
+        else messages.ResumeUpstream
+    )
+    entry.timers.set(row.id, min(row.renew_at, now + REPEAT_S))
+    entry.world.emit(kind(row.id, row.attempt, stream.runner))
+
+
+def _report(entry, row, stage) -> None:
+    attempts.progress(entry, row, stage, row.stream.runner)
--- /dev/null
+++ b/primrosereel/core/_stragglers.py
@@ -0,0 +1,231 @@
+"""Runner speed relative to the runners of the same service and role.
+
+Load reports show a slow runner late, so its own answers are watched instead.
+A suspect runner gets no new work but a probe now and then, by which it comes
+back once it answers as fast as the others.
+"""
+
+import dataclasses
+import math
+import statistics
+
+from primrosereel import _ids as ids
+from primrosereel import _states as states
+from primrosereel.core import _messages as messages
+from primrosereel.core import _tables as tables
+
+__all__ = ['StragglersSystem', 'prefill_speed', 'probe_taken']
+
+SLOW_FACTOR = 3.0
+STRIKES = 10
+# One prefill this slow is no chance: load alone does not explain it.
+EXTREME_FACTOR = 8.0
+EXTREME_STRIKES = 10
+# Plain calls differ more from each other than prefills do by the token.
+EXTREME_PLAIN_STRIKES = 5
+
+# Weight of a new observation in a runner's moving average.
+WEIGHT = 0.3
+LARGEST_SHARE = 3
+
+# The overhead of a call hides the speed of shorter prefills.
+SHORTEST_PREFILL_TOKENS = 256
+
+FIRST_PROBE_S = 1.0
+LONGEST_PROBE_S = 4.0
+# Time for one request to come by where placement does not call probe_taken;
+# it doubles while no answer was seen, for services with few requests.
+FIRST_WINDOW_S = 0.1
+LONGEST_WINDOW_S = 0.8
+
+
+def prefill_speed(done: messages.PrefillDone) -> float:
+    """Return a prefill's seconds per uncached prompt token."""
+    uncached = done.kv.tokens - done.cached_tokens
+    return done.seconds / max(uncached, SHORTEST_PREFILL_TOKENS)
+
+
+def probe_taken(world: tables.World, runner: ids.RunnerId) -> None:
+    """Close a runner's probe once a request was placed on it."""
+    row = world.runners.get(runner)
+    if row is not None and row.probing:
+        row.probing = False
+        row.suspect = True
+
+
+@dataclasses.dataclass(slots=True)
+class Speed:
+    """What was observed of one runner; times in seconds per unit of work."""
+
+    average: float
+    strikes: int = 0
+    suspect: bool = False
+    probe_at: float = math.inf
+    close_at: float = math.inf
+    interval_s: float = FIRST_PROBE_S
+    window_s: float = FIRST_WINDOW_S
+
+
+class StragglersSystem:
+    """Marks runners as suspect that are much slower than their peers."""
+
+    inputs: tuple[type, ...] = (
+        messages.Progress,
+        messages.PrefillDone,
+        messages.PlainAnswered,
+        messages.TextChanged,
+    )
+
+    def __init__(self, world: tables.World) -> None:
+        self._world = world
+        self._speeds: dict[ids.RunnerId, Speed] = {}
+        # Only suspect runners have timers; there are few of them.
+        self._suspects: set[ids.RunnerId] = set()
+
+    def receive(self, message, now: float) -> None:
+        """Take one observation."""
+        if isinstance(message, messages.FromPeer):
+            self._progress(message, now)
+        elif isinstance(message, messages.PrefillDone):
+            speed = prefill_speed(message)
+            self._observe(message.runner, speed, EXTREME_STRIKES, now)
+        elif isinstance(message, messages.PlainAnswered):
+            self._observe(
+                message.runner, message.seconds, EXTREME_PLAIN_STRIKES, now
+            )
+        else:
+            self._forget_gone_runners()
+
+    def run(self, now: float) -> None:
+        """Open and close the probes that are due."""
+        for runner in sorted(self._suspects):
+            row = self._world.runners.get(runner)
+            if row is None:
+                continue
+            speed = self._speeds[runner]
+            if now >= speed.close_at:
+                self._close_probe(row, speed, now)
+            elif now >= speed.probe_at:
+                self._open_probe(row, speed, now)
+            self._world.wake_at(min(speed.probe_at, speed.close_at))
+
+    def _progress(self, message: messages.FromPeer, now: float) -> None:
+        progress = message.message
+        assert isinstance(progress, messages.Progress)
+        if progress.runner is None or progress.speed <= 0:
+            return
+        own = message.sender == self._world.identity.instance
+        if own and progress.stage is states.Stage.PREFILL_DONE:
+            # Already seen as PrefillDone.
+            return
+        self._observe(progress.runner, progress.speed, EXTREME_STRIKES, now)
+
+    def _observe(
+        self, runner: ids.RunnerId, value: float, extreme: int, now: float
+    ) -> None:
+        row = self._world.runners.get(runner)
+        if row is None or value <= 0:
+            return
+        speed = self._speeds.setdefault(runner, Speed(value))
+        speed.average += WEIGHT * (value - speed.average)
+        median = self._median_of_others(row)
+        if median is None:
+            return
+        if speed.suspect:
+            self._probe_answered(row, speed, value, median, now)
+            return
+        if value > EXTREME_FACTOR * median:
+            speed.strikes += extreme
+        elif speed.average > SLOW_FACTOR * median:
+            speed.strikes += 1
+        else:
+            speed.strikes = 0
+        if speed.strikes >= STRIKES:
+            self._suspect(row, speed, now)
+
+    def _peers(self, row: tables.Runner) -> list[tables.Runner]:
+        """Return the runners of a runner's service and role, with itself."""
+        text = self._world.text
+        service = None if text is None else text.services.get(row.service)
+        found = []
+        for name in service.runners if service is not None else ():
+            other = self._world.runners.get(name)
+            if other is not None and other.facts.role is row.facts.role:
+                found.append(other)
+        return found
+
+    def _median_of_others(self, row: tables.Runner) -> float | None:
+        others = [
+            self._speeds[other.runner].average
+            for other in self._peers(row)
+            if other.runner != row.runner and other.runner in self._speeds
+        ]
+        return statistics.median(others) if others else None
+
+    def _suspect(self, row: tables.Runner, speed: Speed, now: float) -> None:
+        peers = self._peers(row)
+        suspects = sum(p.runner in self._suspects for p in peers)
+        if suspects >= max(1, len(peers) // LARGEST_SHARE):
+            speed.strikes = STRIKES - 1
+            return
+        self._world.count('straggler.suspected')
+        self._suspects.add(row.runner)
+        row.suspect = True
+        row.probing = False
+        speed.suspect = True
+        speed.interval_s = FIRST_PROBE_S
+        speed.window_s = FIRST_WINDOW_S
+        speed.probe_at = now + speed.interval_s
+        speed.close_at = math.inf
+
+    def _probe_answered(
+        self,
+        row: tables.Runner,
+        speed: Speed,
+        value: float,
+        median: float,
+        now: float,
+    ) -> None:
+        """Take the runner back on a good answer, with one strike left."""
+        if value > SLOW_FACTOR * median:
+            speed.window_s = FIRST_WINDOW_S
+            return
+        self._world.count('straggler.recovered')
+        self._suspects.discard(row.runner)
+        row.suspect = False
+        row.probing = False
+        speed.suspect = False
+        speed.average = value
+        speed.strikes = STRIKES - 1
+        speed.probe_at = math.inf
+        speed.close_at = math.inf
+
+    def _open_probe(
+        self, row: tables.Runner, speed: Speed, now: float
+    ) -> None:
+        row.suspect = False
+        row.probing = True
+        speed.probe_at = math.inf
+        speed.close_at = now + speed.window_s
+
+    def _close_probe(
+        self, row: tables.Runner, speed: Speed, now: float
+    ) -> None:
+        if row.probing:
+            speed.window_s = min(2 * speed.window_s, LONGEST_WINDOW_S)
+        else:
+            speed.interval_s = min(2 * speed.interval_s, LONGEST_PROBE_S)
+        row.suspect = True
+        row.probing = False
+        speed.close_at = math.inf
+        speed.probe_at = now + speed.interval_s
+
+    def _forget_gone_runners(self) -> None:
+        for runner in list(self._speeds):
+            row = self._world.runners.get(runner)
+            if row is None:
+                del self._speeds[runner]
+                self._suspects.discard(runner)
+            elif self._speeds[runner].suspect:
+                # The row may be a new one.
+                row.suspect = not row.probing
--- /dev/null
+++ b/primrosereel/core/_streams.py
@@ -0,0 +1,223 @@
+"""Decode streams: tokens, silence, broken connections, pause and resume.
+
+A stream's tokens are told apart by request, attempt, runner and offset, so
+that the caller gets each token once whatever connections deliver.
+"""
+
+import math
+
+from primrosereel import _states as states
+from primrosereel.core import _attempts as attempts
+from primrosereel.core import _calls as calls
+from primrosereel.core import _failures as failures
+from primrosereel.core import _messages as messages
+from primrosereel.core import _pauses as pauses
+from primrosereel.core import _requests as requests
+
+__all__ = ['closed', 'expired', 'tokens']
+
+Error = states.UpstreamError
+Pause = requests.Pause
+Retry = states.RetryReason
+Stage = states.Stage
+
+# Reattaches without a token in between, before the stream is moved.
+MAX_REATTACHES = 2
+SHORTEST_SILENCE_S = 1.0
+SILENCE_GAPS = 10
+UNCONFIRMED_BOUND_S = 3.0
+
+# A speed is averaged over this many tokens.
+WINDOW_TOKENS = 10
+SLOW_FACTOR = 3.0
+
+# After these errors the engine may still run the stream.
+REATTACHABLE = frozenset((Error.BROKEN, Error.TIMEOUT))
+# After these errors the engine holds nothing for the attempt.
+NOT_HELD = frozenset((Error.FULL, Error.KV_GONE))
+REASONS = {
+    Error.FULL: Retry.ENGINE_FULL,
+    Error.KV_GONE: Retry.KV_CACHE_GONE,
+    Error.CONNECT: Retry.CONNECT_FAILED,
+    Error.NOT_FOUND: Retry.STREAM_BROKEN,
+    Error.BROKEN: Retry.STREAM_BROKEN,
+    Error.TIMEOUT: Retry.STREAM_SILENT,
+}
+
+
+def tokens(
+    entry: requests.Requests,
+    row: requests.Request,
+    message: messages.TokensReceived,
+    now: float,
+) -> None:
+    """Pass on the tokens the caller does not have yet."""
+    stream = row.stream
+    assert stream is not None
+    known = len(row.text)
+    if message.offset > known:
+        _gap(entry, row, message, now)
+        return
+    fresh = message.tokens[known - message.offset :]
+    if fresh:
+        row.text.extend(fresh)
+        entry.world.emit(messages.SendTokens(row.id, fresh))
+        _progressed(entry, row, stream, len(fresh), now)
+    if message.finish is not None and (
+        message.offset + len(message.tokens) == len(row.text)
+    ):
+        _finish(entry, row, message.finish)
+
+
+def closed(
+    entry: requests.Requests,
+    row: requests.Request,
+    message: messages.StreamClosed,
+    now: float,
+) -> None:
+    """Reattach a stream that may still run, else move it."""
+    stream = row.stream
+    assert stream is not None
+    error = message.error
+    detail = f'decode on {message.runner}: {error.value}'
+    reason = REASONS.get(error, Retry.DECODE_FAILED)
+    if error in REATTACHABLE:
+        if stream.pause in (Pause.PAUSED, Pause.RESUMING):
+            stream.detached = True
+        else:
+            _reattach(entry, row, reason, now, detail)
+        return
+    never_started = error is Error.CONNECT and not stream.reattaches
+    if not stream.begun and (error in NOT_HELD or never_started):
+        row.holds.discard(row.hold(message.runner))
+    if error is Error.KV_GONE:
+        _kv_gone(entry, row)
+    failed = None if error is Error.KV_GONE else message.runner
+    failures.replace(entry, row, reason, now, detail, failed)
+
+
+def expired(
+    entry: requests.Requests, row: requests.Request, now: float
+) -> None:
+    """Renew the grant and look for silence."""
+    stream = row.stream
+    assert stream is not None
+    if now >= row.renew_at:
+        row.renew_at = now + calls.RENEW_S
+        _renew(entry, row, stream)
+    pauses.repeat(entry, row, now)
+    if now >= _silent_at(stream):
+        detail = f'decode on {stream.runner}: no progress'
+        _reattach(entry, row, Retry.STREAM_SILENT, now, detail)
+    if row.state is states.RequestState.DECODE and row.stream is stream:
+        _set_timer(entry, row, stream)
+
+
+def _gap(entry, row, message, now: float) -> None:
+    """Ask for the missing tokens again, once."""
+    if not row.stream.reattaches:
+        detail = f'decode on {message.runner}: tokens are missing'
+        _reattach(entry, row, Retry.STREAM_BROKEN, now, detail)
+
+
+def _progressed(entry, row, stream, count: int, now: float) -> None:
+    stream.progress_at = now
+    stream.reattaches = 0
+    if not stream.begun:
+        _begun(entry, row, stream, now)
+        return
+    stream.window_tokens += count
+    if stream.window_tokens >= WINDOW_TOKENS:
+        stream.gap_s = (now - stream.window_at) / stream.window_tokens
+        stream.observed = True
+        stream.window_at = now
+        stream.window_tokens = 0
+        _report_slow(entry, row, stream)
+    if stream.pause is Pause.RESUMING:
+        pauses.resumed(entry, row, now)
+
+
+def _begun(entry, row, stream, now: float) -> None:
+    """Note the first token: the KV cache was imported and is used."""
+    stream.begun = True
+    stream.window_at = now
+    row.exclude = ()
+    if row.prefill is not None:
+        attempts.settle_prefill(entry, row, used=True)
+        row.prefill.kv = None
+    attempts.progress(entry, row, Stage.DECODING, stream.runner)
+    _set_timer(entry, row, stream)
+    if stream.pause is Pause.WANTED:
+        pauses.pause(entry, row, now)
+
+
+def _report_slow(entry, row, stream) -> None:
+    slow = stream.gap_s > SLOW_FACTOR * row.model.decode_step_s
+    if slow and not stream.slow_reported:
+        stream.slow_reported = True
+        _renew(entry, row, stream)
+
+
+def _renew(entry, row, stream) -> None:
+    speed = stream.gap_s if stream.observed else 0.0
+    attempts.progress(entry, row, Stage.RENEWED, stream.runner, speed=speed)
+
+
+def _finish(entry, row, finish: str) -> None:
+    """End the caller's answer; the decode has used up its KV cache."""
+    world = entry.world
+    world.count('answered')
+    world.explain(row.id, f'answered: {finish}, {len(row.text)} tokens')
+    world.emit(
+        messages.FinishCaller(
+            row.id, finish, row.call.prompt_tokens, len(row.text)
+        )
+    )
+    attempts.settle_prefill(entry, row, used=True)
+    attempts.release(entry, row)
+    attempts.end(entry, row)
+
+
+def _reattach(entry, row, reason, now: float, detail: str) -> None:
+    stream = row.stream
+    if stream.reattaches >= MAX_REATTACHES:
+        failures.replace(entry, row, reason, now, detail, stream.runner)
+        return
+    if not failures.may_retry(entry, row, reason, now, detail):
+        return
+    stream.reattaches += 1
+    stream.progress_at = now
+    stream.detached = False
+    _set_timer(entry, row, stream)
+    entry.world.emit(
+        messages.ReattachStream(
+            row.id, row.attempt, stream.runner, len(row.text)
+        )
+    )
+
+
+def _kv_gone(entry, row) -> None:
+    """Note that the prefill runner no longer has the KV cache."""
+    prefill = row.prefill
+    if prefill is None:
+        return
+    row.holds.discard(row.hold(prefill.runner, prefill.attempt))
+    prefill.kv = None
+
+
+def _silent_at(stream) -> float:
+    if stream.pause is Pause.PAUSED:
+        return math.inf
+    if stream.pause in pauses.UNCONFIRMED:
+        # The time in which an engine moves the KV cache is no silence.
+        return max(stream.progress_at, stream.pause_at) + UNCONFIRMED_BOUND_S
+    if not stream.begun and not stream.reattaches:
+        return stream.progress_at + stream.first_bound_s
+    return stream.progress_at + max(
+        SHORTEST_SILENCE_S, SILENCE_GAPS * stream.gap_s
+    )
+
+
+def _set_timer(entry, row, stream) -> None:
+    due = min(row.renew_at, _silent_at(stream), pauses.due(stream))
+    entry.timers.set(row.id, due)
--- a/primrosereel/core/_tables.py
+++ b/primrosereel/core/_tables.py
@@ -15,6 +15,7 @@
 from primrosereel import _states as states
 from primrosereel import text as text_module
 from primrosereel.core import _messages as messages
+from primrosereel.core import _retries as retries
 
 __all__ = [
     'Customer',
@@ -63,6 +64,8 @@
     facts: text_module.Runner
     leaving: bool = False
     suspect: bool = False
+    # The runner was suspect and may take one request as a probe.
+    probing: bool = False
     report: messages.LoadReport | None = None
     reported_at: float = -math.inf
 
@@ -144,6 +147,10 @@
         self.explanations: collections.OrderedDict[
             ids.RequestId, list[str]
         ] = collections.OrderedDict()
+        # Requests in progress, of the entry and the plain system together.
+        self.active_requests = 0
+        self.drain_finished = False
+        self.retry_budget = retries.RetryBudget()
         self.outbox: list[messages.Outbound] = []
         self.wake = math.inf
 
--- /dev/null
+++ b/tests/property/test_entry.py
@@ -0,0 +1,139 @@
+"""Completion requests under faults: one end each, whole and without leaks."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from primrosereel.core import _messages as messages
+from tests import entry_model as model_module
+
+ENGINES = model_module.PREFILLS + model_module.DECODES
+SHARES = st.sampled_from((0.0, 0.05, 0.2))
+# The longest chain of timeouts of one request, and the end of all cancels.
+SETTLE_S = 200.0
+
+
+class EntryMachine(stateful.RuleBasedStateMachine):
+    """Drives requests, faults and time in any order.
+
+    Guards against a caller with two ends or none, a token that is doubled or
+    missing, and engine memory that is never cancelled.
+    """
+
+    @stateful.initialize(seed=st.integers(0, 2**16))
+    def start(self, seed):
+        """Build the model."""
+        self.model = model_module.Model(seed)
+        self.names = []
+        self.tokens = {}
+
+    @stateful.rule(tokens=st.integers(1, 40))
+    def submit(self, tokens):
+        """A caller asks."""
+        name = self.model.submit(tokens)
+        self.names.append(name)
+        self.tokens[name] = tokens
+
+    @stateful.rule(data=st.data())
+    def leave(self, data):
+        """A caller leaves, perhaps after its end."""
+        if self.names:
+            self.model.leave(data.draw(st.sampled_from(self.names)))
+
+    @stateful.rule(seconds=st.sampled_from((0.03, 0.2, 0.5, 1.5, 4.0)))
+    def advance(self, seconds):
+        """Time passes."""
+        self.model.advance(seconds)
+
+    @stateful.rule(lost=SHARES, doubled=SHARES, late=SHARES)
+    def degrade(self, lost, doubled, late):
+        """The network to the engines becomes worse or better."""
+        self.model.network = model_module.Network(lost, doubled, late)
+
+    @stateful.rule(
+        mode=st.sampled_from(('grant', 'queue', 'refuse', 'silent'))
+    )
+    def owner(self, mode):
+        """The owner becomes idle, full or unreachable."""
+        self.model.owner_mode = mode
+        if mode == 'grant':
+            self.model.serve_queue()
+
+    @stateful.rule(
+        name=st.sampled_from(ENGINES),
+        what=st.sampled_from(
+            ('kill', 'kill silent', 'cut', 'cut silent', 'full', 'leave')
+        ),
+    )
+    def break_engine(self, name, what):
+        """An engine fails."""
+        silent = what.endswith('silent')
+        if what == 'full':
+            self.model.engines[name].full = True
+        elif what == 'leave':
+            self.model.world.runners[name].leaving = True
+        elif what.startswith('kill'):
+            self.model.kill(name, silent)
+        else:
+            self.model.cut(name, silent)
+
+    @stateful.rule(name=st.sampled_from(ENGINES))
+    def repair_engine(self, name):
+        """An engine works again."""
+        self.model.engines[name].alive = True
+        self.model.engines[name].full = False
+        self.model.world.runners[name].leaving = False
+
+    @stateful.rule(data=st.data(), pause=st.booleans())
+    def preempt(self, data, pause):
+        """The owner pauses or resumes a request."""
+        rows = sorted(self.model.rows)
+        if rows:
+            row = self.model.rows[data.draw(st.sampled_from(rows))]
+            kind = messages.PauseStream if pause else messages.ResumeStream
+            self.model.peer(kind(row.id, row.attempt))
+
+    @stateful.invariant()
+    def budget_is_not_negative(self):
+        """Guards against more retries than the budget allows."""
+        if hasattr(self, 'model'):
+            budget = self.model.world.retry_budget
+            assert budget.remaining(self.model.now) >= 0
+
+    @stateful.invariant()
+    def callers_have_prefixes(self):
+        """Guards against doubled, missing or foreign tokens."""
+        for name in getattr(self, 'names', ()):
+            got = self.model.got[name]
+            expected = [model_module.token(name, n) for n in range(len(got))]
+            assert got == expected
+            assert len(self.model.ends[name]) <= 1
+
+    def teardown(self):
+        """Heal everything; then each request must have ended cleanly."""
+        if not hasattr(self, 'model'):
+            return
+        model = self.model
+        model.heal()
+        for runner in model.world.runners.values():
+            runner.leaving = False
+        model.advance(SETTLE_S)
+        for name in self.names:
+            if name in model.left:
+                assert model.ends[name] == []
+                continue
+            assert len(model.ends[name]) == 1, (name, model.ends[name])
+            if model.ends[name] == ['finish']:
+                assert len(model.got[name]) == self.tokens[name]
+        assert model.held == set()
+        assert model.granted <= model.released
+        assert model.world.active_requests == 0
+        assert not model.rows
+
+
+EntryMachine.TestCase.settings = hypothesis.settings(
+    max_examples=60,
+    stateful_step_count=30,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+TestEntry = EntryMachine.TestCase
