--- a/primrosereel/_registry.py
+++ b/primrosereel/_registry.py
@@ -30,6 +30,9 @@
         'explain': 'cmd._remote:ExplainCommand',
         'status': 'cmd._remote:StatusCommand',
     },
+    'placement': {
+        'direct': 'core._placement:direct_choice',
+    },
 }
 
 # Tables are written before the systems that read them run.
