--- a/primrosereel/bench/_experiments.py
+++ b/primrosereel/bench/_experiments.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
+import functools
 import statistics
 import time
 from typing import Any
@@ -150,7 +151,7 @@
     runners = sorted(sim.engines)
     for minute in range(2):
         runner = runners[-1 - minute]
-        sim.at(30.0 + 60.0 * minute, lambda r=runner: sim.crash(r))
+        sim.at(30.0 + 60.0 * minute, functools.partial(sim.crash, runner))
 
 
 def priority(shape: workloads.Shape, seeds: Sequence[int]) -> list[Row]:
--- a/primrosereel/bench/_naive.py
+++ b/primrosereel/bench/_naive.py
@@ -41,7 +41,7 @@
         self._identity = identity
         self._random = source
         self._sequence = 0
-        self._requests: dict[ids.RequestId, _Request] = {}
+        self._requests: dict[ids.RequestId | None, _Request] = {}
         self._runners: dict[tuple[str, str], list[ids.RunnerId]] = {}
 
     @property
@@ -70,8 +70,9 @@
         if isinstance(message, messages.CompletionReceived):
             self._requests[message.request_id] = _Request(message)
             return self._start(self._requests[message.request_id])
-        request = self._requests.get(getattr(message, 'request_id', ''))
-        if request is None or message.attempt != request.attempt:
+        answer: Any = message
+        request = self._requests.get(getattr(answer, 'request_id', None))
+        if request is None or answer.attempt != request.attempt:
             return []
         if isinstance(message, messages.PrefillDone):
             return self._decode(request, message)
--- a/primrosereel/bench/_simulation.py
+++ b/primrosereel/bench/_simulation.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import functools
 import heapq
 import itertools
 import json
@@ -239,15 +240,14 @@
             router = make_router(identity, seed * 1000 + number)
             self._nodes[identity.instance] = _Node(identity, router)
         body = json.dumps(self._text).encode()
+        first = messages.ConfigurationRead(ids.Revision(1), body)
         for node in self._nodes.values():
-            self.at(0.0, lambda n=node: self._handle(n, self._listing()))
-            self.at(
-                0.0,
-                lambda n=node: self._handle(
-                    n, messages.ConfigurationRead(ids.Revision(1), body)
-                ),
-            )
-            self.at(0.0, lambda n=node: self._tick(n))
+            self.at(0.0, functools.partial(self._start_node, node, first))
+
+    def _start_node(self, node: _Node, text: messages.Inbound) -> None:
+        self._handle(node, self._listing())
+        self._handle(node, text)
+        self._tick(node)
 
     def _listing(self) -> messages.InstanceListRead:
         rows = tuple(
@@ -373,7 +373,7 @@
         return standin.Prompt(arrival.key, arrival.tokens, arrival.hashes)
 
     def _at_engine(
-        self, runner: ids.RunnerId, call: Callable[[], None]
+        self, runner: ids.RunnerId, call: Callable[[], object]
     ) -> None:
         """Run a call at an engine one way later."""
 
@@ -575,9 +575,10 @@
             self._prefills.pop((effect.runner, engine_id), None)
             engine = self.engines[effect.runner]
             outcome = engine.cancel(engine_id, self.now)
-            kind = messages.CancelFailed
             if outcome is standin.Outcome.OK:
-                kind = messages.CancelConfirmed
+                kind: Any = messages.CancelConfirmed
+            else:
+                kind = messages.CancelFailed
             self._later(node, kind(effect.runner, engine_id))
 
         self._at_engine(effect.runner, cancel)
--- a/primrosereel/bench/_workloads.py
+++ b/primrosereel/bench/_workloads.py
@@ -103,7 +103,7 @@
 ) -> list[simulation.Arrival]:
     """Return Poisson arrivals at a rate in requests a second."""
     source = random.Random(seed)
-    found = []
+    found: list[simulation.Arrival] = []
     time = start
     while True:
         time += source.expovariate(rate)
@@ -119,7 +119,7 @@
 
     Ten seconds at the rate, ten at five times the rate, twenty at the rate.
     """
-    found = []
+    found: list[simulation.Arrival] = []
     for number, (seconds, factor) in enumerate(((10, 1), (10, 5), (20, 1))):
         found += arrivals(
             shape, rate * factor, seconds, seed * 10 + number, start=start
--- a/primrosereel/cmd/_check.py
+++ b/primrosereel/cmd/_check.py
@@ -6,6 +6,7 @@
 
 from returns import pipeline
 
+from primrosereel import _options
 from primrosereel import text
 from primrosereel.cmd import _command as command
 
@@ -30,7 +31,7 @@
             print(f'{options.text}: {error.strerror}', file=sys.stderr)
             return 2
         parsed = text.parse(body)
-        faults = ()
+        faults: tuple[_options.Fault, ...] = ()
         if not pipeline.is_successful(parsed):
             faults = parsed.failure()
         if options.json:
