--- a/primrosereel/_registry.py
+++ b/primrosereel/_registry.py
@@ -17,11 +17,16 @@
         'stragglers': 'core._stragglers:StragglersSystem',
         'claims': 'core._claims:ClaimsSystem',
         'pool': 'core._pool:PoolSystem',
+        'pool-naive': 'core._pool:NaivePoolSystem',
         'entry': 'core._entry:EntrySystem',
         'plain': 'core._plain:PlainSystem',
         'reclaim': 'core._reclaim:ReclaimSystem',
         'orders': 'core._orders:OrdersSystem',
     },
+    'placement': {
+        'reserving': 'core._reserving:ReservingPolicy',
+        'naive': 'core._placement:NaivePolicy',
+    },
 }
 
 # Tables are written before the systems that read them run.
--- /dev/null
+++ b/primrosereel/core/_group.py
@@ -0,0 +1,355 @@
+"""A group owner: the state of one group and the messages about it."""
+
+import collections
+from collections.abc import Iterable
+import math
+
+import msgspec
+
+from primrosereel import _ids as ids
+from primrosereel import _states as states
+from primrosereel import text as text_module
+from primrosereel.core import _messages as messages
+from primrosereel.core import _placement as placement
+from primrosereel.core import _preemption as preemption
+from primrosereel.core import _prefill as prefill
+from primrosereel.core import _queue as queue
+from primrosereel.core import _reservation as reservation
+from primrosereel.core import _scheduler as scheduler
+from primrosereel.core import _tables as tables
+
+__all__ = ['COLLECT_S', 'GroupOwner']
+
+# How long a new owner waits for the entries' live grants.
+COLLECT_S = 0.3
+# A grant that may not have reached its entry is kept for this long.
+DOUBTFUL_LEASE_S = 3.0
+# Late duplicates of messages come within seconds.
+MAX_RELEASED = 1024
+
+Phase = reservation.Phase
+Reason = states.RefusalReason
+Stage = states.Stage
+
+
+class GroupOwner:
+    """Grants places in one group.
+
+    ``dispatch`` does what is possible at a time; the other methods only take
+    messages, so their order within one instant does not matter.
+    """
+
+    def __init__(
+        self,
+        world: tables.World,
+        group: ids.GroupId,
+        service: text_module.Service,
+        policy: placement.PlacementPolicy,
+    ) -> None:
+        self.group = group
+        self.requested_at = -math.inf
+        self.ledger = reservation.Ledger()
+        self.queue = queue.WaitingQueue(queue.Fairness(self._weight))
+        self._world = world
+        self._preemption = preemption.Preemption(world, self.ledger)
+        view = self._new_view(service)
+        self._scheduler = scheduler.Scheduler(
+            world, policy, view, self.queue, self._preemption
+        )
+        self._released: collections.OrderedDict[ids.RequestId, int] = (
+            collections.OrderedDict()
+        )
+        self._awaiting: set[ids.InstanceId] = set()
+        self._collect_until = -math.inf
+        self._sequence = 0
+        self.configure(service)
+
+    def configure(self, service: text_module.Service) -> None:
+        """Take the text in force; what is granted stays granted."""
+        view = self._new_view(service)
+        self._scheduler.view = view
+        model, ledger = view.model, self.ledger
+        present = self._world.groups.get(self.group, ())
+        for runner in present:
+            facts = self._world.runners[runner].facts
+            if facts.role is states.Role.PREFILL:
+                row = ledger.prefill.setdefault(
+                    runner,
+                    prefill.PrefillRunner(runner, model.prefill_tokens_s),
+                )
+                row.tokens_s = model.prefill_tokens_s
+            else:
+                ledger.decode.setdefault(
+                    runner, reservation.DecodeRunner(runner, facts)
+                ).facts = facts
+        rows: tuple[dict, ...] = (ledger.prefill, ledger.decode)
+        for kind in rows:
+            for runner in kind.keys() - set(present):
+                del kind[runner]
+
+    def collect(self, now: float) -> None:
+        """Start anew: ask the entries of the region for their grants."""
+        for key in list(self.ledger.reservations):
+            self._release(key, now)
+        # Releases that did not happen say nothing of the rate.
+        self._scheduler.rate = queue.ReleaseRate()
+        self._awaiting = set()
+        for instance in self._entries():
+            self._world.send(instance, messages.LiveGrantsQuery(self.group))
+            peer = self._world.peers.get(instance)
+            if peer is None or peer.state is not states.PeerState.SUSPECT:
+                self._awaiting.add(instance)
+        self._awaiting.discard(self._world.identity.instance)
+        self._collect_until = now + COLLECT_S
+        self._world.count('pool.collected')
+
+    def ask(
+        self,
+        request: messages.GrantRequest,
+        sender: ids.InstanceId,
+        incarnation: ids.Incarnation,
+        now: float,
+    ) -> None:
+        """Take a request for places; a repeated one changes nothing."""
+        self.requested_at = now
+        key, attempt = request.request_id, request.attempt
+        if attempt <= self._released.get(key, -1):
+            return
+        held = self.ledger.reservations.get(key)
+        if held is not None:
+            if attempt == held.attempt:
+                self._scheduler.answer(held)
+            if attempt <= held.attempt:
+                return
+            self._release(key, now)
+        waiting = self.queue.get(key)
+        if waiting is not None and attempt <= waiting.request.attempt:
+            return
+        arrived = now if waiting is None else waiting.arrived
+        self._sequence += 1
+        self.queue.add(
+            queue.Waiting(
+                request,
+                sender,
+                incarnation,
+                arrived,
+                now + request.wait_s,
+                self._sequence,
+            )
+        )
+
+    def progress(self, news: messages.Progress, now: float) -> None:
+        """Take news of a granted request; unknown ones are ignored."""
+        if news.stage is Stage.RELEASED:
+            self._take_release(news, now)
+            return
+        row = self.ledger.reservations.get(news.request_id)
+        if row is None or row.attempt != news.attempt:
+            return
+        self.ledger.renew(row, now)
+        if news.offset:
+            row.tokens = row.prompt_tokens + news.offset
+        match news.stage:
+            case Stage.PREFILL_DONE:
+                self.ledger.prefill_done(
+                    row, news.cached_tokens, news.speed, now
+                )
+            case Stage.DECODING:
+                self.ledger.decoding(row, now)
+            case Stage.RENEWED:
+                self._observe_gap(row, news, now)
+            case Stage.PAUSED:
+                self.ledger.paused(row, now)
+                self._confirm(row, Phase.PAUSED)
+            case Stage.RESUMED:
+                self.ledger.resumed(row, now)
+                self._confirm(row, Phase.DECODE)
+
+    def take_live_grants(
+        self,
+        grants: Iterable[messages.LiveGrant],
+        sender: ids.InstanceId,
+        incarnation: ids.Incarnation,
+        now: float,
+    ) -> None:
+        """Add what an entry holds; grants known or released stay as is."""
+        self._awaiting.discard(sender)
+        for grant in grants:
+            key = grant.request_id
+            if grant.attempt <= self._released.get(key, -1):
+                continue
+            waiting = self.queue.get(key)
+            if waiting is not None:
+                if grant.attempt < waiting.request.attempt:
+                    continue
+                self.queue.remove(key)
+            known = self.ledger.reservations.get(key)
+            if known is None or known.attempt < grant.attempt:
+                self._adopt(grant, sender, incarnation, now)
+
+    def take_report(
+        self,
+        runner: ids.RunnerId,
+        report: messages.LoadReport,
+        now: float,
+    ) -> None:
+        """Correct a runner's rows by its load report."""
+        first = self.ledger.prefill.get(runner)
+        if first is not None:
+            first.correct(report, now)
+        decode = self.ledger.decode.get(runner)
+        if decode is not None:
+            decode.correct(report, now)
+
+    def take_failure(
+        self, peer: ids.InstanceId, message: messages.PeerMessage, now: float
+    ) -> None:
+        """Doubt a grant that may not have reached its entry."""
+        if not isinstance(message, messages.Grant):
+            return
+        row = self.ledger.reservations.get(message.request_id)
+        if row is not None and row.entry == peer:
+            self.ledger.shorten(row, DOUBTFUL_LEASE_S, now)
+
+    def lose_entry(
+        self, entry: ids.InstanceId, incarnation: ids.Incarnation, now: float
+    ) -> None:
+        """Free all that a lost incarnation of an entry holds."""
+        for key in list(self.ledger.by_entry.get(entry, ())):
+            if self.ledger.reservations[key].incarnation == incarnation:
+                self._release(key, now)
+        for waiting in self.queue.in_order():
+            if (waiting.entry, waiting.incarnation) == (entry, incarnation):
+                self.queue.remove(waiting.request.request_id)
+
+    def hand_over(self, successor: ids.InstanceId, now: float) -> None:
+        """Send the waiting requests on to the next owner."""
+        for waiting in self.queue.in_order():
+            request = msgspec.structs.replace(
+                waiting.request, wait_s=max(0.0, waiting.deadline - now)
+            )
+            self._world.send(successor, request)
+            self.queue.remove(request.request_id)
+
+    def refuse_all(self, now: float) -> None:
+        """Refuse the waiting requests; the group has no runner any more."""
+        for waiting in self.queue.in_order():
+            self._scheduler.refuse(waiting, Reason.NO_RUNNER, now)
+
+    def dispatch(self, now: float) -> None:
+        """Grant, resume and refuse what can be decided now."""
+        for row in self.ledger.expire(now):
+            self._world.count('pool.lease_expired')
+            self._scheduler.rate.note(now)
+            self._preemption.confirm(row.request_id)
+        self._preemption.repeat(now)
+        for waiting in self.queue.expired(now):
+            self._scheduler.refuse(waiting, Reason.DEADLINE, now)
+        if self._awaiting and now < self._collect_until:
+            return
+        self._awaiting.clear()
+        self._scheduler.run(now)
+
+    def next_due(self) -> float:
+        """Return when ``dispatch`` is to run without a message."""
+        collect = self._collect_until if self._awaiting else math.inf
+        return min(
+            collect,
+            self._scheduler.retry_at,
+            self.queue.next_deadline,
+            self.ledger.next_expiry,
+            self._preemption.next_due,
+        )
+
+    def _new_view(self, service: text_module.Service) -> placement.View:
+        text = self._world.text
+        assert text is not None and service.model is not None
+        model = text.models[service.model]
+        return placement.View(self._world, service, model, self.ledger)
+
+    def _entries(self) -> list[ids.InstanceId]:
+        """Return the instances that may hold grants, the own one first.
+
+        Leaving instances still complete their streams. A suspect one is
+        asked as well, but nothing waits for its answer.
+        """
+        own = self._world.identity.instance
+        region = self._scheduler.view.service.region
+        listed = self._world.listing.instances.values()
+        others = [r.instance for r in listed if r.region == region]
+        return [own, *(i for i in sorted(others) if i != own)]
+
+    def _weight(self, customer: ids.CustomerId) -> float:
+        text = self._world.text
+        facts = text.customers.get(customer) if text is not None else None
+        return 1.0 if facts is None else facts.weight
+
+    def _take_release(self, news: messages.Progress, now: float) -> None:
+        key = news.request_id
+        known = self._released.pop(key, -1)
+        self._released[key] = max(known, news.attempt)
+        if len(self._released) > MAX_RELEASED:
+            self._released.popitem(last=False)
+        row = self.ledger.reservations.get(key)
+        if row is not None and row.attempt <= news.attempt:
+            self._release(key, now)
+        waiting = self.queue.get(key)
+        if waiting is not None and waiting.request.attempt <= news.attempt:
+            self.queue.remove(key)
+
+    def _release(self, key: ids.RequestId, now: float) -> None:
+        if self.ledger.release(key, now) is not None:
+            self._scheduler.rate.note(now)
+            self._preemption.confirm(key)
+
+    def _confirm(
+        self, row: reservation.Reservation, phase: reservation.Phase
+    ) -> None:
+        if row.phase is phase:
+            self._preemption.confirm(row.request_id)
+
+    def _observe_gap(
+        self,
+        row: reservation.Reservation,
+        news: messages.Progress,
+        now: float,
+    ) -> None:
+        runner = self.ledger.decode.get(news.runner or row.decode_runner)
+        if runner is not None and news.speed > 0 and row.has_place:
+            runner.observe(news.speed, now)
+
+    def _adopt(
+        self,
+        grant: messages.LiveGrant,
+        sender: ids.InstanceId,
+        incarnation: ids.Incarnation,
+        now: float,
+    ) -> None:
+        runner = self.ledger.decode.get(grant.decode_runner)
+        row = reservation.Reservation(
+            grant.request_id,
+            grant.attempt,
+            sender,
+            incarnation,
+            grant.customer,
+            grant.priority,
+            grant.prefill_runner,
+            grant.decode_runner,
+            1 if runner is None else runner.pieces_for(grant.tokens),
+            grant.tokens,
+            prompt_tokens=grant.tokens,
+        )
+        job = None
+        if grant.paused:
+            row.phase = Phase.PAUSED
+            row.paused_at = now
+        elif grant.decoding:
+            row.phase = Phase.DECODE
+        elif grant.prefill_runner is None:
+            row.phase = Phase.TRANSFER
+        elif grant.prefill_runner in self.ledger.prefill:
+            first = self.ledger.prefill[grant.prefill_runner]
+            # How far the prefill is, is not known; half of it is expected.
+            seconds = first.seconds(grant.tokens, now) / 2
+            job = prefill.Job(now, seconds, grant.tokens, grant.priority)
+        self.ledger.reserve(row, now, job)
--- a/primrosereel/core/_messages.py
+++ b/primrosereel/core/_messages.py
@@ -143,7 +143,10 @@
 
 
 class LiveGrant(msgspec.Struct, frozen=True, array_like=True):
-    """A grant as its entry instance knows it."""
+    """A grant as its entry instance knows it.
+
+    ``paused`` tells the new owner that the stream waits to be resumed.
+    """
 
     request_id: ids.RequestId
     attempt: int
@@ -153,6 +156,7 @@
     priority: int
     decoding: bool
     customer: ids.CustomerId
+    paused: bool = False
 
 
 # From callers.
--- /dev/null
+++ b/primrosereel/core/_placement.py
@@ -0,0 +1,183 @@
+"""Which prefill and which decode runner serve a request.
+
+A group has at most 16 runners, so a choice looks at each of them and its cost
+does not depend on the size of the fleet.
+"""
+
+from collections.abc import Collection
+import dataclasses
+import enum
+from typing import NamedTuple
+from typing import Protocol
+
+from primrosereel import _ids as ids
+from primrosereel import _states as states
+from primrosereel import text as text_module
+from primrosereel.core import _messages as messages
+from primrosereel.core import _prefill as prefill
+from primrosereel.core import _reservation as reservation
+from primrosereel.core import _tables as tables
+
+__all__ = [
+    'Choice',
+    'DirectChoice',
+    'NaivePolicy',
+    'PlacementPolicy',
+    'Scarce',
+    'Shortage',
+    'View',
+    'direct_choice',
+]
+
+
+class Scarce(enum.Enum):
+    """What a request cannot have now."""
+
+    RUNNER = 'runner'
+    SIZE = 'size'
+    PREFILL = 'prefill'
+    PLACE = 'place'
+    PIECES = 'pieces'
+
+
+class Shortage(NamedTuple):
+    """Why a request cannot be placed, and when it may be worth a retry.
+
+    ``for_all`` says that other requests of its priority lack the same.
+    """
+
+    scarce: Scarce
+    retry_in_s: float = 0.0
+    for_all: bool = False
+
+
+class Choice(NamedTuple):
+    """Runners for a request and what the choice rests on."""
+
+    prefill: ids.RunnerId | None
+    decode: ids.RunnerId
+    pieces: int
+    job: prefill.Job | None = None
+    transfer: tuple[float, float] | None = None
+    explanation: str = ''
+
+
+@dataclasses.dataclass(slots=True)
+class View:
+    """What a policy sees of a group."""
+
+    world: tables.World
+    service: text_module.Service
+    model: text_module.Model
+    ledger: reservation.Ledger
+
+    def usable(
+        self, runner: ids.RunnerId, exclude: Collection[ids.RunnerId]
+    ) -> tables.Runner | None:
+        """Return the row of a runner that may be given new work."""
+        row = self.world.runners.get(runner)
+        if row is None or row.leaving or runner in exclude:
+            return None
+        return row
+
+
+class PlacementPolicy(Protocol):
+    """Chooses the runners for a request."""
+
+    def choose(
+        self,
+        view: View,
+        request: messages.GrantRequest,
+        held: Collection[ids.RunnerId],
+        now: float,
+    ) -> Choice | Shortage:
+        """Choose runners; ``held`` decode runners are kept for others."""
+
+
+class NaivePolicy:
+    """A random ready runner for each stage, whatever its load.
+
+    This is the baseline that the reserving policy is measured against.
+    """
+
+    def choose(
+        self,
+        view: View,
+        request: messages.GrantRequest,
+        held: Collection[ids.RunnerId],
+        now: float,
+    ) -> Choice | Shortage:
+        """Choose runners at random."""
+        ledger = view.ledger
+        exclude = request.exclude
+        decode = [r for r in ledger.decode if view.usable(r, exclude)]
+        first = [r for r in ledger.prefill if view.usable(r, exclude)]
+        if not decode or (request.kv is None and not first):
+            return Shortage(Scarce.RUNNER)
+        chosen = view.world.random.choice(decode)
+        pieces = ledger.decode[chosen].pieces_for(
+            request.prompt_tokens + request.max_tokens
+        )
+        if request.kv is not None:
+            return Choice(None, chosen, pieces, explanation='random')
+        return Choice(
+            view.world.random.choice(first),
+            chosen,
+            pieces,
+            explanation='random',
+        )
+
+
+class DirectChoice(NamedTuple):
+    """Runners for a request whose group owner is silent."""
+
+    prefill: ids.RunnerId | None
+    decode: ids.RunnerId
+
+
+def direct_choice(
+    world: tables.World,
+    service: ids.ServiceId,
+    group: ids.GroupId,
+    exclude: Collection[ids.RunnerId],
+    kv: messages.KvTransfer | None,
+) -> DirectChoice | None:
+    """Choose runners without the group's owner.
+
+    Of two random ready runners the one whose last report shows less load is
+    taken. None is returned when a stage has no ready runner.
+    """
+    ready: dict[states.Role, list[tables.Runner]] = {}
+    for runner in world.groups.get(group, ()):
+        row = world.runners.get(runner)
+        if row is None or row.service != service:
+            continue
+        if not row.leaving and runner not in exclude:
+            ready.setdefault(row.facts.role, []).append(row)
+    decode = _two_choices(world, ready.get(states.Role.DECODE, []))
+    if decode is None:
+        return None
+    if kv is not None:
+        return DirectChoice(None, decode)
+    first = _two_choices(world, ready.get(states.Role.PREFILL, []))
+    return None if first is None else DirectChoice(first, decode)
+
+
+def _two_choices(
+    world: tables.World, rows: list[tables.Runner]
+) -> ids.RunnerId | None:
+    rows = [row for row in rows if not row.suspect] or rows
+    if not rows:
+        return None
+    pair = world.random.sample(rows, min(2, len(rows)))
+    return min(pair, key=_reported_load).runner
+
+
+def _reported_load(row: tables.Runner) -> tuple[float, int]:
+    report = row.report
+    if report is None:
+        return 0.0, 0
+    return (
+        (report.busy + report.queued) / row.facts.places,
+        report.backlog_tokens,
+    )
--- /dev/null
+++ b/primrosereel/core/_pool.py
@@ -0,0 +1,271 @@
+"""The group owner's side of placement: messages, timers and polls."""
+
+import heapq
+import math
+
+from primrosereel import _ids as ids
+from primrosereel import _registry as registry
+from primrosereel import _states as states
+from primrosereel.core import _group as group_module
+from primrosereel.core import _messages as messages
+from primrosereel.core import _ownership as ownership
+from primrosereel.core import _tables as tables
+
+__all__ = ['NaivePoolSystem', 'PoolSystem']
+
+POLL_S = 1.0
+# A pause of the process for longer than this voids what it knows of others.
+MAX_GAP_S = 1.0
+# An instance that is not the owner in its own view, but is asked as if it
+# were, keeps the group's state for this long after the last request.
+ACTING_S = 5.0
+RETRY_AFTER_S = 1.0
+
+
+class PoolSystem:
+    """Owns groups: grants places in them and polls their runners.
+
+    Only the groups that a message or a timer concerns are looked at; each
+    second all groups are looked at once, to learn which ones are owned.
+    """
+
+    inputs: tuple[type, ...] = (
+        messages.GrantRequest,
+        messages.Progress,
+        messages.LiveGrants,
+        messages.LoadReported,
+        messages.CacheEventsReceived,
+        messages.TextChanged,
+        messages.PeerFailed,
+    )
+    policy = 'reserving'
+
+    def __init__(self, world: tables.World) -> None:
+        self._world = world
+        self._policy = registry.load('placement', self.policy)()
+        self._groups: dict[ids.GroupId, group_module.GroupOwner] = {}
+        self._owned: set[ids.GroupId] = set()
+        self._touched: dict[ids.GroupId, None] = {}
+        self._timers: list[tuple[float, ids.GroupId]] = []
+        self._scheduled: dict[ids.GroupId, float] = {}
+        self._survey_at = -math.inf
+        self._ran_at = math.inf
+        self._listing_revision = 0
+        self._listed: dict[ids.InstanceId, ids.Incarnation] = {}
+
+    def receive(self, message, now: float) -> None:
+        """Take a message for the groups it concerns."""
+        self._notice_gap(now)
+        if isinstance(message, messages.FromPeer):
+            self._receive_from_peer(message, now)
+        elif isinstance(message, messages.LoadReported):
+            group = self._group_of(message.runner)
+            if group is not None:
+                group.take_report(message.runner, message.report, now)
+                self._touched[group.group] = None
+        elif isinstance(message, messages.CacheEventsReceived):
+            self._take_cache_events(message, now)
+        elif isinstance(message, messages.TextChanged):
+            self._take_text(now)
+        elif isinstance(message, messages.PeerFailed):
+            self._take_failure(message, now)
+
+    def run(self, now: float) -> None:
+        """Serve the groups that have news or whose time has come."""
+        self._notice_gap(now)
+        if self._listing_revision != self._world.listing.revision:
+            self._follow_listing(now)
+        if now >= self._survey_at:
+            self._survey(now)
+        while self._timers and self._timers[0][0] <= now:
+            when, name = heapq.heappop(self._timers)
+            if self._scheduled.get(name) == when:
+                del self._scheduled[name]
+                self._touched[name] = None
+        touched, self._touched = self._touched, {}
+        for name in touched:
+            group = self._groups.get(name)
+            if group is not None:
+                group.dispatch(now)
+                self._schedule(group)
+        self._world.wake_at(self._survey_at)
+        if self._timers:
+            self._world.wake_at(self._timers[0][0])
+
+    def _notice_gap(self, now: float) -> None:
+        """Collect live grants again after a pause of this process.
+
+        Where this is the only instance of the region, nobody else can have
+        granted anything meanwhile, and the ledger still holds.
+        """
+        gap = now - self._ran_at
+        self._ran_at = now
+        if gap <= MAX_GAP_S:
+            return
+        for group in self._groups.values():
+            region = self._world.group_regions[group.group]
+            if len(ownership.live_instances(self._world, region)) > 1:
+                group.collect(now)
+                self._touched[group.group] = None
+
+    def _receive_from_peer(
+        self, message: messages.FromPeer, now: float
+    ) -> None:
+        inner = message.message
+        if isinstance(inner, messages.GrantRequest):
+            self._ask(message, inner, now)
+            return
+        if not isinstance(inner, messages.Progress | messages.LiveGrants):
+            return
+        group = self._groups.get(inner.group)
+        if group is None:
+            return
+        if isinstance(inner, messages.Progress):
+            group.progress(inner, now)
+        else:
+            group.take_live_grants(
+                inner.grants, message.sender, message.incarnation, now
+            )
+        self._touched[inner.group] = None
+
+    def _ask(
+        self,
+        message: messages.FromPeer,
+        request: messages.GrantRequest,
+        now: float,
+    ) -> None:
+        # A request that the former owner handed over names its entry.
+        holder = ids.holder_of(request.request_id)
+        entry = holder or ids.Holder(message.sender, message.incarnation)
+        group = self._open(request.group, now)
+        if group is None:
+            self._world.count('pool.refused.no_runner')
+            self._world.send(
+                entry.instance,
+                messages.GrantRefused(
+                    request.request_id,
+                    request.attempt,
+                    states.RefusalReason.NO_RUNNER,
+                    RETRY_AFTER_S,
+                ),
+            )
+            return
+        group.ask(request, entry.instance, entry.incarnation, now)
+        self._touched[request.group] = None
+
+    def _open(
+        self, name: ids.GroupId, now: float
+    ) -> group_module.GroupOwner | None:
+        """Return a group's state, which starts with a collection."""
+        group = self._groups.get(name)
+        if group is not None:
+            return group
+        service = self._service_of(name)
+        if service is None or service.kind is not states.ServiceKind.LLM:
+            return None
+        group = group_module.GroupOwner(
+            self._world, name, service, self._policy
+        )
+        group.collect(now)
+        self._groups[name] = group
+        self._touched[name] = None
+        return group
+
+    def _service_of(self, name: ids.GroupId):
+        runners = self._world.groups.get(name)
+        if not runners or self._world.text is None:
+            return None
+        service = self._world.runners[runners[0]].service
+        return self._world.text.services.get(service)
+
+    def _group_of(
+        self, runner: ids.RunnerId
+    ) -> group_module.GroupOwner | None:
+        row = self._world.runners.get(runner)
+        return None if row is None else self._groups.get(row.group)
+
+    def _take_cache_events(
+        self, events: messages.CacheEventsReceived, now: float
+    ) -> None:
+        group = self._group_of(events.runner)
+        row = group and group.ledger.prefill.get(events.runner)
+        if row:
+            row.cache.apply(events, now)
+
+    def _take_text(self, now: float) -> None:
+        for name in list(self._groups):
+            service = self._service_of(name)
+            if service is None or service.kind is not states.ServiceKind.LLM:
+                self._groups.pop(name).refuse_all(now)
+            else:
+                self._groups[name].configure(service)
+                self._touched[name] = None
+        self._survey_at = now
+
+    def _take_failure(self, failure: messages.PeerFailed, now: float) -> None:
+        for message in failure.messages:
+            if isinstance(message, messages.Grant):
+                for group in self._groups.values():
+                    group.take_failure(failure.peer, message, now)
+
+    def _follow_listing(self, now: float) -> None:
+        """Free what the instances held that the list no longer shows."""
+        listing = self._world.listing
+        current = {
+            row.instance: row.incarnation for row in listing.instances.values()
+        }
+        for entry, incarnation in self._listed.items():
+            if current.get(entry) != incarnation:
+                for group in self._groups.values():
+                    group.lose_entry(entry, incarnation, now)
+                    self._touched[group.group] = None
+        self._listed = current
+        self._listing_revision = listing.revision
+
+    def _survey(self, now: float) -> None:
+        """Learn which groups are owned; poll their runners."""
+        self._survey_at = now + POLL_S
+        own = self._world.identity.instance
+        owned = {
+            name
+            for name in self._world.groups
+            if ownership.group_owner(self._world, name) == own
+        }
+        for name in self._owned - owned:
+            self._give_up(name, now)
+        self._owned = owned
+        for name in sorted(owned):
+            self._open(name, now)
+            self._poll(name)
+            self._touched[name] = None
+        for name in self._groups.keys() - owned:
+            if now > self._groups[name].requested_at + ACTING_S:
+                self._give_up(name, now)
+
+    def _give_up(self, name: ids.GroupId, now: float) -> None:
+        group = self._groups.pop(name, None)
+        successor = ownership.group_owner(self._world, name)
+        if group is not None and successor is not None:
+            group.hand_over(successor, now)
+
+    def _poll(self, name: ids.GroupId) -> None:
+        group = self._groups.get(name)
+        for runner in self._world.groups[name]:
+            self._world.emit(messages.PollLoad(runner))
+            row = group and group.ledger.prefill.get(runner)
+            if row:
+                self._world.emit(
+                    messages.PollCacheEvents(runner, row.cache.next)
+                )
+
+    def _schedule(self, group: group_module.GroupOwner) -> None:
+        when = group.next_due()
+        if when < self._scheduled.get(group.group, math.inf):
+            self._scheduled[group.group] = when
+            heapq.heappush(self._timers, (when, group.group))
+
+
+class NaivePoolSystem(PoolSystem):
+    """The same with random placement, as a baseline for measurements."""
+
+    policy = 'naive'
--- /dev/null
+++ b/primrosereel/core/_preemption.py
@@ -0,0 +1,183 @@
+"""Pausing streams for work of a higher priority, and resuming them.
+
+A paused stream keeps its prefill work: its KV cache waits in the memory of
+the decode runner's host and the stream continues on the same runner.
+"""
+
+from collections.abc import Collection
+import math
+
+from primrosereel import _ids as ids
+from primrosereel.core import _messages as messages
+from primrosereel.core import _placement as placement
+from primrosereel.core import _reservation as reservation
+from primrosereel.core import _tables as tables
+
+__all__ = ['MAX_PAUSES', 'PAUSE_BOUND_S', 'Preemption']
+
+MAX_PAUSES = 2
+# A stream that was paused for longer has the first claim on its runner, also
+# before work of a higher priority.
+PAUSE_BOUND_S = 10.0
+# A pause or resumption that is not confirmed is asked for again.
+CONFIRM_S = 1.0
+# Freeing memory for one request must not stop a large part of a batch.
+MAX_VICTIMS = 4
+
+Phase = reservation.Phase
+
+
+class Preemption:
+    """The streams of a group that are paused or on the way there."""
+
+    def __init__(
+        self, world: tables.World, ledger: reservation.Ledger
+    ) -> None:
+        self._world = world
+        self._ledger = ledger
+        self._unconfirmed: dict[ids.RequestId, float] = {}
+
+    @property
+    def next_due(self) -> float:
+        """When an order is to be repeated or a stream gets first claim."""
+        return min(self._unconfirmed.values(), default=math.inf)
+
+    def priorities(self) -> set[int]:
+        """Return the priorities of the suspended streams."""
+        return {r.priority for r in self._ledger.suspended.values()}
+
+    def make_room(
+        self,
+        view: placement.View,
+        request: messages.GrantRequest,
+        held: Collection[ids.RunnerId],
+        now: float,
+    ) -> bool:
+        """Pause what is in the way of a request; tell whether it has room.
+
+        Of the suitable runners the one is taken where the least KV cache has
+        to be moved, preferably one that is not suspect.
+        """
+        plans = []
+        for runner, row in self._ledger.decode.items():
+            facts = view.usable(runner, request.exclude)
+            if facts is None or runner in held:
+                continue
+            victims = _victims(row, request, now)
+            if victims:
+                moved = sum(v.tokens for v in victims)
+                plans.append((facts.suspect, moved, runner, victims))
+        if not plans:
+            return False
+        for victim in min(plans, key=lambda p: p[:3])[3]:
+            self._pause(victim, now)
+        return True
+
+    def resume(
+        self, priority: float, held: set[ids.RunnerId], now: float
+    ) -> None:
+        """Resume the streams of a priority that fit on their runners.
+
+        The runner of a stream that does not fit yet is added to ``held``, so
+        that no later work takes what the stream waits for.
+        """
+        suspended = [
+            r
+            for r in self._ledger.suspended.values()
+            if r.priority == priority
+        ]
+        self._resume_each(suspended, held, now)
+
+    def resume_overdue(self, held: set[ids.RunnerId], now: float) -> None:
+        """Resume the streams that were paused for too long."""
+        overdue = [
+            r
+            for r in self._ledger.suspended.values()
+            if now >= r.paused_at + PAUSE_BOUND_S
+        ]
+        self._resume_each(overdue, held, now)
+
+    def confirm(self, request: ids.RequestId) -> None:
+        """Note that a stream is where it was ordered to be, or is gone."""
+        self._unconfirmed.pop(request, None)
+
+    def repeat(self, now: float) -> None:
+        """Send unconfirmed orders again."""
+        due = [r for r, when in self._unconfirmed.items() if when <= now]
+        for request in due:
+            row = self._ledger.reservations.get(request)
+            if row is None or row.phase is Phase.DECODE:
+                self.confirm(request)
+            elif row.phase is Phase.RESUMING:
+                self._order(row, messages.ResumeStream, now)
+            elif row.phase is Phase.PAUSING:
+                self._order(row, messages.PauseStream, now)
+            else:
+                self.confirm(request)
+
+    def _pause(self, row: reservation.Reservation, now: float) -> None:
+        self._ledger.pause(row, now)
+        self._order(row, messages.PauseStream, now)
+        self._world.count('pool.paused')
+        self._world.explain(row.request_id, 'paused for a higher priority')
+
+    def _resume_each(
+        self,
+        rows: list[reservation.Reservation],
+        held: set[ids.RunnerId],
+        now: float,
+    ) -> None:
+        for row in sorted(rows, key=lambda r: (-r.priority, r.paused_at)):
+            runner = self._ledger.decode.get(row.decode_runner)
+            if runner is None:
+                continue
+            fits = runner.fits(row.pieces, now) or not runner.held
+            if row.phase is not Phase.PAUSED or not fits:
+                held.add(row.decode_runner)
+            elif row.decode_runner not in held:
+                self._ledger.resume(row, now)
+                self._order(row, messages.ResumeStream, now)
+                self._world.explain(row.request_id, 'resumed')
+
+    def _order(
+        self,
+        row: reservation.Reservation,
+        kind: type[messages.PauseStream] | type[messages.ResumeStream],
+        now: float,
+    ) -> None:
+        self._unconfirmed[row.request_id] = now + CONFIRM_S
+        self._world.send(row.entry, kind(row.request_id, row.attempt))
+
+
+def _victims(
+    runner: reservation.DecodeRunner,
+    request: messages.GrantRequest,
+    now: float,
+) -> list[reservation.Reservation]:
+    """Return the streams to pause for a request, or none if that fails.
+
+    One stream is enough where its pieces are; else the largest are taken, so
+    that few streams are stopped.
+    """
+    needed = runner.pieces_for(request.prompt_tokens + request.max_tokens)
+    needed -= runner.free_pieces(now)
+    streams = sorted(
+        (
+            r
+            for r in runner.held.values()
+            if r.phase is Phase.DECODE
+            and r.priority < request.priority
+            and r.pauses < MAX_PAUSES
+        ),
+        key=lambda r: (r.tokens, r.request_id),
+    )
+    for stream in streams:
+        if stream.pieces >= needed:
+            return [stream]
+    victims = []
+    for stream in reversed(streams[-MAX_VICTIMS:]):
+        victims.append(stream)
+        needed -= stream.pieces
+        if needed <= 0:
+            return victims
+    return []
--- /dev/null
+++ b/primrosereel/core/_prefill.py
@@ -0,0 +1,231 @@
+"""Estimates of when a prefill runner ends the work it was given.
+
+A runner is taken to run one prefill after the other, in the order of the
+grants but for priorities. The estimate follows the model's nominal rate times
+a factor learned from the runner's own prefills. A prefill that is overdue
+raises the estimate at once, before any report or answer shows the slowness.
+"""
+
+import dataclasses
+import math
+from typing import NamedTuple
+
+from primrosereel import _ids as ids
+from primrosereel.core import _messages as messages
+from primrosereel.core import _prefix_cache as prefix_cache
+
+__all__ = ['Estimate', 'Job', 'PrefillRunner']
+
+# Fixed cost of a prefill call at an engine and on the way to it.
+OVERHEAD_S = 0.004
+# The news of a finished prefill may be this late: it takes two hops and waits
+# for other messages to the same daemon. A prefill also varies by a quarter.
+NOTICE_S = 0.1
+OVERDUE_SHARE = 0.25
+# A change of speed is learned from two or three prefills.
+LEARNING_RATE = 0.4
+MAX_FACTOR = 50.0
+MIN_FACTOR = 0.1
+# Shorter prefills say more about overhead than about speed.
+MIN_OBSERVED_TOKENS = 64
+# Slow periods are short: without news a runner is tried again after this.
+RECOVERY_HALF_LIFE_S = 10.0
+
+
+class Estimate(NamedTuple):
+    """When a runner could run a prefill, and for how long."""
+
+    wait_s: float
+    compute_s: float
+    match: prefix_cache.Match
+
+
+@dataclasses.dataclass(slots=True)
+class Job:
+    """A prefill that was granted and is not known to have ended."""
+
+    granted_at: float
+    seconds: float
+    prompt_tokens: int
+    priority: int = 0
+    hashes: tuple[int, ...] = ()
+    match: prefix_cache.Match = prefix_cache.Match(0, 0, -math.inf)
+    added: tuple[int, ...] = ()
+
+
+class PrefillRunner:
+    """The work, the speed and the prefix cache of one prefill runner."""
+
+    def __init__(self, runner: ids.RunnerId, tokens_s: float) -> None:
+        self.runner = runner
+        self.tokens_s = tokens_s
+        self.cache = prefix_cache.PrefixCache()
+        self.jobs: dict[ids.RequestId, Job] = {}
+        self.granted_at = -math.inf
+        self._incarnation = 0
+        self._changed_at = -math.inf
+        self._foreign_until = -math.inf
+        self._freed_at = -math.inf
+        self._factor = 1.0
+        self._observed_at = -math.inf
+
+    def factor(self, now: float) -> float:
+        """Return how many times slower than nominal the runner is."""
+        if self._factor <= 1:
+            return self._factor
+        age = max(0.0, now - self._observed_at)
+        return 1 + (self._factor - 1) * 0.5 ** (age / RECOVERY_HALF_LIFE_S)
+
+    def estimate(
+        self,
+        hashes: tuple[int, ...],
+        prompt_tokens: int,
+        priority: int,
+        now: float,
+    ) -> Estimate:
+        """Estimate the wait for the runner and the compute time on it."""
+        match = self.cache.match(hashes, prompt_tokens)
+        seconds = self.seconds(prompt_tokens - match.tokens, now)
+        return Estimate(self.wait(priority, now), seconds, match)
+
+    def seconds(self, uncached_tokens: int, now: float) -> float:
+        """Return the estimated time to prefill that many tokens."""
+        return self._nominal(uncached_tokens) * self.factor(now)
+
+    def wait(self, priority: int, now: float) -> float:
+        """Return the seconds until new work of a priority could start."""
+        cursor = max(self._freed_at, self._foreign_until)
+        slow = 1.0
+        for job in self.jobs.values():
+            begin = max(cursor, job.granted_at)
+            if job.priority < priority and begin > now:
+                continue
+            end = begin + job.seconds * slow
+            if now > end + NOTICE_S + OVERDUE_SHARE * job.seconds * slow:
+                # As likely as not the prefill takes as long again, and the
+                # ones behind it are slowed down in the same way.
+                slow = (now - begin) / job.seconds
+                end = now + (now - begin)
+            cursor = end
+        return max(0.0, cursor - now)
+
+    def yields_to(self, priority: int) -> bool:
+        """Tell whether every job here has a lower priority."""
+        return all(job.priority < priority for job in self.jobs.values())
+
+    def start(self, request: ids.RequestId, job: Job, now: float) -> None:
+        """Take a granted prefill into account."""
+        job.added = self.cache.add(job.hashes, now)
+        self.jobs[request] = job
+        self.granted_at = now
+        self._changed_at = now
+
+    def finish(
+        self,
+        request: ids.RequestId,
+        cached_tokens: int,
+        speed: float,
+        now: float,
+    ) -> None:
+        """Take the end of a prefill; a second notice has no effect."""
+        begin = self._begin(request)
+        job = self._remove(request, now)
+        if job is None:
+            return
+        self._drop_overtaken(job, now)
+        self._correct_cache(job, cached_tokens, now)
+        self._observe(job, now - begin, cached_tokens, speed, now)
+
+    def abandon(
+        self, request: ids.RequestId, now: float, ran: bool = False
+    ) -> None:
+        """Take out a prefill of which no end was reported."""
+        job = self._remove(request, now)
+        if job is not None and not ran:
+            self.cache.discard(job.added)
+
+    def correct(self, report: messages.LoadReport, now: float) -> None:
+        """Take a load report; its backlog may include foreign work."""
+        if report.incarnation != self._incarnation:
+            if self._incarnation:
+                self.cache.clear()
+            self._incarnation = report.incarnation
+        if now - report.age_s <= self._changed_at:
+            return
+        own = sum(job.seconds for job in self.jobs.values())
+        backlog = report.backlog_tokens / self.tokens_s * self.factor(now)
+        self._foreign_until = now + max(0.0, backlog - report.age_s - own)
+
+    def _nominal(self, uncached_tokens: int) -> float:
+        return OVERHEAD_S + max(0, uncached_tokens) / self.tokens_s
+
+    def _begin(self, request: ids.RequestId) -> float:
+        """Return when a prefill is estimated to have begun."""
+        cursor = self._freed_at
+        for known, job in self.jobs.items():
+            begin = max(cursor, job.granted_at)
+            if known == request:
+                return begin
+            cursor = begin + job.seconds
+        return cursor
+
+    def _remove(self, request: ids.RequestId, now: float) -> Job | None:
+        begin = self._begin(request)
+        job = self.jobs.pop(request, None)
+        if job is None:
+            return None
+        end = begin + job.seconds
+        # A notice slightly later than estimated is taken to be late, not the
+        # prefill; else each notice would delay all later estimates.
+        believed = end <= now <= end + NOTICE_S
+        self._freed_at = end if believed else now
+        self._changed_at = now
+        return job
+
+    def _drop_overtaken(self, ended: Job, now: float) -> None:
+        """Drop the prefills that must have ended before ``ended`` began.
+
+        Their entries are lost or gave up; without this they would count as
+        overdue and the runner as slow until their leases end.
+        """
+        for request, job in list(self.jobs.items()):
+            if job.granted_at > ended.granted_at:
+                return
+            due = job.granted_at + job.seconds * (1 + OVERDUE_SHARE)
+            if job.priority >= ended.priority and now > due + NOTICE_S:
+                del self.jobs[request]
+
+    def _correct_cache(self, job: Job, cached_tokens: int, now: float) -> None:
+        actual = prefix_cache.cached_blocks(
+            cached_tokens, job.prompt_tokens, len(job.hashes)
+        )
+        if actual < job.match.blocks:
+            self.cache.forget_until(job.match.used_at)
+        # The prefill has just stored or used all blocks of its prompt.
+        self.cache.add(job.hashes, now)
+
+    def _observe(
+        self,
+        job: Job,
+        elapsed: float,
+        cached_tokens: int,
+        speed: float,
+        now: float,
+    ) -> None:
+        """Learn the speed from a prefill.
+
+        What the entry measured may include a wait at the engine, the own
+        measure the delay of the notice; the smaller one is nearer.
+        """
+        uncached = job.prompt_tokens - cached_tokens
+        if uncached < MIN_OBSERVED_TOKENS:
+            return
+        observed = elapsed / self._nominal(uncached)
+        if speed > 0:
+            observed = min(observed, speed * self.tokens_s)
+        elif elapsed <= job.seconds * (1 + OVERDUE_SHARE) + NOTICE_S:
+            return
+        factor = self.factor(now)
+        factor += LEARNING_RATE * (observed - factor)
+        self._factor = min(MAX_FACTOR, max(MIN_FACTOR, factor))
+        self._observed_at = now
--- /dev/null
+++ b/primrosereel/core/_prefix_cache.py
@@ -0,0 +1,135 @@
+"""What a group owner believes a prefill runner's prefix cache holds.
+
+The knowledge comes from cache events, which are late and have gaps, and from
+the owner's own prefills; ``cached_tokens`` of each finished prefill corrects
+it. A wrong guess costs time, never correctness.
+"""
+
+import collections
+from collections.abc import Iterable
+from collections.abc import Sequence
+import math
+from typing import NamedTuple
+
+from primrosereel.core import _messages as messages
+
+__all__ = ['Match', 'PrefixCache', 'cached_blocks']
+
+# A block costs about 150 bytes here, so 16 full runners take 10 MB.
+MAX_BLOCKS = 4096
+# Events arrive up to about this much later than what they report.
+EVENT_LAG_S = 1.0
+
+
+class Match(NamedTuple):
+    """How much of a prompt is believed to be cached.
+
+    ``used_at`` is when the last of the matching blocks was used before.
+    """
+
+    blocks: int
+    tokens: int
+    used_at: float
+
+
+def cached_blocks(tokens: int, prompt_tokens: int, blocks: int) -> int:
+    """Return how many of a prompt's blocks a number of tokens covers.
+
+    The block size is not known, only that ``blocks`` whole blocks fit into
+    the prompt. With that, rounding up is exact for whole blocks.
+    """
+    if not prompt_tokens:
+        return 0
+    return min(blocks, math.ceil(tokens * blocks / prompt_tokens))
+
+
+class PrefixCache:
+    """A bounded set of prefix block hashes, least recently used first."""
+
+    def __init__(self, limit: int = MAX_BLOCKS) -> None:
+        self._limit = limit
+        self._blocks: collections.OrderedDict[int, float] = (
+            collections.OrderedDict()
+        )
+        self._next = 0
+
+    @property
+    def next(self) -> int:
+        """The sequence number from which events are to be read."""
+        return self._next
+
+    def __len__(self) -> int:
+        return len(self._blocks)
+
+    def __contains__(self, block: int) -> bool:
+        return block in self._blocks
+
+    def match(self, hashes: Sequence[int], prompt_tokens: int) -> Match:
+        """Return how many leading blocks of a prompt are believed cached."""
+        blocks = 0
+        used_at = -math.inf
+        for block in hashes:
+            found = self._blocks.get(block)
+            if found is None:
+                break
+            used_at = found
+            blocks += 1
+        if not blocks:
+            return Match(0, 0, used_at)
+        # The prompt ends inside a block; on average in its middle.
+        tokens = int(prompt_tokens * blocks / (len(hashes) + 0.5))
+        return Match(blocks, tokens, used_at)
+
+    def add(self, hashes: Iterable[int], now: float) -> tuple[int, ...]:
+        """Record the use of blocks and return those that are new."""
+        added = []
+        for block in hashes:
+            if block not in self._blocks:
+                added.append(block)
+            self._blocks[block] = now
+            self._blocks.move_to_end(block)
+        while len(self._blocks) > self._limit:
+            self._blocks.popitem(last=False)
+        return tuple(added)
+
+    def discard(self, hashes: Iterable[int]) -> None:
+        """Forget blocks."""
+        for block in hashes:
+            self._blocks.pop(block, None)
+
+    def forget_until(self, used_at: float) -> None:
+        """Forget all blocks that were last used at ``used_at`` or before.
+
+        Engines evict the least recently used blocks first: when one block is
+        gone, those that were used before it are likely gone as well.
+        """
+        while self._blocks:
+            block = next(iter(self._blocks))
+            if self._blocks[block] > used_at:
+                return
+            del self._blocks[block]
+
+    def apply(self, events: messages.CacheEventsReceived, now: float) -> None:
+        """Take cache events; a gap makes older knowledge unreliable."""
+        if events.next < self._next:
+            # The engine restarted its sequence and has an empty cache.
+            self._blocks.clear()
+        elif events.since < self._next:
+            # The answer to an older poll; its events were applied already.
+            return
+        elif events.first > events.since + 1:
+            self.forget_until(now - EVENT_LAG_S)
+        self._next = events.next
+        # An eviction may be older than the owner's last use of the block.
+        evicted = [
+            block
+            for block in events.evicted
+            if self._blocks.get(block, -math.inf) <= now - EVENT_LAG_S
+        ]
+        self.add((b for b in events.stored if b not in self._blocks), now)
+        self.discard(evicted)
+
+    def clear(self) -> None:
+        """Forget everything, as after a restart of the engine."""
+        self._blocks.clear()
+        self._next = 0
--- /dev/null
+++ b/primrosereel/core/_queue.py
@@ -0,0 +1,228 @@
+"""The bounded queue of requests that wait for places in a group.
+
+The order is priority, then requests that continue earlier work, then the
+customer that was served least for its weight, then age.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import math
+from typing import NamedTuple
+
+from primrosereel import _ids as ids
+from primrosereel.core import _messages as messages
+
+__all__ = ['Fairness', 'ReleaseRate', 'Waiting', 'WaitingQueue']
+
+# Forgetting the least served customers is harmless: they start at the floor.
+MAX_CUSTOMERS = 4096
+# Releases of the last few stream lengths tell how fast places come back.
+RATE_WINDOW_S = 10.0
+# Fewer releases than this say nothing about the rate.
+MIN_RELEASES = 8.0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Waiting:
+    """A request that waits; ``entry`` is where the answer goes.
+
+    ``latest_start`` is until when a grant can still meet the first token
+    target; it is set once the request could not be granted at once. What has
+    had its prefill is never late.
+    """
+
+    request: messages.GrantRequest
+    entry: ids.InstanceId
+    incarnation: ids.Incarnation
+    arrived: float
+    deadline: float
+    sequence: int
+    latest_start: float = math.inf
+    assessed: bool = False
+
+    def is_late(self, now: float) -> bool:
+        """Tell whether the first token target is out of reach."""
+        return self.latest_start < now
+
+    @property
+    def rank(self) -> int:
+        """0 where a prefill was done already, 1 for a dependency call."""
+        if self.request.kv is not None:
+            return 0
+        return 1 if self.request.parent else 2
+
+
+class Fairness:
+    """What each customer was granted, in tokens over its weight.
+
+    A customer that returns after a pause starts at the level of those that
+    are served now, so it cannot claim capacity for the time it was away.
+    """
+
+    def __init__(self, weight: Callable[[ids.CustomerId], float]) -> None:
+        self._weight = weight
+        self._served: dict[ids.CustomerId, float] = {}
+        self._floor = 0.0
+
+    def served(self, customer: ids.CustomerId) -> float:
+        """Return the weighted tokens granted to a customer."""
+        return self._served.get(customer, self._floor)
+
+    def enter(self, customer: ids.CustomerId) -> None:
+        """Note that a customer starts to wait."""
+        self._served[customer] = max(self.served(customer), self._floor)
+        if len(self._served) > MAX_CUSTOMERS:
+            self._served = {
+                c: s for c, s in self._served.items() if s > self._floor
+            }
+
+    def charge(self, customer: ids.CustomerId, tokens: int) -> None:
+        """Note a grant."""
+        before = self.served(customer)
+        self._floor = max(self._floor, before)
+        weight = max(self._weight(customer), 1e-6)
+        self._served[customer] = before + tokens / weight
+
+
+class Key(NamedTuple):
+    """The place of a request in the order; the smallest is first."""
+
+    priority: int
+    rank: int
+    served: float
+    arrived: float
+    sequence: int
+
+
+class WaitingQueue:
+    """Waiting requests, each under its request id."""
+
+    def __init__(self, fairness: Fairness) -> None:
+        self._fairness = fairness
+        self._waiting: dict[ids.RequestId, Waiting] = {}
+        self._customers: dict[ids.CustomerId, int] = {}
+        self._order: list[Waiting] | None = []
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    @property
+    def next_deadline(self) -> float:
+        """When the first request must be refused."""
+        return min(
+            (w.deadline for w in self._waiting.values()), default=math.inf
+        )
+
+    def get(self, request: ids.RequestId) -> Waiting | None:
+        """Return a waiting request."""
+        return self._waiting.get(request)
+
+    def add(self, waiting: Waiting) -> None:
+        """Let a request wait."""
+        request = waiting.request
+        self.remove(request.request_id)
+        customer = request.customer
+        if customer not in self._customers:
+            self._fairness.enter(customer)
+        self._customers[customer] = self._customers.get(customer, 0) + 1
+        self._waiting[request.request_id] = waiting
+        self._order = None
+
+    def remove(self, request: ids.RequestId) -> Waiting | None:
+        """Take a request out; idempotent."""
+        waiting = self._waiting.pop(request, None)
+        if waiting is None:
+            return None
+        customer = waiting.request.customer
+        self._customers[customer] -= 1
+        if not self._customers[customer]:
+            del self._customers[customer]
+        if self._order is not None:
+            self._order.remove(waiting)
+        return waiting
+
+    def charge(self, customer: ids.CustomerId, tokens: int) -> None:
+        """Note a grant to a customer; its other requests move back."""
+        self._fairness.charge(customer, tokens)
+        if customer in self._customers:
+            self._order = None
+
+    def in_order(self) -> tuple[Waiting, ...]:
+        """Return the requests, the first to be served first."""
+        if self._order is None:
+            self._order = sorted(self._waiting.values(), key=self._key)
+        return tuple(self._order)
+
+    def priorities(self) -> set[int]:
+        """Return the priorities of the waiting requests."""
+        return {w.request.priority for w in self._waiting.values()}
+
+    def expired(self, now: float) -> list[Waiting]:
+        """Return the requests whose deadline has come."""
+        return [w for w in self._waiting.values() if w.deadline <= now]
+
+    def lowest(self, now: float) -> Waiting:
+        """Return the request to give up first when the queue is full.
+
+        That is, in the lowest priority, one that cannot meet its first token
+        target any more, and of those the last in the order.
+        """
+        order = self.in_order()
+        lowest = order[-1].request.priority
+        candidates = [w for w in order if w.request.priority == lowest]
+        late = [w for w in candidates if w.is_late(now)]
+        return (late or candidates)[-1]
+
+    def turns(
+        self, priority: int, late_first: bool, now: float
+    ) -> list[Waiting]:
+        """Return a priority's requests in the order to try them.
+
+        Within the order, those that can meet their first token target and
+        those that cannot are kept apart.
+        """
+        late: list[Waiting] = []
+        on_time: list[Waiting] = []
+        for waiting in self.in_order():
+            if waiting.request.priority == priority:
+                kind = late if waiting.is_late(now) else on_time
+                kind.append(waiting)
+        return late + on_time if late_first else on_time + late
+
+    def _key(self, waiting: Waiting) -> Key:
+        request = waiting.request
+        return Key(
+            -request.priority,
+            waiting.rank,
+            self._fairness.served(request.customer),
+            waiting.arrived,
+            waiting.sequence,
+        )
+
+
+class ReleaseRate:
+    """How many places come back a second, from the recent past."""
+
+    def __init__(self) -> None:
+        self._count = 0.0
+        self._at = -math.inf
+
+    def note(self, now: float) -> None:
+        """Note a place that came back."""
+        self._count = self._decayed(now) + 1
+        self._at = now
+
+    def wait_s(self, position: int, now: float) -> float | None:
+        """Estimate when a place comes for the request at a position.
+
+        None is returned while too little is known.
+        """
+        count = self._decayed(now)
+        if count < MIN_RELEASES:
+            return None
+        return (position + 1) * RATE_WINDOW_S / count
+
+    def _decayed(self, now: float) -> float:
+        if not self._count:
+            return 0.0
+        return self._count * math.exp((self._at - now) / RATE_WINDOW_S)
--- /dev/null
+++ b/primrosereel/core/_reservation.py
@@ -0,0 +1,354 @@
+"""The ledger of a group: who holds which places, memory and link time.
+
+A reservation holds a decode place, pieces of engine memory and a slot on the
+decode runner's link, and until its prefill ends a job on a prefill runner.
+Capacity may be overbooked (two owners may grant for a short time, a capacity
+may be lowered); the counts held are exact and never negative.
+"""
+
+import dataclasses
+import enum
+import heapq
+import math
+
+from primrosereel import _ids as ids
+from primrosereel import text as text_module
+from primrosereel.core import _messages as messages
+from primrosereel.core import _prefill as prefill
+
+__all__ = ['LEASE_S', 'DecodeRunner', 'Ledger', 'Phase', 'Reservation']
+
+LEASE_S = 30.0
+# Work that only a load report shows is believed for this long.
+FOREIGN_S = 5.0
+# A runner's token gap is believed for this long.
+SPEED_S = 10.0
+
+
+class Phase(enum.Enum):
+    """Where a granted request stands, as far as the owner knows."""
+
+    PREFILL = 'prefill'
+    TRANSFER = 'transfer'
+    DECODE = 'decode'
+    PAUSING = 'pausing'
+    PAUSED = 'paused'
+    RESUMING = 'resuming'
+
+
+WITHOUT_PLACE = (Phase.PAUSING, Phase.PAUSED)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Reservation:
+    """What one granted request holds.
+
+    ``tokens`` is the size of its KV cache so far and ``entry`` the instance
+    that holds the request.
+    """
+
+    request_id: ids.RequestId
+    attempt: int
+    entry: ids.InstanceId
+    incarnation: ids.Incarnation
+    customer: ids.CustomerId
+    priority: int
+    prefill_runner: ids.RunnerId | None
+    decode_runner: ids.RunnerId
+    pieces: int
+    tokens: int
+    phase: Phase = Phase.PREFILL
+    lease_until: float = math.inf
+    check_at: float = math.inf
+    pauses: int = 0
+    paused_at: float = math.inf
+    prompt_tokens: int = 0
+    explanation: str = ''
+
+    @property
+    def has_place(self) -> bool:
+        """Whether it occupies a place and memory on its decode runner."""
+        return self.phase not in WITHOUT_PLACE
+
+
+class DecodeRunner:
+    """Places, pieces and link of one decode runner."""
+
+    def __init__(self, runner: ids.RunnerId, facts: text_module.Runner):
+        self.runner = runner
+        self.facts = facts
+        self.held: dict[ids.RequestId, Reservation] = {}
+        self.used_pieces = 0
+        self.granted_at = -math.inf
+        self.transfers: dict[ids.RequestId, tuple[float, float]] = {}
+        self._changed_at = -math.inf
+        self._foreign_until = -math.inf
+        self._foreign_places = 0
+        self._foreign_pieces = 0
+        self._gap_s = 0.0
+        self._gap_at = -math.inf
+
+    def free_places(self, now: float) -> int:
+        """Return the number of free places, at least 0."""
+        held = len(self.held)
+        if now < self._foreign_until:
+            held = max(0, held + self._foreign_places)
+        return max(0, self.facts.places - held)
+
+    def free_pieces(self, now: float) -> int:
+        """Return the number of free pieces, at least 0."""
+        used = self.used_pieces
+        if now < self._foreign_until:
+            used += self._foreign_pieces
+        return max(0, self.facts.pieces - used)
+
+    def pieces_for(self, tokens: int) -> int:
+        """Return the pieces that hold a number of tokens."""
+        return max(1, math.ceil(tokens / self.facts.piece_tokens))
+
+    def fits(self, pieces: int, now: float) -> bool:
+        """Tell whether a place and that many pieces are free."""
+        return self.free_places(now) > 0 and self.free_pieces(now) >= pieces
+
+    def link_start(self, ready_at: float, seconds: float) -> float:
+        """Return the earliest start of a transfer of that length."""
+        start = ready_at
+        for begin, end in sorted(self.transfers.values()):
+            if start + seconds <= begin:
+                break
+            start = max(start, end)
+        return start
+
+    def is_slow(self, gap_s: float, now: float) -> bool:
+        """Tell whether streams here lately missed a token gap."""
+        return self._gap_s > gap_s and now < self._gap_at + SPEED_S
+
+    def observe(self, gap_s: float, now: float) -> None:
+        """Take the token gap that an entry saw on a stream."""
+        self._gap_s = gap_s
+        self._gap_at = now
+
+    def take(self, reservation: Reservation, now: float) -> None:
+        """Count a reservation."""
+        self.held[reservation.request_id] = reservation
+        self.used_pieces += reservation.pieces
+        self._changed_at = now
+
+    def give_back(self, reservation: Reservation, now: float) -> None:
+        """Stop counting a reservation; a second call has no effect."""
+        self.transfers.pop(reservation.request_id, None)
+        if self.held.pop(reservation.request_id, None) is None:
+            return
+        self.used_pieces -= reservation.pieces
+        # One request less that the ledger held and the engine did not.
+        self._foreign_places += self._foreign_places < 0
+        self._changed_at = now
+
+    def touch(self, now: float) -> None:
+        """Note that the engine's state changed; older reports are void."""
+        self._changed_at = now
+
+    def correct(self, report: messages.LoadReport, now: float) -> None:
+        """Take a load report that is newer than the last change.
+
+        Reservations that do not decode yet may or may not count at the
+        engine, so only what lies outside of that range is corrected.
+        """
+        if now - report.age_s <= self._changed_at:
+            return
+        busy = report.busy + report.queued
+        most = len(self.held)
+        least = sum(r.phase is Phase.DECODE for r in self.held.values())
+        self._foreign_places = max(0, busy - most) + min(0, busy - least)
+        used = self.facts.pieces - report.free_pieces
+        self._foreign_pieces = max(0, used - self.used_pieces)
+        self._foreign_until = now + FOREIGN_S
+
+
+class Ledger:
+    """All reservations of a group and its runners' rows."""
+
+    def __init__(self) -> None:
+        self.prefill: dict[ids.RunnerId, prefill.PrefillRunner] = {}
+        self.decode: dict[ids.RunnerId, DecodeRunner] = {}
+        self.reservations: dict[ids.RequestId, Reservation] = {}
+        self.suspended: dict[ids.RequestId, Reservation] = {}
+        self.by_entry: dict[ids.InstanceId, set[ids.RequestId]] = {}
+        self._leases: list[tuple[float, ids.RequestId]] = []
+
+    @property
+    def next_expiry(self) -> float:
+        """A time before which no lease ends."""
+        return self._leases[0][0] if self._leases else math.inf
+
+    def reserve(
+        self,
+        reservation: Reservation,
+        now: float,
+        job: prefill.Job | None = None,
+        transfer: tuple[float, float] | None = None,
+    ) -> None:
+        """Record a grant; the caller has checked that it fits."""
+        key = reservation.request_id
+        self.release(key, now)
+        self.reservations[key] = reservation
+        self.by_entry.setdefault(reservation.entry, set()).add(key)
+        self.renew(reservation, now)
+        self._check_at(reservation, reservation.lease_until)
+        if reservation.has_place:
+            self._take(reservation, now)
+        else:
+            self.suspended[key] = reservation
+        runner = self.decode.get(reservation.decode_runner)
+        if runner is not None:
+            runner.granted_at = now
+            if transfer is not None:
+                runner.transfers[key] = transfer
+        if job is not None and reservation.prefill_runner in self.prefill:
+            self.prefill[reservation.prefill_runner].start(key, job, now)
+
+    def release(
+        self, request: ids.RequestId, now: float
+    ) -> Reservation | None:
+        """Return all that a request holds; idempotent."""
+        reservation = self.reservations.pop(request, None)
+        if reservation is None:
+            return None
+        self.suspended.pop(request, None)
+        self._give_back(reservation, now)
+        self._end_prefill(reservation, now)
+        held = self.by_entry[reservation.entry]
+        held.discard(request)
+        if not held:
+            del self.by_entry[reservation.entry]
+        return reservation
+
+    def renew(self, reservation: Reservation, now: float) -> None:
+        """Extend a lease."""
+        reservation.lease_until = now + LEASE_S
+
+    def expire(self, now: float) -> list[Reservation]:
+        """Release and return the reservations whose lease has ended."""
+        ended = []
+        while self._leases and self._leases[0][0] <= now:
+            when, key = heapq.heappop(self._leases)
+            reservation = self.reservations.get(key)
+            if reservation is None or reservation.check_at != when:
+                continue
+            if reservation.lease_until > now:
+                self._check_at(reservation, reservation.lease_until)
+                continue
+            self.release(key, now)
+            ended.append(reservation)
+        return ended
+
+    def shorten(
+        self, reservation: Reservation, seconds: float, now: float
+    ) -> None:
+        """Let a lease end earlier unless it is renewed."""
+        until = now + seconds
+        if until < reservation.lease_until:
+            reservation.lease_until = until
+            self._check_at(reservation, until)
+
+    def prefill_done(
+        self,
+        reservation: Reservation,
+        cached_tokens: int,
+        speed: float,
+        now: float,
+    ) -> None:
+        """Free the prefill slot and move the transfer to now."""
+        if reservation.phase is not Phase.PREFILL:
+            return
+        key = reservation.request_id
+        runner = self._prefill_row(reservation)
+        if runner is not None:
+            runner.finish(key, cached_tokens, speed, now)
+        reservation.phase = Phase.TRANSFER
+        row = self.decode.get(reservation.decode_runner)
+        if row is not None and key in row.transfers:
+            begin, end = row.transfers.pop(key)
+            start = row.link_start(now, end - begin)
+            row.transfers[key] = (start, start + end - begin)
+
+    def decoding(self, reservation: Reservation, now: float) -> None:
+        """Note the first token: prefill and transfer are over."""
+        if reservation.phase not in (Phase.PREFILL, Phase.TRANSFER):
+            return
+        self._end_prefill(reservation, now, ran=True)
+        reservation.phase = Phase.DECODE
+        row = self.decode.get(reservation.decode_runner)
+        if row is not None:
+            row.transfers.pop(reservation.request_id, None)
+            row.touch(now)
+
+    def pause(self, reservation: Reservation, now: float) -> None:
+        """Take a stream's place away; its entry has yet to confirm."""
+        self._suspend(reservation, Phase.PAUSING, now)
+        reservation.pauses += 1
+
+    def paused(self, reservation: Reservation, now: float) -> None:
+        """Note that the engine has moved a stream out of its memory."""
+        if reservation.phase is Phase.PAUSING:
+            reservation.phase = Phase.PAUSED
+        elif reservation.phase in (Phase.TRANSFER, Phase.DECODE):
+            self._suspend(reservation, Phase.PAUSED, now)
+            reservation.pauses += 1
+
+    def resume(self, reservation: Reservation, now: float) -> None:
+        """Reserve a paused stream's place again."""
+        self._unsuspend(reservation, Phase.RESUMING, now)
+
+    def resumed(self, reservation: Reservation, now: float) -> None:
+        """Note that a stream runs again, whoever let it."""
+        self._unsuspend(reservation, Phase.DECODE, now)
+        if reservation.phase is Phase.RESUMING:
+            reservation.phase = Phase.DECODE
+
+    def _check_at(self, reservation: Reservation, when: float) -> None:
+        """Have ``expire`` look at a lease; an earlier entry is void."""
+        reservation.check_at = when
+        heapq.heappush(self._leases, (when, reservation.request_id))
+
+    def _suspend(
+        self, reservation: Reservation, phase: Phase, now: float
+    ) -> None:
+        self._give_back(reservation, now)
+        reservation.phase = phase
+        reservation.paused_at = now
+        self.suspended[reservation.request_id] = reservation
+
+    def _unsuspend(
+        self, reservation: Reservation, phase: Phase, now: float
+    ) -> None:
+        if reservation.has_place:
+            return
+        del self.suspended[reservation.request_id]
+        reservation.phase = phase
+        reservation.paused_at = math.inf
+        self._take(reservation, now)
+
+    def _take(self, reservation: Reservation, now: float) -> None:
+        row = self.decode.get(reservation.decode_runner)
+        if row is not None:
+            row.take(reservation, now)
+
+    def _give_back(self, reservation: Reservation, now: float) -> None:
+        row = self.decode.get(reservation.decode_runner)
+        if row is not None:
+            row.give_back(reservation, now)
+
+    def _end_prefill(
+        self, reservation: Reservation, now: float, ran: bool = False
+    ) -> None:
+        runner = self._prefill_row(reservation)
+        if runner is not None:
+            runner.abandon(reservation.request_id, now, ran)
+
+    def _prefill_row(
+        self, reservation: Reservation
+    ) -> prefill.PrefillRunner | None:
+        if reservation.prefill_runner is None:
+            return None
+        return self.prefill.get(reservation.prefill_runner)
--- /dev/null
+++ b/primrosereel/core/_scheduler.py
@@ -0,0 +1,234 @@
+"""Decides which waiting requests of a group are granted, and when.
+
+Requests that can meet their first token target go before those that cannot
+any more, within their priority: under overload, serving in order of age alone
+would make every answer late. A small share of the grants still goes to the
+late ones, so that patient callers are served as well.
+"""
+
+import math
+
+from primrosereel import _ids as ids
+from primrosereel import _states as states
+from primrosereel.core import _messages as messages
+from primrosereel.core import _placement as placement
+from primrosereel.core import _preemption as preemption
+from primrosereel.core import _queue as queue
+from primrosereel.core import _reservation as reservation
+from primrosereel.core import _reserving as reserving
+from primrosereel.core import _tables as tables
+
+__all__ = ['Scheduler']
+
+# One grant in this many goes to a late request while others are on time.
+LATE_SHARE = 16
+RETRY_AFTER_S = 1.0
+# Estimates are not more exact than this.
+MIN_RETRY_S = 0.005
+
+Phase = reservation.Phase
+Reason = states.RefusalReason
+Scarce = placement.Scarce
+
+
+class Scheduler:
+    """Grants, preempts and refuses in one group."""
+
+    def __init__(
+        self,
+        world: tables.World,
+        policy: placement.PlacementPolicy,
+        view: placement.View,
+        waiting: queue.WaitingQueue,
+        streams: preemption.Preemption,
+    ) -> None:
+        self.view = view
+        self.rate = queue.ReleaseRate()
+        self.retry_at = math.inf
+        self._world = world
+        self._policy = policy
+        self._queue = waiting
+        self._preemption = streams
+        self._since_late = 0
+        self._kept = False
+
+    def run(self, now: float) -> None:
+        """Resume and grant what there is room for; bound the rest."""
+        self.retry_at = math.inf
+        self._kept = False
+        if self._queue or self.view.ledger.suspended:
+            self._grant_all(now)
+            self._bound(now)
+
+    def answer(self, row: reservation.Reservation) -> None:
+        """Send a grant to its entry; it may be sent again."""
+        self._world.send(
+            row.entry,
+            messages.Grant(
+                row.request_id,
+                row.attempt,
+                row.prefill_runner,
+                row.decode_runner,
+                reservation.LEASE_S,
+                row.explanation,
+            ),
+        )
+
+    def refuse(
+        self, waiting: queue.Waiting, reason: states.RefusalReason, now: float
+    ) -> None:
+        """Refuse a waiting request."""
+        request = waiting.request
+        self._queue.remove(request.request_id)
+        wait_s = self.rate.wait_s(len(self._queue), now) or RETRY_AFTER_S
+        self._world.count(f'pool.refused.{reason.value}')
+        self._world.send(
+            waiting.entry,
+            messages.GrantRefused(
+                request.request_id, request.attempt, reason, wait_s
+            ),
+        )
+
+    def _grant_all(self, now: float) -> None:
+        """Go through the priorities, paused streams before new work."""
+        held: set[ids.RunnerId] = set()
+        self._preemption.resume_overdue(held, now)
+        levels = self._queue.priorities() | self._preemption.priorities()
+        for priority in sorted(levels, reverse=True):
+            self._preemption.resume(priority, held, now)
+            while self._grant_one(priority, held, now):
+                pass
+
+    def _grant_one(
+        self, priority: int, held: set[ids.RunnerId], now: float
+    ) -> bool:
+        """Grant to the first request of a priority that can be served."""
+        late_first = self._since_late >= LATE_SHARE
+        for waiting in self._queue.turns(priority, late_first, now):
+            request = waiting.request
+            outcome = self._choose(request, held, now)
+            if isinstance(outcome, placement.Choice):
+                self._grant(waiting, outcome, now)
+                return True
+            if self._settle(waiting, outcome, now):
+                continue
+            if outcome.scarce is Scarce.PIECES and waiting.is_late(now):
+                self._keep_runner(request, held, now)
+            if outcome.for_all and not request.exclude:
+                break
+        return False
+
+    def _choose(
+        self,
+        request: messages.GrantRequest,
+        held: set[ids.RunnerId],
+        now: float,
+    ) -> placement.Choice | placement.Shortage:
+        """Choose runners, if need be by pausing other streams."""
+        outcome = self._policy.choose(self.view, request, held, now)
+        if (
+            isinstance(outcome, placement.Choice)
+            or request.priority <= 0
+            or outcome.scarce not in (Scarce.PLACE, Scarce.PIECES)
+            or not self._preemption.make_room(self.view, request, held, now)
+        ):
+            return outcome
+        return self._policy.choose(self.view, request, held, now)
+
+    def _settle(
+        self, waiting: queue.Waiting, outcome: placement.Shortage, now: float
+    ) -> bool:
+        """Refuse a request that waiting cannot help; tell whether so."""
+        if outcome.scarce is Scarce.RUNNER:
+            self.refuse(waiting, Reason.NO_RUNNER, now)
+            return True
+        if outcome.scarce is Scarce.SIZE:
+            self.refuse(waiting, Reason.NO_CAPACITY, now)
+            return True
+        if outcome.retry_in_s:
+            retry_in_s = max(outcome.retry_in_s, MIN_RETRY_S)
+            self.retry_at = min(self.retry_at, now + retry_in_s)
+        return False
+
+    def _keep_runner(
+        self,
+        request: messages.GrantRequest,
+        held: set[ids.RunnerId],
+        now: float,
+    ) -> None:
+        """Keep the runner that will first have the pieces for a request.
+
+        Else small requests would pass a large one for ever. One runner at a
+        time is kept, since it takes no new work meanwhile.
+        """
+        if self._kept:
+            return
+        self._kept = True
+        rows = [
+            row
+            for runner, row in self.view.ledger.decode.items()
+            if runner not in held
+            and self.view.usable(runner, request.exclude) is not None
+        ]
+        if rows:
+            best = max(rows, key=lambda r: (r.free_pieces(now), r.runner))
+            held.add(best.runner)
+
+    def _grant(
+        self, waiting: queue.Waiting, choice: placement.Choice, now: float
+    ) -> None:
+        request = waiting.request
+        row = reservation.Reservation(
+            request.request_id,
+            request.attempt,
+            waiting.entry,
+            waiting.incarnation,
+            request.customer,
+            request.priority,
+            choice.prefill,
+            choice.decode,
+            choice.pieces,
+            request.prompt_tokens,
+            Phase.PREFILL if choice.prefill else Phase.TRANSFER,
+            prompt_tokens=request.prompt_tokens,
+            explanation=choice.explanation,
+        )
+        self.view.ledger.reserve(row, now, choice.job, choice.transfer)
+        self._queue.remove(request.request_id)
+        self._queue.charge(
+            request.customer, request.prompt_tokens + request.max_tokens
+        )
+        late = waiting.is_late(now)
+        self._since_late = 0 if late else self._since_late + 1
+        self._world.explain(request.request_id, choice.explanation)
+        self.answer(row)
+
+    def _bound(self, now: float) -> None:
+        """Refuse what will not be served in time or has no room to wait."""
+        for waiting in self._queue.in_order():
+            if not waiting.assessed:
+                self._assess(waiting, now)
+        limit = self.view.service.queue_limit
+        while len(self._queue) > limit:
+            self.refuse(self._queue.lowest(now), Reason.QUEUE_FULL, now)
+
+    def _assess(self, waiting: queue.Waiting, now: float) -> None:
+        """Judge a request that has just begun to wait."""
+        request = waiting.request
+        waiting.assessed = True
+        if request.kv is None:
+            target = self.view.service.first_token_s
+            estimate = reserving.first_token_estimate(self.view, request, now)
+            waiting.latest_start = waiting.arrived + target - estimate
+        wait_s = self.rate.wait_s(self._position(waiting, now), now)
+        if wait_s is not None and now + wait_s > waiting.deadline:
+            self.refuse(waiting, Reason.DEADLINE, now)
+
+    def _position(self, waiting: queue.Waiting, now: float) -> int:
+        """Return how many requests are to be granted before this one."""
+        priority = waiting.request.priority
+        turns = self._queue.turns(priority, False, now)
+        above = sum(
+            w.request.priority > priority for w in self._queue.in_order()
+        )
+        return above + turns.index(waiting)
--- /dev/null
+++ b/tests/features/pool/queue_deadline.feature
@@ -0,0 +1,11 @@
+Feature: Requests wait only where waiting helps
+
+  Scenario: a request is refused at its deadline
+    Guards against requests that wait for ever.
+
+    Given a pool with decode=1 places=1
+    And the pool decodes held with priority=0
+    When the pool is asked for a with wait_s=0.5
+    Then the pool refuses nothing
+    When 0.6 seconds pass for the pool
+    Then the pool refuses a for deadline
--- /dev/null
+++ b/tests/features/pool/queue_too_large.feature
@@ -0,0 +1,8 @@
+Feature: Requests wait only where waiting helps
+
+  Scenario: a request that needs more memory than a runner has is refused
+    Guards against a request that waits for what can never be free.
+
+    Given a pool with decode=1 places=2 pieces=10
+    When the pool is asked for huge with prompt_tokens=20000
+    Then the pool refuses huge for no_capacity
--- /dev/null
+++ b/tests/pool_bench.py
@@ -0,0 +1,185 @@
+"""A group owner under test: a world, its groups and shorthand messages."""
+
+import random
+
+from primrosereel import _registry as registry
+from primrosereel import _states as states
+from primrosereel import text as text_module
+from primrosereel.core import _messages as messages
+from primrosereel.core import _tables as tables
+
+__all__ = ['OWNER', 'PoolBench', 'make_text']
+
+OWNER = 'own'
+ZONE = 'z-a'
+
+
+def make_text(
+    groups=1,
+    prefill=2,
+    decode=2,
+    places=2,
+    pieces=10,
+    queue_limit=4,
+    first_token_s=0.36,
+):
+    """Return a text with one service for each group."""
+    model = text_module.Model(10_000.0, 0.03, 100_000, 100_000)
+    services = {}
+    for number in range(groups):
+        runners = {
+            f'g{number}-{role.value[0]}{index}': text_module.Runner(
+                '127.0.0.1:1', ZONE, role, places, pieces, 1000
+            )
+            for role, count in (
+                (states.Role.PREFILL, prefill),
+                (states.Role.DECODE, decode),
+            )
+            for index in range(count)
+        }
+        services[f's{number}'] = text_module.Service(
+            states.ServiceKind.LLM,
+            'r',
+            runners,
+            'm',
+            queue_limit=queue_limit,
+            first_token_s=first_token_s,
+        )
+    return text_module.Text({'m': model}, services, {})
+
+
+class PoolBench:
+    """Drives a pool system by hand and collects what it sends."""
+
+    def __init__(self, peers=(), policy='pool', **shape):
+        identity = tables.Identity(OWNER, 1, 'r', ZONE, '127.0.0.1:1')
+        self.world = tables.World(identity, random.Random(7))
+        self.now = 100.0
+        self.sent = []
+        self.effects = []
+        self.system = registry.system(policy)(self.world)
+        self.list_instances(OWNER, *peers)
+        self.load_text(make_text(**shape))
+        self.tick()
+
+    def list_instances(self, *names):
+        """Put an instance list in force."""
+        self.world.listing.revision += 1
+        self.world.listing.instances = {
+            n: messages.ListedInstance(n, 1, 'r', ZONE, '') for n in names
+        }
+        self.own()
+
+    def own(self, owner=OWNER):
+        """Make an instance the owner of all groups."""
+        self.world.owners['r'] = dict.fromkeys(self.world.groups, owner)
+
+    def load_text(self, text):
+        """Put a text in force; each service is one group."""
+        world = self.world
+        world.text = text
+        for name, service in text.services.items():
+            group = 'g' + name[1:]
+            world.groups[group] = tuple(service.runners)
+            world.group_regions[group] = service.region
+            for runner, facts in service.runners.items():
+                world.runners[runner] = tables.Runner(
+                    runner, name, group, facts
+                )
+        self.own()
+        self.system.receive(messages.TextChanged(1), self.now)
+
+    def group(self, name='g0'):
+        """Return a group's state."""
+        return self.system._groups[name]
+
+    def tick(self, seconds=0.0, step=0.1):
+        """Let time pass in steps as the daemon's ticks do."""
+        until = self.now + seconds
+        while True:
+            self.system.run(self.now)
+            self._collect()
+            if self.now >= until:
+                return
+            self.now = min(until, self.now + step)
+
+    def deliver(self, message, sender='e1', incarnation=1):
+        """Deliver a peer message and return what is sent at once."""
+        self.sent.clear()
+        self.system.receive(
+            messages.FromPeer(sender, incarnation, message), self.now
+        )
+        self.system.run(self.now)
+        self._collect()
+        return list(self.sent)
+
+    def ask(self, name, priority=0, attempt=1, sender='e1', **options):
+        """Ask for places and return what is sent at once."""
+        fields = {
+            'service': 's0',
+            'group': 'g0',
+            'customer': 'c',
+            'prompt_tokens': 1000,
+            'max_tokens': 1000,
+            'prefix_hashes': (),
+            'wait_s': 30.0,
+            'availability_zone': ZONE,
+        } | options
+        return self.deliver(
+            messages.GrantRequest(
+                request_id=name, attempt=attempt, priority=priority, **fields
+            ),
+            sender,
+        )
+
+    def progress(self, name, stage, attempt=1, sender='e1', **options):
+        """Report progress and return what is sent at once."""
+        return self.deliver(
+            messages.Progress(
+                name, attempt, options.pop('group', 'g0'), stage, **options
+            ),
+            sender,
+        )
+
+    def serve(self, name, **options):
+        """Bring a request to its first token."""
+        granted = self.granted(self.ask(name, **options))
+        self.progress(name, states.Stage.PREFILL_DONE)
+        self.progress(name, states.Stage.DECODING)
+        return granted[name]
+
+    def granted(self, sent=None):
+        """Return the grants among messages by request id."""
+        return self._of(messages.Grant, sent)
+
+    def refused(self, sent=None):
+        """Return the refusals among messages by request id."""
+        return self._of(messages.GrantRefused, sent)
+
+    def paused(self, sent=None):
+        """Return the ids of the streams that are to be paused."""
+        return set(self._of(messages.PauseStream, sent))
+
+    def resumed(self, sent=None):
+        """Return the ids of the streams that are to be resumed."""
+        return set(self._of(messages.ResumeStream, sent))
+
+    def queries(self):
+        """Return the instances that were asked for their grants."""
+        return [
+            e.destination
+            for e in self.effects
+            if isinstance(e, messages.SendPeer)
+            and isinstance(e.message, messages.LiveGrantsQuery)
+        ]
+
+    def _of(self, kind, sent):
+        found = self.sent if sent is None else sent
+        return {m.request_id: m for m in found if isinstance(m, kind)}
+
+    def _collect(self):
+        for effect in self.world.outbox:
+            self.effects.append(effect)
+            if isinstance(effect, messages.SendPeer):
+                self.sent.append(effect.message)
+        self.world.outbox.clear()
--- /dev/null
+++ b/tests/property/test_pool_ledger.py
@@ -0,0 +1,164 @@
+"""The group owner under any order of events, against a naive recount."""
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from primrosereel import _states as states
+from primrosereel.core import _messages as messages
+from primrosereel.core import _reservation as reservation
+from tests import pool_bench
+
+NAMES = st.sampled_from([f'q{n}' for n in range(8)])
+ATTEMPTS = st.integers(1, 3)
+ENTRIES = st.sampled_from(['e1', 'e2'])
+RUNNERS = st.sampled_from(['g0-d0', 'g0-d1', 'g0-p0', 'g0-p1'])
+Phase = reservation.Phase
+
+
+class LedgerMachine(stateful.RuleBasedStateMachine):
+    """Guards against places that leak, are counted twice or go negative."""
+
+    def __init__(self):
+        super().__init__()
+        self.bench = pool_bench.PoolBench(peers=('e1', 'e2'))
+        self.bench.tick(0.4)
+        self.adopted = False
+
+    @stateful.rule(
+        name=NAMES,
+        attempt=ATTEMPTS,
+        priority=st.integers(0, 1),
+        sender=ENTRIES,
+        tokens=st.integers(1, 9000),
+        wait_s=st.sampled_from([0.0, 0.5, 30.0]),
+        has_kv=st.booleans(),
+    )
+    def ask(self, name, attempt, priority, sender, tokens, wait_s, has_kv):
+        """Ask anew, again, or under another attempt."""
+        kv = messages.KvTransfer('h', 'g0-p0', tokens, 1) if has_kv else None
+        self.bench.ask(
+            name,
+            priority,
+            attempt,
+            sender,
+            prompt_tokens=tokens,
+            max_tokens=500,
+            wait_s=wait_s,
+            prefix_hashes=tuple(range(tokens // 500)),
+            kv=kv,
+        )
+
+    @stateful.rule(
+        name=NAMES,
+        attempt=ATTEMPTS,
+        stage=st.sampled_from(list(states.Stage)),
+        cached=st.integers(0, 9000),
+        speed=st.sampled_from([0.0, 1e-4, 1e-3]),
+    )
+    def progress(self, name, attempt, stage, cached, speed):
+        """Send news that may be late, repeated or about nothing."""
+        self.bench.progress(
+            name, stage, attempt, cached_tokens=cached, speed=speed
+        )
+
+    @stateful.rule(seconds=st.sampled_from([0.01, 0.3, 2.0, 31.0]))
+    def wait(self, seconds):
+        """Let leases, deadlines and repetitions come due."""
+        self.bench.tick(seconds, step=0.5)
+
+    @stateful.rule(
+        runner=RUNNERS,
+        busy=st.integers(0, 4),
+        free=st.integers(0, 10),
+        age_s=st.sampled_from([0.0, 1.0]),
+    )
+    def report(self, runner, busy, free, age_s):
+        """Report any load."""
+        report = messages.LoadReport(busy, 0, free, 100 * busy, age_s=age_s)
+        system = self.bench.system
+        system.receive(messages.LoadReported(runner, report), self.bench.now)
+        self.bench.tick()
+
+    @stateful.rule(name=NAMES, attempt=ATTEMPTS, decoding=st.booleans())
+    def live_grants(self, name, attempt, decoding):
+        """Tell of a grant of another owner, which may overbook."""
+        self.adopted = True
+        grant = messages.LiveGrant(
+            name, attempt, 'g0-p0', 'g0-d0', 2500, 0, decoding, 'c'
+        )
+        self.bench.deliver(messages.LiveGrants('g0', (grant,)), 'e2')
+
+    @stateful.rule(entries=st.sampled_from([('e1',), ('e1', 'e2')]))
+    def change_list(self, entries):
+        """Lose or find an entry."""
+        self.bench.list_instances(pool_bench.OWNER, *entries)
+        self.bench.tick()
+
+    @stateful.rule()
+    def pause_process(self):
+        """Stop the process for longer than a tick."""
+        self.bench.now += 5
+        self.bench.tick(0.4)
+
+    @stateful.invariant()
+    def counts_match_a_recount(self):
+        """Recount everything from the reservations alone."""
+        group = self.bench.group()
+        ledger = group.ledger
+        rows = ledger.reservations.values()
+        for runner, row in ledger.decode.items():
+            here = [
+                r
+                for r in rows
+                if r.decode_runner == runner
+                and r.phase not in (Phase.PAUSED, Phase.PAUSING)
+            ]
+            assert set(row.held.values()) == set(here)
+            assert row.used_pieces == sum(r.pieces for r in here)
+            assert set(row.transfers) <= {r.request_id for r in here}
+            assert 0 <= row.free_places(self.bench.now) <= row.facts.places
+            assert 0 <= row.free_pieces(self.bench.now) <= row.facts.pieces
+            if not self.adopted:
+                asked = [r for r in here if r.phase is not Phase.DECODE]
+                assert len(asked) <= row.facts.places
+        for runner, row in ledger.prefill.items():
+            for request in row.jobs:
+                known = ledger.reservations[request]
+                assert known.prefill_runner == runner
+                assert known.phase is Phase.PREFILL
+            assert row.wait(0, self.bench.now) >= 0
+        assert ledger.suspended == {
+            r.request_id: r
+            for r in rows
+            if r.phase in (Phase.PAUSED, Phase.PAUSING)
+        }
+        assert ledger.by_entry == {
+            entry: {r.request_id for r in rows if r.entry == entry}
+            for entry in {r.entry for r in rows}
+        }
+
+    @stateful.invariant()
+    def waiting_is_bounded(self):
+        """Nothing waits beyond the limit or while it holds places."""
+        group = self.bench.group()
+        waiting = group.queue.in_order()
+        assert len(waiting) <= 4
+        for row in waiting:
+            assert row.request.request_id not in group.ledger.reservations
+        for row in group.ledger.reservations.values():
+            assert row.pauses <= 2 or row.phase is Phase.PAUSED
+
+    def teardown(self):
+        """Without renewals everything comes back."""
+        self.bench.tick(70, step=0.5)
+        group = self.bench.group()
+        assert not group.ledger.reservations
+        assert not len(group.queue)
+        for row in group.ledger.decode.values():
+            assert row.used_pieces == 0
+        assert not group._preemption._unconfirmed
+
+
+TestLedger = LedgerMachine.TestCase
+TestLedger.settings = settings(max_examples=60, stateful_step_count=30)
