--- a/primrosereel/_registry.py
+++ b/primrosereel/_registry.py
@@ -17,6 +17,7 @@
         'stragglers': 'core._stragglers:StragglersSystem',
         'claims': 'core._claims:ClaimsSystem',
         'pool': 'core._pool:PoolSystem',
+        'pool-naive': 'core._pool:NaivePoolSystem',
         'entry': 'core._entry:EntrySystem',
         'plain': 'core._plain:PlainSystem',
         'reclaim': 'core._reclaim:ReclaimSystem',
@@ -32,6 +33,8 @@
     },
     'placement': {
         'direct': 'core._placement:direct_choice',
+        'reserving': 'core._reserving:ReservingPolicy',
+        'naive': 'core._placement:NaivePolicy',
     },
 }
 
