Add claims on idempotency keys and calls to plain services

A non-idempotent call must run at most once although entries and witnesses die, pause and see different instance lists. Three witnesses record each key; an entry sends the call when all three answered, none refused and at least one consented. Claim messages carry a round, so that a delayed withdrawal of an earlier round does not free a key that a later round holds.

A refusal says not_run only while the whole claim is held: one consenting witness is no proof when another one did not answer.

--- /dev/null
+++ b/primrosereel/core/_claims.py
@@ -0,0 +1,250 @@
+"""At-most-once execution: the witnesses' side of claims on keys.
+
+A witness records which request claimed an idempotency key and refuses every
+other request for it. ``ClaimRound`` is the side of the entry instance.
+"""
+
+import dataclasses
+import heapq
+
+from primrosereel import _ids as ids
+from primrosereel import _states as states
+from primrosereel.core import _messages as messages
+from primrosereel.core import _tables as tables
+from primrosereel.core import _witnesses as witnesses
+from primrosereel.core._claim_round import ClaimRound
+
+__all__ = ['ClaimRound', 'ClaimsSystem', 'MAX_CLAIMS', 'MAX_OUTCOME_BYTES']
+
+Answer = states.ClaimAnswer
+
+MAX_CLAIMS = 100_000
+MAX_OUTCOME_BYTES = 4096
+# A claim outlives the time at which its key is refused as too old, with a
+# margin for corrections of the own clock.
+CLAIM_KEPT_S = witnesses.KEY_AGE_LIMIT_S + witnesses.KEY_FUTURE_LIMIT_S + 10.0
+
+ClaimKey = tuple[ids.CustomerId, ids.IdempotencyKey]
+
+
+@dataclasses.dataclass(slots=True)
+class Claim:
+    """Which request holds a key and what came of it.
+
+    A withdrawn claim stays as a mark, so that a delayed duplicate of its
+    request doesn't claim the key again.
+    """
+
+    request_id: ids.RequestId
+    fingerprint: int
+    round: int
+    withdrawn: bool = False
+    status: int = 0
+    content_type: str = ''
+    body: bytes = b''
+    whole: bool = True
+
+
+class ClaimsSystem:
+    """Answers claims as one of a key's witnesses."""
+
+    inputs: tuple[type, ...] = (
+        messages.ClaimRequest,
+        messages.ClaimOutcome,
+        messages.ClaimWithdrawn,
+    )
+
+    def __init__(self, world: tables.World) -> None:
+        self._world = world
+        self._claims: dict[ClaimKey, Claim] = {}
+        self._expiries: list[tuple[float, ClaimKey]] = []
+        self._history = witnesses.SetHistory(world.identity)
+
+    def receive(self, message: messages.FromPeer, now: float) -> None:
+        """Take one message of an entry instance."""
+        self._history.observe(self._world.listing, now)
+        inner = message.message
+        if isinstance(inner, messages.ClaimRequest):
+            reply = self._answer(inner)
+            if reply is not None:
+                self._world.count(f'claim.{reply.answer.value}')
+                self._world.send(message.sender, reply)
+        elif isinstance(inner, messages.ClaimOutcome):
+            self._store(inner)
+        elif isinstance(inner, messages.ClaimWithdrawn):
+            self._withdraw(inner)
+
+    def run(self, now: float) -> None:
+        """Follow the instance list and drop expired claims."""
+        self._history.observe(self._world.listing, now)
+        wall = self._world.wall
+        while self._expiries and self._expiries[0][0] < wall:
+            _, key = heapq.heappop(self._expiries)
+            del self._claims[key]
+
+    def _answer(
+        self, request: messages.ClaimRequest
+    ) -> messages.ClaimReply | None:
+        claim = self._claims.get((request.customer, request.key))
+        # Compared first, so that a refusal for another reason also says
+        # that this witness knows of no other claim.
+        if claim is not None and _is_held_by_other(claim, request):
+            return _taken(request, claim)
+        if claim is not None and _is_outdated(claim, request):
+            return None
+        made_at = witnesses.key_time(request.key)
+        if made_at is None:
+            return None
+        refusal = self._refusal(request, made_at)
+        if refusal is None and not self._record(request, claim, made_at):
+            refusal = Answer.FULL
+        if refusal is not None:
+            return _reply(request, refusal)
+        if self._history.may_consent(request.customer, request.key, made_at):
+            return _reply(request, Answer.CONSENT)
+        return _reply(request, Answer.ABSTAIN)
+
+    def _refusal(
+        self, request: messages.ClaimRequest, made_at: float
+    ) -> states.ClaimAnswer | None:
+        world = self._world
+        if world.wall - made_at > witnesses.KEY_AGE_LIMIT_S:
+            return Answer.TOO_OLD
+        if made_at - world.wall > witnesses.KEY_FUTURE_LIMIT_S:
+            return Answer.IN_FUTURE
+        if not self._knows_membership():
+            return Answer.STALE
+        own = (world.identity.instance, world.identity.incarnation)
+        view = witnesses.witness_set(
+            world, world.identity.region, request.customer, request.key
+        )
+        if (
+            request.region != world.identity.region
+            or view != request.witnesses
+            or own not in view
+        ):
+            return Answer.VIEW_MISMATCH
+        if not self._history.is_settled:
+            return Answer.STALE
+        return None
+
+    def _knows_membership(self) -> bool:
+        """Tell whether the list is fresh and newer than the last pause."""
+        world = self._world
+        if self._history.seen_at <= world.paused_at:
+            return False
+        return world.wall - world.listing.as_of <= witnesses.LIST_FRESH_S
+
+    def _record(
+        self,
+        request: messages.ClaimRequest,
+        claim: Claim | None,
+        made_at: float,
+    ) -> bool:
+        """Record the claim; return False when the table is full."""
+        key = (request.customer, request.key)
+        if claim is None:
+            return self._insert(
+                key,
+                Claim(request.request_id, request.fingerprint, request.round),
+                made_at,
+            )
+        if claim.request_id != request.request_id or claim.withdrawn:
+            self._claims[key] = Claim(
+                request.request_id, request.fingerprint, request.round
+            )
+        else:
+            claim.round = max(claim.round, request.round)
+        return True
+
+    def _insert(self, key: ClaimKey, claim: Claim, made_at: float) -> bool:
+        if len(self._claims) >= MAX_CLAIMS:
+            return False
+        self._claims[key] = claim
+        heapq.heappush(self._expiries, (made_at + CLAIM_KEPT_S, key))
+        return True
+
+    def _store(self, outcome: messages.ClaimOutcome) -> None:
+        """Keep the outcome of the request that holds the key."""
+        claim = self._claims.get((outcome.customer, outcome.key))
+        if claim is None or claim.request_id != outcome.request_id:
+            return
+        fits = len(outcome.body) <= MAX_OUTCOME_BYTES
+        claim.status = outcome.status
+        claim.content_type = outcome.content_type
+        claim.body = outcome.body if fits else b''
+        claim.whole = outcome.whole and fits
+
+    def _withdraw(self, withdrawn: messages.ClaimWithdrawn) -> None:
+        """Free the key if the request holds it under no later round."""
+        key = (withdrawn.customer, withdrawn.key)
+        claim = self._claims.get(key)
+        if claim is None:
+            self._mark_withdrawn(key, withdrawn)
+        elif (
+            claim.request_id == withdrawn.request_id
+            and claim.round <= withdrawn.round
+        ):
+            claim.withdrawn = True
+            claim.round = withdrawn.round
+
+    def _mark_withdrawn(
+        self, key: ClaimKey, withdrawn: messages.ClaimWithdrawn
+    ) -> None:
+        """Remember a withdrawal that overtook its claim."""
+        made_at = witnesses.key_time(withdrawn.key)
+        if made_at is None or abs(made_at - self._world.wall) > CLAIM_KEPT_S:
+            return
+        mark = Claim(withdrawn.request_id, 0, withdrawn.round, withdrawn=True)
+        self._insert(key, mark, made_at)
+
+
+def _is_held_by_other(claim: Claim, request: messages.ClaimRequest) -> bool:
+    return claim.request_id != request.request_id and not claim.withdrawn
+
+
+def _is_outdated(claim: Claim, request: messages.ClaimRequest) -> bool:
+    """Tell whether the request was withdrawn before it arrived."""
+    return (
+        claim.request_id == request.request_id
+        and claim.withdrawn
+        and request.round <= claim.round
+    )
+
+
+def _reply(
+    request: messages.ClaimRequest, answer: states.ClaimAnswer
+) -> messages.ClaimReply:
+    return messages.ClaimReply(
+        key=request.key,
+        customer=request.customer,
+        request_id=request.request_id,
+        answer=answer,
+        round=request.round,
+    )
+
+
+def _taken(
+    request: messages.ClaimRequest, claim: Claim
+) -> messages.ClaimReply:
+    """Tell who else asks that the key is taken, and what came of it."""
+    if claim.fingerprint != request.fingerprint:
+        return messages.ClaimReply(
+            key=request.key,
+            customer=request.customer,
+            request_id=request.request_id,
+            answer=Answer.TAKEN,
+            same=False,
+            round=request.round,
+        )
+    return messages.ClaimReply(
+        key=request.key,
+        customer=request.customer,
+        request_id=request.request_id,
+        answer=Answer.TAKEN,
+        status=claim.status,
+        content_type=claim.content_type,
+        body=claim.body,
+        round=request.round,
+        whole=claim.whole,
+    )
--- a/primrosereel/core/_messages.py
+++ b/primrosereel/core/_messages.py
@@ -483,7 +483,10 @@
 
 
 class ClaimRequest(PeerMessage):
-    """An entry claims an idempotency key at a witness."""
+    """An entry claims an idempotency key at a witness.
+
+    ``round`` counts the asks of one request with different witnesses.
+    """
 
     key: ids.IdempotencyKey
     customer: ids.CustomerId
@@ -491,6 +494,7 @@
     request_id: ids.RequestId
     region: ids.Region
     witnesses: tuple[tuple[ids.InstanceId, ids.Incarnation], ...]
+    round: int = 0
 
 
 class ClaimReply(PeerMessage):
@@ -498,7 +502,8 @@
 
     With TAKEN, ``same`` says whether the fingerprint was the same and
     ``status`` and ``body`` hold the first outcome where it is known
-    (``status`` 0 where it is not).
+    (``status`` 0 where it is not). ``whole`` is False when the body was too
+    large to be kept.
     """
 
     key: ids.IdempotencyKey
@@ -509,10 +514,15 @@
     status: int = 0
     content_type: str = ''
     body: bytes = b''
+    round: int = 0
+    whole: bool = True
 
 
 class ClaimOutcome(PeerMessage):
-    """The answer of a call that ran under a claim."""
+    """The answer of a call that ran under a claim.
+
+    ``whole`` is False when the body was too large to be kept.
+    """
 
     key: ids.IdempotencyKey
     customer: ids.CustomerId
@@ -520,14 +530,20 @@
     status: int
     content_type: str
     body: bytes
+    whole: bool = True
 
 
 class ClaimWithdrawn(PeerMessage):
-    """The claim's request was not sent and never will be."""
+    """The claim's request was not sent under this or an earlier round.
+
+    A later round of the same request may still be sent, so a witness keeps
+    a claim that a later round renewed.
+    """
 
     key: ids.IdempotencyKey
     customer: ids.CustomerId
     request_id: ids.RequestId
+    round: int = 0
 
 
 class DemandReport(PeerMessage):
--- /dev/null
+++ b/primrosereel/core/_plain_call.py
@@ -0,0 +1,114 @@
+"""One call to a plain service, as its entry instance keeps it."""
+
+import dataclasses
+import enum
+import math
+
+from primrosereel import _ids as ids
+from primrosereel import _states as states
+from primrosereel import text as text_module
+from primrosereel.core import _calls as calls
+from primrosereel.core import _claim_round as claim_round
+from primrosereel.core import _messages as messages
+from primrosereel.core import _plain_runners as plain_runners
+from primrosereel.core import _tables as tables
+from primrosereel.core import _witnesses as witnesses
+
+__all__ = [
+    'PlainCall',
+    'Stage',
+    'headers_with_key',
+    'ran_before_acceptance',
+    'timed_out',
+]
+
+KEY_HEADER = 'idempotency-key'
+
+
+class Stage(enum.Enum):
+    """Where a plain call stands."""
+
+    CLAIMING = 'claiming'
+    QUEUED = 'queued'
+    CALLING = 'calling'
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class PlainCall:
+    """One call in progress.
+
+    ``maybe_ran`` is set once an attempt ended without proof that the
+    upstream didn't run it.
+    """
+
+    message: messages.PlainReceived
+    customer: ids.CustomerId
+    rank: tuple[int, int]
+    rule: text_module.Call
+    deadline: float
+    round: claim_round.ClaimRound | None = None
+    stage: Stage = Stage.QUEUED
+    attempt: int = 0
+    in_flight: dict[int, ids.RunnerId] = dataclasses.field(
+        default_factory=dict
+    )
+    excluded: set[ids.RunnerId] = dataclasses.field(default_factory=set)
+    not_before: float = -math.inf
+    hedge_at: float = math.inf
+    maybe_ran: bool = False
+    caller_left: bool = False
+
+    @property
+    def request_id(self) -> ids.RequestId:
+        """The id of the caller's request."""
+        return self.message.request_id
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether the call may run more than once."""
+        return self.rule.kind is states.CallKind.IDEMPOTENT
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an upstream may have run the call, or still may."""
+        return self.maybe_ran or bool(self.in_flight)
+
+
+def timed_out(late: plain_runners.Outstanding) -> messages.PlainFailed:
+    """Return the failure of a call whose adapter never reported an end."""
+    return messages.PlainFailed(
+        late.request_id,
+        late.attempt,
+        late.runner,
+        states.UpstreamError.TIMEOUT,
+        states.Ran.UNKNOWN,
+    )
+
+
+def headers_with_key(
+    message: messages.PlainReceived,
+) -> tuple[tuple[str, str], ...]:
+    """Return the headers with the key, for a service that checks it too."""
+    key = message.idempotency_key
+    if key is None or any(n.lower() == KEY_HEADER for n, _ in message.headers):
+        return message.headers
+    return (*message.headers, (KEY_HEADER, key))
+
+
+def ran_before_acceptance(
+    world: tables.World, message: messages.PlainReceived
+) -> states.Ran:
+    """Return what is known of a call that is refused before its claim.
+
+    An earlier request with the same valid key may have run elsewhere, so a
+    non-idempotent call is known not to have run only when it has no key.
+    """
+    if witnesses.parse_key(message.idempotency_key or '') is None:
+        return states.Ran.NOT_RUN
+    service = world.text.services.get(message.service) if world.text else None
+    if service is None:
+        return states.Ran.UNKNOWN
+    rule = calls.match(service, message.method, message.path)
+    if rule is not None and rule.kind is states.CallKind.IDEMPOTENT:
+        return states.Ran.NOT_RUN
+    return states.Ran.UNKNOWN
--- /dev/null
+++ b/primrosereel/core/_plain_runners.py
@@ -0,0 +1,124 @@
+"""Own calls at the runners of plain services, and the choice among them."""
+
+import collections
+import heapq
+import math
+from typing import NamedTuple
+
+from primrosereel import _ids as ids
+from primrosereel.core import _admission as admission
+from primrosereel.core import _tables as tables
+
+__all__ = ['Latencies', 'Outstanding', 'OutstandingCalls', 'choose']
+
+# A hedge needs this many observations of a service's latency.
+MIN_OBSERVATIONS = 20
+MAX_OBSERVATIONS = 100
+HEDGE_QUANTILE = 0.95
+
+
+class Outstanding(NamedTuple):
+    """One call that a runner has not answered yet."""
+
+    request_id: ids.RequestId
+    attempt: int
+    runner: ids.RunnerId
+
+
+class OutstandingCalls:
+    """The calls this daemon has at each runner.
+
+    Each has a time limit, after which its place counts as free although the
+    adapter never reported an end.
+    """
+
+    def __init__(self) -> None:
+        self._calls: dict[tuple[ids.RequestId, int], Outstanding] = {}
+        self._counts: collections.Counter[ids.RunnerId] = collections.Counter()
+        self._limits: list[tuple[float, ids.RequestId, int]] = []
+
+    @property
+    def next_at(self) -> float:
+        """When the next time limit passes, at the earliest."""
+        return self._limits[0][0] if self._limits else math.inf
+
+    def at(self, runner: ids.RunnerId) -> int:
+        """Return the number of calls at a runner."""
+        return self._counts[runner]
+
+    def add(self, call: Outstanding, limit: float) -> None:
+        """Count a call that is sent now."""
+        self._calls[call.request_id, call.attempt] = call
+        self._counts[call.runner] += 1
+        heapq.heappush(self._limits, (limit, call.request_id, call.attempt))
+
+    def remove(
+        self, request_id: ids.RequestId, attempt: int
+    ) -> Outstanding | None:
+        """Count a call as ended; return None for one that is not known."""
+        call = self._calls.pop((request_id, attempt), None)
+        if call is not None:
+            self._counts[call.runner] -= 1
+            if not self._counts[call.runner]:
+                del self._counts[call.runner]
+        return call
+
+    def overdue(self, now: float) -> list[Outstanding]:
+        """Return the calls whose time limit has passed."""
+        found = []
+        while self._limits and self._limits[0][0] <= now:
+            _, request_id, attempt = heapq.heappop(self._limits)
+            call = self._calls.get((request_id, attempt))
+            if call is not None:
+                found.append(call)
+        return found
+
+
+class Latencies:
+    """Recent latencies of each service, for the time of a hedge."""
+
+    def __init__(self) -> None:
+        self._seconds: dict[ids.ServiceId, collections.deque[float]] = {}
+
+    def observe(self, service: ids.ServiceId, seconds: float) -> None:
+        """Take the latency of one answered call."""
+        recent = self._seconds.setdefault(
+            service, collections.deque(maxlen=MAX_OBSERVATIONS)
+        )
+        recent.append(seconds)
+
+    def hedge_after_s(self, service: ids.ServiceId) -> float:
+        """Return the 95th percentile; infinite while too little is known."""
+        recent = self._seconds.get(service, ())
+        if len(recent) < MIN_OBSERVATIONS:
+            return math.inf
+        return sorted(recent)[int(HEDGE_QUANTILE * len(recent))]
+
+
+def choose(
+    world: tables.World,
+    service: ids.ServiceId,
+    outstanding: OutstandingCalls,
+    excluded: set[ids.RunnerId],
+) -> ids.RunnerId | None:
+    """Return the less busy of two random runners that have a place.
+
+    Suspect runners serve only when no other is ready; ``excluded`` runners
+    only when all that are ready failed this call before.
+    """
+    if world.text is None or service not in world.text.services:
+        return None
+    ready = [
+        runner
+        for runner in world.text.services[service].runners
+        if admission.is_ready(world, runner)
+    ]
+    sound = [r for r in ready if not world.runners[r].suspect] or ready
+    fresh = [r for r in sound if r not in excluded] or sound
+    free = [
+        r for r in fresh if outstanding.at(r) < world.runners[r].facts.places
+    ]
+    if not free:
+        return None
+    pair = world.random.sample(free, min(2, len(free)))
+    return min(pair, key=outstanding.at)
--- a/primrosereel/core/_tables.py
+++ b/primrosereel/core/_tables.py
@@ -129,7 +129,18 @@
         self.text: text_module.Text | None = None
         self.revision = ids.Revision(0)
         self.draining = False
+        # Requests in progress, of completions and plain calls together.
+        self.active_requests = 0
+        # Monotonic time of the last detected pause of this process.
+        self.paused_at = -math.inf
+        # Monotonic time at which a peer or the configuration service last
+        # confirmed the own revision.
+        self.confirmed_at = -math.inf
         self.listing = Listing()
+        # The ``as_of`` of the first list that showed each incarnation.
+        self.listed_since: dict[
+            tuple[ids.InstanceId, ids.Incarnation], float
+        ] = {}
         self.peers: dict[ids.InstanceId, Peer] = {}
         self.runners: dict[ids.RunnerId, Runner] = {}
         self.groups: dict[ids.GroupId, tuple[ids.RunnerId, ...]] = {}
--- /dev/null
+++ b/tests/property/test_claims.py
@@ -0,0 +1,258 @@
+"""At most one execution for each idempotency key, whatever fails."""
+
+import random
+from unittest import mock
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from primrosereel.core import _claims as claims
+from primrosereel.core import _witnesses as witnesses
+from tests.property import claims_cluster as cluster_module
+
+SIZE = 6
+SETTINGS = hypothesis.settings(
+    max_examples=60,
+    stateful_step_count=40,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+NODES = st.integers(0, SIZE - 1)
+KEYS = st.integers(0, 3)
+
+
+class ClaimsMachine(stateful.RuleBasedStateMachine):
+    """Sends few keys to many entries while daemons and network fail."""
+
+    def __init__(self):
+        super().__init__()
+        self.cluster = None
+        self.keys = {}
+        self.requests = []
+
+    @stateful.initialize(seed=st.integers(0, 2**32))
+    def start(self, seed):
+        """Start with every daemon listed for a while."""
+        self.cluster = cluster_module.Cluster(SIZE, seed)
+
+    def _name(self, index):
+        return self.cluster.names[index]
+
+    def _key(self, index):
+        return self.keys.setdefault(index, self._make_key(index, 0.0))
+
+    def _make_key(self, index, age_s):
+        made_at = cluster_module.EPOCH + self.cluster.now - age_s
+        return cluster_module.make_key(int(made_at * 1000), index)
+
+    @stateful.rule(index=KEYS, age_s=st.sampled_from([-1.9, 0, 5, 12, 20]))
+    def make_key(self, index, age_s):
+        """Make a key that is up to 1.9 s in the future."""
+        self.keys.setdefault(index, self._make_key(index, age_s))
+
+    @stateful.rule(
+        node=NODES, key=KEYS, wait_s=st.sampled_from([0.01, 0.002, 0.1, 4.0])
+    )
+    def call(self, node, key, wait_s):
+        """Call with a key that may have been used before."""
+        name = self._name(node)
+        request_id = self.cluster.call(name, self._key(key))
+        self.requests.append((name, request_id))
+        self.cluster.advance(wait_s)
+
+    @stateful.rule(
+        first=NODES, key=KEYS, wait_s=st.sampled_from([0.0, 0.003, 1.0, 12.0])
+    )
+    def call_everywhere(self, first, key, wait_s):
+        """Call with one key at one entry after another."""
+        for index in range(SIZE):
+            self.call((first + index) % SIZE, key, wait_s)
+
+    @stateful.precondition(lambda self: self.requests)
+    @stateful.rule(pick=st.integers(0, 1000))
+    def leave(self, pick):
+        """Let a caller go away."""
+        name, request_id = self.requests[pick % len(self.requests)]
+        if request_id is not None:
+            self.cluster.leave(name, request_id)
+
+    @stateful.rule(node=NODES, notice_s=st.sampled_from([0.5, 2.0, 6.0]))
+    def kill(self, node, notice_s):
+        """Kill a daemon."""
+        self.cluster.kill(self._name(node), notice_s)
+
+    @stateful.rule(key=KEYS)
+    def lose_witnesses(self, key):
+        """Lose all witnesses of a key at once, as with a rack."""
+        for name in self._witnesses(key):
+            self.cluster.kill(name, 0.5)
+
+    @stateful.rule(key=KEYS)
+    def restart_witnesses(self, key):
+        """Restart all witnesses of a key at once."""
+        for name in self._witnesses(key):
+            self.cluster.kill(name, 0.5)
+            self.cluster.restart(name, 1.0)
+
+    def _witnesses(self, key):
+        for node in self.cluster.nodes.values():
+            if node.alive:
+                view = witnesses.witness_set(
+                    node.core.world,
+                    cluster_module.REGION,
+                    cluster_module.CUSTOMER,
+                    self._key(key),
+                )
+                return [name for name, _ in view]
+        return []
+
+    @stateful.rule(node=NODES, notice_s=st.sampled_from([0.5, 2.0]))
+    def restart(self, node, notice_s):
+        """Start a daemon again under a new incarnation."""
+        self.cluster.restart(self._name(node), notice_s)
+
+    @stateful.rule(node=NODES)
+    def drain(self, node):
+        """Stop a daemon gracefully."""
+        self.cluster.drain(self._name(node))
+
+    @stateful.rule(node=NODES, seconds=st.sampled_from([0.5, 3.0, 15.0]))
+    def pause(self, node, seconds):
+        """Stop a process for a while."""
+        self.cluster.pause(self._name(node), seconds)
+
+    @stateful.rule(node=NODES, lagging=st.booleans())
+    def cut_list(self, node, lagging):
+        """Cut a daemon off from the instance list, or end that."""
+        self.cluster.nodes[self._name(node)].lagging = lagging
+
+    @stateful.rule(
+        loss=st.sampled_from([0.0, 0.0, 0.1, 0.5]),
+        slow=st.sampled_from([0.0, 0.0, 0.1, 0.5]),
+    )
+    def change_network(self, loss, slow):
+        """Lose and delay more messages or fewer."""
+        self.cluster.loss = loss
+        self.cluster.slow = slow
+
+    @stateful.rule(seconds=st.sampled_from([0.003, 0.3, 2.0, 4.0, 9.0]))
+    def advance(self, seconds):
+        """Let time pass; the cluster checks what happens."""
+        self.cluster.advance(seconds)
+
+    def forget_key(self, index):
+        """Let the next use of an index make another key."""
+        self.keys.pop(index, None)
+
+    def teardown(self):
+        """Let everything that is under way end."""
+        if self.cluster is not None:
+            self.cluster.advance(20.0)
+
+
+# Steps of a random walk: name, weight, and the values of each argument.
+SOME_NODES = range(SIZE)
+SOME_KEYS = range(6)
+WALK = (
+    ('make_key', 2, (SOME_KEYS, (-1.9, 0, 5, 12))),
+    ('call', 10, (SOME_NODES, SOME_KEYS, (0.002, 4.0))),
+    ('call_everywhere', 2, (SOME_NODES, SOME_KEYS, (0.0, 0.003, 1.0, 6.0))),
+    ('forget_key', 1, (SOME_KEYS,)),
+    ('kill', 2, (SOME_NODES, (0.5, 2.0, 6.0))),
+    ('lose_witnesses', 0.5, (SOME_KEYS,)),
+    ('restart_witnesses', 1, (SOME_KEYS,)),
+    ('restart', 5, (SOME_NODES, (0.5, 2.0))),
+    ('drain', 0.5, (SOME_NODES,)),
+    ('pause', 1, (SOME_NODES, (0.5, 3.0, 15.0))),
+    ('cut_list', 2, (SOME_NODES, (True, False, False))),
+    ('change_network', 1, ((0, 0, 0.1, 0.5), (0, 0, 0.1, 0.5))),
+    ('advance', 3, ((0.003, 0.3, 2.0, 9.0),)),
+)
+
+
+def walk(seed, steps=60):
+    """Take weighted random steps of the state machine; return it.
+
+    Most steps are calls, which Hypothesis alone makes too rarely to meet
+    the rare faults.
+    """
+    choice = random.Random(seed)
+    machine = ClaimsMachine()
+    machine.start(choice.randrange(2**32))
+    weights = [weight for _, weight, _ in WALK]
+    for name, _, values in choice.choices(WALK, weights, k=steps):
+        getattr(machine, name)(*(choice.choice(v) for v in values))
+    machine.teardown()
+    return machine
+
+
+def violations(count):
+    """Return how many of the first ``count`` walks break an invariant."""
+    found = 0
+    for seed in range(count):
+        try:
+            walk(seed)
+        except cluster_module.Violation:
+            found += 1
+    return found
+
+
+def test_key_runs_at_most_once():
+    """Guards against a second strike, a false not_run, a wrong replay."""
+    stateful.run_state_machine_as_test(ClaimsMachine, settings=SETTINGS)
+
+
+@hypothesis.settings(max_examples=80)
+@hypothesis.given(st.integers(0, 2**32))
+def test_key_runs_at_most_once_on_walks(seed):
+    """Guards against the same faults in long, busy histories."""
+    walk(seed)
+
+
+def test_walks_run_and_replay():
+    """Guards against walks that check nothing since all calls fail."""
+    machines = [walk(seed) for seed in range(20)]
+    assert sum(len(m.cluster.executions) for m in machines) > 20
+    assert sum(m.cluster.replays for m in machines) > 20
+
+
+def _record_nothing(system, request, claim, made_at):
+    return True
+
+
+def _always_consent(history, customer, key, made_at):
+    return True
+
+
+PLANTED = (
+    (claims.ClaimsSystem, '_record', _record_nothing),
+    (witnesses.SetHistory, 'may_consent', _always_consent),
+)
+
+
+@pytest.mark.parametrize('owner, name, fault', PLANTED)
+def test_planted_fault_is_found(owner, name, fault):
+    """Guards against a harness that cannot see a second execution.
+
+    The faults are a witness that forgets claims, and one that consents to
+    keys from before it was a witness.
+    """
+    with mock.patch.object(owner, name, fault):
+        assert violations(20) > 0
+
+
+def test_planted_fault_is_found_by_machine():
+    """Guards against a state machine that never repeats a key."""
+    with (
+        mock.patch.object(claims.ClaimsSystem, '_record', _record_nothing),
+        pytest.raises(cluster_module.Violation),
+    ):
+        stateful.run_state_machine_as_test(
+            ClaimsMachine,
+            settings=hypothesis.settings(
+                SETTINGS,
+                phases=[hypothesis.Phase.generate],
+                report_multiple_bugs=False,
+            ),
+        )
