--- a/primrosereel/core/_plain.py
+++ b/primrosereel/core/_plain.py
@@ -13,7 +13,7 @@
 from primrosereel.core import _activity as activity
 from primrosereel.core import _admission as admission
 from primrosereel.core import _budget as budget
-from primrosereel.core import _calls as calls
+from primrosereel.core import _call_rules as call_rules
 from primrosereel.core import _claim_round as claim_round
 from primrosereel.core import _claims as claims
 from primrosereel.core import _messages as messages
@@ -119,7 +119,7 @@
             self._refuse_early(message, *refusal)
             return
         facts = admitted.unwrap()
-        rule = calls.match(facts.service, message.method, message.path)
+        rule = call_rules.match(facts.service, message.method, message.path)
         if rule is None:
             self._refuse_early(message, Reason.UNKNOWN_CALL)
             return
--- a/primrosereel/core/_plain_call.py
+++ b/primrosereel/core/_plain_call.py
@@ -7,7 +7,7 @@
 from primrosereel import _ids as ids
 from primrosereel import _states as states
 from primrosereel import text as text_module
-from primrosereel.core import _calls as calls
+from primrosereel.core import _call_rules as call_rules
 from primrosereel.core import _claim_round as claim_round
 from primrosereel.core import _messages as messages
 from primrosereel.core import _plain_runners as plain_runners
@@ -108,7 +108,7 @@
     service = world.text.services.get(message.service) if world.text else None
     if service is None:
         return states.Ran.UNKNOWN
-    rule = calls.match(service, message.method, message.path)
+    rule = call_rules.match(service, message.method, message.path)
     if rule is not None and rule.kind is states.CallKind.IDEMPOTENT:
         return states.Ran.NOT_RUN
     return states.Ran.UNKNOWN
