--- a/primrosereel/core/_tables.py
+++ b/primrosereel/core/_tables.py
@@ -158,6 +158,9 @@
         # Incremented whenever the list, a peer's state or draining changes;
         # what is computed from them can be kept until then.
         self.view = 0
+        # Monotonic time at which a peer or the configuration service last
+        # confirmed the own revision.
+        self.confirmed_at = -math.inf
         self.peers: dict[ids.InstanceId, Peer] = {}
         self.runners: dict[ids.RunnerId, Runner] = {}
         self.groups: dict[ids.GroupId, tuple[ids.RunnerId, ...]] = {}
