Tell entries that their request is queued

Cause: an owner that queued a request stayed silent, so entries took it for lost after 50 ms and placed the request themselves. Change: the owner acknowledges what it queues with GrantQueued.

--- a/primrosereel/core/_group.py
+++ b/primrosereel/core/_group.py
@@ -59,6 +59,8 @@
         self._released: collections.OrderedDict[ids.RequestId, int] = (
             collections.OrderedDict()
         )
+        # Requests whose entries do not know yet that they wait.
+        self._unacknowledged: list[queue.Waiting] = []
         self._awaiting: set[ids.InstanceId] = set()
         self._collect_until = -math.inf
         self._sequence = 0
@@ -127,16 +129,16 @@
             return
         arrived = now if waiting is None else waiting.arrived
         self._sequence += 1
-        self.queue.add(
-            queue.Waiting(
-                request,
-                sender,
-                incarnation,
-                arrived,
-                now + request.wait_s,
-                self._sequence,
-            )
+        added = queue.Waiting(
+            request,
+            sender,
+            incarnation,
+            arrived,
+            now + request.wait_s,
+            self._sequence,
         )
+        self.queue.add(added)
+        self._unacknowledged.append(added)
 
     def progress(self, news: messages.Progress, now: float) -> None:
         """Take news of a granted request; unknown ones are ignored."""
@@ -245,10 +247,10 @@
         self._preemption.repeat(now)
         for waiting in self.queue.expired(now):
             self._scheduler.refuse(waiting, Reason.DEADLINE, now)
-        if self._awaiting and now < self._collect_until:
-            return
-        self._awaiting.clear()
-        self._scheduler.run(now)
+        if not self._awaiting or now >= self._collect_until:
+            self._awaiting.clear()
+            self._scheduler.run(now)
+        self._acknowledge()
 
     def next_due(self) -> float:
         """Return when ``dispatch`` is to run without a message."""
@@ -261,6 +263,21 @@
             self._preemption.next_due,
         )
 
+    def _acknowledge(self) -> None:
+        """Tell entries which of their new requests have to wait.
+
+        Without it an entry would take the silence for a lost owner and place
+        the request by itself.
+        """
+        new, self._unacknowledged = self._unacknowledged, []
+        for waiting in new:
+            request = waiting.request
+            if self.queue.get(request.request_id) is waiting:
+                self._world.send(
+                    waiting.entry,
+                    messages.GrantQueued(request.request_id, request.attempt),
+                )
+
     def _new_view(self, service: text_module.Service) -> placement.View:
         text = self._world.text
         assert text is not None and service.model is not None
--- a/primrosereel/core/_tables.py
+++ b/primrosereel/core/_tables.py
@@ -143,8 +143,6 @@
         # Why the newest refused text was refused, for operators.
         self.refusal: TextRefusal | None = None
         self.draining = False
-        # Requests of callers in progress; written by the entry systems.
-        self.active_requests = 0
         # Monotonic time at which this process last resumed after a pause.
         self.paused_at = -math.inf
         self.listing = Listing()
