Add a measurement of cost beside a bare pass-through

Cause: the daemon's cost a token needs a baseline in the same run. Change: bench cost, with a pass-through of the same libraries.

--- a/primrosereel/_registry.py
+++ b/primrosereel/_registry.py
@@ -20,6 +20,9 @@
         'entry': 'core._entry:EntrySystem',
         'plain': 'core._plain:PlainSystem',
     },
+    'bench': {
+        'cost': 'bench._cost:run',
+    },
     'command': {
         'bench': 'cmd._bench:BenchCommand',
         'check': 'cmd._check:CheckCommand',
--- /dev/null
+++ b/primrosereel/bench/_cost.py
@@ -0,0 +1,185 @@
+"""What the daemon costs beside a bare pass-through, on real processes.
+
+Both serve the same completions from the same engines in turns within one
+run; processor time is the process's own accounting.
+"""
+
+import os
+import pathlib
+import statistics
+import sys
+import time
+from typing import Any
+
+import anyio
+import httpx
+
+from primrosereel.bench import _fleet as fleet_module
+from primrosereel.bench import _load as load
+from primrosereel.bench import _texts as texts
+
+__all__ = ['cpu_seconds', 'resident_bytes', 'run']
+
+ROUNDS = 5
+STREAMS = 16
+TOKENS = 200
+FIRST_TOKEN_CALLS = 20
+# An engine that generates fast, so that the router's cost shows.
+ENGINE = {
+    'prefill_tokens_s': 1e7,
+    'decode_step_s': 0.01,
+    'places': 64,
+    'pieces': 1000,
+}
+PROMPT = 'counter log, one line a strike. ' * 60
+TICKS_S = os.sysconf('SC_CLK_TCK')
+SERVICE = 'analyst'
+
+
+def cpu_seconds(pid: int) -> float:
+    """Return user and system time of a process so far."""
+    fields = pathlib.Path(f'/proc/{pid}/stat').read_text().rpartition(')')[2]
+    user, system = fields.split()[11:13]
+    return (int(user) + int(system)) / TICKS_S
+
+
+def resident_bytes(pid: int) -> int:
+    """Return the resident memory of a process."""
+    for line in pathlib.Path(f'/proc/{pid}/status').read_text().splitlines():
+        if line.startswith('VmRSS:'):
+            return int(line.split()[1]) * 1024
+    raise ProcessLookupError(pid)
+
+
+def _text() -> dict[str, Any]:
+    """Return a text with one runner of each role."""
+    text = texts.demo()
+    service = text['services'][SERVICE]
+    runners = service['runners']
+    keep = {}
+    for role in ('prefill', 'decode'):
+        name = next(n for n, row in runners.items() if row['role'] == role)
+        keep[name] = {**runners[name], 'places': 64, 'pieces': 1000}
+    service['runners'] = keep
+    text['models']['base'] = {
+        **text['models']['base'],
+        'prefill_tokens_s': ENGINE['prefill_tokens_s'],
+        'decode_step_s': ENGINE['decode_step_s'],
+    }
+    return text
+
+
+def run() -> dict[str, Any]:
+    """Measure both and return medians and spreads."""
+    with fleet_module.Fleet(_text(), daemons=1, engine_options=ENGINE) as f:
+        idle = resident_bytes(f.daemons[0].process.pid)
+        passing = _start_passthrough(f)
+        try:
+            return {
+                'idle_resident_mb': idle / 1e6,
+                **anyio.run(_measure, f, passing),
+            }
+        finally:
+            passing.kill()
+
+
+def _start_passthrough(fleet: fleet_module.Fleet) -> fleet_module.Process:
+    addresses = [
+        fleet.addresses[name]
+        for name in fleet.text['services'][SERVICE]['runners']
+    ]
+    listen = f'{fleet_module.HOST}:{fleet_module.free_port()}'
+    command = [
+        sys.executable,
+        '-m',
+        'primrosereel.bench._passthrough',
+        listen,
+        *addresses,
+    ]
+    process = fleet.start_process('passthrough', command)
+    process.address = listen
+    fleet.wait_for(
+        lambda: httpx.post(
+            f'http://{listen}/', json={'prompt': 'x', 'max_tokens': 1}
+        ),
+        'the pass-through answers',
+    )
+    return process
+
+
+async def _measure(fleet, passing) -> dict[str, Any]:
+    daemon = fleet.daemons[0]
+    sides = {
+        'daemon': (daemon.callers, daemon.process.pid),
+        'passthrough': (f'http://{passing.address}', passing.pid),
+    }
+    cost: dict[str, list[float]] = {name: [] for name in sides}
+    first: dict[str, list[float]] = {name: [] for name in sides}
+    async with httpx.AsyncClient(
+        limits=httpx.Limits(max_connections=None)
+    ) as client:
+        for _ in range(ROUNDS):
+            for name, (url, pid) in sides.items():
+                first[name].append(await _first_token(client, url))
+                cost[name].append(await _token_cost(client, url, pid))
+    return {
+        'cpu_us_per_token': _summary(cost, 1e6),
+        'first_token_ms': _summary(first, 1e3),
+        'cpu_ratio': statistics.median(cost['daemon'])
+        / statistics.median(cost['passthrough']),
+        'added_first_token_ms': 1e3
+        * (
+            statistics.median(first['daemon'])
+            - statistics.median(first['passthrough'])
+        ),
+    }
+
+
+def _summary(values: dict[str, list[float]], factor: float) -> dict[str, Any]:
+    return {
+        name: {
+            'median': factor * statistics.median(found),
+            'spread': factor * (max(found) - min(found)),
+        }
+        for name, found in values.items()
+    }
+
+
+async def _one(client, url: str, tokens: int) -> float:
+    """Stream one completion; return the time of its first bytes."""
+    started = time.perf_counter()
+    first = 0.0
+    body = {
+        'model': SERVICE,
+        'prompt': PROMPT,
+        'max_tokens': tokens,
+        'stream': True,
+    }
+    key = texts.key_of('analysts')
+    async with client.stream(
+        'POST',
+        f'{url}/v1/completions',
+        json=body,
+        headers={'authorization': f'Bearer {key}'},
+        timeout=load.TIMEOUT_S,
+    ) as response:
+        response.raise_for_status()
+        async for _ in response.aiter_raw():
+            first = first or time.perf_counter() - started
+    return first
+
+
+async def _first_token(client, url: str) -> float:
+    """Return the median first-token time of calls one after another."""
+    return statistics.median(
+        [await _one(client, url, 1) for _ in range(FIRST_TOKEN_CALLS)]
+    )
+
+
+async def _token_cost(client, url: str, pid: int) -> float:
+    """Return processor seconds a token over concurrent streams."""
+    before = cpu_seconds(pid)
+    async with anyio.create_task_group() as group:
+        for _ in range(STREAMS):
+            group.start_soon(_one, client, url, TOKENS)
+    return (cpu_seconds(pid) - before) / (STREAMS * TOKENS)
--- a/primrosereel/bench/_fleet.py
+++ b/primrosereel/bench/_fleet.py
@@ -52,6 +52,7 @@
 
     def __init__(self, name: str, command: Sequence[str], log: pathlib.Path):
         self.name = name
+        self.address = ''
         self._command = command
         self._log = log
         self._child: subprocess.Popen | None = None
@@ -205,6 +206,12 @@
                 process.kill()
         self._folder.cleanup()
 
+    def start_process(self, name: str, command: Sequence[str]) -> Process:
+        """Start another child; the caller ends it."""
+        process = Process(name, command, self._path(f'{name}.log'))
+        process.start()
+        return process
+
     def publish(self, text: Mapping[str, Any] | None = None) -> None:
         """Put a text into force at the platform."""
         if text is not None:
@@ -324,9 +331,7 @@
             '--options',
             json.dumps(options),
         ]
-        process = Process(name, command, self._path(f'{name}.log'))
-        process.start()
-        return process
+        return self.start_process(name, command)
 
     def _make_daemon(self, instance: str) -> DaemonProcess:
         callers, operators, peers = (f'{HOST}:{free_port()}' for _ in range(3))
--- a/primrosereel/cmd/_bench.py
+++ b/primrosereel/cmd/_bench.py
@@ -46,7 +46,9 @@
         names = options.experiments or list(experiments.EXPERIMENTS)
         whole = [n for n in names if n in registry.names('bench')]
         if whole:
-            return registry.load('bench', whole[0])(options)
+            report = registry.load('bench', whole[0])()
+            command.print_result(report, options.json)
+            return 0
         unknown = [n for n in names if n not in experiments.EXPERIMENTS]
         if unknown:
             print(f'no experiment named {", ".join(unknown)}')
