Add the HTTP stand-ins of engines, plain services and the platform

Scenario tests need upstreams and a platform over loopback whose faults can be switched while they run and which tell what really happened. The engine stand-in drives the engine model with the monotonic clock and wakes its streams once a step. hypercorn 0.18 does not end cleanly when its task is cancelled (seen: InvalidStateError and a process that did not exit), so it is shielded and stopped by its own trigger.

--- a/primrosereel/standin/__init__.py
+++ b/primrosereel/standin/__init__.py
@@ -1,5 +1,6 @@
 """Simulated engines, plain services and platform for tests and the bench."""
 
+from primrosereel.standin._engine import serve_engine
 from primrosereel.standin._faults import EngineFaults
 from primrosereel.standin._faults import FaultError
 from primrosereel.standin._link import WeightStore
@@ -7,6 +8,10 @@
 from primrosereel.standin._orders import LOAD_ADAPTER
 from primrosereel.standin._orders import LOAD_MODEL
 from primrosereel.standin._orders import SET_ROLE
+from primrosereel.standin._plain import PlainConfig
+from primrosereel.standin._plain import serve_plain
+from primrosereel.standin._platform import PlatformConfig
+from primrosereel.standin._platform import serve_platform
 from primrosereel.standin._tokens import answer
 from primrosereel.standin._tokens import describe
 from primrosereel.standin._tokens import Prompt
@@ -48,6 +53,8 @@
     'OrderEnded',
     'Outcome',
     'Paused',
+    'PlainConfig',
+    'PlatformConfig',
     'PrefillEnded',
     'Prompt',
     'Resumed',
@@ -57,5 +64,8 @@
     'WeightStore',
     'answer',
     'describe',
+    'serve_engine',
+    'serve_plain',
+    'serve_platform',
     'token_text',
 ]
--- /dev/null
+++ b/primrosereel/standin/_engine.py
@@ -0,0 +1,429 @@
+"""HTTP stand-in of an engine: the engine model on the monotonic clock.
+
+A decode engine reads a KV cache by calling the prefill engine that its
+handle names, ``<address>/<request id>``. Streams are woken once a step.
+"""
+
+import random
+import time
+from typing import Any
+
+import anyio
+from anyio import abc
+import httpx
+import msgspec
+
+from primrosereel.standin import _engine_stream as engine_stream
+from primrosereel.standin import _faults as faults
+from primrosereel.standin import _http as http
+from primrosereel.standin import _model as model
+from primrosereel.standin import _tokens as tokens
+from primrosereel.standin import _types as types
+
+__all__ = ['serve_engine']
+
+TAKE_TIMEOUT_S = 2.0
+RELEASE_TIMEOUT_S = 2.0
+
+Outcome = types.Outcome
+State = types.State
+
+STATUS = {
+    Outcome.FULL: 503,
+    Outcome.LEAVING: 503,
+    Outcome.NOT_FOUND: 404,
+    Outcome.NO_MODEL: 404,
+    Outcome.CONFLICT: 409,
+    Outcome.WRONG_ROLE: 409,
+    Outcome.OLD_TOKEN: 409,
+}
+
+
+class KvBody(msgspec.Struct):
+    """An exported KV cache in a request or an answer."""
+
+    handle: str
+    runner: str
+    tokens: int
+    bytes: int
+
+
+class PrefillBody(msgspec.Struct):
+    """Body of ``POST /v1/prefill``."""
+
+    request_id: str
+    prompt: str
+    model: str | None = None
+    priority: int = 0
+    lease_s: float = 1e9
+
+
+class PrefillAnswer(msgspec.Struct):
+    """Answer to ``POST /v1/prefill``."""
+
+    request_id: str
+    kv: KvBody
+    cached_tokens: int
+
+
+class DecodeBody(msgspec.Struct):
+    """Body of ``POST /v1/decode``."""
+
+    request_id: str
+    kv: KvBody
+    prompt: str
+    max_tokens: int
+    model: str | None = None
+    priority: int = 0
+    offset: int = 0
+
+
+class OrderBody(msgspec.Struct):
+    """Body of ``POST /v1/orders``."""
+
+    fencing_token: int
+    kind: str
+    value: str
+
+
+class EngineService:
+    """Calls of the engine interface, and the task that drives the model."""
+
+    def __init__(
+        self, engine: model.EngineModel, client: httpx.AsyncClient
+    ) -> None:
+        self.address = ''
+        self._engine = engine
+        self._client = client
+        self._streams = engine_stream.Streams(engine)
+        self._awaited: dict[str, types.PrefillEnded | None] = {}
+        self._imports: dict[str, str] = {}
+        self._poke = anyio.Event()
+        self._group: abc.TaskGroup | None = None
+        self._restart_at: float | None = None
+        self._routes = {
+            ('POST', '/v1/prefill'): self._prefill,
+            ('POST', '/v1/decode'): self._decode,
+            ('GET', '/v1/requests'): self._requests,
+            ('GET', '/v1/load'): self._load,
+            ('GET', '/v1/cache-events'): self._cache_events,
+            ('POST', '/v1/orders'): self._order,
+            ('GET', '/v1/state'): self._state,
+            ('GET', '/standin/counters'): self._counters,
+            ('POST', '/standin/faults'): self._set_faults,
+            ('GET', '/standin/faults'): self._get_faults,
+        }
+        self._request_routes = {
+            ('GET', 'stream'): self._reattach,
+            ('POST', 'pause'): self._pause,
+            ('POST', 'resume'): self._resume,
+            ('DELETE', ''): self._cancel,
+        }
+
+    async def drive(self) -> None:
+        """Advance the model at its events and at each step."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            while True:
+                self._poke = anyio.Event()
+                now = anyio.current_time()
+                self._restart(now)
+                for event in self._engine.advance(now):
+                    self._note(event)
+                self._streams.wake()
+                due = min(self._engine.next_event(), self._engine.next_step())
+                due = min(due, self._restart_at or due)
+                with anyio.move_on_after(due - now):
+                    await self._poke.wait()
+
+    async def handle(self, call: http.Call) -> None:
+        """Answer one call."""
+        control = call.path.startswith('/standin/')
+        if not control and await self._struck(call):
+            return
+        handler = self._routes.get((call.method, call.path))
+        if handler is not None:
+            await handler(call)
+        elif call.path.startswith('/standin/exports/'):
+            await self._export(call)
+        else:
+            await self._handle_request(call)
+        self._poke.set()
+
+    async def _handle_request(self, call: http.Call) -> None:
+        parts = call.path.split('/')
+        if parts[:3] == ['', 'v1', 'requests'] and len(parts) in (4, 5):
+            action = parts[4] if len(parts) == 5 else ''
+            handler = self._request_routes.get((call.method, action))
+            if handler is not None:
+                await handler(call, parts[3])
+                return
+        await call.reply({'error': 'unknown call', 'ran': False}, 404)
+
+    async def _struck(self, call: http.Call) -> bool:
+        """Apply the faults that concern a whole call."""
+        now_on = self._engine.faults
+        if not self._engine.alive:
+            await call.drop()
+        elif faults.use(now_on, 'hang'):
+            await call.disconnected()
+        elif faults.use(now_on, 'endless_headers'):
+            await call.endless_headers()
+        elif faults.use(now_on, 'endless_body'):
+            await call.endless_body()
+        else:
+            return False
+        return True
+
+    def _note(self, event: types.Event) -> None:
+        if isinstance(event, types.PrefillEnded):
+            if event.request_id in self._awaited:
+                self._awaited[event.request_id] = event
+        elif isinstance(event, types.ImportEnded):
+            handle = self._imports.pop(event.request_id, None)
+            if handle is not None and self._group is not None:
+                self._group.start_soon(self._release, handle, event.ok)
+
+    def _restart(self, now: float) -> None:
+        if self._restart_at is not None and now >= self._restart_at:
+            self._restart_at = None
+            self._engine.restart(now)
+
+    async def _refuse(self, call: http.Call, outcome: Outcome) -> None:
+        if outcome is Outcome.DROPPED:
+            await call.drop()
+            return
+        value = {
+            'error': outcome.value,
+            'ran': False,
+            'leaving': outcome is Outcome.LEAVING,
+        }
+        await call.reply(value, STATUS[outcome])
+
+    async def _prefill(self, call: http.Call) -> None:
+        body: PrefillBody = await call.decoded(PrefillBody)
+        outcome = self._engine.prefill(
+            body.request_id,
+            tokens.describe(body.prompt),
+            body.priority,
+            anyio.current_time(),
+            body.lease_s,
+            body.model,
+        )
+        if outcome is not Outcome.OK:
+            await self._refuse(call, outcome)
+            return
+        self._awaited[body.request_id] = None
+        self._poke.set()
+        while (ended := self._awaited[body.request_id]) is None:
+            if self._engine.state_of(body.request_id) is None:
+                break
+            await self._streams.wait()
+        del self._awaited[body.request_id]
+        if not self._engine.alive:
+            await call.drop()
+        elif ended is None:
+            await call.reply({'error': 'cancelled', 'ran': True}, 409)
+        else:
+            handle = f'{self.address}/{ended.kv.handle}'
+            kv = KvBody(
+                handle, ended.kv.runner, ended.kv.tokens, ended.kv.bytes
+            )
+            await call.reply(
+                PrefillAnswer(body.request_id, kv, ended.cached_tokens)
+            )
+
+    async def _decode(self, call: http.Call) -> None:
+        body: DecodeBody = await call.decoded(DecodeBody)
+        prompt = tokens.describe(body.prompt)
+        outcome = self._engine.check_decode(
+            body.request_id,
+            prompt,
+            body.max_tokens,
+            anyio.current_time(),
+            body.model,
+        )
+        if outcome is not Outcome.OK:
+            await self._refuse(call, outcome)
+            return
+        if not await self._take(body.kv.handle):
+            await call.reply({'error': 'kv_gone', 'ran': False}, 410)
+            return
+        now = anyio.current_time()
+        outcome = self._engine.decode(
+            body.request_id,
+            prompt,
+            body.max_tokens,
+            body.kv.bytes,
+            body.priority,
+            body.offset,
+            now,
+            body.model,
+        )
+        if outcome is not Outcome.OK:
+            await self._release(body.kv.handle, False)
+            await self._refuse(call, outcome)
+            return
+        self._imports[body.request_id] = body.kv.handle
+        self._poke.set()
+        await self._send_stream(call, body.request_id, body.offset)
+
+    async def _reattach(self, call: http.Call, request_id: str) -> None:
+        offset = int(call.number('offset'))
+        await self._send_stream(call, request_id, offset)
+
+    async def _send_stream(
+        self, call: http.Call, request_id: str, offset: int
+    ) -> None:
+        if not await self._streams.send(call, request_id, offset):
+            await self._refuse(call, Outcome.NOT_FOUND)
+
+    async def _pause(self, call: http.Call, request_id: str) -> None:
+        outcome = self._engine.pause(request_id, anyio.current_time())
+        await self._moved(call, request_id, outcome, State.PAUSING)
+
+    async def _resume(self, call: http.Call, request_id: str) -> None:
+        outcome = self._engine.resume(request_id, anyio.current_time())
+        await self._moved(call, request_id, outcome, State.RESUMING)
+
+    async def _moved(
+        self,
+        call: http.Call,
+        request_id: str,
+        outcome: Outcome,
+        passing: State,
+    ) -> None:
+        """Answer when a stream has left the passing state."""
+        if outcome is not Outcome.OK:
+            await self._refuse(call, outcome)
+            return
+        self._poke.set()
+        while (state := self._engine.state_of(request_id)) is passing:
+            await self._streams.wait()
+        if state is None:
+            await self._refuse(call, Outcome.NOT_FOUND)
+        else:
+            await call.reply({'request_id': request_id, 'state': state.value})
+
+    async def _cancel(self, call: http.Call, request_id: str) -> None:
+        outcome = self._engine.cancel(request_id, anyio.current_time())
+        if outcome is Outcome.OK:
+            await call.reply({'request_id': request_id})
+        else:
+            await self._refuse(call, outcome)
+
+    async def _requests(self, call: http.Call) -> None:
+        held = self._engine.requests(anyio.current_time())
+        await call.reply({'requests': held})
+
+    async def _load(self, call: http.Call) -> None:
+        await call.reply(self._engine.load(anyio.current_time()))
+
+    async def _cache_events(self, call: http.Call) -> None:
+        since = int(call.number('since'))
+        await call.reply(
+            self._engine.cache_events(since, anyio.current_time())
+        )
+
+    async def _order(self, call: http.Call) -> None:
+        body: OrderBody = await call.decoded(OrderBody)
+        outcome = self._engine.order(
+            body.fencing_token, body.kind, body.value, anyio.current_time()
+        )
+        if outcome is Outcome.OK:
+            await call.reply({'fencing_token': body.fencing_token})
+        else:
+            await self._refuse(call, outcome)
+
+    async def _state(self, call: http.Call) -> None:
+        await call.reply(self._engine.state())
+
+    async def _counters(self, call: http.Call) -> None:
+        self._engine.produced('', anyio.current_time())
+        await call.reply(self._engine.counters)
+
+    async def _get_faults(self, call: http.Call) -> None:
+        await call.reply(self._engine.faults)
+
+    async def _set_faults(self, call: http.Call) -> None:
+        """Change faults; ``silent`` and ``crash_s`` act at once."""
+        values: dict[str, Any] = await call.decoded(dict[str, Any])
+        silent = values.pop('silent', False)
+        crash_s = values.pop('crash_s', None)
+        now = anyio.current_time()
+        try:
+            self._engine.set_faults(values, now)
+        except faults.FaultError as error:
+            raise http.BadRequest(str(error)) from error
+        if silent:
+            self._engine.silence()
+        if crash_s is not None:
+            self._engine.crash(now)
+            self._imports.clear()
+            self._restart_at = now + float(crash_s)
+        await call.reply(self._engine.faults)
+
+    async def _export(self, call: http.Call) -> None:
+        """Serve ``POST /standin/exports/<id>/take|used|unused``."""
+        request_id, _, action = call.path.rpartition('/')
+        request_id = request_id.removeprefix('/standin/exports/')
+        now = anyio.current_time()
+        if not self._engine.alive:
+            await call.drop()
+            return
+        if action == 'take':
+            found = self._engine.take_export(request_id, now) is not None
+        else:
+            found = self._engine.release_export(
+                request_id, action == 'used', now
+            )
+        await call.reply({'found': found}, 200 if found else 404)
+
+    async def _take(self, handle: str) -> bool:
+        return await self._call_exporter(handle, 'take', TAKE_TIMEOUT_S)
+
+    async def _release(self, handle: str, used: bool) -> None:
+        action = 'used' if used else 'unused'
+        await self._call_exporter(handle, action, RELEASE_TIMEOUT_S)
+
+    async def _call_exporter(
+        self, handle: str, action: str, timeout_s: float
+    ) -> bool:
+        address, _, request_id = handle.partition('/')
+        if not request_id or not http.is_loopback(address):
+            return False
+        url = f'http://{address}/standin/exports/{request_id}/{action}'
+        try:
+            answer = await self._client.post(url, timeout=timeout_s)
+        except (httpx.HTTPError, httpx.InvalidURL):
+            return False
+        return answer.status_code == 200
+
+
+async def serve_engine(
+    config: types.EngineConfig,
+    listen: str = '127.0.0.1:0',
+    seed: int = 1,
+    incarnation: int | None = None,
+    *,
+    task_status: abc.TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve an engine until cancelled; ``started`` gives its address.
+
+    The incarnation is the time of the start in milliseconds by default.
+    """
+    engine = model.EngineModel(
+        config,
+        random.Random(seed),
+        anyio.current_time(),
+        incarnation or time.time_ns() // 1_000_000,
+    )
+    async with (
+        httpx.AsyncClient() as client,
+        anyio.create_task_group() as group,
+    ):
+        service = EngineService(engine, client)
+        group.start_soon(service.drive)
+        app = http.App(service.handle)
+        service.address = await group.start(http.serve, app, listen)
+        task_status.started(service.address)
--- /dev/null
+++ b/primrosereel/standin/_engine_stream.py
@@ -0,0 +1,114 @@
+"""Server-sent event streams of the engine stand-in."""
+
+import anyio
+from anyio import abc
+import msgspec
+
+from primrosereel.standin import _http as http
+from primrosereel.standin import _model as model
+from primrosereel.standin import _types as types
+
+__all__ = ['Streams']
+
+HEADERS = (
+    (b'content-type', b'text/event-stream'),
+    (b'cache-control', b'no-store'),
+)
+DONE = b'data: [DONE]\n\n'
+GARBLED = b'data: {"request_id": "\x00\xff\xfe, "offs\n\n'
+
+
+class StreamEvent(msgspec.Struct):
+    """One token; ``finish`` is set with the last one."""
+
+    request_id: str
+    offset: int
+    token: str
+    finish: str | None = None
+
+
+ENCODER = msgspec.json.Encoder()
+
+
+class Streams:
+    """Open streams; all of them wake once a step."""
+
+    def __init__(self, engine: model.EngineModel) -> None:
+        self._engine = engine
+        self._changed = anyio.Event()
+
+    def wake(self) -> None:
+        """Let every stream and waiting call look at the model."""
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    async def wait(self) -> None:
+        """Return after the next change."""
+        await self._changed.wait()
+
+    async def send(
+        self, call: http.Call, request_id: str, offset: int
+    ) -> bool:
+        """Stream from an offset; False when there is no such stream."""
+        reader = self._engine.attach(request_id, anyio.current_time())
+        if reader is None:
+            return False
+        try:
+            await call.start(200, HEADERS)
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._stop_when_left, call, group)
+                await self._copy(call, reader, offset)
+                group.cancel_scope.cancel()
+        finally:
+            self._engine.detach(reader, anyio.current_time())
+        return True
+
+    async def _stop_when_left(
+        self, call: http.Call, group: abc.TaskGroup
+    ) -> None:
+        await call.disconnected()
+        group.cancel_scope.cancel()
+
+    async def _copy(self, call: http.Call, reader: int, offset: int) -> None:
+        """Send each step's tokens in one chunk until the stream ends.
+
+        A stream that is gone ends without ``[DONE]`` and without an end of
+        the body, so that the caller cannot take it for a whole answer.
+        """
+        while True:
+            changed = self._changed
+            chunk = self._engine.read(reader, offset, anyio.current_time())
+            if chunk.gone:
+                return
+            data = _encode(chunk)
+            offset += len(chunk.tokens)
+            if chunk.finish is not None:
+                await call.write(data + DONE, more=False)
+                return
+            if data:
+                await call.write(data)
+            if chunk.cut:
+                await call.write(b'', more=False)
+                return
+            await changed.wait()
+
+
+def _encode(chunk: types.Chunk) -> bytes:
+    if chunk.garbled:
+        return GARBLED
+    parts = []
+    last = len(chunk.tokens) - 1
+    for index, token in enumerate(chunk.tokens or _closing(chunk)):
+        event = StreamEvent(
+            chunk.request_id,
+            chunk.offset + index,
+            token,
+            chunk.finish if index >= last else None,
+        )
+        parts.append(b'data: %b\n\n' % ENCODER.encode(event))
+    return b''.join(parts)
+
+
+def _closing(chunk: types.Chunk) -> tuple[str, ...]:
+    """A finish without tokens is sent with an empty token."""
+    return ('',) if chunk.finish is not None else ()
--- /dev/null
+++ b/primrosereel/standin/_http.py
@@ -0,0 +1,254 @@
+"""HTTP server and small helpers that the stand-ins share."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import ipaddress
+import socket
+from typing import Any
+from urllib import parse
+
+import anyio
+from anyio import abc
+from hypercorn import asyncio as hypercorn
+from hypercorn import config as hypercorn_config
+import msgspec
+
+__all__ = [
+    'App',
+    'BadRequest',
+    'Call',
+    'is_loopback',
+    'serve',
+]
+
+MAX_BODY_BYTES = 4_000_000
+KEEP_ALIVE_S = 75.0
+SHUTDOWN_S = 0.2
+# A client's limit for headers is well below this many bytes.
+MANY_HEADERS = 10_000
+GARBAGE = b'\x00\xff{"' * 4096
+GARBAGE_INTERVAL_S = 0.001
+
+Handler = Callable[['Call'], Awaitable[None]]
+
+
+class BadRequest(ValueError):
+    """A request that a stand-in cannot read."""
+
+
+class Call:
+    """One HTTP request and the means to answer it."""
+
+    def __init__(self, scope: Any, receive: Any, send: Any) -> None:
+        self.method: str = scope['method']
+        self.path: str = scope['path']
+        self._scope = scope
+        self._receive = receive
+        self._send = send
+
+    @property
+    def query(self) -> dict[str, str]:
+        """Query parameters; the last of several with one name counts."""
+        return dict(parse.parse_qsl(self._scope['query_string'].decode()))
+
+    def header(self, name: bytes) -> str:
+        """Return a header's value, or an empty string."""
+        for key, value in self._scope['headers']:
+            if key == name:
+                return value.decode('latin-1')
+        return ''
+
+    def number(self, name: str, default: float = 0) -> float:
+        """Return a query parameter as a number."""
+        try:
+            return float(self.query.get(name, default))
+        except ValueError as error:
+            raise BadRequest(f'{name} is not a number') from error
+
+    async def body(self) -> bytes:
+        """Return the whole body; raise BadRequest when it is too large."""
+        parts = []
+        size = 0
+        while True:
+            message = await self._receive()
+            if message['type'] == 'http.disconnect':
+                raise BadRequest('the caller left')
+            parts.append(message.get('body', b''))
+            size += len(parts[-1])
+            if size > MAX_BODY_BYTES:
+                raise BadRequest('the body is too large')
+            if not message.get('more_body', False):
+                return b''.join(parts)
+
+    async def decoded(self, kind: Any) -> Any:
+        """Return the JSON body as a structure or type."""
+        try:
+            return msgspec.json.decode(await self.body(), type=kind)
+        except msgspec.DecodeError as error:
+            raise BadRequest(str(error)) from error
+
+    async def reply(self, value: Any, status: int = 200) -> None:
+        """Answer with JSON."""
+        body = msgspec.json.encode(value)
+        await self.reply_bytes(body, status, b'application/json')
+
+    async def reply_bytes(
+        self,
+        body: bytes,
+        status: int = 200,
+        content_type: bytes = b'application/octet-stream',
+        headers: tuple[tuple[bytes, bytes], ...] = (),
+    ) -> None:
+        """Answer with a whole body."""
+        length = str(len(body)).encode()
+        await self.start(
+            status,
+            (
+                (b'content-type', content_type),
+                (b'content-length', length),
+                *headers,
+            ),
+        )
+        await self.write(body, more=False)
+
+    async def start(
+        self, status: int, headers: tuple[tuple[bytes, bytes], ...] = ()
+    ) -> None:
+        """Send status and headers."""
+        await self._send(
+            {
+                'type': 'http.response.start',
+                'status': status,
+                'headers': list(headers),
+            }
+        )
+
+    async def write(self, data: bytes, more: bool = True) -> None:
+        """Send a part of the body."""
+        await self._send(
+            {'type': 'http.response.body', 'body': data, 'more_body': more}
+        )
+
+    async def drop(self) -> None:
+        """Close the connection without an answer that can be used.
+
+        An ASGI application cannot close a connection before it has sent
+        headers, so the body that they announce is missing.
+        """
+        await self.start(500, ((b'content-length', b'1'),))
+
+    async def disconnected(self) -> None:
+        """Return when the caller has left."""
+        while True:
+            message = await self._receive()
+            if message['type'] == 'http.disconnect':
+                return
+
+    async def endless_headers(self) -> None:
+        """Answer with far more headers than a client should read."""
+        await self.start(
+            200,
+            tuple((b'x-%d' % i, b'y' * 1000) for i in range(MANY_HEADERS)),
+        )
+        await self.write(b'', more=False)
+
+    async def endless_body(self) -> None:
+        """Answer with garbage until the caller leaves."""
+        await self.start(200, ((b'content-type', b'application/json'),))
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._cancel_when_left, group)
+            while True:
+                await self.write(GARBAGE)
+                await anyio.sleep(GARBAGE_INTERVAL_S)
+
+    async def _cancel_when_left(self, group: abc.TaskGroup) -> None:
+        await self.disconnected()
+        group.cancel_scope.cancel()
+
+
+class App:
+    """ASGI application that hands calls to ``handler``."""
+
+    def __init__(self, handler: Handler) -> None:
+        self._handler = handler
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Serve one connection scope."""
+        if scope['type'] == 'lifespan':
+            await self._lifespan(receive, send)
+        if scope['type'] != 'http':
+            return
+        call = Call(scope, receive, send)
+        try:
+            await self._handler(call)
+        except BadRequest as error:
+            await call.reply({'error': str(error), 'ran': False}, 400)
+
+    async def _lifespan(self, receive: Any, send: Any) -> None:
+        while True:
+            message = await receive()
+            await send({'type': f'{message["type"]}.complete'})
+            if message['type'] == 'lifespan.shutdown':
+                return
+
+
+async def serve(
+    app: App,
+    listen: str,
+    task_status: abc.TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve until cancelled; report the address that was bound."""
+    listener = _bound(listen)
+    host, port = listener.getsockname()[:2]
+    config = hypercorn_config.Config()
+    # The server closes the descriptor, so the socket object gives it up.
+    config.bind = [f'fd://{listener.detach()}']
+    config.accesslog = None
+    config.errorlog = None
+    config.keep_alive_timeout = KEEP_ALIVE_S
+    config.graceful_timeout = SHUTDOWN_S
+    stop = anyio.Event()
+    async with anyio.create_task_group() as group:
+        group.start_soon(_serve_until, app, config, stop)
+        try:
+            task_status.started(f'{host}:{port}')
+            await anyio.sleep_forever()
+        finally:
+            stop.set()
+
+
+async def _serve_until(
+    app: App, config: hypercorn_config.Config, stop: anyio.Event
+) -> None:
+    """Serve until ``stop``.
+
+    hypercorn 0.18 leaves its tasks behind when it is cancelled, so it is
+    shielded and ended by its own trigger.
+    """
+    with anyio.CancelScope(shield=True):
+        await hypercorn.serve(
+            app,  # type: ignore[arg-type]
+            config,
+            shutdown_trigger=stop.wait,  # type: ignore[arg-type]
+        )
+
+
+def is_loopback(address: str) -> bool:
+    """Tell whether ``IP:port`` is on this machine."""
+    host = address.rpartition(':')[0]
+    try:
+        return ipaddress.ip_address(host).is_loopback
+    except ValueError:
+        return False
+
+
+def _bound(listen: str) -> socket.socket:
+    host, _, port = listen.rpartition(':')
+    if not is_loopback(listen):
+        raise BadRequest(f'{listen} is not a loopback address and port')
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host, int(port)))
+    listener.listen(1024)
+    listener.setblocking(False)
+    return listener
--- a/primrosereel/standin/_model.py
+++ b/primrosereel/standin/_model.py
@@ -199,11 +199,11 @@
     def read(self, reader: int, offset: int, now: float) -> types.Chunk:
         """Return the tokens from ``offset`` on that are there at ``now``."""
         self._catch_up(now)
+        if reader <= self._silent_through:
+            return types.Chunk('', offset, ())
         held = self._readers.get(reader)
         if held is None or self._common.held.get(held.request_id) is not held:
             return types.Chunk('', offset, (), gone=True)
-        if reader <= self._silent_through:
-            return types.Chunk(held.request_id, offset, ())
         reached = self._decodes.produced(held, now)
         key = held.prompt.key
         texts = tuple(tokens.text_of(key, i) for i in range(offset, reached))
@@ -323,6 +323,7 @@
         self._common.clear()
         self._blocks.clear()
         self._readers.clear()
+        self._silent_through = 0
         self._orders.clear()
 
     def restart(self, now: float) -> None:
