--- /dev/null
+++ b/primrosereel/core/_turns.py
@@ -0,0 +1,66 @@
+"""Which engines a group owner looks after, and when each has its turn."""
+
+from collections.abc import Iterable
+import math
+
+from primrosereel import _ids as ids
+from primrosereel import _states as states
+from primrosereel.core import _ownership as ownership
+from primrosereel.core import _tables as tables
+
+__all__ = ['Turns', 'owned_engines', 'owns']
+
+
+def owns(world: tables.World, runner: ids.RunnerId) -> bool:
+    """Tell whether this daemon owns the group of an engine."""
+    row = world.runners.get(runner)
+    return (
+        row is not None
+        and row.facts.role is not states.Role.PLAIN
+        and ownership.group_owner(world, row.group) == world.identity.instance
+    )
+
+
+def owned_engines(world: tables.World) -> list[ids.RunnerId]:
+    """Return the engines of the groups that this daemon owns, sorted."""
+    own = world.identity.instance
+    return sorted(
+        runner
+        for group, members in world.groups.items()
+        if ownership.group_owner(world, group) == own
+        for runner in members
+        if owns(world, runner)
+    )
+
+
+class Turns:
+    """Gives each engine a turn every ``interval_s``, spread out in time.
+
+    Turns are at least ``spacing_s`` apart, so that an owner of many engines
+    makes no bursts; then the interval becomes longer.
+    """
+
+    def __init__(self, interval_s: float, spacing_s: float) -> None:
+        self._interval_s = interval_s
+        self._spacing_s = spacing_s
+        self._due: dict[ids.RunnerId, float] = {}
+        self._last = -math.inf
+
+    def follow(self, engines: Iterable[ids.RunnerId], now: float) -> None:
+        """Take the engines that have turns from now on."""
+        self._due = {e: self._due.get(e, now) for e in engines}
+
+    def hurry(self, now: float) -> None:
+        """Let every engine have a turn as soon as the spacing allows."""
+        self._due = {e: min(at, now) for e, at in self._due.items()}
+
+    def take(self, now: float) -> ids.RunnerId | None:
+        """Return the engine whose turn it is, if any."""
+        if not self._due or now < self._last + self._spacing_s:
+            return None
+        engine = min(self._due, key=lambda e: (self._due[e], e))
+        if self._due[engine] > now:
+            return None
+        self._due[engine] = now + self._interval_s
+        self._last = now
+        return engine
--- /dev/null
+++ b/tests/property/test_reclaim.py
@@ -0,0 +1,239 @@
+"""Engine memory of lost holders is freed, that of live ones never."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+
+from primrosereel import _ids as ids
+from primrosereel import _states as states
+from primrosereel import text as text_module
+from primrosereel.core import _core as core_module
+from primrosereel.core import _messages as messages
+from primrosereel.core import _tables as tables
+
+EPOCH = 1_700_000_000.0
+TICK_S = 0.1
+# The target: memory is free 5 s after the list shows the loss.
+FREED_S = 5.0
+ENGINES = tuple(f'e{i:02}' for i in range(16))
+
+
+class Pool:
+    """One owner, its engines, and the instances that hold requests.
+
+    Each engine holds a set of ids; ``needed`` are the ids that a live
+    process still needs. Messages are lost with probability ``loss``.
+    """
+
+    def __init__(self, seed, loss=0.0):
+        self.random = random.Random(seed)
+        self.loss = loss
+        self.now = 0.0
+        self.lists = 0
+        self.engines = {e: set() for e in ENGINES}
+        self.needed = set()
+        self.live = {}
+        self._listed = {}
+        self._revision = 1
+        self._sequence = 0
+        self._pending = []
+        self.identity = tables.Identity('own', int(EPOCH * 1000), 'r', 'z', '')
+        self.core = core_module.Core(
+            self.identity, random.Random(1), ('reclaim',)
+        )
+        world = self.core.world
+        world.groups['g'] = ENGINES
+        world.group_regions['g'] = 'r'
+        facts = text_module.Runner('h:1', 'z', states.Role.DECODE)
+        for engine in ENGINES:
+            world.runners[engine] = tables.Runner(engine, 's', 'g', facts)
+        self.show()
+
+    def start(self, name):
+        """Start a process; the list doesn't show it yet."""
+        self.now += 0.002
+        self.live[name] = int((EPOCH + self.now) * 1000)
+
+    def kill(self, name):
+        """End a process; what it needed is needed no more."""
+        incarnation = self.live.pop(name, None)
+        holder = ids.Holder(name, incarnation)
+        self.needed = {i for i in self.needed if ids.holder_of(i) != holder}
+
+    def show(self):
+        """Let the list show the processes as they are now."""
+        self._listed = dict(self.live)
+        self._revision += 1
+        self._take_list()
+
+    def request(self, name, engine):
+        """Let a live process hold memory at an engine."""
+        self._sequence += 1
+        request = ids.request_id(name, self.live[name], self._sequence)
+        engine_id = ids.engine_request_id(request, 1)
+        self.engines[engine].add(engine_id)
+        self.needed.add(engine_id)
+        return engine_id
+
+    def run(self, seconds):
+        """Let time pass with ticks; messages take up to 0.3 s."""
+        for _ in range(round(seconds / TICK_S)):
+            self.now += TICK_S
+            self._refresh()
+            self._execute(self.core.tick(self.now, EPOCH + self.now))
+            due = [p for p in self._pending if p[0] <= self.now]
+            self._pending = [p for p in self._pending if p[0] > self.now]
+            for _, message in due:
+                self._execute(
+                    self.core.handle(message, self.now, EPOCH + self.now)
+                )
+
+    def held(self):
+        """Return all ids that an engine holds."""
+        return set().union(*self.engines.values())
+
+    def _refresh(self):
+        self.core.world.listing.as_of = EPOCH + self.now
+
+    def _take_list(self):
+        rows = {
+            name: messages.ListedInstance(name, incarnation, 'far', 'z', '')
+            for name, incarnation in self._listed.items()
+        }
+        rows['own'] = self.identity.listed()
+        self.core.world.listing = tables.Listing(
+            self._revision, EPOCH + self.now, rows
+        )
+        self.core.world.owners.clear()
+
+    def _later(self, message):
+        if self.random.random() >= self.loss:
+            delay_s = self.random.uniform(0.01, 0.3)
+            self._pending.append((self.now + delay_s, message))
+
+    def _execute(self, effects):
+        for effect in effects:
+            if isinstance(effect, messages.ListRequests):
+                self.lists += 1
+                held = tuple(sorted(self.engines[effect.runner]))
+                self._later(messages.RequestsListed(effect.runner, held))
+            elif isinstance(effect, messages.CancelUpstream):
+                self._cancel(effect)
+            elif isinstance(effect, messages.SendPeer):
+                self._ask(effect)
+
+    def _cancel(self, effect):
+        assert effect.engine_request_id not in self.needed, effect
+        if self.random.random() < self.loss:
+            return
+        self.engines[effect.runner].discard(effect.engine_request_id)
+        self._later(
+            messages.CancelConfirmed(effect.runner, effect.engine_request_id)
+        )
+
+    def _ask(self, effect):
+        """Answer as the live process of the instance, if there is one."""
+        incarnation = self.live.get(effect.destination)
+        if incarnation is None:
+            return
+        query = effect.message
+        unneeded = tuple(
+            i
+            for i in query.engine_request_ids
+            if i not in self.needed
+            and ids.holder_of(i) == (effect.destination, incarnation)
+        )
+        reply = messages.HolderReply(query.runner, unneeded)
+        self._later(messages.FromPeer(effect.destination, incarnation, reply))
+
+
+STEP = st.sampled_from(
+    ['start', 'kill', 'restart', 'show', 'request', 'request', 'end', 'run']
+)
+
+
+@hypothesis.settings(max_examples=60)
+@hypothesis.given(
+    st.integers(0, 2**32),
+    st.sampled_from([0.0, 0.3]),
+    st.lists(STEP, max_size=40),
+)
+def test_only_unneeded_memory_is_freed(seed, loss, steps):
+    """Guards against a cancel of a live stream, and against a leak."""
+    pool = Pool(seed, loss)
+    for step in steps:
+        name = pool.random.choice(['a', 'b', 'c'])
+        engine = pool.random.choice(ENGINES)
+        if step in ('kill', 'restart') or (
+            step == 'start' and name in pool.live
+        ):
+            pool.kill(name)
+        if step in ('start', 'restart'):
+            pool.start(name)
+        elif step == 'show':
+            pool.show()
+        elif step == 'request' and name in pool.live:
+            pool.request(name, engine)
+        elif step == 'end' and pool.needed:
+            pool.needed.discard(min(pool.needed))
+        elif step == 'run':
+            pool.run(pool.random.choice([0.2, 3.0, 20.0]))
+    pool.show()
+    pool.loss = 0.0
+    pool.run(40.0)
+    assert pool.held() == pool.needed
+
+
+def test_memory_of_lost_instance_is_freed_in_time():
+    """Guards against memory that stays allocated for lost callers."""
+    pool = Pool(1)
+    for name in 'abc':
+        pool.start(name)
+    pool.show()
+    for engine in ENGINES:
+        for name in 'abc':
+            pool.request(name, engine)
+    pool.run(10.0)
+    pool.kill('a')
+    pool.kill('b')
+    pool.start('b')
+    pool.show()
+    pool.run(FREED_S)
+    assert pool.held() == pool.needed
+
+
+def test_silent_holder_keeps_everything():
+    """Guards against a cancel for a holder that is only unreachable."""
+    pool = Pool(1)
+    pool.start('a')
+    pool.show()
+    pool.request('a', 'e00')
+    pool.needed.clear()
+    pool.loss = 1.0
+    pool.run(60.0)
+    assert pool.held()
+
+
+def test_unlisted_new_holder_keeps_everything():
+    """Guards against a cancel for a daemon that the list lags behind."""
+    pool = Pool(1)
+    pool.start('a')
+    pool.request('a', 'e00')
+    pool.run(10.0)
+    assert pool.held() == pool.needed
+
+
+def test_foreign_ids_are_kept():
+    """Guards against cancels of requests that another system made."""
+    pool = Pool(1)
+    pool.engines['e00'].add('batch-job')
+    pool.run(30.0)
+    assert pool.held() == {'batch-job'}
+
+
+def test_lists_are_spaced():
+    """Guards against a control load that grows with the engines."""
+    pool = Pool(1)
+    pool.run(20.0)
+    assert 16 <= pool.lists <= 4 * 20 + 1
