--- a/primrosereel/_registry.py
+++ b/primrosereel/_registry.py
@@ -13,12 +13,15 @@
     'system': {
         'configuration': 'core._configuration:ConfigurationSystem',
         'membership': 'core._membership:MembershipSystem',
+        'limits': 'core._limits:LimitsSystem',
         'stragglers': 'core._stragglers:StragglersSystem',
         'claims': 'core._claims:ClaimsSystem',
         'pool': 'core._pool:PoolSystem',
         'pool-naive': 'core._pool:NaivePoolSystem',
         'entry': 'core._entry:EntrySystem',
         'plain': 'core._plain:PlainSystem',
+        'reclaim': 'core._reclaim:ReclaimSystem',
+        'orders': 'core._orders:OrdersSystem',
     },
     'bench': {
         'cost': 'bench._cost:run',
@@ -32,7 +35,6 @@
         'status': 'cmd._remote:StatusCommand',
     },
     'placement': {
-        'direct': 'core._placement:direct_choice',
         'reserving': 'core._reserving:ReservingPolicy',
         'naive': 'core._placement:NaivePolicy',
     },
@@ -42,11 +44,14 @@
 DEFAULT_SYSTEMS = (
     'configuration',
     'membership',
+    'limits',
     'stragglers',
     'claims',
     'pool',
     'entry',
     'plain',
+    'reclaim',
+    'orders',
 )
 
 
--- a/primrosereel/core/_entry.py
+++ b/primrosereel/core/_entry.py
@@ -27,6 +27,7 @@
 from primrosereel.core import _messages as messages
 from primrosereel.core import _outcomes as outcomes
 from primrosereel.core import _pauses as pauses
+from primrosereel.core import _placement as placement
 from primrosereel.core import _requests as requests
 from primrosereel.core import _stragglers as stragglers
 from primrosereel.core import _streams as streams
@@ -43,7 +44,7 @@
     def __init__(
         self,
         world: tables.World,
-        direct_choice: requests.DirectChoice | None = None,
+        direct_choice: requests.DirectChoice = placement.direct_choice,
     ) -> None:
         self._world = world
         self._entry = requests.Requests(world, direct_choice)
--- a/primrosereel/core/_requests.py
+++ b/primrosereel/core/_requests.py
@@ -6,7 +6,6 @@
 import math
 
 from primrosereel import _ids as ids
-from primrosereel import _registry as registry
 from primrosereel import _states as states
 from primrosereel import text as text_module
 from primrosereel.core import _cancels as cancels_module
@@ -154,7 +153,7 @@
     """The rows of one entry and what the modules that move them share."""
 
     def __init__(
-        self, world: tables.World, direct_choice: DirectChoice | None
+        self, world: tables.World, direct_choice: DirectChoice
     ) -> None:
         self.world = world
         self.rows: dict[ids.RequestId, Request] = {}
@@ -162,11 +161,4 @@
             timers_module.Timers()
         )
         self.cancels = cancels_module.Cancels(world)
-        self._direct_choice = direct_choice
-
-    @property
-    def direct_choice(self) -> DirectChoice:
-        """The placement without an owner; loaded when first needed."""
-        if self._direct_choice is None:
-            self._direct_choice = registry.load('placement', 'direct')
-        return self._direct_choice
+        self.direct_choice = direct_choice
