--- a/primrosereel/core/_messages.py
+++ b/primrosereel/core/_messages.py
@@ -29,6 +29,7 @@
     'CompletionReceived',
     'ConfigurationFailed',
     'ConfigurationRead',
+    'ConfigurationUnchanged',
     'Count',
     'DemandReport',
     'DrainFinished',
@@ -37,6 +38,7 @@
     'FromPeer',
     'GiveOrder',
     'Grant',
+    'GrantQueued',
     'GrantRefused',
     'GrantRequest',
     'Heartbeat',
@@ -373,6 +375,13 @@
     """A read or watch of the configuration service failed."""
 
 
+class ConfigurationUnchanged(Message):
+    """The configuration service has no text newer than the one held.
+
+    The answer to a read or watch that ended with status 204.
+    """
+
+
 class InstanceListRead(Message):
     """The platform's instance list; ``as_of`` is wall-clock seconds."""
 
@@ -431,6 +440,17 @@
     explanation: str = ''
 
 
+class GrantQueued(PeerMessage):
+    """The owner has no place yet and keeps the request in its queue.
+
+    It answers each GrantRequest that stays queued, also a repeated one, so
+    that an entry can tell a busy owner from an unreachable one.
+    """
+
+    request_id: ids.RequestId
+    attempt: int
+
+
 class GrantRefused(PeerMessage):
     """The owner has no place within the request's deadline."""
 
@@ -487,7 +507,10 @@
 
 
 class ClaimRequest(PeerMessage):
-    """An entry claims an idempotency key at a witness."""
+    """An entry claims an idempotency key at a witness.
+
+    ``round`` counts the asks of one request with different witnesses.
+    """
 
     key: ids.IdempotencyKey
     customer: ids.CustomerId
@@ -495,6 +518,7 @@
     request_id: ids.RequestId
     region: ids.Region
     witnesses: tuple[tuple[ids.InstanceId, ids.Incarnation], ...]
+    round: int = 0
 
 
 class ClaimReply(PeerMessage):
@@ -502,7 +526,8 @@
 
     With TAKEN, ``same`` says whether the fingerprint was the same and
     ``status`` and ``body`` hold the first outcome where it is known
-    (``status`` 0 where it is not).
+    (``status`` 0 where it is not). ``whole`` is False when the body was too
+    large to be kept.
     """
 
     key: ids.IdempotencyKey
@@ -513,10 +538,15 @@
     status: int = 0
     content_type: str = ''
     body: bytes = b''
+    round: int = 0
+    whole: bool = True
 
 
 class ClaimOutcome(PeerMessage):
-    """The answer of a call that ran under a claim."""
+    """The answer of a call that ran under a claim.
+
+    ``whole`` is False when the body was too large to be kept.
+    """
 
     key: ids.IdempotencyKey
     customer: ids.CustomerId
@@ -524,14 +554,20 @@
     status: int
     content_type: str
     body: bytes
+    whole: bool = True
 
 
 class ClaimWithdrawn(PeerMessage):
-    """The claim's request was not sent and never will be."""
+    """The claim's request was not sent under this or an earlier round.
+
+    A later round of the same request may still be sent, so a witness keeps
+    a claim that a later round renewed.
+    """
 
     key: ids.IdempotencyKey
     customer: ids.CustomerId
     request_id: ids.RequestId
+    round: int = 0
 
 
 class DemandReport(PeerMessage):
@@ -569,11 +605,17 @@
 
 
 class ListingUpdate(PeerMessage):
-    """An instance list, as one daemon read it."""
+    """An instance list, as one daemon read it.
+
+    With ``base`` above 0, ``instances`` holds only the rows that are new or
+    changed since the list of that revision, and ``removed`` those that left.
+    """
 
     revision: int
     as_of: float
     instances: tuple[ListedInstance, ...]
+    base: int = 0
+    removed: tuple[ids.InstanceId, ...] = ()
 
 
 class TextDifference(PeerMessage):
--- a/primrosereel/core/_prefill.py
+++ b/primrosereel/core/_prefill.py
@@ -152,9 +152,11 @@
             self._incarnation = report.incarnation
         if now - report.age_s <= self._changed_at:
             return
-        own = sum(job.seconds for job in self.jobs.values())
-        backlog = report.backlog_tokens / self.tokens_s * self.factor(now)
-        self._foreign_until = now + max(0.0, backlog - report.age_s - own)
+        # Engines count the cached tokens of queued prompts as well.
+        own = sum(job.prompt_tokens for job in self.jobs.values())
+        foreign = max(0, report.backlog_tokens - own)
+        seconds = foreign / self.tokens_s * self.factor(now)
+        self._foreign_until = now + max(0.0, seconds - report.age_s)
 
     def _nominal(self, uncached_tokens: int) -> float:
         return OVERHEAD_S + max(0, uncached_tokens) / self.tokens_s
@@ -196,9 +198,7 @@
                 del self.jobs[request]
 
     def _correct_cache(self, job: Job, cached_tokens: int, now: float) -> None:
-        actual = prefix_cache.cached_blocks(
-            cached_tokens, job.prompt_tokens, len(job.hashes)
-        )
+        actual = prefix_cache.cached_blocks(cached_tokens)
         if actual < job.match.blocks:
             self.cache.forget_until(job.match.used_at)
         # The prefill has just stored or used all blocks of its prompt.
--- a/primrosereel/core/_tables.py
+++ b/primrosereel/core/_tables.py
@@ -15,6 +15,7 @@
 from primrosereel import _states as states
 from primrosereel import text as text_module
 from primrosereel.core import _messages as messages
+from primrosereel.core import _retries as retries
 
 __all__ = [
     'Customer',
@@ -23,6 +24,7 @@
     'Peer',
     'Runner',
     'System',
+    'TextRefusal',
     'World',
 ]
 
@@ -63,6 +65,8 @@
     facts: text_module.Runner
     leaving: bool = False
     suspect: bool = False
+    # The runner was suspect and may take one request as a probe.
+    probing: bool = False
     report: messages.LoadReport | None = None
     reported_at: float = -math.inf
 
@@ -101,6 +105,14 @@
     demand: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TextRefusal:
+    """A text that did not check; written by the configuration system."""
+
+    revision: ids.Revision
+    faults: tuple[str, ...]
+
+
 class System(Protocol):
     """One concern of the core; runs over the tables."""
 
@@ -128,8 +140,25 @@
         self.wall = 0.0
         self.text: text_module.Text | None = None
         self.revision = ids.Revision(0)
+        # Why the newest refused text was refused, for operators.
+        self.refusal: TextRefusal | None = None
         self.draining = False
+        # Monotonic time at which this process last resumed after a pause.
+        self.paused_at = -math.inf
         self.listing = Listing()
+        # Monotonic time at which ``listing.as_of`` last advanced.
+        self.listed_at = -math.inf
+        # The ``as_of`` of the first list that showed an instance with its
+        # incarnation, for those in the list.
+        self.listed_since: dict[
+            tuple[ids.InstanceId, ids.Incarnation], float
+        ] = {}
+        # Incremented whenever the list, a peer's state or draining changes;
+        # what is computed from them can be kept until then.
+        self.view = 0
+        # Monotonic time at which a peer or the configuration service last
+        # confirmed the own revision.
+        self.confirmed_at = -math.inf
         self.peers: dict[ids.InstanceId, Peer] = {}
         self.runners: dict[ids.RunnerId, Runner] = {}
         self.groups: dict[ids.GroupId, tuple[ids.RunnerId, ...]] = {}
@@ -144,6 +173,10 @@
         self.explanations: collections.OrderedDict[
             ids.RequestId, list[str]
         ] = collections.OrderedDict()
+        # Requests in progress, of the entry and the plain system together.
+        self.active_requests = 0
+        self.drain_finished = False
+        self.retry_budget = retries.RetryBudget()
         self.outbox: list[messages.Outbound] = []
         self.wake = math.inf
 
