--- a/primrosereel/core/_group.py
+++ b/primrosereel/core/_group.py
@@ -60,7 +60,7 @@
         self._released: collections.OrderedDict[ids.RequestId, int] = (
             collections.OrderedDict()
         )
-        # Requests whose entries do not know yet that they wait.
+        # Requests whose entries have asked and have no answer yet.
         self._unacknowledged: list[queue.Waiting] = []
         self._awaiting: set[ids.InstanceId] = set()
         self._collect_until = -math.inf
@@ -125,6 +125,8 @@
             self._release(key, now)
         waiting = self.queue.get(key)
         if waiting is not None and attempt <= waiting.request.attempt:
+            if attempt == waiting.request.attempt:
+                self._unacknowledged.append(waiting)
             return
         arrived = now if waiting is None else waiting.arrived
         self._sequence += 1
@@ -263,7 +265,7 @@
         )
 
     def _acknowledge(self) -> None:
-        """Tell entries which of their new requests have to wait.
+        """Tell entries which of their requests have to wait.
 
         Without it an entry would take the silence for a lost owner and place
         the request by itself.
--- a/primrosereel/core/_holdings.py
+++ b/primrosereel/core/_holdings.py
@@ -74,4 +74,5 @@
         row.priority,
         row.stream is not None and row.stream.begun,
         row.customer,
+        row.stream is not None and row.stream.pause is requests.Pause.PAUSED,
     )
--- a/primrosereel/core/_prefix_cache.py
+++ b/primrosereel/core/_prefix_cache.py
@@ -11,6 +11,7 @@
 import math
 from typing import NamedTuple
 
+from primrosereel import _prefix as prefix
 from primrosereel.core import _messages as messages
 
 __all__ = ['Match', 'PrefixCache', 'cached_blocks']
@@ -32,15 +33,13 @@
     used_at: float
 
 
-def cached_blocks(tokens: int, prompt_tokens: int, blocks: int) -> int:
-    """Return how many of a prompt's blocks a number of tokens covers.
+def cached_blocks(tokens: int) -> int:
+    """Return how many blocks an engine used that had these tokens cached.
 
-    The block size is not known, only that ``blocks`` whole blocks fit into
-    the prompt. With that, rounding up is exact for whole blocks.
+    An engine computes the last token of a prompt in any case, so the last
+    block may count as one token less.
     """
-    if not prompt_tokens:
-        return 0
-    return min(blocks, math.ceil(tokens * blocks / prompt_tokens))
+    return math.ceil(tokens / prefix.BLOCK_TOKENS)
 
 
 class PrefixCache:
@@ -76,8 +75,7 @@
             blocks += 1
         if not blocks:
             return Match(0, 0, used_at)
-        # The prompt ends inside a block; on average in its middle.
-        tokens = int(prompt_tokens * blocks / (len(hashes) + 0.5))
+        tokens = min(blocks * prefix.BLOCK_TOKENS, prompt_tokens - 1)
         return Match(blocks, tokens, used_at)
 
     def add(self, hashes: Iterable[int], now: float) -> tuple[int, ...]:
@@ -117,7 +115,7 @@
         elif events.since < self._next:
             # The answer to an older poll; its events were applied already.
             return
-        elif events.first > events.since + 1:
+        elif events.first > events.since:
             self.forget_until(now - EVENT_LAG_S)
         self._next = events.next
         # An eviction may be older than the owner's last use of the block.
@@ -130,6 +128,9 @@
         self.discard(evicted)
 
     def clear(self) -> None:
-        """Forget everything, as after a restart of the engine."""
+        """Forget everything, as after a restart of the engine.
+
+        Events from before the restart must not be read again, so the
+        sequence number stays.
+        """
         self._blocks.clear()
-        self._next = 0
