--- a/primrosereel/standin/_decodes.py
+++ b/primrosereel/standin/_decodes.py
@@ -143,7 +143,7 @@
         if held.state is not State.FINISHED:
             self._end(held, now, reason)
         held.state = State.FINISHED
-        self._common.forget(held)
+        self._common.forget(held, now)
 
     def set_slow(self, factor: float, now: float) -> None:
         """Multiply step times by ``factor``."""
--- a/primrosereel/standin/_engine.py
+++ b/primrosereel/standin/_engine.py
@@ -11,8 +11,8 @@
 import anyio
 from anyio import abc
 import httpx
-import msgspec
 
+from primrosereel.standin import _engine_bodies as bodies
 from primrosereel.standin import _engine_stream as engine_stream
 from primrosereel.standin import _faults as faults
 from primrosereel.standin import _http as http
@@ -39,53 +39,6 @@
 }
 
 
-class KvBody(msgspec.Struct):
-    """An exported KV cache in a request or an answer."""
-
-    handle: str
-    runner: str
-    tokens: int
-    bytes: int
-
-
-class PrefillBody(msgspec.Struct):
-    """Body of ``POST /v1/prefill``."""
-
-    request_id: str
-    prompt: str
-    model: str | None = None
-    priority: int = 0
-    lease_s: float = 1e9
-
-
-class PrefillAnswer(msgspec.Struct):
-    """Answer to ``POST /v1/prefill``."""
-
-    request_id: str
-    kv: KvBody
-    cached_tokens: int
-
-
-class DecodeBody(msgspec.Struct):
-    """Body of ``POST /v1/decode``."""
-
-    request_id: str
-    kv: KvBody
-    prompt: str
-    max_tokens: int
-    model: str | None = None
-    priority: int = 0
-    offset: int = 0
-
-
-class OrderBody(msgspec.Struct):
-    """Body of ``POST /v1/orders``."""
-
-    fencing_token: int
-    kind: str
-    value: str
-
-
 class EngineService:
     """Calls of the engine interface, and the task that drives the model."""
 
@@ -158,7 +111,7 @@
             if handler is not None:
                 await handler(call, parts[3])
                 return
-        await call.reply({'error': 'unknown call', 'ran': False}, 404)
+        await call.reply(http.Refusal('unknown call'), 404)
 
     async def _struck(self, call: http.Call) -> bool:
         """Apply the faults that concern a whole call."""
@@ -193,15 +146,12 @@
         if outcome is Outcome.DROPPED:
             await call.drop()
             return
-        value = {
-            'error': outcome.value,
-            'ran': False,
-            'leaving': outcome is Outcome.LEAVING,
-        }
-        await call.reply(value, STATUS[outcome])
+        leaving = outcome is Outcome.LEAVING
+        refusal = http.Refusal(outcome.value, leaving=leaving)
+        await call.reply(refusal, STATUS[outcome])
 
     async def _prefill(self, call: http.Call) -> None:
-        body: PrefillBody = await call.decoded(PrefillBody)
+        body: bodies.PrefillBody = await call.decoded(bodies.PrefillBody)
         outcome = self._engine.prefill(
             body.request_id,
             tokens.describe(body.prompt),
@@ -223,18 +173,18 @@
         if not self._engine.alive:
             await call.drop()
         elif ended is None:
-            await call.reply({'error': 'cancelled', 'ran': True}, 409)
+            await call.reply(http.Refusal('cancelled', ran=True), 409)
         else:
             handle = f'{self.address}/{ended.kv.handle}'
-            kv = KvBody(
+            kv = bodies.KvBody(
                 handle, ended.kv.runner, ended.kv.tokens, ended.kv.bytes
             )
             await call.reply(
-                PrefillAnswer(body.request_id, kv, ended.cached_tokens)
+                bodies.PrefillAnswer(body.request_id, kv, ended.cached_tokens)
             )
 
     async def _decode(self, call: http.Call) -> None:
-        body: DecodeBody = await call.decoded(DecodeBody)
+        body: bodies.DecodeBody = await call.decoded(bodies.DecodeBody)
         prompt = tokens.describe(body.prompt)
         outcome = self._engine.check_decode(
             body.request_id,
@@ -247,7 +197,7 @@
             await self._refuse(call, outcome)
             return
         if not await self._take(body.kv.handle):
-            await call.reply({'error': 'kv_gone', 'ran': False}, 410)
+            await call.reply(http.Refusal('kv_gone'), 410)
             return
         now = anyio.current_time()
         outcome = self._engine.decode(
@@ -303,18 +253,18 @@
         if state is None:
             await self._refuse(call, Outcome.NOT_FOUND)
         else:
-            await call.reply({'request_id': request_id, 'state': state.value})
+            await call.reply(bodies.RequestAnswer(request_id, state))
 
     async def _cancel(self, call: http.Call, request_id: str) -> None:
         outcome = self._engine.cancel(request_id, anyio.current_time())
         if outcome is Outcome.OK:
-            await call.reply({'request_id': request_id})
+            await call.reply(bodies.RequestAnswer(request_id))
         else:
             await self._refuse(call, outcome)
 
     async def _requests(self, call: http.Call) -> None:
         held = self._engine.requests(anyio.current_time())
-        await call.reply({'requests': held})
+        await call.reply(bodies.RequestsAnswer(held))
 
     async def _load(self, call: http.Call) -> None:
         await call.reply(self._engine.load(anyio.current_time()))
@@ -326,12 +276,12 @@
         )
 
     async def _order(self, call: http.Call) -> None:
-        body: OrderBody = await call.decoded(OrderBody)
+        body: bodies.OrderBody = await call.decoded(bodies.OrderBody)
         outcome = self._engine.order(
             body.fencing_token, body.kind, body.value, anyio.current_time()
         )
         if outcome is Outcome.OK:
-            await call.reply({'fencing_token': body.fencing_token})
+            await call.reply(bodies.OrderAnswer(body.fencing_token))
         else:
             await self._refuse(call, outcome)
 
@@ -377,7 +327,7 @@
             found = self._engine.release_export(
                 request_id, action == 'used', now
             )
-        await call.reply({'found': found}, 200 if found else 404)
+        await call.reply(bodies.ExportAnswer(found), 200 if found else 404)
 
     async def _take(self, handle: str) -> bool:
         return await self._call_exporter(handle, 'take', TAKE_TIMEOUT_S)
--- a/primrosereel/standin/_http.py
+++ b/primrosereel/standin/_http.py
@@ -17,6 +17,7 @@
     'App',
     'BadRequest',
     'Call',
+    'Refusal',
     'is_loopback',
     'serve',
 ]
@@ -36,6 +37,17 @@
     """A request that a stand-in cannot read."""
 
 
+class Refusal(msgspec.Struct):
+    """Body of an answer that refuses a call; ``ran`` is false if it did not.
+
+    ``leaving`` says that the upstream takes no new work.
+    """
+
+    error: str
+    ran: bool = False
+    leaving: bool = False
+
+
 class Call:
     """One HTTP request and the means to answer it."""
 
@@ -182,7 +194,7 @@
         try:
             await self._handler(call)
         except BadRequest as error:
-            await call.reply({'error': str(error), 'ran': False}, 400)
+            await call.reply(Refusal(str(error)), 400)
 
     async def _lifespan(self, receive: Any, send: Any) -> None:
         while True:
--- a/primrosereel/standin/_model.py
+++ b/primrosereel/standin/_model.py
@@ -12,13 +12,13 @@
 import math
 import random
 from typing import Any
-from typing import NamedTuple
 
 from primrosereel import _states as states
 from primrosereel.standin import _cache as cache
 from primrosereel.standin import _decodes as decodes
 from primrosereel.standin import _faults as faults
 from primrosereel.standin import _link as link
+from primrosereel.standin import _load as late_load
 from primrosereel.standin import _orders as orders
 from primrosereel.standin import _prefills as prefills
 from primrosereel.standin import _shared as shared
@@ -33,13 +33,6 @@
 PREFILL_STATES = (State.QUEUED, State.PREFILLING, State.EXPORTED)
 
 
-class _Load(NamedTuple):
-    busy: int
-    queued: int
-    free_pieces: int
-    backlog_tokens: int
-
-
 class EngineModel:
     """One engine: prefill or decode, by its role."""
 
@@ -69,9 +62,9 @@
         self._last_reader = 0
         self._silent_through = 0
         self._now = now
-        self._load_interval_s = config.load_lag_s / 2
-        self._load_sample = self._sample_number(now)
-        self._load_latest = self._load_before = self._current_load(now)
+        self._late = late_load.LateLoad(
+            config.load_lag_s, now, self._current_load(now)
+        )
 
     @property
     def role(self) -> states.Role:
@@ -81,6 +74,10 @@
     @property
     def counters(self) -> types.Counters:
         """What happened so far; live, not a copy."""
+        self._common.counters.requests_held = sum(
+            held.state is not State.FINISHED
+            for held in self._common.held.values()
+        )
         return self._common.counters
 
     @property
@@ -269,20 +266,18 @@
     def load(self, now: float) -> types.LoadView:
         """Return a load report of half to the whole load lag ago."""
         self._catch_up(now)
-        load = self._load_before
-        taken = (self._load_sample - 1) * self._load_interval_s
-        if self._load_interval_s == 0:
-            load, taken = self._current_load(now), now
+        current = self._current_load(now)
+        shown, age_s = self._late.shown(current, now)
         return types.LoadView(
             places=self.config.places,
-            busy=load.busy,
-            queued=load.queued,
+            busy=shown.busy,
+            queued=shown.queued,
             pieces=self.config.pieces,
-            free_pieces=load.free_pieces,
-            backlog_tokens=load.backlog_tokens,
+            free_pieces=shown.free_pieces,
+            backlog_tokens=shown.backlog_tokens,
             incarnation=self.incarnation,
             leaving=self.faults.leaving,
-            age_s=now - taken,
+            age_s=age_s,
         )
 
     def cache_events(self, since: int, now: float) -> cache.CacheEvents:
@@ -320,7 +315,7 @@
         self._common.counters.crashes += 1
         self._decodes.clear(now)
         self._prefills.clear()
-        self._common.clear()
+        self._common.clear(now)
         self._blocks.clear()
         self._readers.clear()
         self._silent_through = 0
@@ -337,12 +332,14 @@
 
     def _catch_up(self, now: float) -> None:
         while (due := self._next_due()) <= now:
-            self._sample_load(due)
+            if self._late.due(due):
+                self._late.sample(due, self._current_load(due))
             self._now = due
             self._decodes.advance(due)
             self._common.run_timers(due)
             self._prefills.start_next(due)
-        self._sample_load(now)
+        if self._late.due(now):
+            self._late.sample(now, self._current_load(now))
         self._now = now
 
     def _check_new(
@@ -389,31 +386,11 @@
                 return chunk._replace(request_id=held.request_id, tokens=texts)
         return chunk._replace(request_id=f'{chunk.request_id}0')
 
-    def _current_load(self, now: float) -> _Load:
+    def _current_load(self, now: float) -> late_load.Load:
         busy = self._common.counters.places_held
-        return _Load(
+        return late_load.Load(
             busy=busy + self._prefills.busy,
             queued=self._prefills.queued,
             free_pieces=self._common.free_pieces,
             backlog_tokens=self._prefills.backlog_tokens(now),
         )
-
-    def _sample_number(self, now: float) -> int:
-        if self._load_interval_s == 0:
-            return 0
-        return int(now / self._load_interval_s)
-
-    def _sample_load(self, now: float) -> None:
-        """Take the samples due, before anything changes at ``now``.
-
-        The report shows the sample before the last one, so its age is from
-        half of the lag to the whole lag.
-        """
-        number = self._sample_number(now)
-        if number <= self._load_sample:
-            return
-        load = self._current_load(now)
-        following = number == self._load_sample + 1
-        self._load_before = self._load_latest if following else load
-        self._load_latest = load
-        self._load_sample = number
--- a/primrosereel/standin/_plain.py
+++ b/primrosereel/standin/_plain.py
@@ -57,14 +57,8 @@
             await call.reply(self._load())
         elif self._faults.leaving or self._faults.full:
             leaving = self._faults.leaving
-            await call.reply(
-                {
-                    'error': 'leaving' if leaving else 'full',
-                    'ran': False,
-                    'leaving': leaving,
-                },
-                503,
-            )
+            error = 'leaving' if leaving else 'full'
+            await call.reply(http.Refusal(error, leaving=leaving), 503)
         else:
             await self._execute(call)
 
--- a/primrosereel/standin/_platform.py
+++ b/primrosereel/standin/_platform.py
@@ -46,6 +46,12 @@
     dropped: int = 0
 
 
+class RevisionAnswer(msgspec.Struct):
+    """Answer to a new configuration: the revision it was given."""
+
+    revision: int
+
+
 class PlatformService:
     """The two reading calls and the control calls of tests."""
 
@@ -71,7 +77,7 @@
         """Answer one call."""
         handler = self._routes.get((call.method, call.path))
         if handler is None:
-            await call.reply({'error': 'unknown call'}, 404)
+            await call.reply(http.Refusal('unknown call'), 404)
             return
         if call.path.startswith('/v1/'):
             await anyio.sleep(self._faults.delay_s)
@@ -152,12 +158,12 @@
         self._revision += 1
         self._texts[self._revision] = text
         self._wake()
-        await call.reply({'revision': self._revision})
+        await call.reply(RevisionAnswer(self._revision))
 
     async def _set_candidates(self, call: http.Call) -> None:
         kind = tuple[listing.Candidate, ...]
         self._listing.set_candidates(await call.decoded(kind))
-        await call.reply({})
+        await call.reply(self._listing.shown(self._faults))
 
     async def _set_faults(self, call: http.Call) -> None:
         values: dict[str, Any] = await call.decoded(dict[str, Any])
--- a/primrosereel/standin/_prefills.py
+++ b/primrosereel/standin/_prefills.py
@@ -99,7 +99,7 @@
         if held is None or held.state is not State.EXPORTED:
             return False
         if used:
-            self._common.forget(held)
+            self._common.forget(held, now)
         else:
             self._common.set_timer(held, now + self._lease(held), self._evict)
         return True
@@ -117,7 +117,7 @@
             self._common.counters.cancelled_tokens += wasted
             self._running = None
         held.state = State.FINISHED
-        self._common.forget(held)
+        self._common.forget(held, now)
 
     def set_slow(self, factor: float, now: float) -> None:
         """Multiply compute times by ``factor``, also of what is left."""
@@ -180,7 +180,7 @@
         counters = self._common.counters
         counters.evicted_unused += 1
         counters.wasted_tokens += held.prompt.tokens - held.cached
-        self._common.forget(held)
+        self._common.forget(held, now)
 
     def _kv(self, held: shared.Held) -> types.Kv:
         count = held.prompt.tokens
--- a/primrosereel/standin/_shared.py
+++ b/primrosereel/standin/_shared.py
@@ -95,7 +95,6 @@
     def add(self, held: Held) -> None:
         """Keep a new request."""
         self.held[held.request_id] = held
-        self.counters.requests_held = len(self.held)
 
     def take(self, held: Held, place: bool) -> bool:
         """Give a request its pieces and place, if they are free."""
@@ -124,12 +123,11 @@
         held.pieces = 0
         held.place = False
 
-    def forget(self, held: Held, now: float = 0.0) -> None:
-        """Free everything and drop the request."""
+    def forget(self, held: Held, now: float) -> None:
+        """Free everything and drop the request; also a timer's action."""
         self.give_back(held)
         self.clear_timer(held)
         self.held.pop(held.request_id, None)
-        self.counters.requests_held = len(self.held)
 
     def set_timer(self, held: Held, time: float, action: Action) -> None:
         """Call ``action`` at a time; replaces the request's timer."""
@@ -156,8 +154,8 @@
             held.stamp += 1
             action(held, now)
 
-    def clear(self) -> None:
+    def clear(self, now: float) -> None:
         """Drop every request and timer."""
         for held in list(self.held.values()):
-            self.forget(held)
+            self.forget(held, now)
         self._heap.clear()
