--- a/primrosereel/core/_configuration.py
+++ b/primrosereel/core/_configuration.py
@@ -221,7 +221,8 @@
         world.send(sender, self._full())
 
     def _on_heartbeat(self, message, sender, now: float) -> None:
-        self._peer_answered = True
+        # A peer without a text started just now as well and knows nothing.
+        self._peer_answered |= message.revision > 0
         if self._is_news(message.revision):
             self._told = max(self._told, message.revision)
             self._ask(sender, now)
@@ -263,13 +264,16 @@
         if self._told > revision:
             if waited_s < HIGHER_GRACE_S:
                 return
-        elif waited_s < PEERS_GRACE_S and not (
-            self._peer_answered and self._service_answered
-        ):
+        elif waited_s < PEERS_GRACE_S and not self._all_asked():
             return
         self._candidate = None
         self._accept(text, revision)
 
+    def _all_asked(self) -> bool:
+        """Tell whether the service and a peer with a text have answered."""
+        alone = self._world.listing.revision > 0 and not self._world.peers
+        return self._service_answered and (self._peer_answered or alone)
+
     def _accept(self, text: text_module.Text, revision: ids.Revision) -> None:
         self._last_difference = None
         self._packed = None
--- a/primrosereel/core/_membership.py
+++ b/primrosereel/core/_membership.py
@@ -44,7 +44,6 @@
         messages.InstanceListRead,
         messages.DrainRequested,
         messages.LoadReported,
-        messages.TextChanged,
         messages.PeerFailed,
         *messages.PeerMessage.__subclasses__(),
     )
@@ -58,7 +57,6 @@
             messages.InstanceListRead: self._on_list_read,
             messages.DrainRequested: self._on_drain,
             messages.LoadReported: self._on_load,
-            messages.TextChanged: self._on_text_changed,
             messages.PeerFailed: self._on_peer_failed,
             messages.FromPeer: self._on_peer,
         }
@@ -122,9 +120,6 @@
         row.report = report
         row.reported_at = now
 
-    def _on_text_changed(self, _message, _now: float) -> None:
-        self._world.owners.clear()
-
     def _on_peer_failed(
         self, message: messages.PeerFailed, now: float
     ) -> None:
--- a/tests/property/test_groups.py
+++ b/tests/property/test_groups.py
@@ -106,6 +106,8 @@
     for number, data in enumerate(history):
         text = test_text.parsed(data)
         text_tables.put_in_force(worlds[0], text, number + 1)
+        assert not worlds[0].owners
+        worlds[0].owners['r0'] = {}
     text_tables.put_in_force(worlds[1], text, len(history))
     for name in (
         'groups',
--- /dev/null
+++ b/tests/property/test_listing.py
@@ -0,0 +1,109 @@
+"""The instance list against a naive model that keeps every list."""
+
+import random
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from primrosereel import core
+from primrosereel.core import _listing as listing
+from primrosereel.core import _messages as messages
+
+WALL = 1000.0
+OWN = core.Identity('own', 1, 'r0', 'a', 'x')
+ROWS = st.dictionaries(
+    st.sampled_from(['a', 'b', 'c', 'd']),
+    st.tuples(st.integers(1, 3), st.booleans()),
+    max_size=4,
+)
+HISTORY = st.lists(ROWS, min_size=1, max_size=6)
+
+
+def rows_of(drawn):
+    """Return the rows of a list."""
+    return {
+        name: messages.ListedInstance(name, incarnation, 'r0', 'z', 'x', out)
+        for name, (incarnation, out) in drawn.items()
+    }
+
+
+def keeper():
+    """Return a keeper with its world."""
+    world = core.Core(OWN, random.Random(0), ()).world
+    world.wall = WALL
+    return listing.ListKeeper(world), world
+
+
+def differences(lists):
+    """Return the updates between each list and the next."""
+    for number, (old, new) in enumerate(zip(lists, lists[1:], strict=False)):
+        yield messages.ListingUpdate(
+            number + 2,
+            WALL - 100 + number + 2,
+            tuple(r for n, r in new.items() if old.get(n) != r),
+            number + 1,
+            tuple(n for n in old if n not in new),
+        )
+
+
+@settings(max_examples=60)
+@given(HISTORY, st.randoms(use_true_random=False))
+def test_differences_in_any_order_end_at_a_true_list(history, rand):
+    """Compares lists passed on as differences with the lists themselves."""
+    lists = [rows_of(drawn) for drawn in history]
+    subject, world = keeper()
+    subject.read(
+        messages.InstanceListRead(1, WALL - 99, tuple(lists[0].values())), 0.0
+    )
+    updates = list(differences(lists))
+    shuffled = [*updates, *updates]
+    rand.shuffle(shuffled)
+    for update in shuffled:
+        before = world.listing.revision
+        subject.update(update, 'peer', 0.0)
+        assert world.listing.revision >= before
+        assert world.listing.instances == lists[world.listing.revision - 1]
+    for update in updates:
+        subject.update(update, 'peer', 0.0)
+    assert world.listing.revision == len(lists)
+
+
+@settings(max_examples=60)
+@given(HISTORY)
+def test_listed_since_is_the_first_list_of_an_unbroken_row(history):
+    """Guards against a witness that vouches for a time it was not listed."""
+    lists = [rows_of(drawn) for drawn in history]
+    subject, world = keeper()
+    for number, rows in enumerate(lists):
+        # Each list is first seen as old as it is, then confirmed later.
+        as_of = WALL - 100 + 10 * number
+        for later in (0, 5):
+            subject.read(
+                messages.InstanceListRead(
+                    number + 1, as_of + later, tuple(rows.values())
+                ),
+                0.0,
+            )
+    naive = {}
+    for row in lists[-1].values():
+        key = (row.instance, row.incarnation)
+        first = len(lists) - 1
+        while first and key in {
+            (r.instance, r.incarnation) for r in lists[first - 1].values()
+        }:
+            first -= 1
+        naive[key] = WALL - 100 + 10 * first
+    assert world.listed_since == naive
+
+
+@given(st.floats(allow_nan=False), st.floats(allow_nan=False))
+def test_only_a_time_that_has_come_makes_a_list_fresh(as_of, claimed):
+    """Guards against a wrong clock that keeps a list fresh for long."""
+    subject, world = keeper()
+    subject.read(messages.InstanceListRead(1, as_of, ()), 0.0)
+    subject.heartbeat(messages.Heartbeat(0, 1, claimed), 'peer', 0.0)
+    allowed = [t for t in (as_of, claimed) if t <= WALL + 1.0]
+    newest = max(allowed, default=float('-inf'))
+    assert world.listing.as_of == newest
+    assert listing.fresh(world) == (newest >= WALL - listing.FRESH_S)
