--- a/tests/property/test_standin_batch.py
+++ b/tests/property/test_standin_batch.py
@@ -2,6 +2,7 @@
 
 import math
 
+from hypothesis import example
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -16,12 +17,12 @@
 
 ACTIONS = st.lists(
     st.tuples(
-        st.integers(0, 40),
+        st.integers(0, 5),
         st.sampled_from(['join', 'leave']),
         st.integers(0, PLACES - 1),
         st.integers(1, 9),
     ),
-    max_size=20,
+    max_size=40,
 )
 
 
@@ -80,14 +81,21 @@
                 ends.append((due, event.key, totals[event.key]))
 
 
+# A stream that left and joined again, while its former end falls on the same
+# step as another's.
+REJOINED = [(0, 'join', 0, 4), (1, 'join', 1, 3)]
+REJOINED += [(3, 'leave', 1, 1), (0, 'join', 1, 9)]
+
+
 @settings(max_examples=100)
+@example(REJOINED)
 @given(ACTIONS)
 def test_batch_equals_steps(actions):
     """Guards against tokens gained or lost when the batch changes."""
     real = batch.Batch(FULL_S, PLACES)
     naive = NaiveBatch()
     ends, totals, now = [], {}, 0.0
-    for wait, action, name, tokens in [*actions, (9999, '', 0, 0)]:
+    for wait, action, name, tokens in [*actions, (999, '', 0, 0)]:
         # An odd fraction keeps the actions off the step boundaries, where
         # rounding would decide which version counts the step.
         now += (wait + 0.37) * GRID_S
