Check kept owners and pauses more strictly

Mutations that did not clear the owners on a change of the list or of a peer's state, that held a pause against peers, or that believed a process which had been replaced, passed all tests. Each now fails one.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -110,8 +110,7 @@
         )
         self.revisions[name].append(0)
         if listed:
-            self.platform.listed[name] = identity.listed()
-            self.platform.list_revision += 1
+            self.relist(name)
 
     def stop(self, name, unlist=True):
         """End a daemon."""
@@ -119,6 +118,13 @@
         if unlist:
             self.unlist(name)
 
+    def relist(self, name):
+        """Show a daemon in the instance list as it is now."""
+        row = self.cores[name].world.identity.listed()
+        if self.platform.listed.get(name) != row:
+            self.platform.listed[name] = row
+            self.platform.list_revision += 1
+
     def unlist(self, name):
         """Remove a daemon from the instance list."""
         if self.platform.listed.pop(name, None):
--- a/tests/property/test_fleet.py
+++ b/tests/property/test_fleet.py
@@ -12,6 +12,7 @@
 from primrosereel import text as text_module
 from primrosereel.core import _membership as membership
 from primrosereel.core import _messages as messages
+from primrosereel.core import _ownership as ownership
 from primrosereel.core import _ring as ring
 from primrosereel.core import _service_reads as service_reads
 from tests import fleet as fleet_module
@@ -82,6 +83,14 @@
         """Kill a daemon and start it again."""
         self.fleet.start(name, f'r{name[1]}')
 
+    @stateful.rule(name=st.sampled_from(NAMES), shown=st.booleans())
+    def list_shows(self, name, shown):
+        """Make the instance list miss a daemon, or show it again."""
+        if shown:
+            self.fleet.relist(name)
+        else:
+            self.fleet.unlist(name)
+
     @stateful.rule(one=st.sampled_from(NAMES), other=st.sampled_from(NAMES))
     def cut(self, one, other):
         """Break the link between two daemons."""
@@ -100,6 +109,17 @@
                 assert after > before or after == 0
                 assert after in self.good
 
+    @stateful.invariant()
+    def owners_follow_the_view(self):
+        """Owners that are kept are those that would be computed now."""
+        cores = self.fleet.cores if hasattr(self, 'fleet') else {}
+        for core in cores.values():
+            world = core.world
+            kept = {g: ownership.group_owner(world, g) for g in world.groups}
+            world.owners.clear()
+            for group, owner in kept.items():
+                assert ownership.group_owner(world, group) == owner
+
     def teardown(self):
         """End all faults; everything must then come together."""
         if not hasattr(self, 'fleet'):
@@ -110,6 +130,8 @@
         fleet.loss = 0.0
         fleet.platform.down = fleet.platform.list_down = False
         fleet.platform.served = None
+        for name in NAMES:
+            fleet.relist(name)
         # The service holds one text, so one that was replaced before any
         # daemon took it is gone.
         newest = max(core.world.revision for core in fleet.cores.values())
@@ -236,6 +258,24 @@
     assert fleet.at_revision(2)
 
 
+def test_late_word_of_an_old_process_is_ignored():
+    """Guards against a restarted peer that is left out as leaving."""
+    fleet = fleet_module.Fleet([3])
+    fleet.run(5)
+    old = fleet.world('i0-001').identity.incarnation
+    leaving = messages.Heartbeat(0, 0, 0.0, leaving=True)
+    fleet.start('i0-001', 'r0')
+    fleet.run(5)
+    peer = fleet.world('i0-000').peers['i0-001']
+    fleet.give('i0-000', messages.FromPeer('i0-001', old, leaving))
+    assert peer.state is states.PeerState.LIVE
+    fleet.give(
+        'i0-000',
+        messages.FromPeer('i0-001', peer.listed.incarnation, leaving),
+    )
+    assert peer.state is states.PeerState.LEAVING
+
+
 def test_expanding_text_is_refused():
     """Guards against a small message that fills the memory."""
     fleet = fleet_module.Fleet([2])
--- a/tests/property/test_listing.py
+++ b/tests/property/test_listing.py
@@ -61,8 +61,11 @@
     rand.shuffle(shuffled)
     for update in shuffled:
         before = world.listing.revision
+        world.owners['r0'] = {}
         subject.update(update, 'peer', 0.0)
         assert world.listing.revision >= before
+        # Owners follow from the list, so they go when it changes.
+        assert bool(world.owners) == (world.listing.revision == before)
         assert world.listing.instances == lists[world.listing.revision - 1]
     for update in updates:
         subject.update(update, 'peer', 0.0)
