Name load report steps after their component

All features share their steps, so a step that began with "runner" could collide with those of other components.

--- a/tests/features/load_leaving.feature
+++ b/tests/features/load_leaving.feature
@@ -5,9 +5,9 @@
     runner that never gets work again.
 
     Given a fleet of 2 daemons that all run text 1
-    When runner d0 of i0-000 reports incarnation 1, leaving
-    Then runner d0 of i0-000 is leaving in the tables
-    When runner d0 of i0-000 reports incarnation 1, back
-    Then runner d0 of i0-000 is leaving in the tables
-    When runner d0 of i0-000 reports incarnation 2, back
-    Then runner d0 of i0-000 is working in the tables
+    When membership hears that runner d0 of i0-000 reports incarnation 1, leaving
+    Then membership has runner d0 of i0-000 as leaving
+    When membership hears that runner d0 of i0-000 reports incarnation 1, back
+    Then membership has runner d0 of i0-000 as leaving
+    When membership hears that runner d0 of i0-000 reports incarnation 2, back
+    Then membership has runner d0 of i0-000 as working
--- a/tests/features/steps/load_signs.py
+++ b/tests/features/steps/membership_load.py
@@ -6,7 +6,10 @@
 from primrosereel.core import _messages as messages
 
 
-@when('runner {runner} of {name} reports incarnation {number:d}{leaving}')
+@when(
+    'membership hears that runner {runner} of {name} reports '
+    'incarnation {number:d}{leaving}'
+)
 def report(context, runner, name, number, leaving):
     """Give one load report."""
     load = messages.LoadReport(
@@ -15,7 +18,7 @@
     context.fleet.give(name, messages.LoadReported(runner, load))
 
 
-@then('runner {runner} of {name} is {state} in the tables')
+@then('membership has runner {runner} of {name} as {state}')
 def check_leaving(context, runner, name, state):
     """Compare the row of the runner."""
     row = context.fleet.world(name).runners[runner]
