--- a/tests/features/plain_calls.feature
+++ b/tests/features/plain_calls.feature
@@ -74,6 +74,15 @@
     And the plain caller sends POST /strikes with key again
     Then the plain caller gets 503 "strike 7" as a replay
 
+  Scenario: a call that may have run keeps its key after the caller left
+    Guards against a key that is freed although its call may have run.
+
+    When the plain caller sends POST /strikes with key fresh
+    And the plain caller leaves
+    And the plain runner fails with broken and unknown
+    And the plain caller sends POST /strikes with key again
+    Then the plain caller is refused with idempotency_key_in_use and unknown
+
   Scenario: a large outcome is not replayed
     Guards against a replay of a part of an answer.
 
--- a/tests/property/claims_cluster.py
+++ b/tests/property/claims_cluster.py
@@ -82,6 +82,7 @@
         self.now = 0.0
         self.loss = 0.0
         self.slow = 0.0
+        self.cut = set()
         self.executions = {}
         self.refused_not_run = 0
         self.answers = 0
@@ -149,6 +150,10 @@
             self._revision += 1
             self._at(3.0, lambda: self.kill(name, 1.0))
 
+    def unlist(self, name):
+        """Let the platform lose sight of a process that lives on."""
+        self._unlist(name, self.nodes[name].identity.incarnation)
+
     def pause(self, name, seconds):
         """Stop a process for a while; it doesn't notice at once."""
         node = self.nodes[name]
@@ -288,6 +293,8 @@
             node.identity.instance, node.identity.incarnation, effect.message
         )
         target = effect.destination
+        if (node.identity.instance, target) in self.cut:
+            return
         copies = self.random.choices((1, 2), (9, 1))[0]
         for _ in range(copies):
             if self.random.random() < self.loss:
@@ -327,6 +334,8 @@
             self._reply(own, 0.05, failure)
             return
         delay_s = 3.0 if fate == 'answer late' else 0.02
+        if fate == 'lose answer':
+            delay_s = self.random.choice((0.02, 3.0))
         self._at(delay_s, lambda: self._run_call(effect))
         if fate == 'lose answer':
             failure = messages.PlainFailed(
--- a/tests/property/test_claims.py
+++ b/tests/property/test_claims.py
@@ -141,6 +141,11 @@
         """Let time pass; the cluster checks what happens."""
         self.cluster.advance(seconds)
 
+    def leave_last(self):
+        """Let the caller of the newest call go away."""
+        if self.requests:
+            self.leave(-1)
+
     def forget_key(self, index):
         """Let the next use of an index make another key."""
         self.keys.pop(index, None)
@@ -151,6 +156,39 @@
             self.cluster.advance(20.0)
 
 
+@pytest.mark.parametrize('seed', range(5))
+def test_consent_of_lagging_witness_proves_nothing(seed):
+    """Guards against not_run for a key that ran under a newer list.
+
+    A witness that the list lost consents while its own list lags; the other
+    witnesses, which hold the claim, can't be reached by the entry.
+    """
+    cluster = cluster_module.Cluster(SIZE, seed)
+    key = cluster_module.make_key(
+        int((cluster_module.EPOCH + cluster.now) * 1000), 1
+    )
+    view = witnesses.witness_set(
+        cluster.nodes['n0'].core.world,
+        cluster_module.REGION,
+        cluster_module.CUSTOMER,
+        key,
+    )
+    lagging, *reachable_by_others = (name for name, _ in view)
+    entry, other, *_ = (n for n in cluster.names if n not in dict(view))
+    cluster.nodes[lagging].lagging = True
+    cluster.nodes[entry].lagging = True
+    # Lists that are on their way arrive within 1 s.
+    cluster.advance(1.1)
+    cluster.unlist(lagging)
+    cluster.advance(3.1)
+    cluster.cut.update((entry, name) for name in reachable_by_others)
+    cluster.call(other, key)
+    cluster.advance(0.5)
+    cluster.call(entry, key)
+    cluster.advance(10.0)
+    assert cluster.refused_not_run == 0 or not cluster.executions
+
+
 # Steps of a random walk: name, weight, and the values of each argument.
 SOME_NODES = range(SIZE)
 SOME_KEYS = range(6)
@@ -158,6 +196,7 @@
     ('make_key', 2, (SOME_KEYS, (-1.9, 0, 5, 12))),
     ('call', 10, (SOME_NODES, SOME_KEYS, (0.002, 4.0))),
     ('call_everywhere', 2, (SOME_NODES, SOME_KEYS, (0.0, 0.003, 1.0, 6.0))),
+    ('leave_last', 2, ()),
     ('forget_key', 1, (SOME_KEYS,)),
     ('kill', 2, (SOME_NODES, (0.5, 2.0, 6.0))),
     ('lose_witnesses', 0.5, (SOME_KEYS,)),
