Keep a queued request at its owner until the owner is lost

The entry expected an answer to each repeated ask and placed a queued request directly after about two seconds without one. The owner acknowledges only the first ask of an attempt, so at peak every queued request would have bypassed the reservation. Once queued, a request now stays with its owner until PeerFailed or a change of the owner.

--- a/primrosereel/core/_grants.py
+++ b/primrosereel/core/_grants.py
@@ -126,6 +126,7 @@
     row.group = group
     row.groups_tried += (group,)
     row.attempt += 1
+    row.answered = False
     row.owner = ownership.group_owner(entry.world, group)
     if row.owner is None:
         _place_directly(entry, row, now)
@@ -162,7 +163,6 @@
         row.exclude,
         row.call.parent,
     )
-    row.answered = False
     entry.world.explain(
         row.id, f'attempt {row.attempt}: ask {row.owner} for {row.group}'
     )
@@ -185,13 +185,18 @@
 
 
 def _repeat(entry, row, now: float) -> None:
-    """Ask again under the same attempt; the owner may have changed."""
+    """Ask again under the same attempt; the owner may have changed.
+
+    An owner that queued the request need not answer a repeated ask. When it
+    is lost meanwhile, PeerFailed or the change of the owner tells.
+    """
     owner = ownership.group_owner(entry.world, row.group)
     if owner is None:
         owner_unreachable(entry, row, now)
         return
     changed = owner != row.owner
     row.owner = owner
+    row.answered = not changed
     within_s = _owner_timeout(entry, row) if changed else REPEAT_S
     _send(entry, row, now, within_s)
 
--- a/primrosereel/core/_messages.py
+++ b/primrosereel/core/_messages.py
@@ -431,8 +431,8 @@
 class GrantQueued(PeerMessage):
     """The owner has no place yet and keeps the request in its queue.
 
-    It answers each GrantRequest that stays queued, also a repeated one, so
-    that an entry can tell a busy owner from an unreachable one.
+    It answers the first ask of an attempt that has to wait, so that an entry
+    can tell a busy owner from an unreachable one; it may answer repeated asks.
     """
 
     request_id: ids.RequestId
--- a/tests/features/entry.feature
+++ b/tests/features/entry.feature
@@ -18,6 +18,17 @@
     Then entry: the caller has 0 tokens and the end "refuse deadline"
     And entry: the refusal says "not_run"
 
+  Scenario: the owner is lost while a request is in its queue
+    Guards against a request that waits for a queue that is gone.
+
+    Given entry: an owner that is queue
+    When entry: a request for 5 tokens, then 3 seconds
+    Then entry: StartPrefill was emitted 0 times
+    When entry: the last ask does not reach the owner
+    And entry: 2 seconds pass
+    Then entry: the caller has 5 tokens and the end "finish"
+    And entry: counter "retry.owner_silent" is 1
+
   Scenario: a full engine does not cost a prefill
     Guards against a prefill thrown away because its decode place was taken.
 
@@ -75,6 +86,18 @@
     When entry: the prefill answers all the same
     Then entry: CancelUpstream was emitted 2 times
 
+  Scenario: the first cancels are lost
+    Guards against engine memory kept because one call was lost.
+
+    Given entry: an owner that is grant
+    When entry: a request for 90 tokens, then 0.5 seconds
+    And entry: answers of engines are lost
+    And entry: the caller leaves
+    And entry: 0.5 seconds pass
+    And entry: answers of engines arrive
+    And entry: 1 seconds pass
+    Then entry: no engine holds anything
+
   Scenario: tokens of an old attempt arrive late
     Guards against a caller that gets text of two attempts.
 
--- a/tests/features/steps/entry.py
+++ b/tests/features/steps/entry.py
@@ -40,6 +40,18 @@
         context.model.engines[name].full = state == 'full'
 
 
+@when('entry: the last ask does not reach the owner')
+def fail_ask(context):
+    """Report that the owner could not be reached."""
+    asks = [
+        e
+        for e in context.model.emitted(messages.SendPeer)
+        if isinstance(e.message, messages.GrantRequest)
+    ]
+    failed = messages.PeerFailed(asks[-1].destination, (asks[-1].message,))
+    context.model.handle(failed)
+
+
 @when("entry: the stream's engine dies")
 def kill_engine(context):
     """Kill the engine that decodes."""
