Send releases again that did not reach the owner

A release lost with a connection kept the decode place taken until the lease of the grant ended, 30 s later. PeerFailed with a release now sends it again each second, to the owner of the moment, for at most 30 s.

--- a/primrosereel/core/_entry.py
+++ b/primrosereel/core/_entry.py
@@ -89,6 +89,7 @@
         for request in entry.timers.expired(now):
             self._expired(entry.rows[request], now)
         entry.cancels.run(now)
+        entry.releases.run(now)
         self._world.wake_at(entry.timers.next())
         outcomes.finish_drain(self._world)
 
@@ -325,11 +326,15 @@
 
     def _peer_failed(self, message: messages.PeerFailed, now: float) -> None:
         for failed in message.messages:
-            if not isinstance(failed, messages.GrantRequest):
-                continue
-            row = self._asked(failed)
-            if row is not None and row.owner == message.peer:
-                grants.owner_unreachable(self._entry, row, now)
+            if isinstance(failed, messages.GrantRequest):
+                row = self._asked(failed)
+                if row is not None and row.owner == message.peer:
+                    grants.owner_unreachable(self._entry, row, now)
+            elif (
+                isinstance(failed, messages.Progress)
+                and failed.stage is states.Stage.RELEASED
+            ):
+                self._entry.releases.failed(failed, now)
 
     def _text_changed(self, message: messages.TextChanged, now: float) -> None:
         self._entry.cancels.forget_gone_runners()
--- a/primrosereel/core/_requests.py
+++ b/primrosereel/core/_requests.py
@@ -11,6 +11,7 @@
 from primrosereel import text as text_module
 from primrosereel.core import _cancels as cancels_module
 from primrosereel.core import _messages as messages
+from primrosereel.core import _releases as releases_module
 from primrosereel.core import _tables as tables
 from primrosereel.core import _timers as timers_module
 
@@ -162,6 +163,7 @@
             timers_module.Timers()
         )
         self.cancels = cancels_module.Cancels(world)
+        self.releases = releases_module.Releases(world)
         self._direct_choice = direct_choice
 
     @property
--- a/tests/features/entry.feature
+++ b/tests/features/entry.feature
@@ -8,6 +8,16 @@
     Then entry: the caller has 5 tokens and the end "finish"
     And entry: counter "retry.owner_silent" is 1
 
+  Scenario: the owner's grant comes after the direct placement
+    Guards against places that stay taken for an attempt that is over.
+
+    Given entry: an owner that is silent
+    When entry: a request for 50 tokens, then 0.5 seconds
+    Then entry: the owner was told "released" 1 times
+    When entry: the first ask is granted late
+    Then entry: the owner was told "released" 2 times
+    And entry: StartPrefill was emitted 1 times
+
   Scenario: a busy owner is waited for, up to the deadline
     Guards against direct placement on a group that is only full.
 
@@ -29,6 +39,19 @@
     Then entry: the caller has 5 tokens and the end "finish"
     And entry: counter "retry.owner_silent" is 1
 
+  Scenario: a release does not reach the owner
+    Guards against a place that stays taken until its lease ends.
+
+    Given entry: an owner that is grant
+    When entry: a request for 5 tokens, then 2 seconds
+    Then entry: the owner was told "released" 1 times
+    When entry: the last report does not reach the owner
+    And entry: 10 seconds pass
+    Then entry: the owner was told "released" 2 times
+    When entry: the last report does not reach the owner
+    And entry: 10 seconds pass
+    Then entry: the owner was told "released" 3 times
+
   Scenario: a full engine does not cost a prefill
     Guards against a prefill thrown away because its decode place was taken.
 
--- a/tests/features/steps/entry.py
+++ b/tests/features/steps/entry.py
@@ -43,15 +43,31 @@
 @when('entry: the last ask does not reach the owner')
 def fail_ask(context):
     """Report that the owner could not be reached."""
-    asks = [
+    _fail_last(context, messages.GrantRequest)
+
+
+@when('entry: the last report does not reach the owner')
+def fail_report(context):
+    """Report that the owner did not get the last progress report."""
+    _fail_last(context, messages.Progress)
+
+
+def _fail_last(context, kind):
+    sent = [
         e
         for e in context.model.emitted(messages.SendPeer)
-        if isinstance(e.message, messages.GrantRequest)
+        if isinstance(e.message, kind)
     ]
-    failed = messages.PeerFailed(asks[-1].destination, (asks[-1].message,))
+    failed = messages.PeerFailed(sent[-1].destination, (sent[-1].message,))
     context.model.handle(failed)
 
 
+@when('entry: the first ask is granted late')
+def grant_late(context):
+    """Deliver a grant of the first attempt."""
+    context.model.peer(messages.Grant(context.name, 1, 'p1', 'd1', 30.0))
+
+
 @when("entry: the stream's engine dies")
 def kill_engine(context):
     """Kill the engine that decodes."""
