--- a/tests/property/test_retries.py
+++ b/tests/property/test_retries.py
@@ -1,5 +1,6 @@
 """The retry budget and the timers against naive versions."""
 
+from hypothesis import example
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -16,7 +17,12 @@
 )
 
 
+# Requests leave the window before the retries that they allowed.
+EXPIRY = [('accept', 0.0, 600), ('retry', 9.0, 60), ('retry', 3.0, 1)]
+
+
 @given(STEPS)
+@example(EXPIRY)
 def test_budget_bounds_retries(steps):
     """Guards against retries that multiply an overload."""
     budget = retries.RetryBudget()
