--- a/primrosereel/bench/_simulation.py
+++ b/primrosereel/bench/_simulation.py
@@ -28,6 +28,7 @@
 # One way between two processes of a region.
 LATENCY_S = 0.0005
 TICK_S = 0.1
+MIN_SLEEP_S = 0.001
 # Tokens of a stream are delivered in batches of this time after the first.
 CHUNK_S = 0.2
 EPOCH_S = 1_800_000_000.0
@@ -266,7 +267,10 @@
         self._schedule_tick(node)
 
     def _schedule_tick(self, node: _Node) -> None:
-        due = min(node.next_tick, max(node.router.wake, self.now))
+        # The daemon does not wake up more often than this either.
+        due = min(
+            node.next_tick, max(node.router.wake, self.now + MIN_SLEEP_S)
+        )
         node.next_tick = due
         self.at(due, lambda: self._tick(node))
 
--- a/primrosereel/daemon/_platform.py
+++ b/primrosereel/daemon/_platform.py
@@ -55,6 +55,7 @@
                 timeout=effect.wait_s + WATCH_MARGIN_S,
             )
             if response.status_code == 204:
+                deliver(messages.ConfigurationUnchanged())
                 return
             response.raise_for_status()
             revision = int(response.headers[REVISION_HEADER])
