--- a/primrosereel/_registry.py
+++ b/primrosereel/_registry.py
@@ -34,6 +34,9 @@
         'explain': 'cmd._remote:ExplainCommand',
         'status': 'cmd._remote:StatusCommand',
     },
+    'plot': {
+        'measures': 'bench._plot:plot_measures',
+    },
     'placement': {
         'reserving': 'core._reserving:ReservingPolicy',
         'naive': 'core._placement:NaivePolicy',
--- a/primrosereel/core/_core.py
+++ b/primrosereel/core/_core.py
@@ -50,6 +50,18 @@
         """The monotonic time at which a tick is due, at the latest."""
         return self._world.wake
 
+    def gauges(self) -> dict[str, float]:
+        """Return the levels of queues and reservations by name."""
+        found: dict[str, float] = {
+            'requests.active': self._world.active_requests,
+            'configuration.revision': self._world.revision,
+            'listing.revision': self._world.listing.revision,
+        }
+        for system in self._systems:
+            if isinstance(system, tables.Gauged):
+                found.update(system.gauges())
+        return found
+
     def next_request_id(self) -> ids.RequestId:
         """Return a request id that was not used before."""
         self._sequence += 1
--- a/primrosereel/core/_pool.py
+++ b/primrosereel/core/_pool.py
@@ -92,6 +92,18 @@
         if self._timers:
             self._world.wake_at(self._timers[0][0])
 
+    def gauges(self) -> dict[str, float]:
+        """Return queue length and reservations of each owned group."""
+        found: dict[str, float] = {}
+        for name, group in self._groups.items():
+            prefix = f'group.{name.replace("/", ".")}'
+            held = group.ledger.decode.values()
+            found[f'{prefix}.queue'] = len(group.queue)
+            found[f'{prefix}.paused'] = len(group.ledger.suspended)
+            found[f'{prefix}.places'] = sum(len(r.held) for r in held)
+            found[f'{prefix}.pieces'] = sum(r.used_pieces for r in held)
+        return found
+
     def _notice_gap(self, now: float) -> None:
         """Collect live grants again after a pause of this process.
 
--- a/primrosereel/core/_tables.py
+++ b/primrosereel/core/_tables.py
@@ -10,6 +10,7 @@
 import math
 import random as random_module
 from typing import Protocol
+from typing import runtime_checkable
 
 from primrosereel import _ids as ids
 from primrosereel import _states as states
@@ -19,6 +20,7 @@
 
 __all__ = [
     'Customer',
+    'Gauged',
     'Identity',
     'Listing',
     'Peer',
@@ -130,6 +132,14 @@
         """Do what is due; called after each own message and each tick."""
 
 
+@runtime_checkable
+class Gauged(Protocol):
+    """A system that has levels to show."""
+
+    def gauges(self) -> dict[str, float]:
+        """Return the present levels by name."""
+
+
 class World:
     """The shared tables, the random source and the outbox.
 
--- a/primrosereel/daemon/_composition.py
+++ b/primrosereel/daemon/_composition.py
@@ -155,9 +155,8 @@
     async def _flush_metrics(self, driver: driver_module.Driver) -> None:
         while True:
             await anyio.sleep(FLUSH_INTERVAL_S)
-            world = driver.core.world
-            self._metrics.gauge('configuration.revision', world.revision)
-            self._metrics.gauge('listing.revision', world.listing.revision)
+            for name, level in driver.core.gauges().items():
+                self._metrics.gauge(name, level)
             self._metrics.flush()
 
     async def _serve_http(self, driver: driver_module.Driver) -> None:
