--- a/tests/property/test_limits.py
+++ b/tests/property/test_limits.py
@@ -163,6 +163,14 @@
     assert _near(statistics.mean(totals), 10.0), totals
 
 
+@pytest.mark.parametrize('lost', ['none', 'owner', 'other'])
+@pytest.mark.parametrize('seed', range(16))
+def test_each_total_is_near_limit_with_sparse_calls(seed, lost):
+    """Guards against single windows off the limit at few calls a daemon."""
+    total = _total(40, 10.0, 2.0, lost, seed)
+    assert _near(total, 10.0), total
+
+
 @pytest.mark.parametrize('size', [7, 40])
 def test_lone_customer_gets_whole_rate(size):
     """Guards against a share that stays at limit / instances."""
