--- a/primrosereel/daemon/_composition.py
+++ b/primrosereel/daemon/_composition.py
@@ -55,6 +55,7 @@
         )
         self._stop_asked = anyio.Event()
         self._stopped = anyio.Event()
+        self._servers_closed = anyio.Event()
 
     async def run(self) -> None:
         """Serve until a stop is asked for and nothing is in progress."""
@@ -94,7 +95,10 @@
             await self._drain(driver)
             self._stopped.set()
             await server.stop(CLOSE_TIMEOUT_S)
-            await anyio.sleep(0)
+            # hypercorn raises when it is cancelled while it waits for open
+            # connections, and the process would end with a failure.
+            with anyio.move_on_after(2 * CLOSE_TIMEOUT_S):
+                await self._servers_closed.wait()
             await transport.close()
             self._log.info('stopped')
             tasks.cancel_scope.cancel()
@@ -187,6 +191,7 @@
                 operator_application,
                 self._config(self._settings.operators.address),
             )
+        self._servers_closed.set()
 
     async def _serve_application(
         self, application: Any, config: hypercorn.Config
--- a/tests/property/test_fuzz_callers.py
+++ b/tests/property/test_fuzz_callers.py
@@ -5,6 +5,7 @@
 import anyio
 import hypothesis
 from hypothesis import strategies as st
+import pytest
 import structlog
 
 from primrosereel import _states as states
@@ -240,3 +241,54 @@
     sent = anyio.run(_serve, scope, chunks, gone, upstreams)
     if not gone or sent:
         _check_response(sent, path.startswith('/services/'))
+
+
+def _answer(headers, upstream_headers=()):
+    """Return the headers of the answer to a plain call."""
+    value = f'Bearer {fuzzing.KEY}'.encode()
+    scope = {
+        'type': 'http',
+        'method': 'GET',
+        'path': '/services/plain/x',
+        'query_string': b'',
+        'headers': [(b'authorization', value), *headers],
+    }
+    upstreams = Upstreams(200, upstream_headers, b'')
+    sent = anyio.run(_serve, scope, [b''], False, upstreams)
+    return sent[0]['headers']
+
+
+@pytest.mark.parametrize(
+    'given, shown',
+    [
+        (b'order-17', b'order-17'),
+        (b'a' * 500, b'a' * 128),
+        (b'two words', b'two words'),
+        (b'\x1b[2Jcleared', b'n1.1.1'),
+        (b'a\tb', b'n1.1.1'),
+        ('é'.encode('latin-1'), b'n1.1.1'),
+        (b'', b'n1.1.1'),
+    ],
+)
+def test_request_id_is_shown_or_replaced(given, shown):
+    """Guards against control characters in logs and answers."""
+    headers = _answer([(b'x-request-id', given)])
+    assert [v for k, v in headers if k == b'x-request-id'] == [shown]
+
+
+def test_upstream_headers_cannot_inject():
+    """Guards against an upstream that writes headers of its own."""
+    upstream = (
+        ('X-Sound', ' yes '),
+        ('x-split', 'a\r\nset-cookie: b'),
+        ('x-split\r\nset-cookie', 'b'),
+        ('x-nul', 'a\0'),
+        ('', 'empty'),
+        ('X-Request-Id', 'forged'),
+    )
+    headers = _answer([], upstream)
+    assert headers == [
+        (b'x-sound', b'yes'),
+        (b'x-request-id', b'n1.1.1'),
+        (b'content-length', b'0'),
+    ]
