Work out group owners of the own region only

The survey of the pool system and the list of owned engines asked for the owner of every group, so each list or peer change hashed all groups of all regions with their instances: a cost of daemons times runners. Only instances of a group's region can own it, so other regions are skipped.

--- a/primrosereel/core/_pool.py
+++ b/primrosereel/core/_pool.py
@@ -240,11 +240,13 @@
         """Learn which groups are owned; poll their runners."""
         # Late ticks do not add up, and missed surveys are not made up for.
         self._survey_at = max(self._survey_at + POLL_S, now + POLL_S / 2)
-        own = self._world.identity.instance
+        own = self._world.identity
+        # The owners of the other regions' groups are not worked out here.
         owned = {
             name
-            for name in self._world.groups
-            if ownership.group_owner(self._world, name) == own
+            for name, region in self._world.group_regions.items()
+            if region == own.region
+            and ownership.group_owner(self._world, name) == own.instance
         }
         for name in self._owned - owned:
             self._give_up(name, now)
--- a/primrosereel/core/_turns.py
+++ b/primrosereel/core/_turns.py
@@ -23,11 +23,15 @@
 
 def owned_engines(world: tables.World) -> list[ids.RunnerId]:
     """Return the engines of the groups that this daemon owns, sorted."""
-    own = world.identity.instance
+    own = world.identity
+    # Only instances of a group's region own it. The owners of the other
+    # regions are not worked out here: that would hash every group with
+    # every instance of its region whenever the list changes.
     return sorted(
         runner
         for group, members in world.groups.items()
-        if ownership.group_owner(world, group) == own
+        if world.group_regions.get(group) == own.region
+        and ownership.group_owner(world, group) == own.instance
         for runner in members
         if owns(world, runner)
     )
