--- a/primrosereel/_registry.py
+++ b/primrosereel/_registry.py
@@ -24,6 +24,7 @@
         'orders': 'core._orders:OrdersSystem',
     },
     'bench': {
+        'capacity': 'bench._capacity:run',
         'cost': 'bench._cost:run',
     },
     'command': {
@@ -35,6 +36,7 @@
         'status': 'cmd._remote:StatusCommand',
     },
     'plot': {
+        'capacity': 'bench._capacity_plot:write',
         'measures': 'bench._plot:plot_measures',
     },
     'placement': {
--- /dev/null
+++ b/primrosereel/bench/_capacity_fit.py
@@ -0,0 +1,87 @@
+"""Straight lines through measured figures."""
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
+import statistics
+
+import numpy
+
+__all__ = ['Fit', 'fit', 'product_share']
+
+
+@dataclasses.dataclass(frozen=True)
+class Fit:
+    """A line through the medians at each size.
+
+    ``spread`` is the largest difference between the runs of one size, as a
+    part of their median; ``error`` is the largest distance of a median from
+    the line, as a part of the largest median.
+    """
+
+    name: str
+    unit: str
+    against: str
+    sizes: tuple[float, ...]
+    medians: tuple[float, ...]
+    slope: float
+    intercept: float
+    spread: float
+    error: float
+
+    def at(self, size: float) -> float:
+        """Return the line's value at a size."""
+        return self.intercept + self.slope * size
+
+
+def fit(
+    name: str,
+    unit: str,
+    against: str,
+    runs: Mapping[float, Sequence[float]],
+) -> Fit:
+    """Fit the medians of the runs at four sizes or more."""
+    if len(runs) < 4:
+        raise ValueError(f'{name}: a line needs four sizes, not {len(runs)}')
+    sizes = tuple(runs)
+    medians = tuple(statistics.median(found) for found in runs.values())
+    slope, intercept = numpy.polyfit(sizes, medians, 1)
+    top = max(medians) or 1.0
+    away = (
+        abs(intercept + slope * size - median)
+        for size, median in zip(sizes, medians, strict=True)
+    )
+    return Fit(
+        name,
+        unit,
+        against,
+        sizes,
+        medians,
+        float(slope),
+        float(intercept),
+        max(map(_spread, runs.values())),
+        float(max(away)) / top,
+    )
+
+
+def product_share(
+    points: Mapping[tuple[float, float], float],
+) -> tuple[float, float]:
+    """Return the part that a product of two sizes has in the largest point.
+
+    Least squares on 1, a, b and a*b over a grid; the second value is the
+    largest distance from that surface, as a part of the largest point.
+    """
+    pairs = list(points)
+    top = max(pairs)
+    rows = [(1.0, a, b, a * b) for a, b in pairs]
+    values = numpy.array([points[pair] for pair in pairs])
+    found, *_ = numpy.linalg.lstsq(numpy.array(rows), values, rcond=None)
+    away = numpy.abs(numpy.array(rows) @ found - values)
+    share = found[3] * top[0] * top[1] / points[top]
+    return float(share), float(away.max() / points[top])
+
+
+def _spread(found: Sequence[float]) -> float:
+    median = statistics.median(found)
+    return (max(found) - min(found)) / median if median else 0.0
--- /dev/null
+++ b/primrosereel/bench/_capacity_fleet.py
@@ -0,0 +1,133 @@
+"""What idle daemons take, on real processes."""
+
+from collections.abc import Sequence
+import pathlib
+import time
+from typing import Any
+
+import httpx
+
+from primrosereel.bench import _capacity_texts as sizes
+from primrosereel.bench import _cost as cost
+from primrosereel.bench import _fleet as fleet_module
+from primrosereel.bench import _texts as texts
+
+__all__ = ['memory_by_runners', 'peers', 'runners']
+
+WINDOW_S = 6.0
+RUNS = 2
+SETTLE_S = 3.0
+ACCEPT_TIMEOUT_S = 10.0
+# One daemon owns one group of at most 16 runners.
+GROUP_SIZES = (2, 4, 8, 16)
+FLEET_SIZES = (2, 4, 8, 16)
+Found = dict[str, dict[float, list[float]]]
+
+
+def _loopback_bytes() -> int:
+    """Return the bytes that the loopback interface has received."""
+    for line in pathlib.Path('/proc/net/dev').read_text().splitlines():
+        name, _, rest = line.partition(':')
+        if name.strip() == 'lo':
+            return int(rest.split()[0])
+    raise LookupError('no loopback interface in /proc/net/dev')
+
+
+def _text(runners: int) -> dict[str, Any]:
+    """Return a text with one group of runners of both roles."""
+    text = texts.demo()
+    service = text['services'].pop('analyst')
+    text['services'].clear()
+    row = next(iter(service['runners'].values()))
+    service['runners'] = {
+        f'analyst-{n}': {**row, 'role': 'prefill' if n % 3 == 0 else 'decode'}
+        for n in range(runners)
+    }
+    text['services']['analyst'] = service
+    for customer in text['customers'].values():
+        customer['services'] = ['analyst']
+    return text
+
+
+def _sample(fleet: fleet_module.Fleet) -> dict[str, float]:
+    """Return one window's figures for each daemon."""
+    pids = [d.process.pid for d in fleet.daemons]
+    count = len(pids)
+    lists = httpx.get(f'{fleet.platform}/standin/counters').json()
+    background = _loopback_bytes()
+    cpu = [cost.cpu_seconds(pid) for pid in pids]
+    started = time.monotonic()
+    time.sleep(WINDOW_S)
+    passed = time.monotonic() - started
+    spent = [
+        cost.cpu_seconds(pid) - c for pid, c in zip(pids, cpu, strict=True)
+    ]
+    loopback = _loopback_bytes() - background
+    after = httpx.get(f'{fleet.platform}/standin/counters').json()
+    return {
+        'core': sum(spent) / count / passed,
+        'highest core': max(spent) / passed,
+        'loopback': loopback / count / passed,
+        'resident': sum(map(cost.resident_bytes, pids)) / count,
+        'reads': (after['reads'] - lists['reads']) / passed,
+        'watches': after['watches_waiting'],
+        'list reads': (after['list_reads'] - lists['list_reads']) / passed,
+    }
+
+
+def _measure(sizes: Sequence[int], make) -> Found:
+    found: Found = {}
+    for size in sizes:
+        with make(size) as fleet:
+            time.sleep(SETTLE_S)
+            for _ in range(RUNS):
+                for name, value in _sample(fleet).items():
+                    runs = found.setdefault(name, {})
+                    runs.setdefault(float(size), []).append(value)
+    return found
+
+
+def peers() -> Found:
+    """Measure fleets of several sizes, with one group of 2 runners."""
+    return _measure(
+        FLEET_SIZES, lambda n: fleet_module.Fleet(_text(2), daemons=n)
+    )
+
+
+def runners() -> Found:
+    """Measure one daemon that owns a group of several sizes."""
+    return _measure(
+        GROUP_SIZES, lambda n: fleet_module.Fleet(_text(n), daemons=1)
+    )
+
+
+def memory_by_runners(shapes: Sequence[sizes.Shape]) -> Found:
+    """Measure a fresh daemon's memory with texts of several sizes.
+
+    The rest of the text is of other regions, so the daemon polls no more
+    runners than before.
+    """
+    found: Found = {'resident': {}}
+    for shape in shapes:
+        found['resident'][float(shape.runners)] = [
+            _resident(shape) for _ in range(RUNS)
+        ]
+    return found
+
+
+def _resident(shape: sizes.Shape) -> float:
+    with fleet_module.Fleet(_text(2), daemons=1) as fleet:
+        more = sizes.full_text(shape, 'far-')
+        text = {
+            part: {**fleet.text[part], **more[part]}
+            for part in ('models', 'services', 'customers')
+        }
+        fleet.publish(text)
+        daemon = fleet.daemons[0]
+
+        def is_accepted() -> bool:
+            return len(daemon.operator_get('/status')['runners']) > 2
+
+        fleet.wait_for(is_accepted, 'the text is accepted', ACCEPT_TIMEOUT_S)
+        time.sleep(1.0)
+        return float(cost.resident_bytes(daemon.process.pid))
--- /dev/null
+++ b/primrosereel/bench/_capacity_plot.py
@@ -0,0 +1,26 @@
+"""Plots the capacity report."""
+
+from typing import Any
+
+from matplotlib import figure as figures
+
+__all__ = ['write']
+
+PANELS = (('core', 'part of a core', 0.021), ('bytes_s', 'bytes/s', 4000.0))
+
+
+def write(report: dict[str, Any], path: str) -> None:
+    """Draw each row's processor time and bytes beside the budget."""
+    found = report['roles'] + report['bad_day']
+    figure = figures.Figure(figsize=(14, 6))
+    axes = figure.subplots(1, len(PANELS))
+    for axis, (field, label, budget) in zip(axes, PANELS, strict=True):
+        names = [row['name'][:40] for row in found]
+        values = [row[field] or 0.0 for row in found]
+        axis.barh(names, values)
+        axis.axvline(budget, color='red', label='budget')
+        axis.set_xlabel(label)
+        axis.invert_yaxis()
+        axis.legend()
+    figure.tight_layout()
+    figure.savefig(path)
--- a/primrosereel/cmd/_bench.py
+++ b/primrosereel/cmd/_bench.py
@@ -47,7 +47,13 @@
         whole = [n for n in names if n in registry.names('bench')]
         if whole:
             report = registry.load('bench', whole[0])()
-            command.print_result(report, options.json)
+            text = report.pop('text', None)
+            if text is None or options.json:
+                command.print_result(report, options.json)
+            else:
+                print(text)
+            if options.plot and whole[0] in registry.names('plot'):
+                registry.load('plot', whole[0])(report, options.plot)
             return 0
         unknown = [n for n in names if n not in experiments.EXPERIMENTS]
         if unknown:
--- /dev/null
+++ b/tests/property/test_capacity.py
@@ -0,0 +1,99 @@
+"""The capacity measurements and what they found."""
+
+import pytest
+
+from primrosereel.bench import _capacity_fit as fits
+from primrosereel.bench import _capacity_page as page
+from primrosereel.bench import _capacity_region as region
+from primrosereel.bench import _capacity_rows as rows
+from primrosereel.bench import _capacity_texts as sizes
+
+SMALL = sizes.Shape(18, 84, 14)
+
+
+def test_fit_finds_the_line():
+    # Guards against a wrong slope or a swapped intercept in the page.
+    runs = {x: (3.0 * x + 5.0,) * 2 for x in (1.0, 2.0, 4.0, 8.0)}
+    found = fits.fit('f', 's', 'x', runs)
+    assert found.slope == pytest.approx(3.0)
+    assert found.intercept == pytest.approx(5.0)
+    assert found.at(16.0) == pytest.approx(53.0)
+    assert found.spread == 0.0
+
+
+def test_fit_states_the_spread():
+    # Guards against a page that hides noisy runs.
+    runs = {1.0: (1.0,), 2.0: (2.0,), 3.0: (3.0,), 4.0: (3.0, 4.0, 5.0)}
+    assert fits.fit('f', 's', 'x', runs).spread == pytest.approx(0.5)
+
+
+def test_fit_needs_four_sizes():
+    # Guards against a slope from fewer sizes than the page promises.
+    with pytest.raises(ValueError, match='four sizes'):
+        fits.fit('f', 's', 'x', {1.0: (1.0,), 2.0: (2.0,), 3.0: (3.0,)})
+
+
+@pytest.mark.parametrize('factor, share', [(0.0, 0.0), (2.0, 0.5)])
+def test_product_share_finds_products(factor, share):
+    # Guards against overlooking a cost of daemons times runners.
+    points = {
+        (a, b): 16.0 * a + 16.0 * b + factor * a * b
+        for a in (1.0, 4.0, 8.0, 16.0)
+        for b in (1.0, 4.0, 8.0, 16.0)
+    }
+    found, error = fits.product_share(points)
+    assert found == pytest.approx(share, abs=1e-6)
+    assert error == pytest.approx(0.0, abs=1e-6)
+
+
+def test_owners_of_other_regions_are_not_worked_out():
+    # Guards against hashing every group with every instance of its region
+    # at each list: it took 8.7 ms for 390 daemons and 1,400 runners.
+    simulated = region.Region(SMALL)
+    simulated.run(6.0)
+    simulated.change_list()
+    simulated.run(4.0)
+    for core in simulated.cores:
+        assert set(core.world.group_regions.values()) > {'r0'}
+        assert set(core.world.owners) == {'r0'}
+
+
+def test_region_serves_requests():
+    # Guards against load figures of a region that refuses its requests.
+    simulated = region.Region(SMALL)
+    simulated.run(6.0)
+    simulated.forget()
+    simulated.offer(0.5, 4.0)
+    simulated.run(20.0)
+    asked = simulated.handled['CompletionReceived']
+    assert simulated.finished == asked > 0
+    assert simulated.effects['RefuseCaller'] == 0
+
+
+def test_text_change_reaches_every_core():
+    # Guards against counting messages of a change that does not spread.
+    simulated = region.Region(SMALL)
+    simulated.run(6.0)
+    simulated.publish()
+    simulated.run(3.0)
+    assert {core.world.revision for core in simulated.cores} == {2}
+    assert simulated.sent['TextDifference'] > 0
+
+
+@pytest.mark.parametrize(
+    'values, over',
+    [
+        ({'core': 0.021, 'bytes_s': 4000.0}, ()),
+        ({'core': 0.022}, ('core',)),
+        ({'bytes_s': 4001.0, 'memory': 65.0 * 2**20}, ('memory', 'bytes')),
+        ({'reads_s': 2001.0}, ('reads',)),
+    ],
+)
+def test_row_over_its_budget_is_marked(values, over):
+    # Guards against a page that shows a row over its budget as within.
+    empty = dict.fromkeys(('state', 'messages_s', 'bytes_s', 'core', 'memory'))
+    row = rows.Row('r', 'm', 'f', **{**empty, **values})
+    assert row.over == over
+    shown = {**vars(row), 'over': list(row.over)}
+    line = list(page._rows([shown]))[-1]
+    assert ('OVER' in line) is bool(over)
