Pause streams within their slack for requests on time

Cause: at 90% of the pools' load a request that finds every place taken misses its first token target, while running streams are seconds ahead of their token gap target.

Change: the owner estimates each stream's slack and pauses the one with the most, at most twice, where streams that are about to end make room for all paused ones in time, and only if the place is free before the KV cache of the new request arrives.

--- a/primrosereel/core/_preemption.py
+++ b/primrosereel/core/_preemption.py
@@ -5,17 +5,25 @@
 """
 
 from collections.abc import Collection
+import dataclasses
 import math
 
 from primrosereel import _ids as ids
 from primrosereel.core import _messages as messages
 from primrosereel.core import _placement as placement
 from primrosereel.core import _reservation as reservation
+from primrosereel.core import _slack as slack
 from primrosereel.core import _tables as tables
 
-__all__ = ['MAX_PAUSES', 'PAUSE_BOUND_S', 'Preemption']
+__all__ = ['MAX_PAUSES', 'MAX_YIELDS', 'PAUSE_BOUND_S', 'Preemption']
 
 MAX_PAUSES = 2
+# Pauses for work of the same priority, which count apart.
+MAX_YIELDS = 2
+# A pause that can only be short frees a place for nothing.
+MIN_SLACK_S = 1.0
+# The messages to the entry and the engine, and a wait for the link.
+NOTICE_S = 0.02
 # A stream that was paused for longer has the first claim on its runner, also
 # before work of a higher priority.
 PAUSE_BOUND_S = 10.0
@@ -42,6 +50,18 @@
         """When an order is to be repeated or a stream gets first claim."""
         return min(self._unconfirmed.values(), default=math.inf)
 
+    def next_urgent(self, view: placement.View, now: float) -> float:
+        """Return when the slack of a paused stream runs out."""
+        estimates = slack.Slack(view.service, view.model)
+        dues = [
+            estimates.latest_resume(
+                row, self._ledger.decode[row.decode_runner], now
+            )
+            for row in self._ledger.suspended.values()
+            if row.yielded and row.decode_runner in self._ledger.decode
+        ]
+        return min((due for due in dues if due > now), default=math.inf)
+
     def priorities(self) -> set[int]:
         """Return the priorities of the suspended streams."""
         return {r.priority for r in self._ledger.suspended.values()}
@@ -73,6 +93,109 @@
             self._pause(victim, now)
         return True
 
+    def yield_place(
+        self,
+        view: placement.View,
+        request: messages.GrantRequest,
+        ready_s: float,
+        held: Collection[ids.RunnerId],
+        now: float,
+    ) -> bool:
+        """Pause the stream with the most slack for work of its priority.
+
+        Its place must be free within ``ready_s``, when the KV cache of the
+        request arrives; else the engine refuses it. The stream is paused only
+        where the streams that will end on its runner make room for all
+        paused ones before their slack runs out.
+        """
+        estimates = slack.Slack(view.service, view.model)
+        plans = []
+        for runner, row in self._ledger.decode.items():
+            facts = view.usable(runner, request.exclude)
+            if facts is None or facts.suspect or runner in held:
+                continue
+            if row.excess(now) > 0 or row.is_slow(
+                view.service.token_gap_s, now
+            ):
+                continue
+            pieces = row.pieces_for(request.prompt_tokens + request.max_tokens)
+            pieces -= row.free_pieces(now)
+            for stream in row.held.values():
+                if not _may_yield(stream, request.priority, pieces):
+                    continue
+                size = stream.tokens + stream.max_tokens
+                size *= view.model.kv_bytes_per_token
+                move_s = size / row.facts.link_bytes_s
+                begin = now + view.model.decode_step_s + NOTICE_S
+                moved_at = row.link_start(begin, move_s) + 2 * move_s
+                if moved_at > now + ready_s:
+                    continue
+                due = estimates.latest_resume(stream, row, now)
+                if due >= now + MIN_SLACK_S:
+                    plans.append((-due, stream.request_id, stream, row))
+        for _, _, stream, row in sorted(plans, key=lambda p: p[:2]):
+            paused = [*self._suspended_on(row), stream]
+            running = [r for r in row.held.values() if r is not stream]
+            trial = dataclasses.replace(stream, yielded=True)
+            paused[-1] = trial
+            if estimates.can_wait(row, paused, running, now):
+                self._ledger.pause_for_equal(stream, now)
+                self._order(stream, messages.PauseStream, now)
+                self._world.count('pool.yielded')
+                self._world.explain(
+                    stream.request_id, 'paused for work of its priority'
+                )
+                return True
+        return False
+
+    def resume_urgent(
+        self,
+        view: placement.View,
+        priority: int,
+        held: set[ids.RunnerId],
+        now: float,
+    ) -> None:
+        """Resume the streams of a priority that cannot wait for a later place.
+
+        A runner without room for them yet is added to ``held``.
+        """
+        estimates = slack.Slack(view.service, view.model)
+        for runner, row in self._ledger.decode.items():
+            while runner not in held:
+                paused = self._suspended_on(row)
+                mine = [
+                    r for r in paused if r.yielded and r.priority == priority
+                ]
+                if not mine or estimates.can_wait(
+                    row, paused, row.held.values(), now
+                ):
+                    break
+                first = min(
+                    mine,
+                    key=lambda r: estimates.latest_resume(r, row, now),
+                )
+                self._resume_each([first], held, now)
+
+    def resume_yielded(
+        self, priority: float, held: set[ids.RunnerId], now: float
+    ) -> None:
+        """Resume streams of a priority where there is room for them."""
+        rows = [
+            r
+            for r in self._ledger.suspended.values()
+            if r.priority == priority and r.yielded
+        ]
+        self._resume_each(rows, set(held), now)
+
+    def _suspended_on(
+        self, runner: reservation.DecodeRunner
+    ) -> list[reservation.Reservation]:
+        return [
+            r
+            for r in self._ledger.suspended.values()
+            if r.decode_runner == runner.runner
+        ]
+
     def resume(
         self, priority: float, held: set[ids.RunnerId], now: float
     ) -> None:
@@ -84,7 +207,7 @@
         suspended = [
             r
             for r in self._ledger.suspended.values()
-            if r.priority == priority
+            if r.priority == priority and not r.yielded
         ]
         self._resume_each(suspended, held, now)
 
@@ -149,6 +272,18 @@
         self._world.send(row.entry, kind(row.request_id, row.attempt))
 
 
+def _may_yield(
+    stream: reservation.Reservation, priority: int, pieces: int
+) -> bool:
+    return (
+        stream.phase is Phase.DECODE
+        and stream.priority <= priority
+        and stream.yields < MAX_YIELDS
+        and stream.max_tokens > 0
+        and stream.pieces >= pieces
+    )
+
+
 def _victims(
     runner: reservation.DecodeRunner,
     request: messages.GrantRequest,
--- a/primrosereel/core/_reservation.py
+++ b/primrosereel/core/_reservation.py
@@ -44,7 +44,9 @@
     """What one granted request holds.
 
     ``tokens`` is the size of its KV cache so far and ``entry`` the instance
-    that holds the request.
+    that holds the request. ``max_tokens`` and ``first_token_at`` are unknown
+    (0 and None) where a former owner granted it. ``yielded`` says that it is
+    paused for work of its own priority, ``yields`` how often it was.
     """
 
     request_id: ids.RequestId
@@ -64,6 +66,16 @@
     paused_at: float = math.inf
     prompt_tokens: int = 0
     explanation: str = ''
+    max_tokens: int = 0
+    first_token_at: float | None = None
+    ran_s: float = 0.0
+    runs_since: float = math.inf
+    yields: int = 0
+    yielded: bool = False
+
+    def run_s(self, now: float) -> float:
+        """Return for how long it has decoded, pauses left out."""
+        return self.ran_s + max(0.0, now - self.runs_since)
 
     @property
     def has_place(self) -> bool:
@@ -127,6 +139,10 @@
         """Tell whether streams here lately missed a token gap."""
         return self._gap_s > gap_s and now < self._gap_at + SPEED_S
 
+    def gap_s(self, now: float) -> float:
+        """Return the token gap lately seen here, 0 if none was."""
+        return self._gap_s if now < self._gap_at + SPEED_S else 0.0
+
     def observe(self, gap_s: float, now: float) -> None:
         """Take the token gap that an entry saw on a stream."""
         self._gap_s = gap_s
@@ -298,6 +314,8 @@
             return
         self._end_prefill(reservation, now, ran=True)
         reservation.phase = Phase.DECODE
+        reservation.first_token_at = now
+        reservation.runs_since = now
         row = self.decode.get(reservation.decode_runner)
         if row is not None:
             row.transfers.pop(reservation.request_id, None)
@@ -308,6 +326,12 @@
         self._suspend(reservation, Phase.PAUSING, now)
         reservation.pauses += 1
 
+    def pause_for_equal(self, reservation: Reservation, now: float) -> None:
+        """Take a stream's place away for work of its own priority."""
+        self._suspend(reservation, Phase.PAUSING, now)
+        reservation.yields += 1
+        reservation.yielded = True
+
     def paused(self, reservation: Reservation, now: float) -> None:
         """Note that the engine has moved a stream out of its memory."""
         if reservation.phase is Phase.PAUSING:
@@ -325,6 +349,8 @@
         self._unsuspend(reservation, Phase.DECODE, now)
         if reservation.phase is Phase.RESUMING:
             reservation.phase = Phase.DECODE
+        if reservation.runs_since == math.inf:
+            reservation.runs_since = now
 
     def _check_at(self, reservation: Reservation, when: float) -> None:
         """Have ``expire`` look at a lease; an earlier entry is void."""
@@ -337,6 +363,8 @@
         self._give_back(reservation, now)
         reservation.phase = phase
         reservation.paused_at = now
+        reservation.ran_s = reservation.run_s(now)
+        reservation.runs_since = math.inf
         self.suspended[reservation.request_id] = reservation
 
     def _unsuspend(
@@ -347,6 +375,7 @@
         del self.suspended[reservation.request_id]
         reservation.phase = phase
         reservation.paused_at = math.inf
+        reservation.yielded = False
         self._take(reservation, now)
 
     def _take(self, reservation: Reservation, now: float) -> None:
--- a/primrosereel/core/_scheduler.py
+++ b/primrosereel/core/_scheduler.py
@@ -109,8 +109,11 @@
         levels = self._queue.priorities() | self._preemption.priorities()
         for priority in sorted(levels, reverse=True):
             self._preemption.resume(priority, held, now)
+            self._preemption.resume_urgent(self.view, priority, held, now)
             while self._grant_one(priority, held, now):
                 pass
+        urgent = self._preemption.next_urgent(self.view, now)
+        self.retry_at = min(self.retry_at, urgent)
 
     def _grant_one(
         self, priority: int, held: set[ids.RunnerId], now: float
@@ -119,9 +122,15 @@
         late_first = self._since_late >= LATE_SHARE
         for waiting in self._queue.turns(priority, late_first, now):
             request = waiting.request
-            if waiting.is_late(now) and not late_first and self._keeps(now):
-                break
+            if waiting.is_late(now) and not late_first:
+                self._preemption.resume_yielded(priority, held, now)
+                if self._keeps(now):
+                    break
             outcome = self._choose(request, held, now)
+            if not isinstance(outcome, placement.Choice) and (
+                not waiting.is_late(now)
+            ):
+                outcome = self._yield_to(request, outcome, held, now)
             if isinstance(outcome, placement.Choice):
                 self._grant(waiting, outcome, now)
                 return True
@@ -131,8 +140,29 @@
                 self._keep_runner(request, held, now)
             if outcome.for_all and not request.exclude:
                 break
+        self._preemption.resume_yielded(priority, held, now)
         return False
 
+    def _yield_to(
+        self,
+        request: messages.GrantRequest,
+        shortage: placement.Shortage,
+        held: set[ids.RunnerId],
+        now: float,
+    ) -> placement.Choice | placement.Shortage:
+        """Place a request on time by pausing a stream with slack."""
+        if shortage.scarce not in (Scarce.PLACE, Scarce.PIECES):
+            return shortage
+        if request.kv is not None:
+            # It would arrive before the paused stream has left.
+            return shortage
+        seconds = reserving.first_token_estimate(self.view, request, now)
+        if not self._preemption.yield_place(
+            self.view, request, seconds, held, now
+        ):
+            return shortage
+        return self._policy.choose(self.view, request, held, now)
+
     def _keeps(self, now: float) -> bool:
         """Tell whether the free places are kept for requests on time."""
         if now > self._on_time_at + ON_TIME_S:
@@ -216,6 +246,7 @@
             Phase.PREFILL if choice.prefill else Phase.TRANSFER,
             prompt_tokens=request.prompt_tokens,
             explanation=choice.explanation,
+            max_tokens=request.max_tokens,
         )
         self.view.ledger.reserve(row, now, choice.job, choice.transfer)
         self._queue.remove(request.request_id)
--- /dev/null
+++ b/tests/property/test_pool_yield.py
@@ -0,0 +1,191 @@
+"""Pauses for work of the same priority, under any order of events."""
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from primrosereel import _states as states
+from primrosereel.core import _preemption as preemption
+from primrosereel.core import _reservation as reservation
+from tests import pool_bench
+
+GAP_S = 0.069
+STEP_S = 0.03
+MAX_TOKENS = 300
+Phase = reservation.Phase
+Stage = states.Stage
+
+
+class YieldMachine(stateful.RuleBasedStateMachine):
+    """Guards against a stream that misses its gap target by a pause.
+
+    The engines are played here: each stream gets a token every step while it
+    runs, and pauses and resumptions take effect at once. Its tokens are
+    counted apart from the owner's estimate.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.bench = pool_bench.PoolBench(
+            peers=('e1',), prefill=4, decode=2, places=3, pieces=20
+        )
+        self.bench.tick(0.4)
+        self.number = 0
+        self.produced = {}
+        self.first_at = {}
+        self.running = set()
+        self.orders = {}
+        self.seen = 0
+
+    @stateful.rule(
+        count=st.integers(1, 3), tokens=st.sampled_from([1500, 2500, 5000])
+    )
+    def ask(self, count, tokens):
+        """Ask for several streams at once."""
+        for _ in range(count):
+            self.number += 1
+            self.bench.ask(
+                f'q{self.number}',
+                prompt_tokens=tokens,
+                max_tokens=MAX_TOKENS,
+            )
+            self._follow()
+
+    @stateful.rule(
+        count=st.integers(5, 40), pause_s=st.sampled_from([0.2, 0.5, 1.0])
+    )
+    def keep_asking(self, count, pause_s):
+        """Offer about as much as the places hold, or more."""
+        for _ in range(count):
+            self.ask(1, 2500)
+            self.wait(pause_s)
+            self.mean_gaps_meet_the_target()
+            self.pauses_are_bounded()
+
+    @stateful.rule(seconds=st.sampled_from([0.3, 1.0, 4.0]))
+    def wait(self, seconds):
+        """Let streams run, begin and end."""
+        for _ in range(round(seconds / 0.1)):
+            self._step(0.1)
+
+    @stateful.invariant()
+    def mean_gaps_meet_the_target(self):
+        """No pause makes a stream late, wherever it would end."""
+        for name, first_at in self.first_at.items():
+            if name in self.orders:
+                elapsed = self.bench.now - first_at
+                assert elapsed <= self.produced[name] * GAP_S + STEP_S
+
+    @stateful.invariant()
+    def pauses_are_bounded(self):
+        """No stream is paused without end."""
+        for count in self.orders.values():
+            assert count <= preemption.MAX_YIELDS
+        for row in self._ledger().reservations.values():
+            assert row.yields <= preemption.MAX_YIELDS
+            assert row.yields == self.orders.get(row.request_id, 0)
+
+    @stateful.invariant()
+    def places_are_not_overbooked(self):
+        """What is paused leaves its place to one request only."""
+        ledger = self._ledger()
+        rows = ledger.reservations.values()
+        for runner, row in ledger.decode.items():
+            here = [r for r in rows if r.decode_runner == runner]
+            held = [r for r in here if r.has_place]
+            assert set(row.held.values()) == set(held)
+            assert len(held) <= row.facts.places
+            assert row.used_pieces == sum(r.pieces for r in held)
+            assert row.used_pieces <= row.facts.pieces
+        assert set(ledger.suspended) == {
+            r.request_id for r in rows if not r.has_place
+        }
+
+    def _ledger(self):
+        return self.bench.group().ledger
+
+    def _step(self, seconds):
+        self.bench.tick(seconds)
+        self._follow()
+        for name in list(self.running):
+            self.produced[name] += seconds / STEP_S
+            if self.produced[name] >= MAX_TOKENS:
+                self._end(name)
+        for row in list(self._ledger().reservations.values()):
+            if row.phase is Phase.PREFILL:
+                self._begin(row.request_id)
+
+    def _begin(self, name):
+        self.bench.progress(name, Stage.PREFILL_DONE)
+        self._follow()
+        self.bench.progress(name, Stage.DECODING)
+        self.first_at[name] = self.bench.now
+        self.produced[name] = 1.0
+        self.running.add(name)
+        self._follow()
+
+    def _end(self, name):
+        self.running.discard(name)
+        self.first_at.pop(name)
+        self.orders.pop(name, None)
+        self.bench.progress(name, Stage.RELEASED)
+        self._follow()
+
+    def _follow(self):
+        """Carry out the orders among the messages that were sent."""
+        while True:
+            paused = self.bench.paused() & self.running
+            resumed = self.bench.resumed() - self.running
+            self.bench.sent.clear()
+            if not paused and not resumed:
+                return
+            news = []
+            for name in paused:
+                self.orders[name] = self.orders.get(name, 0) + 1
+                self.running.discard(name)
+                news.append((name, Stage.PAUSED))
+            for name in resumed:
+                if name in self.first_at:
+                    self.running.add(name)
+                    news.append((name, Stage.RESUMED))
+            for name, stage in news:
+                sent = self.bench.progress(name, stage)
+                self.bench.sent.extend(sent)
+
+
+TestYield = YieldMachine.TestCase
+TestYield.settings = settings(max_examples=40, stateful_step_count=10)
+
+
+def _full_group():
+    """Return a bench whose only decode runner is full of old streams."""
+    bench = pool_bench.PoolBench(
+        peers=('e1',), prefill=4, decode=1, places=2, pieces=20
+    )
+    bench.tick(0.4)
+    for name in ('a', 'b'):
+        bench.serve(name, prompt_tokens=2000, max_tokens=MAX_TOKENS)
+        bench.tick(0.5)
+    bench.tick(5.0)
+    return bench
+
+
+def test_on_time_request_gets_the_place_of_a_stream_with_slack():
+    """Guards against pauses that never happen."""
+    bench = _full_group()
+    sent = bench.ask('c', prompt_tokens=2000, max_tokens=MAX_TOKENS)
+    assert len(bench.paused(sent)) == 1
+    assert 'c' in bench.granted(sent)
+
+
+def test_stream_without_slack_keeps_its_place():
+    """Guards against a pause of a stream that has earned no slack."""
+    bench = pool_bench.PoolBench(
+        peers=('e1',), prefill=4, decode=1, places=1, pieces=20
+    )
+    bench.tick(0.4)
+    bench.serve('a', prompt_tokens=2000, max_tokens=MAX_TOKENS)
+    bench.tick(0.5)
+    sent = bench.ask('c', prompt_tokens=2000, max_tokens=MAX_TOKENS)
+    assert not bench.paused(sent)
+    assert not bench.granted(sent)
