--- /dev/null
+++ b/primrosereel/bench/_decisions.py
@@ -0,0 +1,158 @@
+"""What one placement decision costs, at any size of the fleet."""
+
+import dataclasses
+import hashlib
+import json
+import random
+import statistics
+import time
+from typing import Any
+
+from primrosereel import _ids as ids
+from primrosereel import _states as states
+from primrosereel import core as core_module
+from primrosereel.bench import _workloads as workloads
+from primrosereel.core import _messages as messages
+
+__all__ = ['decision_s']
+
+EPOCH_S = 1_800_000_000.0
+# As in the design: 390 daemons for 1,400 runners.
+RUNNERS_PER_DAEMON = 3.6
+START_S = 4.0
+# After a group was opened its owner collects live grants for a while.
+COLLECTED_S = 1.0
+TICK_S = 0.1
+ROUNDS = 400
+# Streams that a group holds while decisions are measured.
+HELD = 20
+
+
+def decision_s(workload: str, runners: int, seed: int) -> float:
+    """Return the median CPU seconds from a request for places to a grant.
+
+    It is the whole core that is measured, with all its systems and the tables
+    of a fleet of that many runners.
+    """
+    core, group, service = _make_core(workload, runners, seed)
+    source = random.Random(seed)
+    now = START_S + COLLECTED_S
+    for number in range(HELD):
+        name = f'held-{number}'
+        _ask(core, group, service, name, source, now)
+        _tell(core, group, name, states.Stage.PREFILL_DONE, now)
+        _tell(core, group, name, states.Stage.DECODING, now)
+        now += TICK_S
+    costs = []
+    for number in range(ROUNDS):
+        name = str(number)
+        started = time.process_time()
+        granted = _ask(core, group, service, name, source, now)
+        costs.append(time.process_time() - started)
+        if not granted:
+            raise RuntimeError(f'request {number} was not granted')
+        _tell(core, group, name, states.Stage.PREFILL_DONE, now)
+        _tell(core, group, name, states.Stage.RELEASED, now)
+        now += TICK_S
+    return statistics.median(costs)
+
+
+def _make_core(
+    workload: str, runners: int, seed: int
+) -> tuple[core_module.Core, ids.GroupId, ids.ServiceId]:
+    shape = workloads.shapes(workload, 1)
+    text = _text(workload, runners)
+    count = max(1, round(runners / RUNNERS_PER_DAEMON))
+    identity = core_module.Identity(
+        ids.InstanceId('entry-1'),
+        ids.Incarnation(1),
+        ids.Region(shape.region),
+        ids.AvailabilityZone(f'{shape.region}-a'),
+        '127.0.0.1:20000',
+    )
+    listed = [
+        dataclasses.replace(
+            identity, instance=ids.InstanceId(f'entry-{number + 1}')
+        )
+        for number in range(count)
+    ]
+    core = core_module.Core(identity, random.Random(seed))
+    rows = tuple(each.listed() for each in listed)
+    core.handle(messages.InstanceListRead(1, EPOCH_S, rows), 0.0, EPOCH_S)
+    body = json.dumps(text).encode()
+    core.handle(
+        messages.ConfigurationRead(ids.Revision(1), body), 0.0, EPOCH_S
+    )
+    # A daemon that starts waits for a peer's text, and peers do not answer.
+    for tick in range(round(START_S / TICK_S)):
+        core.tick(tick * TICK_S, EPOCH_S + tick * TICK_S)
+    group = min(core.world.groups)
+    service = core.world.runners[core.world.groups[group][0]].service
+    _ask(core, group, service, 'opens-the-group', random.Random(0), START_S)
+    for tick in range(round(COLLECTED_S / TICK_S)):
+        now = START_S + tick * TICK_S
+        core.tick(now, EPOCH_S + now)
+    return core, group, service
+
+
+def _text(workload: str, runners: int) -> dict[str, Any]:
+    """Return a text whose LLM service has exactly that many runners."""
+    scale = 1
+    shape = workloads.shapes(workload, scale)
+    while len(shape.text['services'][shape.service]['runners']) < runners:
+        scale += 1
+        shape = workloads.shapes(workload, scale)
+    service = shape.text['services'][shape.service]
+    for name in sorted(service['runners'], reverse=True)[
+        : len(service['runners']) - runners
+    ]:
+        del service['runners'][name]
+    kept = {shape.service: service}
+    customers = shape.text['customers']
+    for row in customers.values():
+        row['services'] = [shape.service]
+    return {**shape.text, 'services': kept, 'customers': customers}
+
+
+def _ask(core, group, service, name, source, now: float) -> bool:
+    """Ask as another daemon; tell whether places were granted at once."""
+    digest = hashlib.sha256(name.encode()).digest()
+    request = messages.GrantRequest(
+        request_id=_request_id(name),
+        attempt=1,
+        service=service,
+        group=group,
+        customer=ids.CustomerId('analysts'),
+        priority=0,
+        prompt_tokens=source.randrange(500, 8000),
+        max_tokens=100,
+        prefix_hashes=tuple(digest[:16]),
+        wait_s=30.0,
+        availability_zone=ids.AvailabilityZone('z'),
+    )
+    effects = _deliver(core, request, now)
+    return any(
+        isinstance(effect, messages.SendPeer)
+        and isinstance(effect.message, messages.Grant)
+        for effect in effects
+    )
+
+
+def _tell(core, group, name, stage, now: float) -> None:
+    _deliver(core, messages.Progress(_request_id(name), 1, group, stage), now)
+
+
+def _request_id(name: str) -> ids.RequestId:
+    number = int.from_bytes(hashlib.sha256(name.encode()).digest()[:4], 'big')
+    return ids.request_id(
+        ids.InstanceId('entry-2'), ids.Incarnation(1), number
+    )
+
+
+def _deliver(core, message, now: float):
+    sender = ids.InstanceId('entry-2')
+    return core.handle(
+        messages.FromPeer(sender, ids.Incarnation(1), message),
+        now,
+        EPOCH_S + now,
+    )
--- a/primrosereel/bench/_experiments.py
+++ b/primrosereel/bench/_experiments.py
@@ -12,8 +12,11 @@
 import time
 from typing import Any
 
+from primrosereel.bench import _bounds as bounds
+from primrosereel.bench import _decisions as decisions
 from primrosereel.bench import _load as load
 from primrosereel.bench import _naive as naive
+from primrosereel.bench import _rates as rates
 from primrosereel.bench import _simulation as simulation
 from primrosereel.bench import _workloads as workloads
 
@@ -24,6 +27,11 @@
 DAEMONS = 6
 WARM_UP_S = 10.0
 SECONDS = 40.0
+DECISION_RUNNERS = (14, 1400)
+RATE_DAEMONS = (6, 40)
+# In requests a second, and how many times of it is offered.
+RATE_LIMIT = 50.0
+RATE_LOAD = 2.0
 # After the last arrival, so that everything can end.
 TAIL_S = 60.0
 
@@ -189,8 +197,7 @@
 
 def crest(shape: workloads.Shape, seeds: Sequence[int]) -> list[Row]:
     """Measure goodput in the ten seconds of a five-times swing."""
-    capacity = workloads.capacity(shape)
-    rate = 0.4 * capacity
+    rate = 0.4 * workloads.capacity(shape)
     rows = []
     for policy in POLICIES:
         shares = []
@@ -198,7 +205,9 @@
             arrivals = workloads.crest(shape, rate, seed)
             sim = _simulate(shape, policy, arrivals, seed)
             found = _within(sim.outcomes, 11.0, 21.0)
-            bound = min(len(found), capacity * 10.0)
+            bound = bounds.most_good(
+                shape, [o.arrival for o in found], FIRST_TOKEN_S, TOKEN_GAP_S
+            )
             shares.append(sum(map(_is_good, found)) / bound)
         more = {'target': '>= 0.9'} if policy == 'primrosereel' else {}
         name = 'goodput at the crest/bound'
@@ -238,12 +247,49 @@
     return rows
 
 
+def decision(shape: workloads.Shape, seeds: Sequence[int]) -> list[Row]:
+    """Measure the CPU time of one placement decision."""
+    costs: dict[int, list[float]] = {}
+    for runners in DECISION_RUNNERS:
+        costs[runners] = [
+            decisions.decision_s(shape.name, runners, seed) for seed in seeds
+        ]
+    few, many = (costs[runners] for runners in DECISION_RUNNERS)
+    ratios = [m / f for f, m in zip(few, many, strict=True)]
+    return [
+        _row(f'decision, {runners} runners, ms', [c * 1e3 for c in values])
+        for runners, values in costs.items()
+    ] + [_row('decision, 1400 runners/14', ratios, target='<= 3')]
+
+
+def rate_limit(shape: workloads.Shape, seeds: Sequence[int]) -> list[Row]:
+    """Measure how far a customer's total rate is off its limit."""
+    rows = []
+    for daemons in RATE_DAEMONS:
+        for label, loses_owner in (('', False), (', limit owner lost', True)):
+            errors = [
+                abs(
+                    rates.total_rate(
+                        daemons, RATE_LIMIT, RATE_LOAD, loses_owner, seed
+                    )
+                    / RATE_LIMIT
+                    - 1
+                )
+                for seed in seeds
+            ]
+            name = f'rate off its limit, {daemons} daemons{label}'
+            rows.append(_row(name, errors, target='<= 0.1'))
+    return rows
+
+
 EXPERIMENTS = {
     'goodput': goodput,
     'waste': waste,
     'priority': priority,
     'crest': crest,
     'straggler': straggler,
+    'decision': decision,
+    'rate': rate_limit,
 }
 
 
--- /dev/null
+++ b/primrosereel/bench/_rates.py
@@ -0,0 +1,134 @@
+"""A customer's total rate over all daemons, under virtual time."""
+
+import heapq
+import itertools
+import random
+from typing import Any
+
+from primrosereel import _ids as ids
+from primrosereel import core as core_module
+from primrosereel import text as text_module
+from primrosereel.core import _limits as limits
+from primrosereel.core import _messages as messages
+from primrosereel.core import _tables as tables
+
+__all__ = ['SETTLED_S', 'WINDOW_S', 'RateFleet', 'total_rate']
+
+CUSTOMER = ids.CustomerId('customer')
+REGION = ids.Region('region')
+ZONE = ids.AvailabilityZone('zone')
+TICK_S = 0.1
+LATENCY_S = (0.0005, 0.02)
+# How late the instance list shows a loss.
+LIST_LAG_S = 2.0
+SETTLED_S = 5.0
+WINDOW_S = 10.0
+
+
+class RateFleet:
+    """Cores with the limits system, and callers of one customer."""
+
+    def __init__(self, daemons: int, rate: float, seed: int) -> None:
+        self.now = 0.0
+        self.admitted: list[float] = []
+        self.cores: dict[ids.InstanceId, core_module.Core] = {}
+        self._random = random.Random(seed)
+        self._events: list[tuple[float, int, Any, tuple]] = []
+        self._numbers = itertools.count()
+        self._revision = 0
+        facts = text_module.Customer('hash', (), rate=rate, burst=rate)
+        text = text_module.Text({}, {}, {CUSTOMER: facts})
+        for number in range(daemons):
+            name = ids.InstanceId(f'entry-{number + 1:03}')
+            identity = core_module.Identity(
+                name, ids.Incarnation(1), REGION, ZONE, ''
+            )
+            source = random.Random(self._random.getrandbits(32))
+            core = core_module.Core(identity, source, ('limits',))
+            core.world.text = text
+            self.cores[name] = core
+            core.handle(messages.TextChanged(ids.Revision(1)), 0.0, 0.0)
+            self._at(self._random.uniform(0, TICK_S), self._tick, name)
+        self._list()
+
+    def offer(self, total: float) -> None:
+        """Offer a rate, a half of it at one daemon in four."""
+        names = list(self.cores)
+        busy = names[: max(1, len(names) // 4)]
+        for name in names:
+            rate = total / 2 / len(names)
+            if name in busy:
+                rate += total / 2 / len(busy)
+            self._at(self._random.expovariate(rate), self._call, name, rate)
+
+    def lose_owner(self) -> None:
+        """Lose the daemon that divides the customer's rate."""
+        world = next(iter(self.cores.values())).world
+        del self.cores[limits.limit_owner(world, CUSTOMER)]
+        self._at(LIST_LAG_S, self._list)
+
+    def run(self, until: float) -> None:
+        """Run everything up to a time."""
+        while self._events and self._events[0][0] <= until:
+            self.now, _, action, arguments = heapq.heappop(self._events)
+            action(*arguments)
+        self.now = until
+
+    def _at(self, delay_s: float, action: Any, *arguments: Any) -> None:
+        event = (self.now + delay_s, next(self._numbers), action, arguments)
+        heapq.heappush(self._events, event)
+
+    def _list(self) -> None:
+        self._revision += 1
+        rows = {n: c.world.identity.listed() for n, c in self.cores.items()}
+        for core in self.cores.values():
+            core.world.listing = tables.Listing(
+                self._revision, self.now, dict(rows)
+            )
+
+    def _call(self, name: ids.InstanceId, rate: float) -> None:
+        if name not in self.cores:
+            # The load balancer sends the callers elsewhere.
+            name = self._random.choice(list(self.cores))
+        core = self.cores[name]
+        if limits.take(core.world, CUSTOMER, self.now) == 0.0:
+            self.admitted.append(self.now)
+        self._at(self._random.expovariate(rate), self._call, name, rate)
+
+    def _tick(self, name: ids.InstanceId) -> None:
+        core = self.cores.get(name)
+        if core is not None:
+            self._carry(name, core.tick(self.now, self.now))
+            self._at(TICK_S, self._tick, name)
+
+    def _carry(self, name: ids.InstanceId, effects: Any) -> None:
+        for effect in effects:
+            if isinstance(effect, messages.SendPeer):
+                sent = messages.FromPeer(
+                    name, ids.Incarnation(1), effect.message
+                )
+                delay_s = self._random.uniform(*LATENCY_S)
+                self._at(delay_s, self._receive, effect.destination, sent)
+
+    def _receive(self, name: ids.InstanceId, sent: messages.FromPeer) -> None:
+        core = self.cores.get(name)
+        if core is not None:
+            self._carry(name, core.handle(sent, self.now, self.now))
+
+
+def total_rate(
+    daemons: int, rate: float, load: float, loses_owner: bool, seed: int
+) -> float:
+    """Return the requests a second admitted from 5 s after a change on.
+
+    The change is the start of the calls or the loss of the limit owner.
+    """
+    fleet = RateFleet(daemons, rate, seed)
+    fleet.offer(rate * load)
+    if loses_owner:
+        fleet.run(SETTLED_S + WINDOW_S)
+        fleet.lose_owner()
+    start = fleet.now + SETTLED_S
+    fleet.run(start + WINDOW_S)
+    count = sum(start <= at < start + WINDOW_S for at in fleet.admitted)
+    return count / WINDOW_S
--- a/primrosereel/bench/_workloads.py
+++ b/primrosereel/bench/_workloads.py
@@ -9,9 +9,19 @@
 from primrosereel.bench import _simulation as simulation
 from primrosereel.bench import _texts as texts
 
-__all__ = ['Shape', 'arrivals', 'capacity', 'crest', 'shapes']
+__all__ = [
+    'Shape',
+    'arrivals',
+    'capacity',
+    'crest',
+    'decode_tokens_s',
+    'prefill_tokens_s',
+    'shapes',
+]
 
 BLOCK_TOKENS = 256
+# Of each decode runner in the texts.
+PLACES = 20
 
 
 class Shape(NamedTuple):
@@ -84,10 +94,29 @@
     prefill = roles.count('prefill') * model['prefill_tokens_s'] / computed
     link_s = _mean_tokens(shape) * model['kv_bytes_per_token'] / 10e9
     hold_s = shape.output_tokens * model['decode_step_s'] + link_s
-    decode = roles.count('decode') * 20 / hold_s
+    decode = roles.count('decode') * PLACES / hold_s
     return min(prefill, decode)
 
 
+def prefill_tokens_s(shape: Shape) -> float:
+    """Return the prompt tokens a second of all prefill runners."""
+    service = shape.text['services'][shape.service]
+    model = shape.text['models'][service['model']]
+    return _count(shape, 'prefill') * model['prefill_tokens_s']
+
+
+def decode_tokens_s(shape: Shape) -> float:
+    """Return the output tokens a second of all decode places."""
+    service = shape.text['services'][shape.service]
+    model = shape.text['models'][service['model']]
+    return _count(shape, 'decode') * PLACES / model['decode_step_s']
+
+
+def _count(shape: Shape, role: str) -> int:
+    rows = shape.text['services'][shape.service]['runners'].values()
+    return sum(row['role'] == role for row in rows)
+
+
 def _mean_tokens(shape: Shape) -> float:
     # The mean of a log-normal variable lies above its median.
     return shape.prompt_tokens * 2.718281828 ** (shape.spread**2 / 2)
--- a/primrosereel/cmd/_bench.py
+++ b/primrosereel/cmd/_bench.py
@@ -25,7 +25,7 @@
             'experiments',
             nargs='*',
             metavar='EXPERIMENT',
-            help=f'any of {", ".join(known)}; all the first five by default',
+            help=f'any of {", ".join(known)}; all the first seven by default',
         )
         parser.add_argument(
             '--workload', choices=('lynreg', 'guadalajara'), default='lynreg'
@@ -36,6 +36,12 @@
         parser.add_argument(
             '--seeds', type=int, default=3, help='number of seeds'
         )
+        parser.add_argument(
+            '--first-seed',
+            type=int,
+            default=1,
+            help='first seed; the others follow it',
+        )
         parser.add_argument(
             '--plot', metavar='FILE', help='write a plot (needs matplotlib)'
         )
@@ -53,7 +59,7 @@
         if unknown:
             print(f'no experiment named {", ".join(unknown)}')
             return 2
-        seeds = range(1, options.seeds + 1)
+        seeds = range(options.first_seed, options.first_seed + options.seeds)
         report = experiments.run(names, options.workload, options.scale, seeds)
         for row in report['rows']:
             row['met'] = _is_met(row)
--- /dev/null
+++ b/tests/property/test_bench_bounds.py
@@ -0,0 +1,77 @@
+"""The measuring tools of the bench, against naive versions."""
+
+import itertools
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from primrosereel.bench import _bounds as bounds
+from primrosereel.bench import _decisions as decisions
+from primrosereel.bench import _rates as rates
+from primrosereel.bench import _workloads as workloads
+
+FIRST_TOKEN_S = 0.36
+SHAPE = workloads.shapes('lynreg')
+
+
+def _arrivals(times, max_tokens):
+    shape = SHAPE._replace(output_tokens=max_tokens)
+    one = workloads.arrivals(shape, 100.0, 1.0, 1)[0]
+    return [one._replace(time=t, max_tokens=max_tokens) for t in times]
+
+
+def _fits(chosen, gap_s):
+    """Serve the chosen ones, the earliest deadline first, on one machine."""
+    free_at = 0.0
+    for arrival in sorted(chosen, key=lambda a: a.time):
+        work_s = arrival.max_tokens / workloads.decode_tokens_s(SHAPE)
+        free_at = max(free_at, arrival.time) + work_s
+        late_s = FIRST_TOKEN_S + (arrival.max_tokens - 1) * gap_s
+        if free_at > arrival.time + late_s:
+            return False
+    return True
+
+
+@settings(max_examples=60, deadline=None)
+@given(
+    times=st.lists(st.floats(1.0, 3.0), min_size=1, max_size=7),
+    max_tokens=st.sampled_from([500, 1000, 2000]),
+    gap_s=st.sampled_from([0.0, 0.0005, 0.001]),
+)
+def test_decode_bound_equals_the_best_subset(times, max_tokens, gap_s):
+    """Guards against a bound that a schedule can exceed, or a loose one."""
+    arrivals = _arrivals(times, max_tokens)
+    best = max(
+        size
+        for size in range(len(arrivals) + 1)
+        for chosen in itertools.combinations(arrivals, size)
+        if _fits(chosen, gap_s)
+    )
+    assert bounds._decoded(SHAPE, arrivals, FIRST_TOKEN_S, gap_s) == best
+
+
+@settings(max_examples=50, deadline=None)
+@given(rate=st.floats(1.0, 60.0), seed=st.integers(0, 1000))
+def test_bound_covers_whole_prefills(rate, seed):
+    """Guards against a bound above what the prefill runners compute."""
+    arrivals = workloads.arrivals(SHAPE, rate, 5.0, seed)
+    most = bounds.most_good(SHAPE, arrivals, FIRST_TOKEN_S, 0.069)
+    tokens = sorted(a.tokens for a in arrivals)[:most]
+    cached = SHAPE.shared * SHAPE.prefix_tokens * most
+    offered = workloads.prefill_tokens_s(SHAPE) * (5.0 + FIRST_TOKEN_S)
+    assert most <= len(arrivals)
+    assert sum(tokens) - cached <= offered + 1
+
+
+@pytest.mark.parametrize('loses_owner', [False, True])
+def test_measured_rate_is_near_the_limit(loses_owner):
+    """Guards against a measure that counts the offered calls."""
+    total = rates.total_rate(4, 20.0, 3.0, loses_owner, 1)
+    assert abs(total - 20.0) <= 2.0
+
+
+def test_measured_decisions_are_grants():
+    """Guards against a measure of requests that only wait."""
+    assert 0 < decisions.decision_s('lynreg', 14, 1) < 1
