Scenarios with processes that fail; fix reclaim and exit status

Cause: the scenarios found three faults. - The engine adapter read the field "id" of GET /v1/requests, which is "request_id" everywhere in the interface. No list was ever read, so memory held for a killed daemon's callers was never freed. - A daemon that stopped on SIGTERM cancelled hypercorn while it closed connections; hypercorn raised and the exit status was 1. - An error in a nested group was printed as "unhandled errors in a TaskGroup" only.

Change: read "request_id"; wait for the servers before the other tasks are cancelled; print the innermost errors. Fleet takes ports below the range of outgoing connections, since a daemon once failed to start in a trial while ports came from that range, and can write seeds into the settings.

--- a/primrosereel/bench/_fleet.py
+++ b/primrosereel/bench/_fleet.py
@@ -17,6 +17,7 @@
 import math
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -34,6 +35,9 @@
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 15.0
 POLL_S = 0.05
+FIRST_PORT = 20_000
+LAST_PORT = 32_000
+PORT_TRIES = 100
 
 
 class FleetError(RuntimeError):
@@ -41,10 +45,21 @@
 
 
 def free_port() -> int:
-    """Return a port of the loopback address that was free just now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Return a port of the loopback address that was free just now.
+
+    The port is below the range from which Linux takes the ports of outgoing
+    connections (32768 and up), so that no connection takes it before the
+    process that is to listen on it starts.
+    """
+    for _ in range(PORT_TRIES):
+        port = random.randrange(FIRST_PORT, LAST_PORT)
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+            return port
+    raise FleetError('no free port')
 
 
 class Process:
@@ -131,6 +146,7 @@
         availability_zones: Sequence[str] = ('dk-east-a',),
         engine_options: Mapping[str, Any] | None = None,
         settings: Mapping[str, Any] | None = None,
+        seeds: bool = False,
     ) -> None:
         self.text = copy.deepcopy(dict(text))
         self.daemons: list[DaemonProcess] = []
@@ -141,6 +157,12 @@
         self._zones = availability_zones
         self._engine_options = dict(engine_options or {})
         self._settings = dict(settings or {})
+        # Chosen before the first daemon starts, since each names the others.
+        self._seeds = (
+            {name: f'{HOST}:{free_port()}' for name in self._names()}
+            if seeds
+            else {}
+        )
         self._folder = tempfile.TemporaryDirectory(prefix='primrosereel-')
         self._platform_address = ''
         self._platform: Process | None = None
@@ -180,12 +202,13 @@
             for runner, row in service['runners'].items():
                 self._start_runner(runner, row, service)
         self.publish()
-        for number in range(1, self._count + 1):
-            self.add_daemon(f'entry-{number}', wait=False)
+        for instance in self._names():
+            self.add_daemon(instance, wait=False)
         self._publish_candidates()
         for daemon in self.daemons:
             self.wait_ready(daemon)
-        self._wait_listed()
+        self.wait_listed()
+        self._listed_at = time.monotonic()
 
     def stop(self) -> None:
         """End every process; daemons and stand-ins by SIGTERM first."""
@@ -212,8 +235,8 @@
         process.start()
         return process
 
-    def publish(self, text: Mapping[str, Any] | None = None) -> None:
-        """Put a text into force at the platform."""
+    def publish(self, text: Mapping[str, Any] | None = None) -> int:
+        """Put a text into force at the platform; return its revision."""
         if text is not None:
             self.text = copy.deepcopy(dict(text))
         response = httpx.put(
@@ -221,6 +244,7 @@
             content=json.dumps(self.text),
         )
         response.raise_for_status()
+        return response.json()['revision']
 
     def add_daemon(self, instance: str, wait: bool = True) -> DaemonProcess:
         """Start another daemon; with ``wait`` list it and wait for it."""
@@ -245,6 +269,15 @@
 
         self.wait_for(is_ready, f'{daemon.instance} is ready')
 
+    def wait_listed(self) -> None:
+        """Wait until every daemon has every other in its list."""
+        everyone = {d.instance for d in self.daemons}
+
+        def is_listed() -> bool:
+            return all(everyone <= _listed(d) for d in self.daemons)
+
+        self.wait_for(is_listed, 'every daemon lists every other')
+
     def wait_for(
         self, condition, what: str, timeout_s: float = START_TIMEOUT_S
     ) -> float:
@@ -281,6 +314,9 @@
             total += found.get(path, {}).get(key, 0)
         return total
 
+    def _names(self) -> list[str]:
+        return [f'entry-{n}' for n in range(1, self._count + 1)]
+
     def _post(self, url: str, body: Mapping[str, Any]) -> None:
         httpx.post(url, json=dict(body), timeout=5).raise_for_status()
 
@@ -334,7 +370,8 @@
         return self.start_process(name, command)
 
     def _make_daemon(self, instance: str) -> DaemonProcess:
-        callers, operators, peers = (f'{HOST}:{free_port()}' for _ in range(3))
+        callers, operators = (f'{HOST}:{free_port()}' for _ in range(2))
+        peers = self._seeds.get(instance) or f'{HOST}:{free_port()}'
         zone = self._zones[len(self.daemons) % len(self._zones)]
         token = hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()
         settings = {
@@ -343,7 +380,7 @@
             'availability_zone': zone,
             'callers': {'address': callers},
             'operators': {'address': operators, 'token_sha256': token},
-            'peers': {'address': peers},
+            'peers': {'address': peers, 'seeds': self._seeds},
             'platform': {
                 'configuration': self.platform,
                 'instances': self.platform,
@@ -385,20 +422,6 @@
             f'{self.platform}/standin/candidates', json=candidates
         ).raise_for_status()
 
-    def _wait_listed(self) -> None:
-        """Wait until every daemon has every other in its list."""
-        everyone = {d.instance for d in self.daemons}
-
-        def is_listed() -> bool:
-            return all(
-                everyone
-                <= set(d.operator_get('/status')['listing']['instances'])
-                for d in self.daemons
-            )
-
-        self.wait_for(is_listed, 'every daemon lists every other')
-        self._listed_at = time.monotonic()
-
     def _tails(self) -> str:
         """Return the end of each daemon's output, for an error message."""
         return '\n'.join(
--- a/primrosereel/cmd/daemon.py
+++ b/primrosereel/cmd/daemon.py
@@ -5,6 +5,7 @@
 """
 
 import argparse
+from collections.abc import Iterator
 import pathlib
 import sys
 
@@ -64,11 +65,20 @@
     try:
         anyio.run(daemon.serve, parsed, backend='asyncio')
     except* OSError as group:
-        for failure in group.exceptions:
+        for failure in _leaves(group):
             print(f'primrosereeld: {failure}', file=sys.stderr)
         status = EXIT_FAILED
     return status
 
 
+def _leaves(group: BaseExceptionGroup) -> Iterator[BaseException]:
+    """Yield the errors of a group and of the groups in it."""
+    for failure in group.exceptions:
+        if isinstance(failure, BaseExceptionGroup):
+            yield from _leaves(failure)
+        else:
+            yield failure
+
+
 if __name__ == '__main__':
     sys.exit(main())
--- a/primrosereel/daemon/_composition.py
+++ b/primrosereel/daemon/_composition.py
@@ -55,6 +55,7 @@
         )
         self._stop_asked = anyio.Event()
         self._stopped = anyio.Event()
+        self._servers_ended = anyio.Event()
 
     async def run(self) -> None:
         """Serve until a stop is asked for and nothing is in progress."""
@@ -93,6 +94,9 @@
             self._log.info('started', incarnation=self._identity.incarnation)
             await self._drain(driver)
             self._stopped.set()
+            # hypercorn raises when it is cancelled while it closes
+            # connections, and the daemon would exit with status 1.
+            await self._servers_ended.wait()
             await server.stop(CLOSE_TIMEOUT_S)
             await anyio.sleep(0)
             await transport.close()
@@ -187,6 +191,7 @@
                 operator_application,
                 self._config(self._settings.operators.address),
             )
+        self._servers_ended.set()
 
     async def _serve_application(
         self, application: Any, config: hypercorn.Config
--- a/primrosereel/daemon/_engine.py
+++ b/primrosereel/daemon/_engine.py
@@ -85,7 +85,7 @@
 class _Held(msgspec.Struct):
     """One request that an engine holds."""
 
-    id: str
+    request_id: str
 
 
 class _Requests(msgspec.Struct):
@@ -399,7 +399,9 @@
         found = await self._get(f'http://{address}/v1/requests', _Requests)
         if found is None:
             return
-        held = tuple(ids.EngineRequestId(row.id) for row in found.requests)
+        held = tuple(
+            ids.EngineRequestId(row.request_id) for row in found.requests
+        )
         deliver(messages.RequestsListed(effect.runner, held))
 
     async def _give_order(self, effect, address, deliver) -> None:
--- /dev/null
+++ b/tests/fault_fleet.py
@@ -0,0 +1,323 @@
+"""A fleet of real processes that scenarios break, and callers that count.
+
+The engines keep an unread stream for a minute, so that memory which is free
+earlier was freed by the router and not by the engine's own timer.
+"""
+
+import collections
+import copy
+import signal
+import threading
+import time
+
+import httpx
+
+from primrosereel import standin
+from primrosereel.bench import _demo as demo
+from primrosereel.bench import _fleet as fleet_module
+from primrosereel.bench import _load as load
+from primrosereel.bench import _texts as texts
+
+__all__ = ['Broken', 'KeyedCall', 'StreamCaller']
+
+SERVICE = 'analyst'
+PLAIN = 'office'
+PLAIN_PATH = '/certifications'
+CUSTOMER = 'records'
+ENGINE_OPTIONS = {'reader_grace_s': 60.0, 'kv_eviction_s': 3.0}
+# Generous limit of a poll; no scenario measures time with it.
+LIMIT_S = 30.0
+CALL_TIMEOUT_S = 40.0
+IN_PROGRESS_TOKENS = 4
+HOLDING = ('pieces_held', 'places_held')
+
+
+class StreamCaller(threading.Thread):
+    """Streams one completion and keeps what it received."""
+
+    def __init__(self, url, prompt, max_tokens):
+        super().__init__(daemon=True)
+        self.url = url
+        self.prompt = prompt
+        self.max_tokens = max_tokens
+        self.result = load.Result(CUSTOMER)
+        self.tokens = 0
+        self.done = 0
+        self.leave = threading.Event()
+
+    @property
+    def is_whole(self):
+        """Whether the answer is exactly the engine's, with one end."""
+        return (
+            self.result.answered
+            and self.done == 1
+            and self.result.text
+            == standin.answer(self.prompt, self.max_tokens)
+        )
+
+    @property
+    def outcome(self):
+        """How the answer compares with the whole one."""
+        expected = standin.answer(self.prompt, self.max_tokens)
+        if self.is_whole:
+            return 'whole'
+        if self.result.text and expected.startswith(self.result.text):
+            return 'cut'
+        return 'wrong' if self.result.text else 'lost'
+
+    def run(self):
+        """Call and read until the end or until told to leave."""
+        body = {
+            'model': SERVICE,
+            'prompt': self.prompt,
+            'max_tokens': self.max_tokens,
+            'stream': True,
+        }
+        headers = {'authorization': f'Bearer {texts.key_of(CUSTOMER)}'}
+        try:
+            with httpx.stream(
+                'POST',
+                f'{self.url}/v1/completions',
+                json=body,
+                headers=headers,
+                timeout=CALL_TIMEOUT_S,
+            ) as response:
+                self._read(response)
+        except httpx.HTTPError as error:
+            self.result.reason = type(error).__name__
+
+    def _read(self, response):
+        self.result.status = response.status_code
+        if response.status_code != 200:
+            response.read()
+            load._read_problem(self.result, response)
+            return
+        for line in response.iter_lines():
+            if self.leave.is_set():
+                return
+            self.done += line == 'data: [DONE]'
+            before = len(self.result.text)
+            load._take_line(self.result, line, 0.0, 0.0)
+            self.tokens += len(self.result.text) > before
+
+
+class KeyedCall(threading.Thread):
+    """Sends one non-idempotent call with a key."""
+
+    def __init__(self, url, key):
+        super().__init__(daemon=True)
+        self.url = url
+        self.key = key
+        self.status = 0
+        self.reason = ''
+        self.ran = ''
+
+    def run(self):
+        """Call once."""
+        try:
+            response = httpx.post(
+                f'{self.url}/services/{PLAIN}{PLAIN_PATH}',
+                headers={
+                    'authorization': f'Bearer {texts.key_of(CUSTOMER)}',
+                    'idempotency-key': self.key,
+                },
+                content=b'{"strike": 4711}',
+                timeout=CALL_TIMEOUT_S,
+            )
+        except httpx.HTTPError as error:
+            self.reason = type(error).__name__
+            return
+        self.status = response.status_code
+        if response.status_code != 200:
+            found = load.Result(CUSTOMER)
+            load._read_problem(found, response)
+            self.reason, self.ran = found.reason, found.ran
+
+
+class Broken:
+    """The fleet, what a scenario has in flight, and the counts of a run."""
+
+    def __init__(self, daemons=3):
+        self.fleet = fleet_module.Fleet(
+            texts.demo(),
+            daemons=daemons,
+            engine_options=ENGINE_OPTIONS,
+            seeds=True,
+        )
+        self.fleet.start()
+        self._text = copy.deepcopy(self.fleet.text)
+        self.tally = collections.Counter()
+        self.streams = []
+        self.calls = []
+        self._prompts = 0
+
+    def daemon(self, number):
+        """Return a daemon by its number from 1."""
+        return self.fleet.daemons[number - 1]
+
+    def runners(self, role):
+        """Return the names of the runners with a role."""
+        return [
+            name
+            for service in self.fleet.text['services'].values()
+            for name, row in service['runners'].items()
+            if row['role'] == role
+        ]
+
+    def start_streams(self, count, max_tokens, numbers):
+        """Start streams, spread over daemons; wait for tokens of each."""
+        started = []
+        for index in range(count):
+            self._prompts += 1
+            daemon = self.daemon(numbers[index % len(numbers)])
+            prompt = f'Strike {self._prompts} of the mast. ' + 'x' * 4000
+            started.append(StreamCaller(daemon.callers, prompt, max_tokens))
+        for stream in started:
+            stream.start()
+        self.streams += started
+        self.tally['streams'] += count
+        return started
+
+    def wait_in_progress(self):
+        """Wait until each stream has tokens; fail when one has ended."""
+        self.fleet.wait_for(
+            lambda: all(s.tokens >= IN_PROGRESS_TOKENS for s in self.streams),
+            f'streams are in progress: {[s.result for s in self.streams]}',
+            LIMIT_S,
+        )
+        ended = [s.result for s in self.streams if not s.is_alive()]
+        assert not ended, f'ended before the fault: {ended}'
+        self.tally['streams in progress at a fault'] += len(self.streams)
+
+    def finish_streams(self):
+        """Wait for every caller and count the outcomes."""
+        for stream in self.streams:
+            stream.join(CALL_TIMEOUT_S * 2)
+            assert not stream.is_alive(), 'a stream did not end'
+            self.tally[f'answers {stream.outcome}'] += 1
+
+    def fault(self, name):
+        """Count a fault that was caused."""
+        self.tally['faults'] += 1
+        self.tally[f'fault: {name}'] += 1
+
+    def held_by(self, runner):
+        """Return the requests that an engine holds."""
+        url = f'http://{self.fleet.addresses[runner]}/v1/requests'
+        rows = httpx.get(url, timeout=5).json()['requests']
+        return [r for r in rows if r['state'] != 'finished']
+
+    def busiest(self, role='decode'):
+        """Return the runner of a role that holds the most requests."""
+        found = max(self.runners(role), key=lambda r: len(self.held_by(r)))
+        assert self.held_by(found), f'no {role} engine holds a request'
+        return found
+
+    def engines(self):
+        """Return the engines whose processes run."""
+        names = self.runners('prefill') + self.runners('decode')
+        return [n for n in names if self.fleet.runners[n].is_running()]
+
+    def is_free(self):
+        """Tell whether no engine holds memory, a place or a request."""
+        return all(
+            not self.held_by(name)
+            and not any(self.fleet.engine_counters(name)[h] for h in HOLDING)
+            for name in self.engines()
+        )
+
+    def wait_free(self, timeout_s=LIMIT_S):
+        """Wait until engine memory is free; return the seconds."""
+        return self.fleet.wait_for(
+            self.is_free, 'engine memory is free', timeout_s
+        )
+
+    def replace_engine(self, runner):
+        """Start an engine anew, with another incarnation and no faults."""
+        process = self.fleet.runners[runner]
+        process.kill()
+        process.start()
+        self.fleet.wait_for(
+            lambda: self.fleet.engine_counters(runner), f'{runner} answers'
+        )
+
+    def retries(self):
+        """Return how often daemons have repeated a call to an upstream."""
+        return sum(
+            value
+            for daemon in self.fleet.daemons
+            for name, value in daemon.counters().items()
+            if name.startswith('retry')
+        )
+
+    def total(self, counter):
+        """Return the sum of a counter over the engines."""
+        return sum(
+            self.fleet.engine_counters(n)[counter] for n in self.engines()
+        )
+
+    def wait_witnesses(self):
+        """Wait until witnesses vouch for keys made now."""
+        time.sleep(max(0.0, demo.WITNESS_WARM_UP_S - self.fleet.age_s))
+
+    def call(self, number, key):
+        """Start a keyed call at a daemon."""
+        call = KeyedCall(self.daemon(number).callers, key)
+        call.start()
+        self.calls.append(call)
+        self.tally['keyed calls'] += 1
+        return call
+
+    def join_calls(self):
+        """Wait for every keyed call."""
+        for call in self.calls:
+            call.join(CALL_TIMEOUT_S * 2)
+            assert not call.is_alive(), 'a keyed call did not end'
+
+    def settings_of(self, number):
+        """Return what a daemon has in force."""
+        return self.daemon(number).operator_get('/status')
+
+    def executions(self, key):
+        """Return how often a key ran."""
+        return self.fleet.executions(PLAIN, PLAIN_PATH, key)
+
+    def set_plain_fault(self, **fault):
+        """Switch a fault of every plain runner."""
+        for runner in self.runners('plain'):
+            self.fleet.set_fault(runner, **fault)
+
+    def restore(self):
+        """Bring every process and text back for the next scenario."""
+        for stream in self.streams:
+            stream.leave.set()
+        self.streams, self.calls = [], []
+        fleet = self.fleet
+        fleet.set_platform_fault(down=False, list_down=False)
+        for process in (*fleet.runners.values(), fleet.platform_process):
+            process.signal(signal.SIGCONT)
+        for process in fleet.runners.values():
+            if not process.is_running():
+                process.start()
+        self.set_plain_fault(slow=1.0)
+        for daemon in fleet.daemons:
+            daemon.process.signal(signal.SIGCONT)
+            if not daemon.process.is_running():
+                daemon.process.start()
+        for daemon in fleet.daemons:
+            fleet.wait_ready(daemon)
+        fleet.wait_listed()
+        self._restore_text()
+
+    def _restore_text(self):
+        fleet = self.fleet
+        if fleet.text == self._text:
+            return
+        revision = fleet.publish(self._text)
+        fleet.wait_for(
+            lambda: all(
+                d.operator_get('/status')['revision'] == revision
+                for d in fleet.daemons
+            ),
+            'every daemon has the first text again',
+        )
