Fill customer rows in the rate experiment as the text does

Cause: customers' rows have one writer since the duplicates were joined; the experiment set the text alone and raised KeyError. Change: put_in_force as in the tests. Result: test_bench_bounds passes (5 of 5).

--- a/primrosereel/bench/_rates.py
+++ b/primrosereel/bench/_rates.py
@@ -11,6 +11,7 @@
 from primrosereel.core import _limits as limits
 from primrosereel.core import _messages as messages
 from primrosereel.core import _tables as tables
+from primrosereel.core import _text_tables as text_tables
 
 __all__ = ['SETTLED_S', 'WINDOW_S', 'RateFleet', 'total_rate']
 
@@ -45,9 +46,9 @@
             )
             source = random.Random(self._random.getrandbits(32))
             core = core_module.Core(identity, source, ('limits',))
-            core.world.text = text
+            text_tables.put_in_force(core.world, text, ids.Revision(1))
             self.cores[name] = core
-            core.handle(messages.TextChanged(ids.Revision(1)), 0.0, 0.0)
+            core.tick(0.0, 0.0)
             self._at(self._random.uniform(0, TICK_S), self._tick, name)
         self._list()
 
