--- a/primrosereel/bench/_capacity_bad_day.py
+++ b/primrosereel/bench/_capacity_bad_day.py
@@ -59,6 +59,7 @@
         mean.memory,
         f'the mean daemon of the region with {factor:.2f} times its load; '
         'not measured as a whole',
+        remedy='those of the roles',
     )
 
 
@@ -81,6 +82,8 @@
         mean.memory,
         'measured idle and apart, added to the mean daemon; coming back '
         'costs one text difference or full text',
+        remedy='those of the roles; one probe a second in all for suspects '
+        'of a region that is wholly suspect',
     )
 
 
@@ -98,6 +101,8 @@
         None,
         'each daemon without a text reads it once within 10 s; bound, not '
         'measured as a whole',
+        remedy='none is needed: each daemon pays once for a text of '
+        'this size; the mean over a day is far below the budget',
         reads_s=float(core.FULL.daemons),
     )
 
@@ -120,7 +125,9 @@
         s.wire(sent, s.payload('start', *names)),
         spent,
         None,
-        'one second only; before a text is in force nothing is served; the '
-        'two reads of a text are the cost',
+        'one second only; before a text is in force nothing is served; its '
+        'parse is most of the cost',
+        remedy='none is needed: a budget of a mean day, exceeded for one '
+        'second; a parse is paid once a start',
         reads_s=s.sent('start', 'WatchConfiguration') * core.FULL.daemons,
     )
--- a/primrosereel/bench/_capacity_plot.py
+++ b/primrosereel/bench/_capacity_plot.py
@@ -4,9 +4,14 @@
 
 from matplotlib import figure as figures
 
+from primrosereel.bench import _capacity_rows as rows
+
 __all__ = ['write']
 
-PANELS = (('core', 'part of a core', 0.021), ('bytes_s', 'bytes/s', 4000.0))
+PANELS = (
+    ('core', 'part of a core', rows.BUDGET.core),
+    ('bytes_s', 'bytes/s', rows.BUDGET.bytes_s),
+)
 
 
 def write(report: dict[str, Any], path: str) -> None:
