Run examples and stand-ins from the tool

The examples held a text only, so trying one meant writing settings and starting a dozen processes by hand. Both now have settings for their daemons, 'primrosereel run-example DIR' starts everything and stops it at SIGINT or SIGTERM, and 'primrosereel standin' runs one stand-in.

--- a/primrosereel/_registry.py
+++ b/primrosereel/_registry.py
@@ -32,6 +32,8 @@
         'demo': 'cmd._demo:DemoCommand',
         'drain': 'cmd._remote:DrainCommand',
         'explain': 'cmd._remote:ExplainCommand',
+        'run-example': 'cmd._example:RunExampleCommand',
+        'standin': 'cmd._standin:StandinCommand',
         'status': 'cmd._remote:StatusCommand',
     },
     'placement': {
--- /dev/null
+++ b/primrosereel/bench/_example.py
@@ -0,0 +1,189 @@
+"""Runs an example as processes: its stand-ins, platform and daemons.
+
+An example is a folder with ``text.json5`` and a file of settings for each
+daemon below ``settings``. All addresses come from these files.
+"""
+
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from typing import Any
+
+import httpx
+from returns import pipeline
+
+from primrosereel import settings as settings_module
+from primrosereel import text as text_module
+from primrosereel.bench import _fleet as fleet
+
+__all__ = ['Example', 'ExampleError']
+
+READY_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 15.0
+POLL_S = 0.1
+TAIL_CHARACTERS = 1500
+
+
+class ExampleError(RuntimeError):
+    """An example cannot be read or one of its processes failed."""
+
+
+class Example:
+    """The processes of one example; ended when the block is left."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self._body = _read(folder / 'text.json5')
+        self._text = _parsed(text_module.parse, folder / 'text.json5')
+        paths = sorted((folder / 'settings').glob('*.json5'))
+        if not paths:
+            raise ExampleError(f'{folder / "settings"} holds no settings')
+        self._settings = {
+            path: _parsed(settings_module.parse, path) for path in paths
+        }
+        self._daemons: list[fleet.Process] = []
+        self._standins: list[fleet.Process] = []
+        self._logs = tempfile.TemporaryDirectory(prefix='primrosereel-')
+
+    @property
+    def callers(self) -> dict[str, str]:
+        """The callers' base URL of each instance."""
+        return {
+            row.instance: f'http://{row.callers.address}'
+            for row in self._settings.values()
+        }
+
+    def __enter__(self) -> 'Example':
+        try:
+            self._start()
+        except BaseException:
+            self._stop()
+            raise
+        return self
+
+    def __exit__(self, *unused: object) -> None:
+        self._stop()
+
+    def ended(self) -> str | None:
+        """Return the name and last output of a process that has ended."""
+        for process in (*self._standins, *self._daemons):
+            if not process.is_running():
+                return f'{process.name}: {process.output()[-TAIL_CHARACTERS:]}'
+        return None
+
+    def _start(self) -> None:
+        self._start_platform()
+        for service in self._text.services.values():
+            for name, runner in service.runners.items():
+                self._start_runner(name, runner, service)
+        for path, row in self._settings.items():
+            module = ['primrosereel.cmd.daemon', '--settings', str(path)]
+            self._daemons.append(self._process(row.instance, module))
+        self._wait_ready()
+
+    def _start_platform(self) -> None:
+        rows = list(self._settings.values())
+        addresses = {row.platform.configuration for row in rows}
+        addresses |= {row.platform.instances for row in rows}
+        if len(addresses) != 1:
+            raise ExampleError('the settings name more than one platform')
+        candidates = [
+            {
+                'instance': row.instance,
+                'region': row.region,
+                'availability_zone': row.availability_zone,
+                'address': row.peers.address,
+                'operator_address': row.operators.address,
+            }
+            for row in rows
+        ]
+        options = {
+            'text': self._body.decode(),
+            'revision': 1,
+            'candidates': candidates,
+        }
+        address = addresses.pop().partition('://')[2]
+        self._start_standin('platform', 'platform', address, options)
+
+    def _start_runner(
+        self, name: str, runner: text_module.Runner, service: Any
+    ) -> None:
+        if service.model is None:
+            options = {'runner': name, 'places': runner.places}
+            self._start_standin(name, 'plain', runner.address, options)
+            return
+        model = self._text.models[service.model]
+        options = {
+            'runner': name,
+            'role': runner.role.value,
+            'places': runner.places,
+            'pieces': runner.pieces,
+            'piece_tokens': runner.piece_tokens,
+            'link_bytes_s': runner.link_bytes_s,
+            'checks_fencing': runner.checks_fencing,
+            'kv_bytes_per_token': model.kv_bytes_per_token,
+            'prefill_tokens_s': model.prefill_tokens_s,
+            'decode_step_s': model.decode_step_s,
+        }
+        self._start_standin(name, 'engine', runner.address, options)
+
+    def _start_standin(self, name, kind, address, options) -> None:
+        module = ['primrosereel.standin', kind, '--listen', address]
+        module += ['--options', json.dumps(options)]
+        self._standins.append(self._process(name, module))
+
+    def _process(self, name: str, module: list[str]) -> fleet.Process:
+        log = pathlib.Path(self._logs.name) / f'{name}.log'
+        process = fleet.Process(name, [sys.executable, '-m', *module], log)
+        process.start()
+        return process
+
+    def _wait_ready(self) -> None:
+        waiting = {row.operators.address for row in self._settings.values()}
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        while waiting:
+            ended = self.ended()
+            if ended is not None:
+                raise ExampleError(ended)
+            if time.monotonic() > deadline:
+                raise ExampleError(f'not ready: {", ".join(sorted(waiting))}')
+            time.sleep(POLL_S)
+            waiting = {a for a in waiting if not _is_ready(a)}
+
+    def _stop(self) -> None:
+        """End the daemons, which drain, then what they call."""
+        for processes in (self._daemons, self._standins):
+            for process in processes:
+                process.signal(signal.SIGTERM)
+            deadline = time.monotonic() + STOP_TIMEOUT_S
+            for process in processes:
+                try:
+                    process.wait(max(0.1, deadline - time.monotonic()))
+                except subprocess.TimeoutExpired:
+                    process.kill()
+        self._logs.cleanup()
+
+
+def _is_ready(address: str) -> bool:
+    try:
+        return httpx.get(f'http://{address}/readyz').status_code == 200
+    except httpx.HTTPError:
+        return False
+
+
+def _read(path: pathlib.Path) -> bytes:
+    try:
+        return path.read_bytes()
+    except OSError as error:
+        raise ExampleError(f'{path}: {error.strerror}') from error
+
+
+def _parsed(parse, path: pathlib.Path) -> Any:
+    found = parse(_read(path))
+    if not pipeline.is_successful(found):
+        faults = '\n'.join(f'{path}: {fault}' for fault in found.failure())
+        raise ExampleError(faults)
+    return found.unwrap()
--- a/primrosereel/standin/__main__.py
+++ b/primrosereel/standin/__main__.py
@@ -22,7 +22,9 @@
 from primrosereel.standin import _platform as platform
 from primrosereel.standin import _types as types
 
-__all__ = ['main']
+__all__ = ['add_arguments', 'main', 'run']
+
+EXIT_USAGE = 2
 
 
 class _Kind(NamedTuple):
@@ -57,23 +59,37 @@
     print(msgspec.json.encode({'listening': address}).decode(), flush=True)
 
 
-def main(arguments: list[str] | None = None) -> int:
-    """Run one stand-in; return 2 for options that are not valid."""
-    parser = argparse.ArgumentParser(prog='python -m primrosereel.standin')
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Declare what kind of stand-in runs, where and how."""
     parser.add_argument('kind', choices=sorted(KINDS))
     parser.add_argument('--listen', default='127.0.0.1:0', metavar='IP:PORT')
     parser.add_argument('--options', default='{}', metavar='JSON')
-    parsed = parser.parse_args(arguments)
+
+
+def run(parsed: argparse.Namespace) -> int:
+    """Run one stand-in until stopped; return 2 for bad options."""
     kind = KINDS[parsed.kind]
     if not http.is_loopback(parsed.listen):
-        parser.error(f'{parsed.listen} is not a loopback address and port')
+        return _refuse(f'{parsed.listen} is not a loopback address and port')
     try:
         options: Any = msgspec.json.decode(parsed.options, type=kind.options)
     except msgspec.DecodeError as error:
-        parser.error(f'options: {error}')
+        return _refuse(f'options: {error}')
     anyio.run(_run, kind, options, parsed.listen)
     return 0
 
 
+def _refuse(fault: str) -> int:
+    print(f'stand-in: {fault}', file=sys.stderr)
+    return EXIT_USAGE
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run one stand-in; return the exit status."""
+    parser = argparse.ArgumentParser(prog='python -m primrosereel.standin')
+    add_arguments(parser)
+    return run(parser.parse_args(arguments))
+
+
 if __name__ == '__main__':
     sys.exit(main())
--- a/tests/property/test_examples.py
+++ b/tests/property/test_examples.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from primrosereel import settings as settings_module
 from primrosereel import text as text_module
 
 EXAMPLES = pathlib.Path(__file__).resolve().parents[2] / 'examples'
@@ -32,3 +33,36 @@
         assert key in body.decode()
         digest = hashlib.sha256(key.encode()).hexdigest()
         assert customer.key_sha256 == digest
+
+
+@pytest.mark.parametrize(
+    'user, region, zones, count, first_port',
+    [
+        ('lynreg', 'dk-east', 'abc', 7, 18210),
+        ('guadalajara', 'jal-occ', 'abcd', 6, 18410),
+    ],
+)
+def test_example_settings(user, region, zones, count, first_port):
+    """Guards against instances of an example that cannot run together."""
+    taken = set()
+    for number in range(count):
+        path = EXAMPLES / user / 'settings' / f'entry-{number + 1}.json5'
+        row = settings_module.parse(path.read_bytes()).unwrap()
+        assert row.instance == path.stem
+        assert row.region == region
+        zone = f'{region}-{zones[number % len(zones)]}'
+        assert row.availability_zone == zone
+        assert row.platform.configuration == row.platform.instances
+        used = {row.callers.address, row.operators.address, row.peers.address}
+        assert len(used) == 3 and not used & taken
+        taken |= used
+    ports = sorted(int(address.rpartition(':')[2]) for address in taken)
+    assert ports == list(range(first_port, first_port + 3 * count))
+    assert len(list((EXAMPLES / user / 'settings').iterdir())) == count
+    body = (EXAMPLES / user / 'text.json5').read_bytes()
+    text = text_module.parse(body).unwrap()
+    runners = [r for s in text.services.values() for r in s.runners.values()]
+    assert {r.availability_zone for r in runners} == {
+        f'{region}-{zone}' for zone in zones
+    }
+    assert not taken & {r.address for r in runners}
