--- a/tests/property/test_fuzz_engine.py
+++ b/tests/property/test_fuzz_engine.py
@@ -7,6 +7,7 @@
 import hypothesis
 from hypothesis import strategies as st
 
+from primrosereel import _states as states
 from primrosereel.core import _messages as messages
 from primrosereel.daemon import _engine as engine
 from primrosereel.daemon import _plain_upstream as plain_upstream
@@ -217,3 +218,33 @@
     )
     (end,) = delivered
     assert isinstance(end, messages.PlainAnswered | messages.PlainFailed)
+
+
+@hypothesis.settings(max_examples=60)
+@hypothesis.given(
+    st.lists(st.tuples(st.integers(0, 3), IDS), min_size=1, max_size=4)
+)
+def test_foreign_tokens_do_not_pass(events):
+    """Guards against tokens of another request, or after a gap."""
+    lines = [
+        f'data: {{"request_id": "{name}", "offset": {at}, "token": "t"}}\n\n'
+        for at, name in events
+    ]
+    right = 0
+    while right < len(events) and events[right] == (right, ENGINE_ID):
+        right += 1
+    effect = messages.ReattachStream(REQUEST, 1, 'd', 0)
+    chunks = [line.encode() for line in lines]
+    delivered = _carry(
+        engine.HttpEngineClient,
+        'reattach',
+        effect,
+        (),
+        _answer(200, chunks, False),
+    )
+    assert sum(len(m.tokens) for m in delivered[:-1]) == right
+    whole = right == len(events)
+    expected = (
+        states.UpstreamError.BROKEN if whole else states.UpstreamError.PROTOCOL
+    )
+    assert delivered[-1].error is expected
