--- a/primrosereel/bench/_capacity_rows.py
+++ b/primrosereel/bench/_capacity_rows.py
@@ -197,7 +197,7 @@
     calls, size, spent = s.polls(LOAD_READS, runners)
     return Row(
         'group owner',
-        'ledger of places; load and cache polls of its runners each second',
+        'ledger of places; load and cache polls of its runners every 2 s',
         'core/_pool.py, core/_group.py, core/_reservation.py',
         runners * s.fits['core memory by runners'].slope,
         calls,
--- a/primrosereel/daemon/_driver.py
+++ b/primrosereel/daemon/_driver.py
@@ -210,81 +210,41 @@
             return ''
         return text.services[service].model or ''
 
-    def _prefill(self, effect: messages.StartPrefill) -> None:
+    def _to_runner(self, call, effect: Any, *more: Any) -> None:
+        """Call an effect's runner, or report at once that it is unknown."""
         address = self._address(effect.runner)
-        if address is None:
-            self.handle(
-                messages.PrefillFailed(
-                    effect.request_id,
-                    effect.attempt,
-                    effect.runner,
-                    states.UpstreamError.CONNECT,
-                    states.Ran.NOT_RUN,
-                )
-            )
+        if address is not None:
+            self._start(call, effect, address, *more, self.handle)
             return
-        model = self._model(effect.service)
+        failure = _unreachable(effect)
+        if failure is not None:
+            self.handle(failure)
+
+    def _prefill(self, effect: messages.StartPrefill) -> None:
         assert self._engine is not None
-        self._start(self._engine.prefill, effect, address, model, self.handle)
+        model = self._model(effect.service)
+        self._to_runner(self._engine.prefill, effect, model)
 
     def _decode(self, effect: messages.StartDecode) -> None:
-        address = self._address(effect.runner)
-        if address is None:
-            self._closed(effect)
-            return
-        model = self._model(effect.service)
         assert self._engine is not None
-        self._start(self._engine.decode, effect, address, model, self.handle)
+        model = self._model(effect.service)
+        self._to_runner(self._engine.decode, effect, model)
 
     def _reattach(self, effect: messages.ReattachStream) -> None:
-        address = self._address(effect.runner)
-        if address is None:
-            self._closed(effect)
-            return
         assert self._engine is not None
-        self._start(self._engine.reattach, effect, address, self.handle)
-
-    def _closed(self, effect: Any) -> None:
-        self.handle(
-            messages.StreamClosed(
-                effect.request_id,
-                effect.attempt,
-                effect.runner,
-                states.UpstreamError.CONNECT,
-            )
-        )
+        self._to_runner(self._engine.reattach, effect)
 
     def _cancel(self, effect: messages.CancelUpstream) -> None:
-        address = self._address(effect.runner)
-        if address is None:
-            self.handle(
-                messages.CancelFailed(effect.runner, effect.engine_request_id)
-            )
-            return
         assert self._engine is not None
-        self._start(self._engine.cancel, effect, address, self.handle)
+        self._to_runner(self._engine.cancel, effect)
 
     def _control(self, effect: Any) -> None:
-        address = self._address(effect.runner)
-        if address is not None:
-            assert self._engine is not None
-            self._start(self._engine.control, effect, address, self.handle)
+        assert self._engine is not None
+        self._to_runner(self._engine.control, effect)
 
     def _call_plain(self, effect: messages.CallPlain) -> None:
-        address = self._address(effect.runner)
-        if address is None:
-            self.handle(
-                messages.PlainFailed(
-                    effect.request_id,
-                    effect.attempt,
-                    effect.runner,
-                    states.UpstreamError.CONNECT,
-                    states.Ran.NOT_RUN,
-                )
-            )
-            return
         assert self._plain is not None
-        self._start(self._plain.call, effect, address, self.handle)
+        self._to_runner(self._plain.call, effect)
 
     def _send_peer(self, effect: messages.SendPeer) -> None:
         row = self._core.world.listing.instances.get(effect.destination)
@@ -312,3 +272,31 @@
 
     def _drain_finished(self, effect: messages.DrainFinished) -> None:
         self._drained.set()
+
+
+def _unreachable(effect: Any) -> messages.Inbound | None:
+    """Return what the core is told of a call to a runner without address.
+
+    A poll or an order has no failure of its own; it is repeated anyway.
+    """
+    error = states.UpstreamError.CONNECT
+    if isinstance(effect, messages.CancelUpstream):
+        return messages.CancelFailed(effect.runner, effect.engine_request_id)
+    if isinstance(effect, messages.StartDecode | messages.ReattachStream):
+        return messages.StreamClosed(
+            effect.request_id, effect.attempt, effect.runner, error
+        )
+    kind: Any
+    if isinstance(effect, messages.StartPrefill):
+        kind = messages.PrefillFailed
+    elif isinstance(effect, messages.CallPlain):
+        kind = messages.PlainFailed
+    else:
+        return None
+    return kind(
+        effect.request_id,
+        effect.attempt,
+        effect.runner,
+        error,
+        states.Ran.NOT_RUN,
+    )
