Ask again for runners that failed a request when no other is left

Cause: a runner that failed a request once was excluded for good. With one decode engine left, a single garbled chunk cut the caller's answer with no_runner; the new scenario showed it (1 of 4 streams cut).

--- a/primrosereel/core/_grants.py
+++ b/primrosereel/core/_grants.py
@@ -82,6 +82,8 @@
     )
     if refusal.reason in CAPACITY and _ask_next(entry, row, now):
         return
+    if refusal.reason is Reason.NO_RUNNER and _ask_failed(entry, row, now):
+        return
     attempts.conclude(
         entry,
         row,
@@ -209,10 +211,24 @@
         row.attempt += 1
         entry.world.explain(row.id, f'attempt {row.attempt}: placed directly')
         _place(entry, row, choice[0], choice[1], now)
-    elif not _ask_next(entry, row, now):
+    elif not (_ask_next(entry, row, now) or _ask_failed(entry, row, now)):
         attempts.conclude(entry, row, Reason.NO_RUNNER, now)
 
 
+def _ask_failed(entry, row, now: float) -> bool:
+    """Ask again with the runners that failed this request before.
+
+    They may be the only ones left, and a garbled stream says little about
+    the next. Each further failure takes one of the request's retries.
+    """
+    if not row.exclude:
+        return False
+    row.exclude = ()
+    entry.world.explain(row.id, 'asked again with the runners that failed')
+    begin(entry, row, now)
+    return True
+
+
 def _place(entry, row, prefill_runner, decode_runner, now: float) -> None:
     row.decode_runner = decode_runner
     if prefill_runner is not None:
--- a/tests/fault_fleet.py
+++ b/tests/fault_fleet.py
@@ -44,6 +44,7 @@
         self.tokens = 0
         self.done = 0
         self.leave = threading.Event()
+        self.counted = False
 
     @property
     def is_whole(self):
@@ -178,23 +179,24 @@
         self.tally['streams'] += count
         return started
 
-    def wait_in_progress(self):
+    def wait_in_progress(self, started):
         """Wait until each stream has tokens; fail when one has ended."""
         self.fleet.wait_for(
-            lambda: all(s.tokens >= IN_PROGRESS_TOKENS for s in self.streams),
-            f'streams are in progress: {[s.result for s in self.streams]}',
+            lambda: all(s.tokens >= IN_PROGRESS_TOKENS for s in started),
+            f'streams are in progress: {[s.result for s in started]}',
             LIMIT_S,
         )
-        ended = [s.result for s in self.streams if not s.is_alive()]
+        ended = [s.result for s in started if not s.is_alive()]
         assert not ended, f'ended before the fault: {ended}'
-        self.tally['streams in progress at a fault'] += len(self.streams)
+        self.tally['streams in progress at a fault'] += len(started)
 
     def finish_streams(self):
-        """Wait for every caller and count the outcomes."""
+        """Wait for every caller and count each outcome once."""
         for stream in self.streams:
             stream.join(CALL_TIMEOUT_S * 2)
             assert not stream.is_alive(), 'a stream did not end'
-            self.tally[f'answers {stream.outcome}'] += 1
+            self.tally[f'answers {stream.outcome}'] += not stream.counted
+            stream.counted = True
 
     def fault(self, name):
         """Count a fault that was caused."""
--- a/tests/features/steps/faults.py
+++ b/tests/features/steps/faults.py
@@ -34,16 +34,18 @@
 @when('the fault fleet streams {count:d} answers through daemons {daemons}')
 def start_streams(context, count, daemons):
     broken = context.broken
-    broken.start_streams(count, MANY_TOKENS, numbers_of(daemons))
-    broken.wait_in_progress()
+    broken.wait_in_progress(
+        broken.start_streams(count, MANY_TOKENS, numbers_of(daemons))
+    )
 
 
 @when('the fault fleet streams {count:d} endless answers through {daemons}')
 def start_endless(context, count, daemons):
     broken = context.broken
     numbers = numbers_of(daemons.removeprefix('daemons '))
-    broken.start_streams(count, ENDLESS_TOKENS, numbers)
-    broken.wait_in_progress()
+    broken.wait_in_progress(
+        broken.start_streams(count, ENDLESS_TOKENS, numbers)
+    )
 
 
 @when('the fault fleet loses the busiest decode engine')
@@ -401,3 +403,10 @@
         ),
         f'{context.runner} is no longer leaving',
     )
+
+
+@when('the last decode engine of the fault fleet has the fault {name}')
+def last_engine_fault(context, name):
+    """The other decode engine leaves and holds nothing any more."""
+    assert context.broken.busiest() != context.runner
+    stream_fault(context, name)
