--- a/primrosereel/bench/_capacity_rows.py
+++ b/primrosereel/bench/_capacity_rows.py
@@ -19,7 +19,7 @@
 LISTS_A_RESTART = 3
 READERS_A_REGION = 2
 GROUP_RUNNERS = 16
-# Assumed: the letter gives no rate of non-idempotent calls.
+# Assumed: the requirements give no rate of non-idempotent calls.
 NON_IDEMPOTENT = 0.01
 CLAIM_KEPT_S = 600.0
 CLAIM_BYTES = 600
--- a/primrosereel/bench/_demo.py
+++ b/primrosereel/bench/_demo.py
@@ -1,4 +1,4 @@
-"""The demonstration: the whole path as separate processes, in one command."""
+"""The demonstration: router and stand-ins as separate processes."""
 
 import os
 import random
--- a/primrosereel/bench/_experiments.py
+++ b/primrosereel/bench/_experiments.py
@@ -195,14 +195,14 @@
     return float('inf') if found is None else found
 
 
-def crest(shape: workloads.Shape, seeds: Sequence[int]) -> list[Row]:
+def burst(shape: workloads.Shape, seeds: Sequence[int]) -> list[Row]:
     """Measure goodput in the ten seconds of a five-times swing."""
     rate = 0.4 * workloads.capacity(shape)
     rows = []
     for policy in POLICIES:
         shares = []
         for seed in seeds:
-            arrivals = workloads.crest(shape, rate, seed)
+            arrivals = workloads.burst(shape, rate, seed)
             sim = _simulate(shape, policy, arrivals, seed)
             found = _within(sim.outcomes, 11.0, 21.0)
             bound = bounds.most_good(
@@ -210,7 +210,7 @@
             )
             shares.append(sum(map(_is_good, found)) / bound)
         more = {'target': '>= 0.9'} if policy == 'primrosereel' else {}
-        name = 'goodput at the crest/bound'
+        name = 'goodput at the peak of a burst/bound'
         rows.append(_row(f'{name}{_label(policy)}', shares, **more))
     return rows
 
@@ -286,7 +286,7 @@
     'goodput': goodput,
     'waste': waste,
     'priority': priority,
-    'crest': crest,
+    'burst': burst,
     'straggler': straggler,
     'decision': decision,
     'rate': rate_limit,
--- a/primrosereel/bench/_workloads.py
+++ b/primrosereel/bench/_workloads.py
@@ -13,7 +13,7 @@
     'Shape',
     'arrivals',
     'capacity',
-    'crest',
+    'burst',
     'decode_tokens_s',
     'prefill_tokens_s',
     'shapes',
@@ -141,7 +141,7 @@
         found.append(_arrival(shape, time, source, priority_share))
 
 
-def crest(
+def burst(
     shape: Shape, rate: float, seed: int, start: float = 1.0
 ) -> list[simulation.Arrival]:
     """Return a swing from a rate to five times it and back.
--- a/primrosereel/cmd/_demo.py
+++ b/primrosereel/cmd/_demo.py
@@ -9,7 +9,7 @@
 
 
 class DemoCommand:
-    """Runs the whole path as separate processes and shows what happened."""
+    """Runs router and stand-ins as processes and shows what happened."""
 
     summary = (
         'Starts stand-in engines, plain services, a platform and two daemons '
--- a/primrosereel/core/_peer_messages.py
+++ b/primrosereel/core/_peer_messages.py
@@ -110,7 +110,7 @@
 
 
 class PauseStream(values.PeerMessage):
-    """The owner asks an entry to pause a patient stream."""
+    """The owner asks an entry to pause a latency-tolerant stream."""
 
     request_id: ids.RequestId
     attempt: int
--- a/primrosereel/core/_scheduler.py
+++ b/primrosereel/core/_scheduler.py
@@ -3,7 +3,7 @@
 Requests that can meet their first token target go before those that cannot
 any more, within their priority: under overload, serving in order of age alone
 would make every answer late. A small share of the grants still goes to the
-late ones, so that patient callers are served as well.
+late ones, so that latency-tolerant callers are served as well.
 """
 
 import math
@@ -31,7 +31,7 @@
 ON_TIME_S = 2.0
 # What the estimate of a first token leaves out: messages between daemons and
 # the wait behind a running prefill. Without it the last requests taken to be
-# on time were just late; in the crest experiment (Guadalajara, seeds 1 to 3)
+# on time were just late; in the burst experiment (Guadalajara, seeds 1 to 3)
 # goodput over bound was 0.84 to 0.87 without it, 0.99 to 1.03 with 20 ms and
 # 1.04 to 1.06 with 50 ms; at 90% load it fell by up to 0.003 with 50 ms.
 START_MARGIN_S = 0.03
--- a/tests/features/pool/preemption_smallest_stream.feature
+++ b/tests/features/pool/preemption_smallest_stream.feature
@@ -1,7 +1,7 @@
 Feature: Work of a higher priority gets a place in a full group
 
   Scenario: the smallest stream is paused and the request granted at once
-    Guards against priority work that waits behind patient work.
+    Guards against priority work that waits behind latency-tolerant work.
 
     Given a pool with prefill=2 decode=1 places=2 pieces=100
     And the pool decodes big with prompt_tokens=9000
--- a/tests/features/pool/queue_displaces_lowest.feature
+++ b/tests/features/pool/queue_displaces_lowest.feature
@@ -1,7 +1,7 @@
 Feature: Requests wait only where waiting helps
 
   Scenario: a request of a higher priority displaces the lowest
-    Guards against a queue that is full of patient work.
+    Guards against a queue that is full of latency-tolerant work.
 
     Given a pool with decode=1 places=1 queue_limit=2
     And the pool decodes held with priority=2
