--- /dev/null
+++ b/tests/property/test_operations_page.py
@@ -0,0 +1,32 @@
+"""The operators' page lists every counter that the code raises."""
+
+import pathlib
+import re
+
+import pytest
+
+from primrosereel import _states as states
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+PAGE = (ROOT / 'docs' / 'operations.md').read_text()
+COUNTER = re.compile(r"\.count\(\s*'([a-z_.]+)'")
+
+
+def _counters():
+    found = set()
+    for folder in ('core', 'daemon'):
+        for path in (ROOT / 'primrosereel' / folder).glob('*.py'):
+            found.update(COUNTER.findall(path.read_text()))
+    return sorted(found)
+
+
+@pytest.mark.parametrize('name', _counters())
+def test_counter_is_listed(name):
+    """Guards against a counter that operators cannot look up."""
+    assert f'`{name}`' in PAGE
+
+
+@pytest.mark.parametrize('kind', [states.RefusalReason, states.RetryReason])
+def test_reasons_are_listed(kind):
+    """Guards against a reason without advice."""
+    assert [r.value for r in kind if f'`{r.value}`' not in PAGE] == []
