Keep the pass-through's requests out of the reclaim

Cause: bench cost failed with cut streams. The pass-through named its requests in the router's form with an unknown instance, and since the lists of engines are read the daemon's reclaim cancels such requests as lost.

--- a/primrosereel/bench/_passthrough.py
+++ b/primrosereel/bench/_passthrough.py
@@ -41,7 +41,8 @@
             return
         call = json.loads(await asgi.read_body(receive, MAX_BODY_BYTES))
         request = {
-            'request_id': f'pass.1.{next(self._numbers)}.1',
+            # In the router's own form a daemon would reclaim it as lost.
+            'request_id': f'passthrough-{next(self._numbers)}',
             'model': 'base',
             'prompt': call['prompt'],
             'continuation': '',
