Remove two properties and a constant that nothing uses

Cause: a last reading of the whole change searched for names without a use. Change: DETECT_CRASH_S, core_total and catching_up are gone; behaviour is unchanged.

--- a/primrosereel/bench/_capacity_core.py
+++ b/primrosereel/bench/_capacity_core.py
@@ -62,11 +62,6 @@
     core: dict[str, float]
     effects: dict[str, float]
 
-    @property
-    def core_total(self) -> float:
-        """Processor seconds of the core in a second."""
-        return sum(self.core.values())
-
 
 def _rates(simulated: region.Region, seconds: float) -> Rates:
     count = len(simulated.cores)
--- a/primrosereel/bench/_simulation.py
+++ b/primrosereel/bench/_simulation.py
@@ -32,7 +32,6 @@
 # Tokens of a stream are delivered in batches of this time after the first.
 CHUNK_S = 0.2
 EPOCH_S = 1_800_000_000.0
-DETECT_CRASH_S = 0.0005
 
 
 class Arrival(NamedTuple):
--- a/primrosereel/core/_service_reads.py
+++ b/primrosereel/core/_service_reads.py
@@ -41,11 +41,6 @@
         self._reader = False
         self._reader_key: tuple[int, ids.Revision] | None = None
 
-    @property
-    def catching_up(self) -> bool:
-        """Whether the service is still to be asked since start or pause."""
-        return self._catching_up
-
     def is_reader(self) -> bool:
         """Tell whether this daemon watches for the next revision."""
         world = self._world
