--- a/primrosereel/_registry.py
+++ b/primrosereel/_registry.py
@@ -45,6 +45,10 @@
         'reserving': 'core._reserving:ReservingPolicy',
         'naive': 'core._placement:NaivePolicy',
     },
+    'runner-placement': {
+        'expected-completion': 'routing._placement:Placement',
+        'random': 'routing._placement:RandomPlacement',
+    },
 }
 
 # Tables are written before the systems that read them run.
--- /dev/null
+++ b/primrosereel/gateway/_callers.py
@@ -0,0 +1,287 @@
+"""Callers' connections: reads whole requests and writes answers."""
+
+from collections.abc import Callable
+import dataclasses
+
+import anyio
+import anyio.abc
+import h11
+
+from primrosereel.gateway import _http as http
+from primrosereel.routing import _model as model
+
+__all__ = ['CallerConnection', 'CallerGone', 'CallerRequest', 'Reply']
+
+# What a caller may send ahead of the answer to its request.
+MAX_PIPELINED_BYTES = 65536
+JSON = b'application/json'
+
+
+class CallerGone(Exception):
+    """The caller has closed its connection."""
+
+
+@dataclasses.dataclass(slots=True)
+class CallerRequest:
+    """A request that was read whole; header names as they were sent."""
+
+    method: bytes
+    target: bytes
+    headers: http.Headers
+    body: bytes
+    received_at: float
+
+    @property
+    def host(self) -> str:
+        """The host that was asked for."""
+        for name, value in self.headers:
+            if name.lower() == b'host':
+                return value.decode('latin-1')
+        return ''
+
+    @property
+    def path(self) -> str:
+        """The path without the query."""
+        return self.target.partition(b'?')[0].decode('latin-1')
+
+
+@dataclasses.dataclass(slots=True)
+class Reply:
+    """A whole answer to a caller."""
+
+    status: int
+    reason: bytes = b''
+    headers: http.Headers = dataclasses.field(default_factory=list)
+    body: bytes = b''
+
+
+class _Refused(Exception):
+    """A request that cannot be read; the status tells the caller why."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(str(status))
+        self.status = status
+
+
+class CallerConnection:
+    """One caller's connection; requests are answered one by one."""
+
+    def __init__(
+        self,
+        stream: anyio.abc.SocketStream,
+        limits: model.CallerLimits,
+        clock: Callable[[], float],
+    ) -> None:
+        self._stream = stream
+        self._limits = limits
+        self._clock = clock
+        self._parser = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
+        )
+        self._ahead = 0
+        self._close_after = False
+        self._closed = False
+
+    @property
+    def idle(self) -> bool:
+        """Whether no byte of a next request has arrived."""
+        return (
+            self._parser.their_state is h11.IDLE
+            and not self._parser.trailing_data[0]
+        )
+
+    async def next_request(self) -> CallerRequest | None:
+        """Read a whole request; None when the connection is to be closed."""
+        try:
+            return await self._read_request()
+        except _Refused as refused:
+            await self._refuse(refused.status)
+        except h11.RemoteProtocolError as error:
+            await self._refuse(error.error_status_hint)
+        except (CallerGone, TimeoutError):
+            pass
+        return None
+
+    async def _read_request(self) -> CallerRequest | None:
+        with anyio.move_on_after(self._limits.idle_timeout_s) as waiting:
+            await self._first_byte()
+        if waiting.cancelled_caught:
+            return None
+        with anyio.move_on_after(self._limits.header_timeout_s) as reading:
+            head = await self._event()
+        if reading.cancelled_caught:
+            raise _Refused(408)
+        if not isinstance(head, h11.Request):
+            return None
+        headers = [
+            (bytes(n), bytes(v)) for n, v in head.headers.raw_items()
+        ]
+        _check_framing(headers)
+        if self._parser.they_are_waiting_for_100_continue:
+            await self._send(
+                h11.InformationalResponse(status_code=100, headers=[])
+            )
+        with anyio.move_on_after(self._limits.idle_timeout_s) as reading:
+            body = await self._read_body()
+        if reading.cancelled_caught:
+            raise _Refused(408)
+        return CallerRequest(
+            bytes(head.method),
+            bytes(head.target),
+            headers,
+            body,
+            self._clock(),
+        )
+
+    async def _first_byte(self) -> None:
+        if not self._parser.trailing_data[0]:
+            await self._receive()
+
+    async def _read_body(self) -> bytes:
+        parts = []
+        size = 0
+        while True:
+            event = await self._event()
+            if isinstance(event, h11.EndOfMessage):
+                return b''.join(parts)
+            if not isinstance(event, h11.Data):
+                raise CallerGone
+            size += len(event.data)
+            if size > self._limits.max_body_bytes:
+                raise _Refused(413)
+            parts.append(bytes(event.data))
+
+    async def _event(self):
+        while True:
+            event = self._parser.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            await self._receive()
+
+    async def _receive(self) -> int:
+        try:
+            data = await self._stream.receive(http.READ_BYTES)
+        except anyio.EndOfStream:
+            data = b''
+        except (
+            OSError,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+        ) as error:
+            raise CallerGone from error
+        self._parser.receive_data(data)
+        return len(data)
+
+    async def wait_gone(self) -> None:
+        """Read ahead while a request is served; return when it closes."""
+        try:
+            while self._ahead < MAX_PIPELINED_BYTES:
+                received = await self._receive()
+                if not received:
+                    return
+                self._ahead += received
+            await anyio.sleep_forever()
+        except (CallerGone, RuntimeError):
+            # h11 raises RuntimeError for bytes after the end of the stream.
+            return
+
+    def close_after_answer(self) -> None:
+        """Say ``Connection: close`` in the next answer."""
+        self._close_after = True
+
+    async def reply(self, reply: Reply) -> None:
+        """Send a whole answer."""
+        headers = end_to_end(reply.headers)
+        if reply.status not in (204, 304):
+            headers.append((b'Content-Length', b'%d' % len(reply.body)))
+        await self._send(self._response(reply, headers))
+        if reply.body:
+            await self._send(h11.Data(data=reply.body))
+        await self._send(h11.EndOfMessage())
+
+    async def begin(self, reply: Reply) -> None:
+        """Send the head of an answer whose body follows in parts."""
+        headers = end_to_end(reply.headers)
+        headers.append((b'Transfer-Encoding', b'chunked'))
+        await self._send(self._response(reply, headers))
+
+    async def send_part(self, data: bytes) -> None:
+        """Send a part of the body."""
+        await self._send(h11.Data(data=data))
+
+    async def finish(self) -> None:
+        """End the body so that the answer counts as whole."""
+        await self._send(h11.EndOfMessage())
+
+    def next_cycle(self) -> bool:
+        """Prepare for another request; False where there can be none."""
+        self._ahead = 0
+        if (
+            self._parser.our_state is not h11.DONE
+            or self._parser.their_state is not h11.DONE
+        ):
+            return False
+        self._parser.start_next_cycle()
+        return True
+
+    async def close(self) -> None:
+        """Close; an answer that has not ended is seen to be cut."""
+        if self._closed:
+            return
+        self._closed = True
+        with anyio.CancelScope(shield=True):
+            with anyio.move_on_after(0.05):
+                if self._parser.our_state in (h11.DONE, h11.MUST_CLOSE):
+                    await self._stream.send_eof()
+            await anyio.aclose_forcefully(self._stream)
+
+    def _response(self, reply: Reply, headers: http.Headers) -> h11.Response:
+        if self._close_after:
+            headers.append((b'Connection', b'close'))
+        return h11.Response(
+            status_code=reply.status, headers=headers, reason=reply.reason
+        )
+
+    async def _refuse(self, status: int) -> None:
+        if self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        self._close_after = True
+        try:
+            await self.reply(Reply(status))
+        except (CallerGone, h11.LocalProtocolError):
+            return
+
+    async def _send(self, event) -> None:
+        data = self._parser.send(event)
+        if not data:
+            return
+        try:
+            await self._stream.send(data)
+        except (
+            OSError,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+        ) as error:
+            raise CallerGone from error
+
+
+def _check_framing(headers: http.Headers) -> None:
+    """Refuse a request whose end two headers could tell differently."""
+    names = [name.lower() for name, _ in headers]
+    if b'transfer-encoding' in names and b'content-length' in names:
+        raise _Refused(400)
+
+
+def end_to_end(headers: http.Headers) -> http.Headers:
+    """Return headers without those of one connection and of the framing."""
+    named = set()
+    for name, value in headers:
+        if name.lower() == b'connection':
+            named.update(part.strip().lower() for part in value.split(b','))
+    return [
+        (name, value)
+        for name, value in headers
+        if name.lower() not in http.HOP_BY_HOP
+        and name.lower() != b'content-length'
+        and name.lower() not in named
+    ]
--- /dev/null
+++ b/primrosereel/gateway/_composition.py
@@ -0,0 +1,164 @@
+"""The composition root of the gateway: the only place that builds parts."""
+
+from collections.abc import Callable
+import random
+import signal
+import time
+from typing import Any
+
+import anyio
+import anyio.abc
+
+from primrosereel import _registry as registry
+from primrosereel.gateway import _context as context_module
+from primrosereel.gateway import _pool as pool_module
+from primrosereel.gateway import _ports as ports
+from primrosereel.gateway import _readiness as readiness
+from primrosereel.gateway import _server as server_module
+from primrosereel.gateway import _settings as settings_module
+from primrosereel.gateway import _store_client as store_client
+from primrosereel.gateway import _store_reader as store_reader
+from primrosereel.routing import _model as model
+from primrosereel.routing import _retry_budget as retry_budget
+from primrosereel.routing import _runners as runners
+
+__all__ = ['Gateway', 'clock']
+
+BACKLOG = 512
+MAINTENANCE_S = 0.5
+DEFAULT_PLACEMENT = 'expected-completion'
+# After a stop is asked for, the platform still sends new connections until
+# two checks have failed.
+STOP_ACCEPTING_S = 2.5
+# The share of the time for a stop after which idle connections are closed,
+# and that after which requests in progress are cut.
+CLOSE_IDLE_SHARE = 0.4
+CUT_SHARE = 0.9
+# Instances that are assumed to share the retry budget beside the seeds.
+INSTANCES_PER_SEED = 3
+
+
+def clock() -> float:
+    """Return seconds that go on while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Gateway:
+    """One process: tables, handlers, listeners and the store's reader."""
+
+    def __init__(
+        self,
+        settings: settings_module.GatewaySettings,
+        dialect: ports.RequestDialect,
+        make_store: Callable[[ports.HttpCall], ports.MetadataStore],
+        log: Any,
+        placement: str = DEFAULT_PLACEMENT,
+    ) -> None:
+        self._settings = settings
+        self._log = log
+        chance = random.Random()
+        table = runners.RunnerTable()
+        self._context = context_module.Context(
+            settings=settings,
+            clock=clock,
+            random=chance,
+            dialect=dialect,
+            runners=table,
+            placement=registry.load('runner-placement', placement)(
+                table, settings.availability_zone, chance
+            ),
+            budget=retry_budget.RetryBudget(
+                retry_budget.BudgetBounds(
+                    settings.retry_ratio,
+                    settings.retry_slack,
+                    settings.retry_window_s,
+                    INSTANCES_PER_SEED * max(1, len(settings.seeds)),
+                )
+            ),
+            pool=pool_module.ConnectionPool(),
+            log=log,
+        )
+        self._reader = store_reader.StoreReader(
+            self._context, make_store(store_client.StoreClient(settings.store))
+        )
+        self._server = server_module.Server(self._context)
+        self._stop_asked = anyio.Event()
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers can be served."""
+        return (
+            self._context.table is not None
+            and self._reader.synchronized
+            and len(self._context.runners) > 0
+            and not self._context.draining
+        )
+
+    async def run(self) -> None:
+        """Serve until a stop is asked for and nothing is in progress."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._wait_for_signal)
+            tasks.start_soon(self._reader.run)
+            tasks.start_soon(self._maintain)
+            check = readiness.ReadinessServer(
+                self._context.dialect.readiness_path,
+                lambda: self.ready,
+                clock,
+            )
+            tasks.start_soon(
+                self._listen, self._settings.readiness, check.serve_connection
+            )
+            async with anyio.create_task_group() as listening:
+                listening.start_soon(
+                    self._listen,
+                    self._settings.callers,
+                    self._server.serve_connection,
+                )
+                self._log.info('started')
+                await self._drain()
+                listening.cancel_scope.cancel()
+            self._log.info('stopped', active=self._context.active)
+            tasks.cancel_scope.cancel()
+
+    async def _listen(self, address: model.Address, handler) -> None:
+        listener = await anyio.create_tcp_listener(
+            local_host=address.host,
+            local_port=address.port,
+            backlog=BACKLOG,
+            reuse_port=False,
+        )
+        await listener.serve(handler)
+
+    async def _wait_for_signal(self) -> None:
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as signals:
+            async for number in signals:
+                if number == signal.SIGHUP:
+                    self._log.info('reload asked for')
+                    continue
+                self._log.info('stop asked for', signal=number.name)
+                self._stop_asked.set()
+
+    async def _maintain(self) -> None:
+        while True:
+            await anyio.sleep(MAINTENANCE_S)
+            await self._reader.settle()
+            await self._context.pool.close_old(clock())
+
+    async def _drain(self) -> None:
+        """Wait for a stop, then until no request is in progress."""
+        await self._stop_asked.wait()
+        self._context.draining = True
+        limit_s = self._settings.drain_limit_s
+        began = anyio.current_time()
+        self._log.info('draining', active=self._context.active)
+        while anyio.current_time() < began + CUT_SHARE * limit_s:
+            await anyio.sleep(0.1)
+            elapsed = anyio.current_time() - began
+            if elapsed < min(STOP_ACCEPTING_S, CLOSE_IDLE_SHARE * limit_s):
+                continue
+            await self._server.close_idle()
+            if not self._context.active:
+                return
+        self._log.error('requests cut', active=self._context.active)
--- /dev/null
+++ b/primrosereel/gateway/_context.py
@@ -0,0 +1,115 @@
+"""What the handlers of requests share; built by the composition root."""
+
+import collections
+from collections.abc import Callable
+import dataclasses
+import random as random_module
+from typing import Any
+
+from primrosereel import _ids as ids
+from primrosereel import _states as states
+from primrosereel.gateway import _callers as callers
+from primrosereel.gateway import _pool as pool_module
+from primrosereel.gateway import _ports as ports
+from primrosereel.gateway import _settings as settings
+from primrosereel.routing import _model as model
+from primrosereel.routing import _placement as placement
+from primrosereel.routing import _retry_budget as retry_budget
+from primrosereel.routing import _runners as runners
+from primrosereel.routing import _table as table_module
+
+__all__ = ['Context', 'Exchange']
+
+
+@dataclasses.dataclass(slots=True)
+class Context:
+    """Tables, clock, adapters and counters of one process."""
+
+    settings: settings.GatewaySettings
+    clock: Callable[[], float]
+    random: random_module.Random
+    dialect: ports.RequestDialect
+    runners: runners.RunnerTable
+    placement: placement.PlacementPolicy
+    budget: retry_budget.RetryBudget
+    pool: pool_module.ConnectionPool
+    log: Any
+    table: table_module.RoutingTable | None = None
+    draining: bool = False
+    active: int = 0
+    counters: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+    def count(self, name: str) -> None:
+        """Increment a counter."""
+        self.counters[name] += 1
+
+
+@dataclasses.dataclass(slots=True)
+class Exchange:
+    """One request of a caller on its way; ``ends_at`` on the clock."""
+
+    context: Context
+    request: callers.CallerRequest
+    route: model.Route
+    service: ids.ServiceId
+    facts: model.RequestFacts
+    ends_at: float
+    # Runners that were sent the request and may have run it.
+    attempts: int = 0
+
+    @property
+    def left_s(self) -> float:
+        """The time left."""
+        return self.ends_at - self.context.clock()
+
+    def refusal(
+        self, reason: states.RefusalReason, retry_after_s: float
+    ) -> callers.Reply:
+        """Return the answer to a request that did not and will not run."""
+        self._note(reason, 503)
+        return callers.Reply(
+            503, headers=[(b'Retry-After', b'%.2f' % retry_after_s)]
+        )
+
+    def failure(
+        self, reason: states.RefusalReason, status: int
+    ) -> callers.Reply:
+        """Return the answer to a request that may have run."""
+        self._note(reason, status)
+        return callers.Reply(status)
+
+    def _note(self, reason: states.RefusalReason, status: int) -> None:
+        self.context.count(f'refused.{reason.value}')
+        self.context.log.info(
+            'refused',
+            request=self.facts.request_id,
+            service=self.service,
+            reason=reason.value,
+            status=status,
+            attempts=self.attempts,
+            left_s=round(self.left_s, 3),
+            version=self.context.table.version if self.context.table else 0,
+        )
+
+    def note_retry(
+        self, reason: states.RetryReason, runner: runners.Runner, why: str
+    ) -> None:
+        """Log and count that an attempt failed and why."""
+        self.context.count(f'retry.{reason.value}')
+        now = self.context.clock()
+        self.context.log.info(
+            'attempt failed',
+            request=self.facts.request_id,
+            runner=runner.runner,
+            reason=reason.value,
+            detail=why,
+            in_flight=runner.in_flight,
+            report_age_s=_age(now - runner.reported_at),
+            left_s=round(self.left_s, 3),
+        )
+
+
+def _age(seconds: float) -> float | None:
+    return round(seconds, 3) if seconds < 1e6 else None
--- /dev/null
+++ b/primrosereel/gateway/_generation.py
@@ -0,0 +1,402 @@
+"""Generations: a prompt read, then a stream of events from a decode runner."""
+
+import dataclasses
+import math
+
+import anyio
+
+from primrosereel import _ids as ids
+from primrosereel import _states as states
+from primrosereel.gateway import _callers as callers
+from primrosereel.gateway import _context as context_module
+from primrosereel.gateway import _http as http
+from primrosereel.gateway import _upstream as upstream
+from primrosereel.routing import _events as events
+from primrosereel.routing import _model as model
+from primrosereel.routing import _patience as patience
+from primrosereel.routing import _runners as runners
+from primrosereel.routing import _split as split
+
+__all__ = ['Generation']
+
+Reason = states.RefusalReason
+Retry = states.RetryReason
+
+MAX_ANSWER_BYTES = 1024 * 1024
+# Decode runners that may be tried without having run the request.
+MAX_REJECTIONS = 4
+RETRY_AFTER_S = 0.5
+# The share of a handle's life within which a decode runner is sent for it.
+HANDLE_SHARE = 0.7
+FULL_S = 0.3
+LEAST_LEFT_S = 0.005
+
+
+@dataclasses.dataclass(slots=True)
+class Handle:
+    """A prompt's KV cache at a prefill runner."""
+
+    name: str
+    connection: http.HttpConnection
+    keep_alive_s: float | None
+    expires_at: float
+
+
+class Ended(Exception):
+    """The request ended without a stream; the reply says how."""
+
+    def __init__(self, reply: callers.Reply) -> None:
+        super().__init__(str(reply.status))
+        self.reply = reply
+
+
+class Broken(Exception):
+    """A stream ended before its last event."""
+
+
+class Generation:
+    """Serves one generation on a caller's connection."""
+
+    def __init__(
+        self,
+        exchange: context_module.Exchange,
+        caller: callers.CallerConnection,
+    ) -> None:
+        self._exchange = exchange
+        self._context = exchange.context
+        self._caller = caller
+        self._progress = events.StreamProgress(exchange.facts.last_event_id)
+        self._excluded: set[ids.RunnerId] = set()
+        self._handle: Handle | None = None
+        self._rejections = 0
+        self._may_have_run = False
+        self._begun = False
+
+    async def serve(self) -> bool:
+        """Answer the caller; False where the answer had to be cut."""
+        exchange = self._exchange
+        self._context.budget.request(exchange.service, self._context.clock())
+        try:
+            with anyio.fail_after(exchange.left_s):
+                await self._read_prompt()
+                return await self._run()
+        except Ended as ended:
+            if self._begun:
+                return False
+            await self._caller.reply(ended.reply)
+            return True
+        except TimeoutError:
+            return await self._out_of_time()
+        finally:
+            await self._free_handle()
+
+    async def _out_of_time(self) -> bool:
+        if self._begun:
+            self._exchange.failure(Reason.UPSTREAM_TIMEOUT, 0)
+            return False
+        reply = self._exchange.failure(Reason.UPSTREAM_TIMEOUT, 504)
+        await self._caller.reply(reply)
+        return True
+
+    async def _read_prompt(self) -> None:
+        """Have a prefill runner read the prompt where that is sooner."""
+        exchange = self._exchange
+        now = self._context.clock()
+        row = self._context.placement.choose(
+            exchange.service, states.Role.PREFILL, (), now
+        )
+        if not split.reads_apart(row, exchange.route.target_s, now):
+            self._context.count('prefill.at_decode')
+            return
+        assert row is not None
+        limit_s = patience.prefill_s(
+            exchange.route, split.expected_prefill_s(row, now)
+        )
+        try:
+            with (
+                anyio.fail_after(limit_s),
+                upstream.occupied(row, exchange.facts.prompt_tokens),
+            ):
+                await self._prefill(row, now)
+        except upstream.NotRun as error:
+            row.observe_failure(self._context.clock())
+            exchange.note_retry(Retry.CONNECT_FAILED, row, str(error))
+        except upstream.Rejected as error:
+            row.full_until = self._context.clock() + FULL_S
+            self._context.budget.take(exchange.service, now)
+            exchange.note_retry(Retry.ENGINE_FULL, row, str(error))
+        except http.BrokenAnswer as error:
+            row.observe_failure(self._context.clock())
+            exchange.note_retry(Retry.PREFILL_FAILED, row, str(error))
+        except TimeoutError:
+            row.observe_failure(self._context.clock())
+            exchange.note_retry(Retry.PREFILL_FAILED, row, 'timeout')
+
+    async def _prefill(self, row: runners.Runner, began: float) -> None:
+        exchange = self._exchange
+        options = model.RunOptions(
+            row.runner,
+            exchange.left_s,
+            exchange.route.priority,
+            prefill_only=True,
+        )
+        answer = await upstream.open_answer(exchange, row, options, reuse=True)
+        try:
+            body = await answer.connection.whole_body(MAX_ANSWER_BYTES)
+            found = self._context.dialect.prefill_result(
+                row.listing.address, body
+            )
+            if answer.head.status != 200 or found is None:
+                raise http.BrokenAnswer(f'prefill: {answer.head.status}')
+        except BaseException:
+            with anyio.CancelScope(shield=True):
+                await answer.connection.close()
+            raise
+        now = self._context.clock()
+        row.observe_success(now - began, now)
+        self._handle = Handle(
+            found.handle,
+            answer.connection,
+            answer.head.keep_alive_s,
+            now + HANDLE_SHARE * self._handle_ttl_s(),
+        )
+
+    def _handle_ttl_s(self) -> float:
+        table = self._context.table
+        service = table.services.get(self._exchange.service) if table else None
+        if service is None or service.engine is None:
+            return 0.0
+        return service.engine.handle_ttl_s
+
+    async def _run(self) -> bool:
+        """Stream from decode runners until the stream is whole."""
+        while True:
+            row = self._choose_decode()
+            try:
+                tokens = self._exchange.facts.prompt_tokens
+                with upstream.occupied(row, tokens):
+                    if await self._stream_from(row):
+                        return True
+            except Broken as error:
+                self._after_break(row, str(error))
+
+    def _choose_decode(self) -> runners.Runner:
+        exchange = self._exchange
+        row = self._context.placement.choose(
+            exchange.service,
+            states.Role.DECODE,
+            self._excluded,
+            self._context.clock(),
+        )
+        if row is not None and self._rejections < MAX_REJECTIONS:
+            return row
+        if self._may_have_run:
+            raise Ended(exchange.failure(Reason.UPSTREAM_FAILED, 502))
+        reason = Reason.NO_CAPACITY if self._rejections else Reason.NO_RUNNER
+        raise Ended(exchange.refusal(reason, RETRY_AFTER_S))
+
+    def _after_break(self, row: runners.Runner, why: str) -> None:
+        """Go on at another runner, or end the request."""
+        exchange = self._exchange
+        route = exchange.route
+        now = self._context.clock()
+        exchange.note_retry(Retry.STREAM_BROKEN, row, why)
+        self._excluded.add(row.runner)
+        allowed = route.repeatable and exchange.attempts < route.max_attempts
+        if not allowed:
+            raise Ended(exchange.failure(Reason.UPSTREAM_FAILED, 502))
+        if not self._context.budget.take(exchange.service, now):
+            raise Ended(exchange.failure(Reason.RETRY_BUDGET, 502))
+
+    async def _stream_from(self, row: runners.Runner) -> bool:
+        """Pass on a runner's events; raise Broken if they end early.
+
+        False is returned where the runner did not run the request.
+        """
+        answer = await self._open(row)
+        if answer is None:
+            return False
+        began = self._context.clock()
+        try:
+            await self._pass_on(answer, row, began)
+        except (http.BrokenAnswer, events.SequenceError) as error:
+            row.observe_failure(self._context.clock())
+            raise Broken(str(error)) from error
+        finally:
+            with anyio.CancelScope(shield=True):
+                await answer.connection.close()
+        return True
+
+    async def _open(self, row: runners.Runner) -> upstream.OpenAnswer | None:
+        """Return a runner's answer; None where it did not run the request."""
+        exchange = self._exchange
+        handle = self._usable_handle()
+        options = model.RunOptions(
+            row.runner,
+            exchange.left_s,
+            exchange.route.priority,
+            handle=None if handle is None else handle.name,
+            last_event_id=self._progress.last_id,
+        )
+        ran_before, self._may_have_run = self._may_have_run, True
+        try:
+            with anyio.move_on_after(self._first_event_s()):
+                answer = await upstream.open_answer(
+                    exchange, row, options, reuse=False
+                )
+                exchange.attempts += 1
+                await self._handle_taken()
+                return answer
+        except upstream.NotRun as error:
+            self._may_have_run = ran_before
+            row.observe_failure(self._context.clock())
+            exchange.note_retry(Retry.CONNECT_FAILED, row, str(error))
+        except upstream.Rejected as error:
+            self._may_have_run = ran_before
+            self._rejected(row, handle is not None, str(error))
+        except http.BrokenAnswer as error:
+            exchange.attempts += 1
+            row.observe_failure(self._context.clock())
+            raise Broken(str(error)) from error
+        else:
+            exchange.attempts += 1
+            row.observe_failure(self._context.clock())
+            raise Broken('no answer in time')
+        self._excluded.add(row.runner)
+        return None
+
+    def _rejected(
+        self, row: runners.Runner, with_handle: bool, why: str
+    ) -> None:
+        exchange = self._exchange
+        now = self._context.clock()
+        self._rejections += 1
+        if not with_handle:
+            row.full_until = now + FULL_S
+        reason = Retry.KV_CACHE_GONE if with_handle else Retry.ENGINE_FULL
+        exchange.note_retry(reason, row, why)
+        if not self._context.budget.take(exchange.service, now):
+            raise Ended(exchange.refusal(Reason.RETRY_BUDGET, RETRY_AFTER_S))
+
+    def _first_event_s(self) -> float:
+        route = self._exchange.route
+        may_repeat = (
+            route.repeatable
+            and self._exchange.attempts + 1 < route.max_attempts
+        )
+        return patience.first_event_s(route) if may_repeat else math.inf
+
+    async def _pass_on(
+        self, answer: upstream.OpenAnswer, row: runners.Runner, began: float
+    ) -> None:
+        head = answer.head
+        if head.status != 200:
+            return await self._pass_failure(answer, row)
+        if not answer.facts.signed or answer.facts.encoded:
+            raise http.BrokenAnswer('the answer is not the runner\'s own')
+        splitter = events.EventSplitter()
+        body = answer.connection.body()
+        first = True
+        while True:
+            data = await self._next_part(body, first)
+            if data is None:
+                break
+            await self._send(head, splitter.feed(data))
+            if first and self._progress.events:
+                first = False
+                row.observe_success(
+                    self._context.clock() - began, self._context.clock()
+                )
+        if splitter.rest:
+            raise http.BrokenAnswer('the stream ended within an event')
+        await self._begin(head)
+        await self._caller.finish()
+        return None
+
+    async def _next_part(self, body, first: bool) -> bytes | None:
+        """Return the next bytes; None at the end of the stream."""
+        route = self._exchange.route
+        may_repeat = (
+            route.repeatable and self._exchange.attempts < route.max_attempts
+        )
+        limit_s = math.inf
+        if may_repeat:
+            limit_s = patience.stream_gap_s(route)
+            if first:
+                limit_s = patience.first_event_s(route)
+        try:
+            with anyio.fail_after(limit_s):
+                return await anext(body, None)
+        except TimeoutError:
+            if limit_s < self._exchange.left_s:
+                raise http.BrokenAnswer('the stream fell silent') from None
+            raise
+
+    async def _send(
+        self, head: http.AnswerHead, whole: list[bytes]
+    ) -> None:
+        fresh = [event for event in whole if self._progress.accept(event)]
+        if fresh:
+            await self._begin(head)
+            await self._caller.send_part(b''.join(fresh))
+
+    async def _begin(self, head: http.AnswerHead) -> None:
+        """Send the head of the first runner, once."""
+        if not self._begun:
+            self._begun = True
+            await self._caller.begin(
+                callers.Reply(head.status, head.reason, head.headers)
+            )
+
+    async def _pass_failure(
+        self, answer: upstream.OpenAnswer, row: runners.Runner
+    ) -> None:
+        """Pass on a runner's own failure, or try another runner."""
+        head = answer.head
+        row.observe_error()
+        body = await answer.connection.whole_body(MAX_ANSWER_BYTES)
+        route = self._exchange.route
+        if self._begun or (
+            route.repeatable and self._exchange.attempts < route.max_attempts
+        ):
+            raise Broken(f'status {head.status}')
+        if not answer.facts.signed or head.status in (408, 421, 429, 503):
+            raise Ended(self._exchange.failure(Reason.UPSTREAM_FAILED, 502))
+        raise Ended(
+            callers.Reply(head.status, head.reason, head.headers, body)
+        )
+
+    def _usable_handle(self) -> Handle | None:
+        handle = self._handle
+        if handle is None or self._context.clock() >= handle.expires_at:
+            return None
+        return handle
+
+    async def _handle_taken(self) -> None:
+        """Keep the prefill runner's connection for other requests."""
+        handle, self._handle = self._handle, None
+        if handle is not None:
+            await self._context.pool.put(
+                handle.connection, handle.keep_alive_s, self._context.clock()
+            )
+
+    async def _free_handle(self) -> None:
+        """Free KV cache that no decode runner took."""
+        handle, self._handle = self._handle, None
+        if handle is None:
+            return
+        method, target = self._context.dialect.free_handle(handle.name)
+        address = str(handle.connection.address).encode()
+        call = http.Call(method, target, [(b'Host', address)])
+        self._context.count('prefill.freed')
+        with anyio.CancelScope(shield=True), anyio.move_on_after(0.3):
+            try:
+                await handle.connection.exchange(call)
+                await handle.connection.whole_body(MAX_ANSWER_BYTES)
+            except http.BrokenAnswer as error:
+                self._context.log.info(
+                    'handle not freed',
+                    request=self._exchange.facts.request_id,
+                    detail=str(error),
+                )
+            await handle.connection.close()
--- /dev/null
+++ b/primrosereel/gateway/_http.py
@@ -0,0 +1,319 @@
+"""HTTP/1.1 towards runners and the store, on one socket a connection.
+
+The caller of this module learns whether a request may have reached the other
+side, which decides what may be repeated.
+"""
+
+from collections.abc import AsyncIterator
+import dataclasses
+import select
+import socket
+
+import anyio
+import anyio.abc
+import h11
+
+from primrosereel.routing import _model as model
+
+__all__ = [
+    'AnswerHead',
+    'BrokenAnswer',
+    'Call',
+    'ConnectFailed',
+    'ConnectionFailed',
+    'HttpConnection',
+    'connect',
+    'set_socket_options',
+]
+
+READ_BYTES = 65536
+# Larger bodies are sent beside reading, as a runner may answer before it has
+# read the body.
+INLINE_BODY_BYTES = 16384
+# Sent bytes that are not acknowledged this long show a dead path.
+UNACKNOWLEDGED_MS = 3000
+MAX_HEAD_BYTES = 65536
+# Answers to other requests that are skipped before a connection is given up.
+MAX_FOREIGN_ANSWERS = 3
+
+HOP_BY_HOP = frozenset(
+    {
+        b'connection',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    }
+)
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class ConnectionFailed(Exception):
+    """A connection could not be used."""
+
+
+class ConnectFailed(ConnectionFailed):
+    """No connection was made, so nothing was sent."""
+
+
+class BrokenAnswer(ConnectionFailed):
+    """The connection ended, or the answer is not one, after sending."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """One request; ``target`` and ``body`` are sent unchanged."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes = b''
+    request_id: str = ''
+
+
+@dataclasses.dataclass(slots=True)
+class AnswerHead:
+    """Status line and headers of an answer, in the runner's spelling."""
+
+    status: int
+    reason: bytes
+    headers: Headers
+    keep_alive_s: float | None = None
+
+
+def set_socket_options(stream: anyio.abc.SocketStream) -> None:
+    """Detect paths that went silent without a reset."""
+    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    option = getattr(socket, 'TCP_USER_TIMEOUT', None)
+    if option is not None:
+        raw.setsockopt(socket.IPPROTO_TCP, option, UNACKNOWLEDGED_MS)
+
+
+async def connect(
+    address: model.Address, timeout_s: float
+) -> 'HttpConnection':
+    """Open a connection; raise ConnectFailed when there is none in time."""
+    try:
+        with anyio.fail_after(timeout_s):
+            stream = await anyio.connect_tcp(address.host, address.port)
+    except (OSError, TimeoutError) as error:
+        raise ConnectFailed(f'{address}: {error!r}') from error
+    set_socket_options(stream)
+    return HttpConnection(stream, address)
+
+
+class HttpConnection:
+    """One connection that carries one request at a time."""
+
+    def __init__(
+        self, stream: anyio.abc.SocketStream, address: model.Address
+    ) -> None:
+        self.address = address
+        self._stream = stream
+        self._parser = self._new_parser()
+        self._usable = True
+        self._head: AnswerHead | None = None
+        self._unsent = b''
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another request may be sent on the connection."""
+        return (
+            self._usable
+            and not self._unsent
+            and self._parser.our_state is h11.DONE
+            and self._parser.their_state is h11.DONE
+            and not self._parser.trailing_data[0]
+        )
+
+    async def exchange(self, call: Call) -> AnswerHead:
+        """Send a request and return the head of its answer.
+
+        Raises BrokenAnswer; the request may then have run.
+        """
+        if self._parser.our_state is h11.DONE:
+            self._parser.start_next_cycle()
+        data = self._encode(call)
+        try:
+            if len(call.body) <= INLINE_BODY_BYTES:
+                await self._stream.send(data)
+                return await self._read_head(call)
+            return await self._send_and_read_head(call, data)
+        except (OSError, anyio.BrokenResourceError) as error:
+            raise self._broken(repr(error)) from error
+        except anyio.ClosedResourceError as error:
+            raise self._broken('the connection is closed') from error
+        except h11.RemoteProtocolError as error:
+            raise self._broken(str(error)) from error
+
+    async def _send_and_read_head(
+        self, call: Call, data: bytes
+    ) -> AnswerHead:
+        """Read the answer while the body is sent.
+
+        An answer that comes first ends the sending, and with it the use of
+        the connection for other requests.
+        """
+        self._unsent = data
+        found: AnswerHead | None = None
+
+        async def send() -> None:
+            try:
+                await self._stream.send(data)
+                self._unsent = b''
+            except (OSError, anyio.BrokenResourceError):
+                # The reader sees how the connection ended.
+                return
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(send)
+            found = await self._read_head(call)
+            tasks.cancel_scope.cancel()
+        assert found is not None
+        return found
+
+    async def body(self) -> AsyncIterator[bytes]:
+        """Yield the body as it arrives; raise BrokenAnswer if cut."""
+        try:
+            while True:
+                event = self._parser.next_event()
+                if event is h11.NEED_DATA:
+                    await self._receive()
+                elif isinstance(event, h11.Data):
+                    yield bytes(event.data)
+                elif isinstance(event, h11.EndOfMessage):
+                    return
+                else:
+                    raise self._broken('the answer ended early')
+        except (OSError, anyio.BrokenResourceError) as error:
+            raise self._broken(repr(error)) from error
+        except anyio.ClosedResourceError as error:
+            raise self._broken('the connection is closed') from error
+        except h11.RemoteProtocolError as error:
+            raise self._broken(str(error)) from error
+
+    async def whole_body(self, limit: int) -> bytes:
+        """Return the whole body; raise BrokenAnswer if cut or too large."""
+        parts = []
+        size = 0
+        async for part in self.body():
+            size += len(part)
+            if size > limit:
+                raise self._broken('the answer is over the limit of bytes')
+            parts.append(part)
+        return b''.join(parts)
+
+    async def close(self) -> None:
+        """Close at once; a runner then drops the request."""
+        self._usable = False
+        await anyio.aclose_forcefully(self._stream)
+
+    def has_input(self) -> bool:
+        """Tell whether an idle connection got bytes or was closed."""
+        raw = self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        try:
+            readable, _, _ = select.select([raw.fileno()], [], [], 0)
+        except (OSError, ValueError):
+            return True
+        return bool(readable)
+
+    def _encode(self, call: Call) -> bytes:
+        headers = list(call.headers)
+        if call.body or call.method not in (b'GET', b'HEAD', b'DELETE'):
+            headers.append((b'Content-Length', b'%d' % len(call.body)))
+        parts = [
+            self._parser.send(
+                h11.Request(
+                    method=call.method, target=call.target, headers=headers
+                )
+            )
+        ]
+        if call.body:
+            parts.append(self._parser.send(h11.Data(data=call.body)))
+        parts.append(self._parser.send(h11.EndOfMessage()))
+        return b''.join(part for part in parts if part)
+
+    async def _read_head(self, call: Call) -> AnswerHead:
+        for _ in range(MAX_FOREIGN_ANSWERS):
+            head = await self._next_head()
+            if _answers(head, call):
+                self._head = head
+                return head
+            await self._skip_answer(call)
+        raise self._broken('only answers to other requests arrived')
+
+    async def _next_head(self) -> AnswerHead:
+        while True:
+            event = self._parser.next_event()
+            if event is h11.NEED_DATA:
+                await self._receive()
+            elif isinstance(event, h11.InformationalResponse):
+                continue
+            elif isinstance(event, h11.Response):
+                return _head(event)
+            else:
+                raise self._broken('the connection ended without an answer')
+
+    async def _skip_answer(self, call: Call) -> None:
+        """Read a late answer to an earlier request to its end."""
+        async for _ in self.body():
+            pass
+        rest = self._parser.trailing_data[0]
+        self._parser = self._new_parser()
+        self._encode(call)
+        if rest:
+            self._parser.receive_data(rest)
+
+    async def _receive(self) -> None:
+        try:
+            data = await self._stream.receive(READ_BYTES)
+        except anyio.EndOfStream:
+            data = b''
+            self._usable = False
+        self._parser.receive_data(data)
+
+    def _broken(self, reason: str) -> BrokenAnswer:
+        self._usable = False
+        return BrokenAnswer(f'{self.address}: {reason}')
+
+    @staticmethod
+    def _new_parser() -> h11.Connection:
+        return h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+
+
+def _head(event: h11.Response) -> AnswerHead:
+    headers = [(bytes(n), bytes(v)) for n, v in event.headers.raw_items()]
+    keep_alive_s = None
+    for name, value in headers:
+        if name.lower() == b'keep-alive':
+            keep_alive_s = _timeout_of(value)
+    return AnswerHead(
+        event.status_code, bytes(event.reason), headers, keep_alive_s
+    )
+
+
+def _timeout_of(value: bytes) -> float | None:
+    """Return the seconds of ``timeout=N`` in a Keep-Alive header."""
+    for part in value.split(b','):
+        name, _, number = part.strip().partition(b'=')
+        if name.lower() == b'timeout' and number.isdigit():
+            return float(number)
+    return None
+
+
+def _answers(head: AnswerHead, call: Call) -> bool:
+    """Tell whether an answer bears the id of the request, or none."""
+    if not call.request_id:
+        return True
+    wanted = call.request_id.encode('latin-1')
+    for name, value in head.headers:
+        if name.lower() == b'request-id':
+            return value == wanted
+    return True
--- /dev/null
+++ b/primrosereel/gateway/_pool.py
@@ -0,0 +1,76 @@
+"""Idle connections to runners, kept for as long as reuse is safe.
+
+A request sent on a connection that the runner closes at that moment may or
+may not have run. Reuse well before the runner's own timeout avoids the race.
+"""
+
+import math
+
+from primrosereel.gateway import _http as http
+from primrosereel.routing import _model as model
+
+__all__ = ['ConnectionPool']
+
+# The share of a runner's own idle timeout within which a connection is used.
+SAFE_SHARE = 0.5
+# Where a runner does not say its timeout.
+DEFAULT_IDLE_S = 2.0
+LONGEST_IDLE_S = 4.0
+MAX_IDLE_PER_ADDRESS = 4
+
+
+class ConnectionPool:
+    """Hands out idle connections, the most recently used first."""
+
+    def __init__(self) -> None:
+        self._idle: dict[
+            model.Address, list[tuple[float, http.HttpConnection]]
+        ] = {}
+
+    async def take(
+        self, address: model.Address, now: float
+    ) -> http.HttpConnection | None:
+        """Return an idle connection that is believed to be open."""
+        rows = self._idle.get(address, [])
+        while rows:
+            until, connection = rows.pop()
+            if now < until and not connection.has_input():
+                return connection
+            await connection.close()
+        return None
+
+    async def put(
+        self,
+        connection: http.HttpConnection,
+        keep_alive_s: float | None,
+        now: float,
+    ) -> None:
+        """Keep a connection for another request, or close it."""
+        rows = self._idle.setdefault(connection.address, [])
+        if not connection.reusable or len(rows) >= MAX_IDLE_PER_ADDRESS:
+            await connection.close()
+            return
+        idle_s = math.inf if keep_alive_s is None else keep_alive_s
+        idle_s = min(idle_s * SAFE_SHARE, LONGEST_IDLE_S)
+        if keep_alive_s is None:
+            idle_s = DEFAULT_IDLE_S
+        rows.append((now + idle_s, connection))
+
+    async def drop(self, address: model.Address) -> None:
+        """Close the idle connections of an address."""
+        for _, connection in self._idle.pop(address, []):
+            await connection.close()
+
+    async def close_old(self, now: float) -> None:
+        """Close what has been idle for too long."""
+        for address, rows in list(self._idle.items()):
+            keep = []
+            for until, connection in rows:
+                if now < until:
+                    keep.append((until, connection))
+                else:
+                    await connection.close()
+            if keep:
+                self._idle[address] = keep
+            elif self._idle.get(address) is rows:
+                del self._idle[address]
--- /dev/null
+++ b/primrosereel/gateway/_ports.py
@@ -0,0 +1,105 @@
+"""What the gateway asks of a platform, as Protocol types."""
+
+from collections.abc import Sequence
+import dataclasses
+from typing import NamedTuple
+from typing import Protocol
+
+from primrosereel.routing import _model as model
+from primrosereel.routing import _runner_list as runner_list
+from primrosereel.routing import _table as table_module
+
+__all__ = [
+    'HistoryLost',
+    'HttpCall',
+    'MetadataStore',
+    'RequestDialect',
+    'StoreChange',
+    'StoreError',
+    'StoreState',
+    'StoreUnavailable',
+]
+
+Headers = Sequence[tuple[bytes, bytes]]
+
+
+class StoreError(Exception):
+    """A call to the store gave no usable answer."""
+
+
+class StoreUnavailable(StoreError):
+    """The store did not answer, refused, or answered what is not readable."""
+
+
+class HistoryLost(StoreError):
+    """The store has dropped the history that a watch asked for."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreChange:
+    """One entry: a runner, a configuration, or one without a meaning here.
+
+    ``fault`` marks an entry that could not be read.
+    """
+
+    runner: runner_list.ListingChange | None = None
+    table: table_module.RoutingTable | None = None
+    fault: bool = False
+
+
+class StoreState(NamedTuple):
+    """Entries, and the revision up to which they are complete."""
+
+    changes: tuple[StoreChange, ...]
+    revision: int
+
+
+class HttpCall(Protocol):
+    """Makes one HTTP request to the store."""
+
+    async def __call__(
+        self, method: bytes, target: bytes, limit: int, wait_s: float
+    ) -> tuple[int, bytes]:
+        """Return status and body, or raise StoreUnavailable.
+
+        ``limit`` bounds the body in bytes; ``wait_s`` is how long the store
+        is asked to wait before it answers.
+        """
+
+
+class MetadataStore(Protocol):
+    """The platform's store, which can only be read."""
+
+    async def read(self) -> StoreState:
+        """Read everything."""
+
+    async def watch(self, after: int, wait_s: float) -> StoreState:
+        """Wait for what changes after a revision."""
+
+
+class RequestDialect(Protocol):
+    """Header names and formats of requests and of runners' answers."""
+
+    readiness_path: bytes
+
+    def request_facts(self, headers: Headers) -> model.RequestFacts:
+        """Decode a caller's headers."""
+
+    def forwarded(self, headers: Headers) -> list[tuple[bytes, bytes]]:
+        """Return the headers of a caller that a runner gets."""
+
+    def run_headers(
+        self, options: model.RunOptions
+    ) -> list[tuple[bytes, bytes]]:
+        """Return the headers that the router adds."""
+
+    def answer_facts(self, status: int, headers: Headers) -> model.AnswerFacts:
+        """Decode the headers of a runner's answer."""
+
+    def prefill_result(
+        self, address: model.Address, body: bytes
+    ) -> model.PrefillResult | None:
+        """Decode the answer to a prefill."""
+
+    def free_handle(self, handle: str) -> tuple[bytes, bytes]:
+        """Return method and target of the call that frees a handle."""
--- /dev/null
+++ b/primrosereel/gateway/_server.py
@@ -0,0 +1,146 @@
+"""Accepts callers' connections and hands their requests to handlers."""
+
+import anyio
+import anyio.abc
+
+from primrosereel import _states as states
+from primrosereel.gateway import _callers as callers
+from primrosereel.gateway import _context as context_module
+from primrosereel.gateway import _generation as generation
+from primrosereel.gateway import _http as http
+from primrosereel.gateway import _plain as plain
+from primrosereel.routing import _model as model
+from primrosereel.routing import _patience as patience
+from primrosereel.routing import _table as table_module
+
+__all__ = ['Server']
+
+RETRY_AFTER_S = 0.5
+
+
+class Server:
+    """Serves callers' connections."""
+
+    def __init__(self, context: context_module.Context) -> None:
+        self._context = context
+        self._connections: set[callers.CallerConnection] = set()
+
+    async def serve_connection(
+        self, stream: anyio.abc.SocketStream
+    ) -> None:
+        """Serve one connection until it closes."""
+        http.set_socket_options(stream)
+        table = self._context.table
+        limits = table.limits if table else model.CallerLimits()
+        connection = callers.CallerConnection(
+            stream, limits, self._context.clock
+        )
+        self._connections.add(connection)
+        try:
+            await self._serve_requests(connection)
+        except callers.CallerGone:
+            self._context.count('callers.gone')
+        finally:
+            self._connections.discard(connection)
+            await connection.close()
+
+    async def close_idle(self) -> None:
+        """Close the connections on which no request is in progress."""
+        for connection in list(self._connections):
+            if connection.idle:
+                await connection.close()
+
+    async def _serve_requests(
+        self, connection: callers.CallerConnection
+    ) -> None:
+        while True:
+            request = await connection.next_request()
+            if request is None:
+                return
+            self._context.active += 1
+            try:
+                whole = await self._serve_watched(connection, request)
+            finally:
+                self._context.active -= 1
+            if not whole or not connection.next_cycle():
+                return
+
+    async def _serve_watched(
+        self,
+        connection: callers.CallerConnection,
+        request: callers.CallerRequest,
+    ) -> bool:
+        """Serve a request; stop all work for it when the caller leaves."""
+        whole = False
+        failure: Exception | None = None
+
+        async def watch() -> None:
+            await connection.wait_gone()
+            self._context.count('callers.gone')
+            tasks.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watch)
+            try:
+                whole = await self._serve(connection, request)
+            except callers.CallerGone:
+                whole = False
+            except Exception as error:
+                failure = error
+            tasks.cancel_scope.cancel()
+        if failure is not None:
+            self._context.count('internal_errors')
+            self._context.log.error(
+                'internal error', detail=repr(failure), exc_info=failure
+            )
+        return whole
+
+    async def _serve(
+        self,
+        connection: callers.CallerConnection,
+        request: callers.CallerRequest,
+    ) -> bool:
+        if self._context.draining:
+            connection.close_after_answer()
+        found = self._exchange(request)
+        if isinstance(found, callers.Reply):
+            await connection.reply(found)
+            return True
+        if found.route.kind is model.RouteKind.STREAMING:
+            return await generation.Generation(found, connection).serve()
+        await connection.reply(await plain.PlainCall(found).serve())
+        return True
+
+    def _exchange(
+        self, request: callers.CallerRequest
+    ) -> context_module.Exchange | callers.Reply:
+        """Find the route of a request; a reply where there is none."""
+        context = self._context
+        table = context.table
+        if table is None:
+            reason = states.RefusalReason.NO_CONFIGURATION
+            context.count(f'refused.{reason.value}')
+            return callers.Reply(
+                503, headers=[(b'Retry-After', b'%.2f' % RETRY_AFTER_S)]
+            )
+        route = table.match(request.host, request.path)
+        if route is None or not route.services:
+            reason = states.RefusalReason.UNKNOWN_SERVICE
+            context.count(f'refused.{reason.value}')
+            context.log.info(
+                'no route',
+                host=request.host,
+                path=request.path[:80],
+                version=table.version,
+            )
+            return callers.Reply(404)
+        facts = context.dialect.request_facts(request.headers)
+        limit_s = patience.time_limit_s(route, facts)
+        return context_module.Exchange(
+            context,
+            request,
+            route,
+            table_module.pick_service(route, context.random),
+            facts,
+            request.received_at + limit_s,
+        )
--- /dev/null
+++ b/primrosereel/gateway/_settings.py
@@ -0,0 +1,31 @@
+"""What a gateway process needs to know, in the product's own names."""
+
+import dataclasses
+
+from primrosereel import _ids as ids
+from primrosereel.routing import _model as model
+
+__all__ = ['GatewaySettings']
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GatewaySettings:
+    """Addresses and bounds of one instance; times in seconds.
+
+    ``runner_drain_s`` is how soon a leaving runner must get no new work, and
+    ``configuration_s`` how soon a new configuration must be in force.
+    """
+
+    instance: ids.InstanceId
+    availability_zone: ids.AvailabilityZone
+    callers: model.Address
+    readiness: model.Address
+    store: model.Address
+    seeds: tuple[model.Address, ...]
+    file_descriptors: int
+    drain_limit_s: float
+    runner_drain_s: float
+    configuration_s: float
+    retry_ratio: float
+    retry_slack: float
+    retry_window_s: float
--- /dev/null
+++ b/primrosereel/gateway/_store_client.py
@@ -0,0 +1,55 @@
+"""One kept connection to the store."""
+
+import anyio
+
+from primrosereel.gateway import _http as http
+from primrosereel.gateway import _ports as ports
+from primrosereel.routing import _model as model
+
+__all__ = ['StoreClient']
+
+CONNECT_S = 1.0
+# How long an answer may take beyond what the store was asked to wait.
+ANSWER_S = 3.0
+
+
+class StoreClient:
+    """Makes calls one after the other; a connection that fails is dropped."""
+
+    def __init__(self, address: model.Address) -> None:
+        self._address = address
+        self._connection: http.HttpConnection | None = None
+
+    async def __call__(
+        self, method: bytes, target: bytes, limit: int, wait_s: float
+    ) -> tuple[int, bytes]:
+        """Return status and body; raise StoreUnavailable for none."""
+        call = http.Call(
+            method, target, [(b'Host', str(self._address).encode())]
+        )
+        try:
+            with anyio.fail_after(wait_s + ANSWER_S):
+                return await self._exchange(call, limit)
+        except (http.ConnectionFailed, TimeoutError) as error:
+            await self._drop()
+            raise ports.StoreUnavailable(repr(error)) from error
+
+    async def _exchange(
+        self, call: http.Call, limit: int
+    ) -> tuple[int, bytes]:
+        connection = self._connection
+        if connection is None or connection.has_input():
+            await self._drop()
+            connection = await http.connect(self._address, CONNECT_S)
+            self._connection = connection
+        head = await connection.exchange(call)
+        body = await connection.whole_body(limit)
+        if not connection.reusable:
+            await self._drop()
+        return head.status, body
+
+    async def _drop(self) -> None:
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            with anyio.CancelScope(shield=True):
+                await connection.close()
--- /dev/null
+++ b/primrosereel/gateway/_store_reader.py
@@ -0,0 +1,132 @@
+"""Keeps configuration and runners in step with the platform's store.
+
+The next watch starts only after a pause, as each call is priced and runners
+write all the time; a watch continues from the last revision, so nothing is
+lost. The pause is a share of the shorter of the bounds that it must keep.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import anyio
+
+from primrosereel.gateway import _context as context_module
+from primrosereel.gateway import _ports as ports
+from primrosereel.routing import _runner_list as runner_list
+from primrosereel.routing import _table as table_module
+
+__all__ = ['StoreReader']
+
+# The share of the bounds that the pause between two watches may use.
+PAUSE_SHARE = 0.35
+WAIT_S = 10.0
+# A watch that hears nothing for this long is checked with another call.
+FIRST_BACKOFF_S = 0.1
+LONGEST_BACKOFF_S = 1.0
+
+
+class StoreReader:
+    """Reads the store once, then watches it."""
+
+    def __init__(
+        self, context: context_module.Context, store: ports.MetadataStore
+    ) -> None:
+        self._context = context
+        self._store = store
+        self._list = runner_list.RunnerList(context.runners)
+        settings = context.settings
+        self._pause_s = PAUSE_SHARE * min(
+            settings.runner_drain_s, settings.configuration_s
+        )
+        self._revision = 0
+        self._backoff_s = FIRST_BACKOFF_S
+        self._available = True
+
+    @property
+    def synchronized(self) -> bool:
+        """Whether the store has been read since the start."""
+        return self._revision > 0
+
+    async def run(self) -> None:
+        """Read and watch until cancelled."""
+        while True:
+            try:
+                if self._revision:
+                    await self._watch()
+                else:
+                    await self._read()
+                self._back()
+            except ports.HistoryLost:
+                self._context.log.info('store history lost')
+                self._revision = 0
+            except ports.StoreUnavailable as error:
+                self._lost(str(error))
+                await anyio.sleep(self._backoff_s)
+                self._backoff_s = min(2 * self._backoff_s, LONGEST_BACKOFF_S)
+
+    async def settle(self) -> None:
+        """Remove runners that did not come back after an outage."""
+        for runner in self._list.settle(self._context.clock()):
+            self._context.log.info('runner gone', runner=runner)
+
+    async def _read(self) -> None:
+        state = await self._call(self._store.read)
+        self._back()
+        listings = []
+        for change in state.changes:
+            if change.runner is not None and change.runner.listing:
+                listings.append(change.runner.listing)
+            self._take_table(change.table)
+        self._list.snapshot(listings, self._context.clock())
+        self._revision = state.revision
+        self._context.log.info(
+            'store read', revision=state.revision, runners=len(listings)
+        )
+
+    async def _watch(self) -> None:
+        async def watch() -> ports.StoreState:
+            return await self._store.watch(self._revision, WAIT_S)
+
+        state = await self._call(watch)
+        self._back()
+        now = self._context.clock()
+        for change in state.changes:
+            if change.runner is not None:
+                self._list.change(change.runner, now)
+            self._take_table(change.table)
+            if change.fault:
+                self._context.count('store.unreadable')
+        self._revision = max(self._revision, state.revision)
+        await anyio.sleep(self._pause_s)
+
+    async def _call(
+        self, call: Callable[[], Awaitable[ports.StoreState]]
+    ) -> ports.StoreState:
+        self._context.count('store.calls')
+        return await call()
+
+    def _take_table(self, table: table_module.RoutingTable | None) -> None:
+        """Put a newer configuration in force; an older one is ignored."""
+        context = self._context
+        if table is None:
+            return
+        if context.table and table.version <= context.table.version:
+            return
+        context.table = table
+        context.placement.set_services(table.services)
+        context.log.info('configuration in force', version=table.version)
+
+    def _lost(self, why: str) -> None:
+        self._list.store_lost()
+        if self._available:
+            self._available = False
+            self._context.log.warning('store lost', detail=why)
+
+    def _back(self) -> None:
+        self._list.store_back(self._context.clock())
+        self._backoff_s = FIRST_BACKOFF_S
+        if not self._available:
+            self._available = True
+            self._context.log.info('store regained')
+
+
--- /dev/null
+++ b/primrosereel/gateway/_upstream.py
@@ -0,0 +1,106 @@
+"""Sends one request to one runner and tells the tables what happened."""
+
+from collections.abc import Iterator
+import contextlib
+import dataclasses
+
+import anyio
+
+from primrosereel.gateway import _callers as callers
+from primrosereel.gateway import _context as context_module
+from primrosereel.gateway import _http as http
+from primrosereel.routing import _model as model
+from primrosereel.routing import _runners as runners
+
+__all__ = ['NotRun', 'OpenAnswer', 'Rejected', 'build_call', 'occupied', 'open_answer']
+
+# Longest time for a handshake; a reachable runner answers within a few ms.
+CONNECT_S = 0.3
+
+
+class Rejected(Exception):
+    """The runner answered that the request did not run."""
+
+    def __init__(self, head: http.AnswerHead) -> None:
+        super().__init__(f'status {head.status}')
+        self.head = head
+
+
+class NotRun(Exception):
+    """Nothing was sent to the runner."""
+
+
+@dataclasses.dataclass(slots=True)
+class OpenAnswer:
+    """An answer whose body has not been read."""
+
+    connection: http.HttpConnection
+    head: http.AnswerHead
+    facts: model.AnswerFacts
+
+
+def build_call(
+    exchange: context_module.Exchange, options: model.RunOptions
+) -> http.Call:
+    """Return the request for a runner: the caller's own, and our headers."""
+    dialect = exchange.context.dialect
+    request = exchange.request
+    headers = dialect.forwarded(callers.end_to_end(request.headers))
+    headers.extend(dialect.run_headers(options))
+    return http.Call(
+        request.method,
+        request.target,
+        headers,
+        request.body,
+        exchange.facts.request_id,
+    )
+
+
+@contextlib.contextmanager
+def occupied(row: runners.Runner, tokens: int = 0) -> Iterator[None]:
+    """Count a request at a runner while it is there."""
+    row.in_flight += 1
+    row.tokens += tokens
+    try:
+        yield
+    finally:
+        row.in_flight -= 1
+        row.tokens -= tokens
+
+
+async def open_answer(
+    exchange: context_module.Exchange,
+    row: runners.Runner,
+    options: model.RunOptions,
+    reuse: bool,
+) -> OpenAnswer:
+    """Send the request and return the head of the answer.
+
+    Raises NotRun where nothing was sent, Rejected where the runner says that
+    it did not run the request, and BrokenAnswer where it may have run.
+    """
+    context = exchange.context
+    address = row.listing.address
+    connection = None
+    if reuse:
+        connection = await context.pool.take(address, context.clock())
+    if connection is None:
+        context.count('connections.opened')
+        try:
+            limit_s = min(CONNECT_S, max(exchange.left_s, 0.001))
+            connection = await http.connect(address, limit_s)
+        except http.ConnectFailed as error:
+            raise NotRun(str(error)) from error
+    try:
+        head = await connection.exchange(build_call(exchange, options))
+        facts = context.dialect.answer_facts(head.status, head.headers)
+        row.observe_report(facts.load, context.clock())
+        if not facts.not_run:
+            return OpenAnswer(connection, head, facts)
+        await connection.whole_body(http.READ_BYTES)
+    except BaseException:
+        with anyio.CancelScope(shield=True):
+            await connection.close()
+        raise
+    await context.pool.put(connection, head.keep_alive_s, context.clock())
+    raise Rejected(head)
--- /dev/null
+++ b/primrosereel/platform/_dialect.py
@@ -0,0 +1,165 @@
+"""Headers and calls of requests, runners and engines."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from primrosereel.routing import _model as model
+
+__all__ = ['Dialect']
+
+Headers = Sequence[tuple[bytes, bytes]]
+
+REQUEST_ID = b'request-id'
+DEADLINE_MS = b'deadline-ms'
+LAST_EVENT_ID = b'last-event-id'
+TOKEN_USAGE = b'token-usage'
+SIGNATURE = b'instance-signature'
+# Says that the runner did not run the request; its value has no meaning.
+NOT_RUN = b'not-executed'
+LOAD = b'instance-load'
+
+# Headers that only the router sets, or that only a runner's answer bears.
+OWN_HEADERS = frozenset(
+    {
+        DEADLINE_MS,
+        LAST_EVENT_ID,
+        NOT_RUN,
+        SIGNATURE,
+        LOAD,
+        b'expect-instance',
+        b'expect-version',
+        b'instance-id',
+        b'kv-backup',
+        b'kv-fetch',
+        b'kv-hold',
+        b'kv-source',
+        b'pin-ms',
+        b'request-priority',
+        b'stage',
+        b'weight-versions',
+    }
+)
+HIGHEST_PRIORITY = 9
+
+
+class _PrefillBody(msgspec.Struct, rename='camel'):
+    kv_handle: str
+    tokens: int
+
+
+class Dialect:
+    """Translates between headers and the router's types."""
+
+    readiness_path = b'/v1/readiness'
+
+    def request_facts(self, headers: Headers) -> model.RequestFacts:
+        """Decode what a caller's headers say; odd values count as absent."""
+        found = {name.lower(): value for name, value in headers}
+        deadline_ms = _number(found.get(DEADLINE_MS))
+        prompt, output = _tokens(found.get(TOKEN_USAGE, b''))
+        last = _number(found.get(LAST_EVENT_ID))
+        return model.RequestFacts(
+            request_id=found.get(REQUEST_ID, b'').decode('latin-1'),
+            deadline_s=None if deadline_ms is None else deadline_ms / 1000,
+            prompt_tokens=prompt,
+            output_tokens=output,
+            last_event_id=None if last is None else int(last),
+        )
+
+    def forwarded(self, headers: Headers) -> list[tuple[bytes, bytes]]:
+        """Return a caller's headers without those that the router sets."""
+        return [
+            (name, value)
+            for name, value in headers
+            if name.lower() not in OWN_HEADERS
+        ]
+
+    def run_headers(
+        self, options: model.RunOptions
+    ) -> list[tuple[bytes, bytes]]:
+        """Return the headers that the router adds for a runner."""
+        left_ms = max(1, int(options.deadline_s * 1000))
+        headers = [
+            (b'Deadline-Ms', str(left_ms).encode()),
+            (b'Expect-Instance', options.runner.encode()),
+        ]
+        if options.priority is not None:
+            rank = min(max(options.priority, 0), HIGHEST_PRIORITY)
+            headers.append((b'Request-Priority', str(rank).encode()))
+        if options.prefill_only:
+            headers.append((b'Stage', b'prefill'))
+        if options.handle is not None:
+            headers.append((b'Kv-Source', options.handle.encode()))
+        if options.last_event_id is not None:
+            number = str(options.last_event_id).encode()
+            headers.append((b'Last-Event-Id', number))
+        return headers
+
+    def answer_facts(self, status: int, headers: Headers) -> model.AnswerFacts:
+        """Decode what the headers of a runner's answer say."""
+        found = {name.lower(): value for name, value in headers}
+        request_id = found.get(REQUEST_ID)
+        return model.AnswerFacts(
+            request_id=None if request_id is None else _text(request_id),
+            signed=SIGNATURE in found,
+            not_run=NOT_RUN in found or status == 421,
+            encoded=b'content-encoding' in found,
+            load=_load(found.get(LOAD)),
+        )
+
+    def prefill_result(
+        self, address: model.Address, body: bytes
+    ) -> model.PrefillResult | None:
+        """Decode the answer to a prefill; None where it cannot be read."""
+        try:
+            answer = msgspec.json.decode(body, type=_PrefillBody)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            return None
+        if not answer.kv_handle.isalnum():
+            return None
+        return model.PrefillResult(
+            f'{address}/{answer.kv_handle}', answer.tokens
+        )
+
+    def free_handle(self, handle: str) -> tuple[bytes, bytes]:
+        """Return method and target of the call that frees a handle."""
+        name = handle.partition('/')[2]
+        return b'DELETE', b'/v1/kv-handle/' + name.encode()
+
+
+def _text(value: bytes) -> str:
+    return value.decode('latin-1')
+
+
+def _number(value: bytes | None) -> float | None:
+    """Return a plain decimal number that is not negative, or None."""
+    if value is None or len(value) > 16:
+        return None
+    try:
+        number = float(value)
+    except ValueError:
+        return None
+    return number if 0 <= number < 1e15 else None
+
+
+def _tokens(value: bytes) -> tuple[int, int]:
+    """Return the tokens of prompt and output; usual sizes if unreadable."""
+    prompt, _, output = value.partition(b',')
+    first, second = _number(prompt), _number(output)
+    return (
+        model.DEFAULT_PROMPT_TOKENS if first is None else int(first),
+        model.DEFAULT_OUTPUT_TOKENS if second is None else int(second),
+    )
+
+
+def _load(value: bytes | None) -> model.LoadReport | None:
+    """Decode ``running,waiting,slots[,percent]``, percent 100 as usual."""
+    if value is None:
+        return None
+    numbers = [_number(part.strip()) for part in value.split(b',')]
+    if len(numbers) < 3 or any(n is None for n in numbers[:4]):
+        return None
+    running, waiting, slots = (int(n or 0) for n in numbers[:3])
+    percent = numbers[3] if len(numbers) > 3 else 100.0
+    return model.LoadReport(running, waiting, slots, (percent or 100.0) / 100)
--- /dev/null
+++ b/primrosereel/platform/_settings.py
@@ -0,0 +1,105 @@
+"""The settings file that the platform lays on each machine (TOML)."""
+
+import os
+import pathlib
+import tomllib
+
+import msgspec
+from returns import result
+
+from primrosereel import _ids as ids
+from primrosereel.gateway import _settings as settings
+from primrosereel.routing import _model as model
+
+__all__ = ['read_settings', 'settings_path']
+
+PATH_VARIABLE = 'PRIMROSEREEL_CONFIG'
+DEFAULT_PATH = '/etc/primrosereel/settings.toml'
+
+
+class _Listen(msgspec.Struct, rename='camel'):
+    frontend: str
+    ready: str
+    control: str = ''
+
+
+class _Limits(msgspec.Struct, rename='camel'):
+    memory_mb: float = 128
+    file_descriptors: int = 1024
+
+
+class _Bounds(msgspec.Struct, rename='camel'):
+    """Bounds of the rules; those that a deployment leaves out are usual."""
+
+    drain_ms: float = 2000
+    grace_s: float = 8
+    config_apply_ms: float = 2000
+    retry_budget_ratio: float = 0.2
+    budget_window_s: float = 10
+    retry_budget_slack: float = 50
+    reuse_after_s: float = 2
+    stable_window_ms: float = 3000
+
+
+class _Platform(msgspec.Struct, rename='camel'):
+    address: str
+    history_s: float = 20
+
+
+class _File(msgspec.Struct, rename='camel'):
+    node_name: str
+    zone: str
+    listen: _Listen
+    platform: _Platform
+    region: str = ''
+    ip: str = ''
+    seeds: list[str] = []
+    internal_port_range: list[int] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+def settings_path() -> pathlib.Path:
+    """Return where the platform laid the settings."""
+    return pathlib.Path(os.environ.get(PATH_VARIABLE, DEFAULT_PATH))
+
+
+def read_settings(
+    body: bytes,
+) -> result.Result[settings.GatewaySettings, str]:
+    """Decode the settings; the failure names the field and what is wrong."""
+    try:
+        document = tomllib.loads(body.decode())
+        return result.Success(_settings(msgspec.convert(document, _File)))
+    except (ValueError, TypeError, OverflowError) as error:
+        return result.Failure(str(error))
+
+
+def _settings(file: _File) -> settings.GatewaySettings:
+    bounds = file.bounds
+    return settings.GatewaySettings(
+        instance=ids.InstanceId(file.node_name),
+        availability_zone=ids.AvailabilityZone(file.zone),
+        callers=parse_address(file.listen.frontend),
+        readiness=parse_address(file.listen.ready),
+        store=parse_address(file.platform.address),
+        seeds=tuple(parse_address(seed) for seed in file.seeds),
+        file_descriptors=file.limits.file_descriptors,
+        drain_limit_s=bounds.grace_s,
+        runner_drain_s=bounds.drain_ms / 1000,
+        configuration_s=bounds.config_apply_ms / 1000,
+        retry_ratio=bounds.retry_budget_ratio,
+        retry_slack=bounds.retry_budget_slack,
+        retry_window_s=bounds.budget_window_s,
+    )
+
+
+def parse_address(text: str) -> model.Address:
+    """Return ``IP:PORT`` as an address; raise ValueError for other text."""
+    host, separator, port = text.rpartition(':')
+    if not separator or not host or not port.isascii():
+        raise ValueError(f'{text!r} is not IP:PORT')
+    number = int(port)
+    if not 0 < number < 65536:
+        raise ValueError(f'{text!r}: the port is out of range')
+    return model.Address(host, number)
--- /dev/null
+++ b/primrosereel/platform/_store.py
@@ -0,0 +1,291 @@
+"""The platform's store: reading calls, and what its entries say."""
+
+import base64
+import binascii
+from typing import NamedTuple
+import urllib.parse
+
+import msgspec
+
+from primrosereel import _ids as ids
+from primrosereel import _states as states
+from primrosereel.gateway import _ports as ports
+from primrosereel.platform import _settings as settings
+from primrosereel.routing import _model as model
+from primrosereel.routing import _runner_list as runner_list
+from primrosereel.routing import _table as table_module
+
+__all__ = ['Store']
+
+CONFIGURATION_KEY = 'op/config'
+CONFIGURATION_PREFIX = 'op/'
+RUNNER_PREFIX = 'servers/'
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+KINDS = {
+    'idempotent': model.RouteKind.IDEMPOTENT,
+    'non_idempotent': model.RouteKind.NON_IDEMPOTENT,
+    'streaming': model.RouteKind.STREAMING,
+}
+ROLES = {
+    None: states.Role.PLAIN,
+    'prefill': states.Role.PREFILL,
+    'decode': states.Role.DECODE,
+}
+LEAVING = {'ready': False, 'draining': True}
+
+
+class _Item(msgspec.Struct):
+    """An item of a range, or an event of a watch."""
+
+    key: str
+    value: str | None = None
+    revision: int = 0
+    deleted: bool = False
+
+
+class _Page(msgspec.Struct, rename='camel'):
+    items: list[_Item]
+    has_more: bool
+    at: int
+
+
+class _Events(msgspec.Struct):
+    events: list[_Item]
+    at: int
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, rename='camel'):
+    name: str
+    host: str
+    prefix: str
+    route_type: str
+    timeout_ms: float
+    target_latency_ms: float = 1000
+    priority: int = 5
+    max_attempts: int = 1
+    service: str | None = None
+    traffic_split: list[_Split] = []
+    resumable: bool = False
+    gap_target_ms: float | None = None
+
+
+class _Engine(msgspec.Struct, rename='camel'):
+    slots: int = 1
+    kv_cache_tokens: int = 0
+    kv_token_bytes: float = 0
+    link_mbps: float = 0
+    handle_ttl_s: float = 0.5
+
+
+class _Service(msgspec.Struct, rename='camel'):
+    name: str
+    health_path: str = '/health'
+    max_connections: int = 100
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, rename='camel'):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15000
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Runner(msgspec.Struct, rename='camel'):
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int
+    sequence: int
+    version: str = ''
+    cold_remaining_ms: float = 0
+    stage: str | None = None
+    # Unix milliseconds of the runner's start.
+    born: int = 0
+
+
+class _Target(NamedTuple):
+    path: str
+    query: dict[str, str | int]
+
+    def encode(self) -> bytes:
+        query = urllib.parse.urlencode(self.query, safe='/')
+        return f'{self.path}?{query}'.encode()
+
+
+class Store:
+    """Reads the store through a caller of HTTP requests."""
+
+    def __init__(self, call: ports.HttpCall) -> None:
+        self._call = call
+
+    async def read(self) -> ports.StoreState:
+        """Read configuration and runners, as old as the oldest page."""
+        found: list[ports.StoreChange] = []
+        at: int | None = None
+        for prefix in (CONFIGURATION_PREFIX, RUNNER_PREFIX):
+            after = ''
+            while True:
+                query: dict[str, str | int] = {'prefix': prefix}
+                if after:
+                    query['after'] = after
+                page = await self._get(_Target('/v1/kv-range', query), _Page)
+                at = page.at if at is None else min(at, page.at)
+                found.extend(map(_change, page.items))
+                if not page.has_more or not page.items:
+                    break
+                after = page.items[-1].key
+        return ports.StoreState(tuple(found), at or 0)
+
+    async def watch(self, after: int, wait_s: float) -> ports.StoreState:
+        """Wait for changes after a revision.
+
+        Raises HistoryLost where the store has dropped that history.
+        """
+        query: dict[str, str | int] = {
+            'prefix': '',
+            'after': after,
+            'waitMs': int(wait_s * 1000),
+        }
+        answer = await self._get(
+            _Target('/v1/kv-watch', query), _Events, wait_s
+        )
+        changes = tuple(map(_change, answer.events))
+        return ports.StoreState(changes, answer.at)
+
+    async def _get(self, target: _Target, kind, wait_s: float = 0.0):
+        status, body = await self._call(
+            b'GET', target.encode(), MAX_ANSWER_BYTES, wait_s
+        )
+        if status == 410:
+            raise ports.HistoryLost
+        if status != 200:
+            raise ports.StoreUnavailable(f'{target.path} answered {status}')
+        try:
+            return msgspec.json.decode(body, type=kind)
+        except msgspec.DecodeError as error:
+            raise ports.StoreUnavailable(f'{target.path}: {error}') from error
+
+
+def _change(item: _Item) -> ports.StoreChange:
+    """Decode an item; one that cannot be read names no runner."""
+    if item.key.startswith(RUNNER_PREFIX):
+        runner = ids.RunnerId(item.key[len(RUNNER_PREFIX) :])
+        listing = _listing(runner, item)
+        return ports.StoreChange(
+            runner=runner_list.ListingChange(runner, listing),
+            fault=listing is None and not item.deleted,
+        )
+    if item.key == CONFIGURATION_KEY and not item.deleted:
+        table = _table(item)
+        return ports.StoreChange(table=table, fault=table is None)
+    return ports.StoreChange()
+
+
+def _value(item: _Item, kind):
+    if item.deleted or item.value is None:
+        return None
+    try:
+        body = base64.b64decode(item.value, validate=True)
+        return msgspec.json.decode(body, type=kind)
+    except (binascii.Error, ValueError, msgspec.DecodeError):
+        return None
+
+
+def _listing(
+    runner: ids.RunnerId, item: _Item
+) -> model.RunnerListing | None:
+    entry = _value(item, _Runner)
+    if entry is None or entry.state not in LEAVING:
+        return None
+    if entry.stage not in ROLES or entry.slots < 1 or not runner:
+        return None
+    try:
+        address = settings.parse_address(entry.address)
+    except ValueError:
+        return None
+    return model.RunnerListing(
+        runner,
+        ids.ServiceId(entry.service),
+        address,
+        ids.AvailabilityZone(entry.zone),
+        ROLES[entry.stage],
+        entry.slots,
+        LEAVING[entry.state],
+        entry.cold_remaining_ms / 1000,
+        entry.born,
+    )
+
+
+def _table(item: _Item) -> table_module.RoutingTable | None:
+    found = _value(item, _Configuration)
+    if found is None:
+        return None
+    if any(route.route_type not in KINDS for route in found.routes):
+        return None
+    limits = found.limits
+    return table_module.RoutingTable(
+        found.version,
+        map(_route, found.routes),
+        map(_service, found.services),
+        model.CallerLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms / 1000,
+            limits.idle_timeout_ms / 1000,
+        ),
+    )
+
+
+def _route(route: _Route) -> model.Route:
+    targets = route.traffic_split
+    if route.service is not None:
+        targets = [_Split(route.service, 1.0)]
+    gap_ms = route.gap_target_ms
+    return model.Route(
+        route.name,
+        route.host,
+        route.prefix,
+        KINDS[route.route_type],
+        tuple(
+            model.WeightedService(ids.ServiceId(t.service), t.weight)
+            for t in targets
+        ),
+        route.timeout_ms / 1000,
+        route.target_latency_ms / 1000,
+        route.max_attempts,
+        route.priority,
+        route.resumable,
+        None if gap_ms is None else gap_ms / 1000,
+    )
+
+
+def _service(service: _Service) -> model.Service:
+    engine = None
+    if service.engine is not None:
+        engine = model.Engine(
+            service.engine.slots,
+            service.engine.kv_cache_tokens,
+            service.engine.kv_token_bytes,
+            service.engine.link_mbps,
+            service.engine.handle_ttl_s,
+        )
+    return model.Service(
+        ids.ServiceId(service.name),
+        service.health_path,
+        service.max_connections,
+        engine,
+    )
--- /dev/null
+++ b/primrosereel/routing/_events.py
@@ -0,0 +1,91 @@
+"""Splits a stream of server-sent events into whole events.
+
+A runner may stop in the middle of an event, so only whole events are passed
+on; what follows the last whole event is kept until its end arrives.
+"""
+
+import dataclasses
+
+__all__ = ['EventSplitter', 'StreamProgress', 'SequenceError']
+
+ID_FIELD = b'id:'
+MAX_EVENT_BYTES = 4 * 1024 * 1024
+
+
+class SequenceError(Exception):
+    """An event arrived that does not follow the one before it."""
+
+
+@dataclasses.dataclass(slots=True)
+class StreamProgress:
+    """How far a stream got; ``last_id`` is None before the first event."""
+
+    last_id: int | None = None
+    events: int = 0
+
+    def accept(self, event: bytes) -> bool:
+        """Count an event; False for one that was passed on before.
+
+        Raises SequenceError where an event is missing in between.
+        """
+        number = event_id(event)
+        if number is not None:
+            if self.last_id is not None:
+                if number <= self.last_id:
+                    return False
+                if number != self.last_id + 1:
+                    raise SequenceError(f'{number} after {self.last_id}')
+            self.last_id = number
+        self.events += 1
+        return True
+
+
+class EventSplitter:
+    """Collects bytes and returns the events that are whole."""
+
+    def __init__(self) -> None:
+        self._rest = b''
+
+    @property
+    def rest(self) -> bytes:
+        """The bytes of an event that has not ended."""
+        return self._rest
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Take bytes; return whole events with their closing blank line."""
+        data = self._rest + data
+        events = []
+        start = 0
+        while True:
+            end = _end_of_event(data, start)
+            if end < 0:
+                break
+            events.append(data[start:end])
+            start = end
+        self._rest = data[start:]
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise SequenceError('an event is over the limit of bytes')
+        return events
+
+
+def _end_of_event(data: bytes, start: int) -> int:
+    """Return the position after the next blank line, or -1."""
+    plain = data.find(b'\n\n', start)
+    carriage = data.find(b'\r\n\r\n', start)
+    ends = []
+    if plain >= 0:
+        ends.append(plain + 2)
+    if carriage >= 0:
+        ends.append(carriage + 4)
+    return min(ends, default=-1)
+
+
+def event_id(event: bytes) -> int | None:
+    """Return the id of an event; None where it has no numeric one."""
+    for line in event.splitlines():
+        if line.startswith(ID_FIELD):
+            try:
+                return int(line[len(ID_FIELD) :])
+            except ValueError:
+                return None
+    return None
--- /dev/null
+++ b/primrosereel/routing/_model.py
@@ -0,0 +1,184 @@
+"""What is routed: routes, services, runners and requests."""
+
+import dataclasses
+import enum
+from typing import NamedTuple
+
+from primrosereel import _ids as ids
+from primrosereel import _states as states
+
+__all__ = [
+    'Address',
+    'AnswerFacts',
+    'CallerLimits',
+    'Engine',
+    'LoadReport',
+    'PrefillResult',
+    'RequestFacts',
+    'Route',
+    'RouteKind',
+    'RunOptions',
+    'RunnerListing',
+    'Service',
+    'WeightedService',
+]
+
+# Used when a request does not say how large its prompt is.
+DEFAULT_PROMPT_TOKENS = 1000
+DEFAULT_OUTPUT_TOKENS = 200
+
+
+class Address(NamedTuple):
+    """An IPv4 address and port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f'{self.host}:{self.port}'
+
+
+class RouteKind(enum.Enum):
+    """How often the requests of a route may run, and how they answer."""
+
+    IDEMPOTENT = 'idempotent'
+    NON_IDEMPOTENT = 'non_idempotent'
+    STREAMING = 'streaming'
+
+
+class WeightedService(NamedTuple):
+    """A service and its share of a route's requests."""
+
+    service: ids.ServiceId
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """Which requests go to which service, and within which times.
+
+    ``priority`` 0 is the most urgent. ``max_attempts`` counts runners, the
+    first one included. ``gap_target_s`` is None on routes without streams.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    services: tuple[WeightedService, ...]
+    timeout_s: float
+    target_s: float
+    max_attempts: int
+    priority: int
+    resumable: bool = False
+    gap_target_s: float | None = None
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.kind is RouteKind.IDEMPOTENT or (
+            self.kind is RouteKind.STREAMING and self.resumable
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Engine:
+    """The capacity of one engine of a service; memory in tokens."""
+
+    slots: int
+    kv_tokens: int
+    kv_token_bytes: float
+    link_mbps: float
+    handle_ttl_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """A service; ``engine`` is None for plain services."""
+
+    name: ids.ServiceId
+    health_path: str
+    max_connections: int
+    engine: Engine | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What a caller may send, and how long it may take or stay idle."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunnerListing:
+    """What a runner last said of itself in the platform's list."""
+
+    runner: ids.RunnerId
+    service: ids.ServiceId
+    address: Address
+    availability_zone: ids.AvailabilityZone
+    role: states.Role
+    slots: int
+    leaving: bool
+    cold_s: float = 0.0
+    born_ms: int = 0
+
+
+class LoadReport(NamedTuple):
+    """A runner's load as an answer of it said; ``slowness`` 1.0 is usual."""
+
+    running: int
+    waiting: int
+    slots: int
+    slowness: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestFacts:
+    """What the headers of a request say.
+
+    ``deadline_s`` is how long the caller waits, None where it does not say.
+    """
+
+    request_id: str = ''
+    deadline_s: float | None = None
+    prompt_tokens: int = DEFAULT_PROMPT_TOKENS
+    output_tokens: int = DEFAULT_OUTPUT_TOKENS
+    last_event_id: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunOptions:
+    """What the router adds to a request that it sends to a runner."""
+
+    runner: ids.RunnerId
+    deadline_s: float
+    priority: int | None = None
+    prefill_only: bool = False
+    handle: str | None = None
+    last_event_id: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerFacts:
+    """What the headers of a runner's answer say.
+
+    ``not_run`` is the runner's statement that the request did not run, and
+    ``signed`` that the answer bears the runner's signature.
+    """
+
+    request_id: str | None = None
+    signed: bool = False
+    not_run: bool = False
+    encoded: bool = False
+    load: LoadReport | None = None
+
+
+class PrefillResult(NamedTuple):
+    """The handle under which a prefill runner keeps a prompt's KV cache."""
+
+    handle: str
+    tokens: int
--- /dev/null
+++ b/primrosereel/routing/_patience.py
@@ -0,0 +1,72 @@
+"""How long to wait for a runner before its request is sent elsewhere.
+
+Only requests that may be repeated are sent again; for all others a silent
+runner is waited for until the request's own time is over.
+"""
+
+from primrosereel.routing import _model as model
+
+__all__ = [
+    'caller_gap_s',
+    'first_event_s',
+    'plain_attempt_s',
+    'prefill_s',
+    'stream_gap_s',
+    'time_limit_s',
+]
+
+# Callers leave a stream after the longest of these gaps.
+SHORTEST_CALLER_GAP_S = 2.0
+CALLER_GAP_TARGETS = 4.0
+CALLER_GAP_PAUSES = 8.0
+# The share of a caller's patience after which a stream goes on elsewhere.
+SHARE_OF_PATIENCE = 0.55
+
+STREAM_GAP_PAUSES = 4.0
+SHORTEST_STREAM_GAP_S = 0.8
+
+# The share of the time left that the first of two runners may take.
+FIRST_ATTEMPT_SHARE = 0.45
+
+PREFILL_TARGET_SHARE = 0.6
+SHORTEST_PREFILL_S = 0.3
+
+
+def time_limit_s(route: model.Route, facts: model.RequestFacts) -> float:
+    """Return how long a request may take: the caller's and the route's."""
+    if facts.deadline_s is None:
+        return route.timeout_s
+    return min(route.timeout_s, facts.deadline_s)
+
+
+def caller_gap_s(route: model.Route) -> float:
+    """Return after which gap the caller of a stream leaves."""
+    return max(
+        SHORTEST_CALLER_GAP_S,
+        CALLER_GAP_TARGETS * route.target_s,
+        CALLER_GAP_PAUSES * (route.gap_target_s or 0.0),
+    )
+
+
+def first_event_s(route: model.Route) -> float:
+    """Return how long a resumable stream's first event is waited for."""
+    return SHARE_OF_PATIENCE * caller_gap_s(route)
+
+
+def stream_gap_s(route: model.Route) -> float:
+    """Return how long the next event of a resumable stream is waited for."""
+    pauses = STREAM_GAP_PAUSES * (route.gap_target_s or 0.0)
+    return max(SHORTEST_STREAM_GAP_S, pauses)
+
+
+def plain_attempt_s(left_s: float, attempts_left: int) -> float:
+    """Return how long one runner may take for an idempotent call."""
+    if attempts_left < 1:
+        return left_s
+    return FIRST_ATTEMPT_SHARE * left_s
+
+
+def prefill_s(route: model.Route, expected_s: float) -> float:
+    """Return how long a prefill is waited for."""
+    usual = max(SHORTEST_PREFILL_S, 3 * expected_s)
+    return min(usual, max(PREFILL_TARGET_SHARE * route.target_s, 0.1))
--- /dev/null
+++ b/primrosereel/routing/_placement.py
@@ -0,0 +1,149 @@
+"""Chooses the runner of a request by shortest expected completion.
+
+Pattern: least expected completion time over the instance's own counts and the
+load that answers report. Ties are broken at random, so that instances with
+the same knowledge do not all pick the same runner.
+"""
+
+from collections.abc import Collection
+import random as random_module
+
+from primrosereel import _ids as ids
+from primrosereel import _states as states
+from primrosereel.routing import _model as model
+from primrosereel.routing import _runners as runners
+
+__all__ = ['Placement', 'PlacementPolicy', 'RandomPlacement']
+
+# Cost terms, in units of one usual service time.
+OTHER_ZONE_COST = 0.15
+SUSPECT_COST = 50.0
+FULL_COST = 5.0
+FAILURE_COST = 4.0
+COLD_COST = 1.0
+TIE_SPREAD = 0.05
+
+
+class PlacementPolicy:
+    """The interface of placement policies in the registry."""
+
+    def choose(
+        self,
+        service: ids.ServiceId,
+        role: states.Role,
+        excluded: Collection[ids.RunnerId],
+        now: float,
+    ) -> runners.Runner | None:
+        """Return the runner for a request; None where none is left."""
+        raise NotImplementedError
+
+
+class Placement(PlacementPolicy):
+    """Shortest expected completion among the ready runners."""
+
+    def __init__(
+        self,
+        table: runners.RunnerTable,
+        availability_zone: ids.AvailabilityZone,
+        random: random_module.Random,
+    ) -> None:
+        self._table = table
+        self._availability_zone = availability_zone
+        self._random = random
+        self._engines: dict[ids.ServiceId, model.Engine | None] = {}
+
+    def set_services(
+        self, services: dict[ids.ServiceId, model.Service]
+    ) -> None:
+        """Take the capacities of a new configuration."""
+        self._engines = {n: s.engine for n, s in services.items()}
+
+    def choose(
+        self,
+        service: ids.ServiceId,
+        role: states.Role,
+        excluded: Collection[ids.RunnerId],
+        now: float,
+    ) -> runners.Runner | None:
+        """Return the runner with the lowest cost."""
+        candidates = [
+            row
+            for row in self._table.ready(service, role)
+            if row.runner not in excluded
+        ]
+        if not candidates:
+            return None
+        fastest = min(
+            (row.latency_s for row in candidates if row.latency_s),
+            default=None,
+        )
+        return min(
+            candidates, key=lambda row: self._cost(row, fastest, now)
+        )
+
+    def _cost(
+        self, row: runners.Runner, fastest: float | None, now: float
+    ) -> float:
+        cost = self._occupancy(row, now)
+        if fastest and row.latency_s:
+            cost = (cost + 0.3) * min(row.latency_s / fastest, 4.0)
+        if row.report is not None:
+            cost += max(0.0, row.report.slowness - 1.0) * 0.5 ** (
+                max(0.0, now - row.reported_at) / 0.5
+            )
+        if row.listing.availability_zone != self._availability_zone:
+            cost += OTHER_ZONE_COST
+        if row.suspect(now):
+            cost += SUSPECT_COST * (1 + row.failures)
+        if now < row.full_until:
+            cost += FULL_COST
+        if row.listing.cold_s > 0:
+            cost += COLD_COST
+        cost += FAILURE_COST * row.failure_rate
+        return cost + TIE_SPREAD * self._random.random()
+
+    def _occupancy(self, row: runners.Runner, now: float) -> float:
+        slots = max(1, row.listing.slots)
+        busy = (row.busy(now) + 1) / slots
+        if row.listing.role is states.Role.PREFILL:
+            # A prefill runner reads one prompt after the other.
+            return row.busy(now)
+        engine = self._engines.get(row.listing.service)
+        if engine is None or engine.kv_tokens <= 0:
+            return busy
+        per_request = row.tokens / row.in_flight if row.in_flight else 5000
+        tokens = row.tokens + row.others_now(now) * per_request
+        return max(busy, 4 * tokens / engine.kv_tokens)
+
+
+class RandomPlacement(PlacementPolicy):
+    """A random ready runner: the baseline that scores are set beside."""
+
+    def __init__(
+        self,
+        table: runners.RunnerTable,
+        availability_zone: ids.AvailabilityZone,
+        random: random_module.Random,
+    ) -> None:
+        self._table = table
+        self._random = random
+
+    def set_services(
+        self, services: dict[ids.ServiceId, model.Service]
+    ) -> None:
+        """Capacities make no difference to this policy."""
+
+    def choose(
+        self,
+        service: ids.ServiceId,
+        role: states.Role,
+        excluded: Collection[ids.RunnerId],
+        now: float,
+    ) -> runners.Runner | None:
+        """Return any ready runner."""
+        candidates = [
+            row
+            for row in self._table.ready(service, role)
+            if row.runner not in excluded
+        ]
+        return self._random.choice(candidates) if candidates else None
--- /dev/null
+++ b/primrosereel/routing/_runners.py
@@ -0,0 +1,149 @@
+"""The table of runners: what the platform lists and what answers showed."""
+
+from collections.abc import Iterator
+import dataclasses
+import math
+
+from primrosereel import _ids as ids
+from primrosereel import _states as states
+from primrosereel.routing import _model as model
+
+__all__ = ['Runner', 'RunnerTable']
+
+# How fast what a load report said of other instances' work loses weight.
+PLAIN_REPORT_HALF_LIFE_S = 0.3
+ENGINE_REPORT_HALF_LIFE_S = 1.0
+
+# A runner that failed is avoided this long; doubled with each failure.
+FIRST_SUSPECT_S = 0.5
+LONGEST_SUSPECT_S = 4.0
+
+# Weight of a new observation in a runner's moving averages.
+SPEED_WEIGHT = 0.3
+FAILURE_WEIGHT = 0.25
+
+
+@dataclasses.dataclass(slots=True)
+class Runner:
+    """One runner: its listing, and the instance's own observations."""
+
+    listing: model.RunnerListing
+    in_flight: int = 0
+    tokens: int = 0
+    report: model.LoadReport | None = None
+    reported_at: float = -math.inf
+    others: float = 0.0
+    latency_s: float | None = None
+    failure_rate: float = 0.0
+    failures: int = 0
+    suspect_until: float = -math.inf
+    full_until: float = -math.inf
+
+    @property
+    def runner(self) -> ids.RunnerId:
+        """The runner's id."""
+        return self.listing.runner
+
+    def busy(self, now: float) -> float:
+        """Return the requests believed to be at the runner."""
+        return self.in_flight + self.others_now(now)
+
+    def others_now(self, now: float) -> float:
+        """Return what other instances are believed to run there."""
+        half_life = ENGINE_REPORT_HALF_LIFE_S
+        if self.listing.role is states.Role.PLAIN:
+            half_life = PLAIN_REPORT_HALF_LIFE_S
+        age = max(0.0, now - self.reported_at)
+        return self.others * 0.5 ** (age / half_life)
+
+    def suspect(self, now: float) -> bool:
+        """Tell whether the runner failed so recently that it is avoided."""
+        return now < self.suspect_until
+
+    def observe_report(
+        self, report: model.LoadReport | None, now: float
+    ) -> None:
+        """Take the load that an answer of the runner reported."""
+        if report is None:
+            return
+        self.report = report
+        self.reported_at = now
+        total = report.running + report.waiting
+        self.others = max(0.0, total - self.in_flight)
+
+    def observe_success(self, seconds: float, now: float) -> None:
+        """Take a whole answer and its duration."""
+        self.failures = 0
+        self.suspect_until = -math.inf
+        self.failure_rate *= 1 - FAILURE_WEIGHT
+        if self.latency_s is None:
+            self.latency_s = seconds
+        else:
+            self.latency_s += SPEED_WEIGHT * (seconds - self.latency_s)
+
+    def observe_failure(self, now: float) -> None:
+        """Take a failure that was the runner's fault."""
+        self.failure_rate += FAILURE_WEIGHT * (1 - self.failure_rate)
+        wait = min(FIRST_SUSPECT_S * 2**self.failures, LONGEST_SUSPECT_S)
+        self.failures = min(self.failures + 1, 8)
+        self.suspect_until = now + wait
+
+    def observe_error(self) -> None:
+        """Take an error status, which a sound runner gives now and then."""
+        self.failure_rate += FAILURE_WEIGHT * (1 - self.failure_rate)
+
+
+class RunnerTable:
+    """All runners by id, kept in step with the platform's list."""
+
+    def __init__(self) -> None:
+        self._rows: dict[ids.RunnerId, Runner] = {}
+
+    def __len__(self) -> int:
+        return len(self._rows)
+
+    def __iter__(self) -> Iterator[Runner]:
+        return iter(self._rows.values())
+
+    def get(self, runner: ids.RunnerId) -> Runner | None:
+        """Return a runner's row; None for one that is not listed."""
+        return self._rows.get(runner)
+
+    def put(self, listing: model.RunnerListing) -> None:
+        """Take what the list says of a runner.
+
+        A runner that started again under its id, or moved to another
+        address, is a new one: nothing of the old observations holds.
+        """
+        row = self._rows.get(listing.runner)
+        if row is None or _is_another(row.listing, listing):
+            self._rows[listing.runner] = Runner(listing)
+        else:
+            row.listing = listing
+
+    def remove(self, runner: ids.RunnerId) -> None:
+        """Forget a runner that left the list."""
+        self._rows.pop(runner, None)
+
+    def ready(
+        self, service: ids.ServiceId, role: states.Role
+    ) -> list[Runner]:
+        """Return the runners of a service that may be given new work."""
+        return [
+            row
+            for row in self._rows.values()
+            if row.listing.service == service
+            and row.listing.role is role
+            and not row.listing.leaving
+        ]
+
+
+def _is_another(
+    old: model.RunnerListing, new: model.RunnerListing
+) -> bool:
+    return (
+        old.born_ms != new.born_ms
+        or old.address != new.address
+        or old.service != new.service
+        or old.role is not new.role
+    )
--- /dev/null
+++ b/primrosereel/routing/_table.py
@@ -0,0 +1,71 @@
+"""The routing table of one configuration version."""
+
+from collections.abc import Iterable
+import random as random_module
+
+from primrosereel import _ids as ids
+from primrosereel.routing import _model as model
+
+__all__ = ['RoutingTable', 'pick_service']
+
+
+class RoutingTable:
+    """Finds the route of a request: the host's longest matching prefix.
+
+    Example::
+
+        table = RoutingTable(7, routes, services, limits)
+        route = table.match('registry.example', '/events/2f')
+    """
+
+    def __init__(
+        self,
+        version: int,
+        routes: Iterable[model.Route],
+        services: Iterable[model.Service],
+        limits: model.CallerLimits,
+    ) -> None:
+        self._version = version
+        self._limits = limits
+        self._services = {service.name: service for service in services}
+        self._by_host: dict[str, list[model.Route]] = {}
+        for route in routes:
+            self._by_host.setdefault(route.host.lower(), []).append(route)
+        for found in self._by_host.values():
+            found.sort(key=lambda route: len(route.prefix), reverse=True)
+
+    @property
+    def version(self) -> int:
+        """The operators' version number; versions increase."""
+        return self._version
+
+    @property
+    def limits(self) -> model.CallerLimits:
+        """What callers may send."""
+        return self._limits
+
+    @property
+    def services(self) -> dict[ids.ServiceId, model.Service]:
+        """The services by name."""
+        return self._services
+
+    def match(self, host: str, path: str) -> model.Route | None:
+        """Return the route of a host and path; None where there is none."""
+        name = host.lower()
+        routes = self._by_host.get(name)
+        if routes is None:
+            routes = self._by_host.get(name.partition(':')[0], ())
+        for route in routes:
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+def pick_service(
+    route: model.Route, random: random_module.Random
+) -> ids.ServiceId:
+    """Pick a service of a route in proportion to the weights."""
+    if len(route.services) == 1:
+        return route.services[0].service
+    weights = [target.weight for target in route.services]
+    return random.choices(route.services, weights)[0].service
