Bound a watch of the store by the stable window

Change: a watch lasts half of the stable window, and an answer may take 0.7 s more. Requests that were served are logged with the seconds of each step.

--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -58,6 +58,27 @@
     ends_at: float
     # Runners that were sent the request and may have run it.
     attempts: int = 0
+    # Seconds of the steps that were taken, for the log.
+    steps: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    def note_step(self, name: str, began: float) -> None:
+        """Keep how long a step took."""
+        self.steps[name] = round(self.context.clock() - began, 4)
+
+    def note_served(self, runner: ids.RunnerId, status: int) -> None:
+        """Log and count an answer that came from a runner."""
+        context = self.context
+        context.count('served')
+        context.log.info(
+            'served',
+            request=self.facts.request_id,
+            route=self.route.name,
+            runner=runner,
+            status=status,
+            attempts=self.attempts,
+            seconds=round(context.clock() - self.request.received_at, 4),
+            **self.steps,
+        )
 
     @property
     def left_s(self) -> float:
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -154,6 +154,7 @@
             raise
         now = self._context.clock()
         row.observe_success(now - began, now)
+        exchange.note_step('prefill_s', began)
         self._handle = Handle(
             found.handle,
             answer.connection,
@@ -213,10 +214,11 @@
 
         False is returned where the runner did not run the request.
         """
+        began = self._context.clock()
         answer = await self._open(row)
         if answer is None:
             return False
-        began = self._context.clock()
+        self._exchange.note_step('head_s', began)
         try:
             await self._pass_on(answer, row, began)
         except (http.BrokenAnswer, events.SequenceError) as error:
@@ -304,6 +306,7 @@
             await self._send(head, splitter.feed(data))
             if first and self._progress.events:
                 first = False
+                self._exchange.note_step('first_event_s', began)
                 row.observe_success(
                     self._context.clock() - began, self._context.clock()
                 )
@@ -311,6 +314,7 @@
             raise http.BrokenAnswer('the stream ended within an event')
         await self._begin(head)
         await self._caller.finish()
+        self._exchange.note_served(row.runner, head.status)
         return None
 
     async def _next_part(self, body, first: bool) -> bytes | None:
--- a/primrosereel/gateway/_plain.py
+++ b/primrosereel/gateway/_plain.py
@@ -129,6 +129,7 @@
         reply = callers.Reply(head.status, head.reason, head.headers, body)
         if head.status < 500 and head.status not in PROMISES:
             row.observe_success(seconds, self._context.clock())
+            self._exchange.note_served(row.runner, head.status)
             return reply
         row.observe_error()
         if head.status not in PROMISES:
--- a/primrosereel/gateway/_settings.py
+++ b/primrosereel/gateway/_settings.py
@@ -12,6 +12,7 @@
 class GatewaySettings:
     """Addresses and bounds of one instance; times in seconds.
 
+    ``stable_window_s`` is after which time without trouble all bounds hold.
     ``runner_drain_s`` is how soon a leaving runner must get no new work, and
     ``configuration_s`` how soon a new configuration must be in force.
     """
@@ -26,6 +27,7 @@
     drain_limit_s: float
     runner_drain_s: float
     configuration_s: float
+    stable_window_s: float
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
--- a/primrosereel/gateway/_store_client.py
+++ b/primrosereel/gateway/_store_client.py
@@ -8,9 +8,9 @@
 
 __all__ = ['StoreClient']
 
-CONNECT_S = 1.0
+CONNECT_S = 0.5
 # How long an answer may take beyond what the store was asked to wait.
-ANSWER_S = 3.0
+ANSWER_S = 0.7
 
 
 class StoreClient:
--- a/primrosereel/gateway/_store_reader.py
+++ b/primrosereel/gateway/_store_reader.py
@@ -19,8 +19,10 @@
 
 # The share of the bounds that the pause between two watches may use.
 PAUSE_SHARE = 0.35
-WAIT_S = 10.0
-# A watch that hears nothing for this long is checked with another call.
+# A watch on a connection that went silent is only noticed when its time is
+# over, so a watch lasts a share of the time within which an instance must
+# have caught up with a store that came back.
+WAIT_SHARE = 0.5
 FIRST_BACKOFF_S = 0.1
 LONGEST_BACKOFF_S = 1.0
 
@@ -38,6 +40,7 @@
         self._pause_s = PAUSE_SHARE * min(
             settings.runner_drain_s, settings.configuration_s
         )
+        self._wait_s = WAIT_SHARE * settings.stable_window_s
         self._revision = 0
         self._backoff_s = FIRST_BACKOFF_S
         self._available = True
@@ -85,7 +88,7 @@
 
     async def _watch(self) -> None:
         async def watch() -> ports.StoreState:
-            return await self._store.watch(self._revision, WAIT_S)
+            return await self._store.watch(self._revision, self._wait_s)
 
         state = await self._call(watch)
         self._back()
--- a/primrosereel/platform/_settings.py
+++ b/primrosereel/platform/_settings.py
@@ -88,6 +88,7 @@
         drain_limit_s=bounds.grace_s,
         runner_drain_s=bounds.drain_ms / 1000,
         configuration_s=bounds.config_apply_ms / 1000,
+        stable_window_s=bounds.stable_window_ms / 1000,
         retry_ratio=bounds.retry_budget_ratio,
         retry_slack=bounds.retry_budget_slack,
         retry_window_s=bounds.budget_window_s,
