Reserve decode memory before a prefill and tell peers

Change: DecodePlaces admits by memory, instances exchange their use of the engines by datagrams (Ledger), PrefillPlan picks the reader by expected completion; parts that fail are logged and run again.

--- a/primrosereel/cmd/gateway.py
+++ b/primrosereel/cmd/gateway.py
@@ -23,7 +23,7 @@
 def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog='primrosereel-gateway',
-        description='Routes requests on the users\' platform.',
+        description="Routes requests on the users' platform.",
     )
     parser.add_argument(
         '--placement',
--- /dev/null
+++ b/primrosereel/gateway/_admission.py
@@ -0,0 +1,93 @@
+"""Waits for a place at a decode runner, or refuses at once."""
+
+import anyio
+
+from primrosereel import _states as states
+from primrosereel.gateway import _context as context_module
+from primrosereel.routing import _decode_places as decode_places
+from primrosereel.routing import _patience as patience
+
+__all__ = ['Refused', 'take_place']
+
+# How often waiting requests are looked at without a change being told.
+RECHECK_S = 0.05
+# Callers that are told to come back are spread over this share of the time.
+SPREAD = 0.3
+SHORTEST_RETRY_AFTER_S = 0.2
+
+
+class Refused(Exception):
+    """The request is not served; ``retry_after_s`` is when to come back."""
+
+    def __init__(
+        self, reason: states.RefusalReason, retry_after_s: float
+    ) -> None:
+        super().__init__(reason.value)
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+async def take_place(
+    exchange: context_module.Exchange,
+) -> decode_places.Ticket:
+    """Return a ticket with a place; raise Refused where there is none.
+
+    A request whose expected wait is over its caller's patience is refused at
+    once, with the time at which a place is expected.
+    """
+    context = exchange.context
+    places = context.places
+    now = context.clock()
+    admitted = anyio.Event()
+    ticket = decode_places.Ticket(
+        exchange.service,
+        decode_places.tokens_needed(exchange.facts),
+        exchange.route.priority,
+        now,
+        now + patience.on_time_wait_s(exchange.route),
+        admitted=admitted.set,
+    )
+    if not context.runners.ready(exchange.service, states.Role.DECODE):
+        raise Refused(states.RefusalReason.NO_RUNNER, SHORTEST_RETRY_AFTER_S)
+    limit_s = min(patience.wait_s(exchange.route), exchange.left_s)
+    places.add(ticket, now)
+    if ticket.row is None:
+        wait_s = places.expected_wait_s(ticket, now)
+        if wait_s > limit_s:
+            places.withdraw(ticket)
+            raise _no_capacity(exchange, wait_s)
+        context.uses_changed()
+        await _wait(exchange, ticket, admitted, limit_s)
+        exchange.note_step('queued_s', now)
+    context.uses_changed()
+    return ticket
+
+
+async def _wait(
+    exchange: context_module.Exchange,
+    ticket: decode_places.Ticket,
+    admitted: anyio.Event,
+    limit_s: float,
+) -> None:
+    context = exchange.context
+    try:
+        with anyio.move_on_after(limit_s):
+            while ticket.row is None:
+                with anyio.move_on_after(RECHECK_S):
+                    await admitted.wait()
+                context.places.admit(context.clock())
+    except BaseException:
+        context.places.withdraw(ticket)
+        context.places.release(ticket)
+        raise
+    if ticket.row is None:
+        context.places.withdraw(ticket)
+        wait_s = context.places.expected_wait_s(ticket, context.clock())
+        raise _no_capacity(exchange, wait_s)
+
+
+def _no_capacity(exchange: context_module.Exchange, wait_s: float) -> Refused:
+    random = exchange.context.random
+    spread = 1 + SPREAD * random.random()
+    after_s = max(SHORTEST_RETRY_AFTER_S, min(wait_s, exchange.left_s / 3))
+    return Refused(states.RefusalReason.NO_CAPACITY, after_s * spread)
--- a/primrosereel/gateway/_callers.py
+++ b/primrosereel/gateway/_callers.py
@@ -113,9 +113,7 @@
             raise _Refused(408)
         if not isinstance(head, h11.Request):
             return None
-        headers = [
-            (bytes(n), bytes(v)) for n, v in head.headers.raw_items()
-        ]
+        headers = [(bytes(n), bytes(v)) for n, v in head.headers.raw_items()]
         _check_framing(headers)
         if self._parser.they_are_waiting_for_100_continue:
             await self._send(
--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -1,5 +1,6 @@
 """The composition root of the gateway: the only place that builds parts."""
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 import random
 import signal
@@ -11,6 +12,7 @@
 
 from primrosereel import _registry as registry
 from primrosereel.gateway import _context as context_module
+from primrosereel.gateway import _peers as peers
 from primrosereel.gateway import _pool as pool_module
 from primrosereel.gateway import _ports as ports
 from primrosereel.gateway import _readiness as readiness
@@ -18,14 +20,18 @@
 from primrosereel.gateway import _settings as settings_module
 from primrosereel.gateway import _store_client as store_client
 from primrosereel.gateway import _store_reader as store_reader
+from primrosereel.routing import _decode_places as decode_places
+from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _model as model
 from primrosereel.routing import _retry_budget as retry_budget
 from primrosereel.routing import _runners as runners
+from primrosereel.routing import _split as split
 
 __all__ = ['Gateway', 'clock']
 
 BACKLOG = 512
 MAINTENANCE_S = 0.5
+RESTART_S = 0.5
 DEFAULT_PLACEMENT = 'expected-completion'
 # After a stop is asked for, the platform still sends new connections until
 # two checks have failed.
@@ -34,8 +40,9 @@
 # and that after which requests in progress are cut.
 CLOSE_IDLE_SHARE = 0.4
 CUT_SHARE = 0.9
-# Instances that are assumed to share the retry budget beside the seeds.
-INSTANCES_PER_SEED = 3
+# Instances that are assumed to share the retry budget for each seed, as those
+# that are out of sight spend it as well.
+INSTANCES_PER_SEED = 2
 
 
 def clock() -> float:
@@ -58,6 +65,8 @@
         self._log = log
         chance = random.Random()
         table = runners.RunnerTable()
+        ledger = ledger_module.Ledger()
+        zone = settings.availability_zone
         self._context = context_module.Context(
             settings=settings,
             clock=clock,
@@ -65,14 +74,17 @@
             dialect=dialect,
             runners=table,
             placement=registry.load('runner-placement', placement)(
-                table, settings.availability_zone, chance
+                table, zone, chance
             ),
+            ledger=ledger,
+            places=decode_places.DecodePlaces(table, ledger, zone, chance),
+            prefills=split.PrefillPlan(table, ledger, zone),
             budget=retry_budget.RetryBudget(
                 retry_budget.BudgetBounds(
                     settings.retry_ratio,
                     settings.retry_slack,
                     settings.retry_window_s,
-                    INSTANCES_PER_SEED * max(1, len(settings.seeds)),
+                    1,
                 )
             ),
             pool=pool_module.ConnectionPool(),
@@ -82,6 +94,9 @@
             self._context, make_store(store_client.StoreClient(settings.store))
         )
         self._server = server_module.Server(self._context)
+        self._peers = peers.Peers(self._context)
+        self._context.uses_changed = self._peers.changed
+        self._most_instances = INSTANCES_PER_SEED * max(1, len(settings.seeds))
         self._stop_asked = anyio.Event()
 
     @property
@@ -98,8 +113,8 @@
         """Serve until a stop is asked for and nothing is in progress."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._wait_for_signal)
-            tasks.start_soon(self._reader.run)
-            tasks.start_soon(self._maintain)
+            for part in (self._reader.run, self._maintain, self._peers.run):
+                tasks.start_soon(self._supervise, part)
             check = readiness.ReadinessServer(
                 self._context.dialect.readiness_path,
                 lambda: self.ready,
@@ -140,11 +155,31 @@
                 self._log.info('stop asked for', signal=number.name)
                 self._stop_asked.set()
 
+    async def _supervise(self, part: Callable[[], Awaitable[None]]) -> None:
+        """Run a part again when it fails; callers are served meanwhile."""
+        while True:
+            try:
+                await part()
+                return
+            except Exception as error:
+                self._context.count('internal_errors')
+                self._log.error(
+                    'part failed', detail=repr(error), exc_info=error
+                )
+                await anyio.sleep(RESTART_S)
+
     async def _maintain(self) -> None:
         while True:
             await anyio.sleep(MAINTENANCE_S)
             await self._reader.settle()
             await self._context.pool.close_old(clock())
+            self._share_budget()
+
+    def _share_budget(self) -> None:
+        """Divide the retry budget by the instances that may share it."""
+        seen = self._context.ledger.instances(clock()) + 1
+        self._most_instances = max(self._most_instances, seen)
+        self._context.budget.set_instances(self._most_instances)
 
     async def _drain(self) -> None:
         """Wait for a stop, then until no request is in progress."""
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -12,10 +12,13 @@
 from primrosereel.gateway import _pool as pool_module
 from primrosereel.gateway import _ports as ports
 from primrosereel.gateway import _settings as settings
+from primrosereel.routing import _decode_places as decode_places
+from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _model as model
 from primrosereel.routing import _placement as placement
 from primrosereel.routing import _retry_budget as retry_budget
 from primrosereel.routing import _runners as runners
+from primrosereel.routing import _split as split
 from primrosereel.routing import _table as table_module
 
 __all__ = ['Context', 'Exchange']
@@ -31,16 +34,29 @@
     dialect: ports.RequestDialect
     runners: runners.RunnerTable
     placement: placement.PlacementPolicy
+    ledger: ledger_module.Ledger
+    places: decode_places.DecodePlaces
+    prefills: split.PrefillPlan
     budget: retry_budget.RetryBudget
     pool: pool_module.ConnectionPool
     log: Any
     table: table_module.RoutingTable | None = None
     draining: bool = False
     active: int = 0
+    # Called when the own use of the engines changed.
+    uses_changed: Callable[[], None] = lambda: None
     counters: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
 
+    def engine_uses(self) -> list[tuple[str, int, int]]:
+        """Return runner, requests and tokens of the own use of engines."""
+        return [
+            (row.runner, row.in_flight, row.tokens)
+            for row in self.runners
+            if row.in_flight and row.listing.role is not states.Role.PLAIN
+        ]
+
     def count(self, name: str) -> None:
         """Increment a counter."""
         self.counters[name] += 1
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -7,10 +7,12 @@
 
 from primrosereel import _ids as ids
 from primrosereel import _states as states
+from primrosereel.gateway import _admission as admission
 from primrosereel.gateway import _callers as callers
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _http as http
 from primrosereel.gateway import _upstream as upstream
+from primrosereel.routing import _decode_places as decode_places
 from primrosereel.routing import _events as events
 from primrosereel.routing import _model as model
 from primrosereel.routing import _patience as patience
@@ -67,10 +69,12 @@
         self._caller = caller
         self._progress = events.StreamProgress(exchange.facts.last_event_id)
         self._excluded: set[ids.RunnerId] = set()
+        self._ticket: decode_places.Ticket | None = None
         self._handle: Handle | None = None
         self._rejections = 0
         self._may_have_run = False
         self._begun = False
+        self._placed_at = 0.0
 
     async def serve(self) -> bool:
         """Answer the caller; False where the answer had to be cut."""
@@ -78,6 +82,7 @@
         self._context.budget.request(exchange.service, self._context.clock())
         try:
             with anyio.fail_after(exchange.left_s):
+                await self._take_place()
                 await self._read_prompt()
                 return await self._run()
         except Ended as ended:
@@ -88,8 +93,27 @@
         except TimeoutError:
             return await self._out_of_time()
         finally:
+            self._give_place_back()
             await self._free_handle()
 
+    async def _take_place(self) -> None:
+        try:
+            self._ticket = await admission.take_place(self._exchange)
+        except admission.Refused as refused:
+            reply = self._exchange.refusal(
+                refused.reason, refused.retry_after_s
+            )
+            raise Ended(reply) from refused
+        self._placed_at = self._context.clock()
+
+    def _give_place_back(self) -> None:
+        if self._ticket is not None:
+            now = self._context.clock()
+            self._context.places.observe_hold(now - self._placed_at)
+            self._context.places.release(self._ticket)
+            self._context.places.admit(now)
+            self._context.uses_changed()
+
     async def _out_of_time(self) -> bool:
         if self._begun:
             self._exchange.failure(Reason.UPSTREAM_TIMEOUT, 0)
@@ -102,22 +126,22 @@
         """Have a prefill runner read the prompt where that is sooner."""
         exchange = self._exchange
         now = self._context.clock()
-        row = self._context.placement.choose(
-            exchange.service, states.Role.PREFILL, (), now
-        )
-        if not split.reads_apart(row, exchange.route.target_s, now):
+        tokens = exchange.facts.prompt_tokens
+        assert self._ticket is not None and self._ticket.row is not None
+        row = self._context.prefills.choose(self._ticket.row, tokens, now)
+        if row is None:
             self._context.count('prefill.at_decode')
             return
-        assert row is not None
-        limit_s = patience.prefill_s(
-            exchange.route, split.expected_prefill_s(row, now)
-        )
+        ahead = self._context.prefills.ahead(row, now)
+        expected_s = split.expected_prefill_s(row, tokens, ahead)
+        limit_s = patience.prefill_s(exchange.route, expected_s)
         try:
             with (
                 anyio.fail_after(limit_s),
-                upstream.occupied(row, exchange.facts.prompt_tokens),
+                upstream.occupied(row, tokens),
             ):
-                await self._prefill(row, now)
+                self._context.uses_changed()
+                await self._prefill(row, now, ahead)
         except upstream.NotRun as error:
             row.observe_failure(self._context.clock())
             exchange.note_retry(Retry.CONNECT_FAILED, row, str(error))
@@ -132,7 +156,9 @@
             row.observe_failure(self._context.clock())
             exchange.note_retry(Retry.PREFILL_FAILED, row, 'timeout')
 
-    async def _prefill(self, row: runners.Runner, began: float) -> None:
+    async def _prefill(
+        self, row: runners.Runner, began: float, ahead: int
+    ) -> None:
         exchange = self._exchange
         options = model.RunOptions(
             row.runner,
@@ -154,6 +180,9 @@
             raise
         now = self._context.clock()
         row.observe_success(now - began, now)
+        split.observe_prefill(
+            row, exchange.facts.prompt_tokens, ahead, now - began
+        )
         exchange.note_step('prefill_s', began)
         self._handle = Handle(
             found.handle,
@@ -174,22 +203,26 @@
         while True:
             row = self._choose_decode()
             try:
-                tokens = self._exchange.facts.prompt_tokens
-                with upstream.occupied(row, tokens):
-                    if await self._stream_from(row):
-                        return True
+                if await self._stream_from(row):
+                    return True
             except Broken as error:
                 self._after_break(row, str(error))
 
     def _choose_decode(self) -> runners.Runner:
+        """Return the runner of the place, or of another one."""
         exchange = self._exchange
-        row = self._context.placement.choose(
-            exchange.service,
-            states.Role.DECODE,
-            self._excluded,
-            self._context.clock(),
-        )
+        ticket = self._ticket
+        assert ticket is not None
+        row = ticket.row
+        if row is None or row.runner in self._excluded:
+            now = self._context.clock()
+            ticket.excluded = self._excluded
+            places = self._context.places
+            row = places.choose(ticket, now) or places.least_used(ticket, now)
         if row is not None and self._rejections < MAX_REJECTIONS:
+            if row is not ticket.row:
+                self._context.places.move(ticket, row)
+                self._context.uses_changed()
             return row
         if self._may_have_run:
             raise Ended(exchange.failure(Reason.UPSTREAM_FAILED, 502))
@@ -295,7 +328,7 @@
         if head.status != 200:
             return await self._pass_failure(answer, row)
         if not answer.facts.signed or answer.facts.encoded:
-            raise http.BrokenAnswer('the answer is not the runner\'s own')
+            raise http.BrokenAnswer("the answer is not the runner's own")
         splitter = events.EventSplitter()
         body = answer.connection.body()
         first = True
@@ -314,6 +347,13 @@
             raise http.BrokenAnswer('the stream ended within an event')
         await self._begin(head)
         await self._caller.finish()
+        facts = self._exchange.facts
+        self._exchange.steps.update(
+            prompt_tokens=facts.prompt_tokens,
+            output_tokens=facts.output_tokens,
+            events=self._progress.events,
+            last_event=self._progress.last_id or 0,
+        )
         self._exchange.note_served(row.runner, head.status)
         return None
 
@@ -336,9 +376,7 @@
                 raise http.BrokenAnswer('the stream fell silent') from None
             raise
 
-    async def _send(
-        self, head: http.AnswerHead, whole: list[bytes]
-    ) -> None:
+    async def _send(self, head: http.AnswerHead, whole: list[bytes]) -> None:
         fresh = [event for event in whole if self._progress.accept(event)]
         if fresh:
             await self._begin(head)
--- a/primrosereel/gateway/_http.py
+++ b/primrosereel/gateway/_http.py
@@ -151,9 +151,7 @@
         except h11.RemoteProtocolError as error:
             raise self._broken(str(error)) from error
 
-    async def _send_and_read_head(
-        self, call: Call, data: bytes
-    ) -> AnswerHead:
+    async def _send_and_read_head(self, call: Call, data: bytes) -> AnswerHead:
         """Read the answer while the body is sent.
 
         An answer that comes first ends the sending, and with it the use of
--- a/primrosereel/gateway/_plain.py
+++ b/primrosereel/gateway/_plain.py
@@ -115,7 +115,7 @@
             answer.connection, answer.head.keep_alive_s, now
         )
         if not answer.facts.signed or answer.facts.encoded:
-            raise http.BrokenAnswer('the answer is not the runner\'s own')
+            raise http.BrokenAnswer("the answer is not the runner's own")
         return self._judge(row, answer, body, now - began)
 
     def _judge(
--- a/primrosereel/gateway/_readiness.py
+++ b/primrosereel/gateway/_readiness.py
@@ -23,9 +23,7 @@
         self._ready = ready
         self._clock = clock
 
-    async def serve_connection(
-        self, stream: anyio.abc.SocketStream
-    ) -> None:
+    async def serve_connection(self, stream: anyio.abc.SocketStream) -> None:
         """Answer questions until the connection closes."""
         connection = callers.CallerConnection(
             stream, model.CallerLimits(), self._clock
--- a/primrosereel/gateway/_server.py
+++ b/primrosereel/gateway/_server.py
@@ -25,9 +25,7 @@
         self._context = context
         self._connections: set[callers.CallerConnection] = set()
 
-    async def serve_connection(
-        self, stream: anyio.abc.SocketStream
-    ) -> None:
+    async def serve_connection(self, stream: anyio.abc.SocketStream) -> None:
         """Serve one connection until it closes."""
         http.set_socket_options(stream)
         table = self._context.table
@@ -40,6 +38,12 @@
             await self._serve_requests(connection)
         except callers.CallerGone:
             self._context.count('callers.gone')
+        except Exception as error:
+            # One connection's fault must not end the others.
+            self._context.count('internal_errors')
+            self._context.log.error(
+                'connection failed', detail=repr(error), exc_info=error
+            )
         finally:
             self._connections.discard(connection)
             await connection.close()
--- a/primrosereel/gateway/_settings.py
+++ b/primrosereel/gateway/_settings.py
@@ -22,6 +22,8 @@
     callers: model.Address
     readiness: model.Address
     store: model.Address
+    # Where this instance's peers reach it; None where there are none.
+    peer: model.Address | None
     seeds: tuple[model.Address, ...]
     file_descriptors: int
     drain_limit_s: float
--- a/primrosereel/gateway/_store_reader.py
+++ b/primrosereel/gateway/_store_reader.py
@@ -117,6 +117,7 @@
             return
         context.table = table
         context.placement.set_services(table.services)
+        context.places.set_services(table.services)
         context.log.info('configuration in force', version=table.version)
 
     def _lost(self, why: str) -> None:
@@ -131,5 +132,3 @@
         if not self._available:
             self._available = True
             self._context.log.info('store regained')
-
-
--- a/primrosereel/gateway/_upstream.py
+++ b/primrosereel/gateway/_upstream.py
@@ -12,10 +12,18 @@
 from primrosereel.routing import _model as model
 from primrosereel.routing import _runners as runners
 
-__all__ = ['NotRun', 'OpenAnswer', 'Rejected', 'build_call', 'occupied', 'open_answer']
-
-# Longest time for a handshake; a reachable runner answers within a few ms.
-CONNECT_S = 0.3
+__all__ = [
+    'NotRun',
+    'OpenAnswer',
+    'Rejected',
+    'build_call',
+    'occupied',
+    'open_answer',
+]
+
+# Longest time for a handshake; a reachable runner answers within a few ms, and
+# a lost packet is sent again only after a second.
+CONNECT_S = 0.12
 
 
 class Rejected(Exception):
--- a/primrosereel/platform/_dialect.py
+++ b/primrosereel/platform/_dialect.py
@@ -13,6 +13,7 @@
 REQUEST_ID = b'request-id'
 DEADLINE_MS = b'deadline-ms'
 LAST_EVENT_ID = b'last-event-id'
+LENGTH_HINT = b'length-hint'
 TOKEN_USAGE = b'token-usage'
 SIGNATURE = b'instance-signature'
 # Says that the runner did not run the request; its value has no meaning.
@@ -58,6 +59,7 @@
         found = {name.lower(): value for name, value in headers}
         deadline_ms = _number(found.get(DEADLINE_MS))
         prompt, output = _tokens(found.get(TOKEN_USAGE, b''))
+        hint = _number(found.get(LENGTH_HINT))
         last = _number(found.get(LAST_EVENT_ID))
         return model.RequestFacts(
             request_id=found.get(REQUEST_ID, b'').decode('latin-1'),
@@ -65,6 +67,7 @@
             prompt_tokens=prompt,
             output_tokens=output,
             last_event_id=None if last is None else int(last),
+            length_hint=None if hint is None else int(hint),
         )
 
     def forwarded(self, headers: Headers) -> list[tuple[bytes, bytes]]:
--- a/primrosereel/platform/_settings.py
+++ b/primrosereel/platform/_settings.py
@@ -83,6 +83,7 @@
         callers=parse_address(file.listen.frontend),
         readiness=parse_address(file.listen.ready),
         store=parse_address(file.platform.address),
+        peer=_peer_address(file),
         seeds=tuple(parse_address(seed) for seed in file.seeds),
         file_descriptors=file.limits.file_descriptors,
         drain_limit_s=bounds.grace_s,
@@ -95,6 +96,13 @@
     )
 
 
+def _peer_address(file: _File) -> model.Address | None:
+    """Return the first free port; all machines of a day have the same."""
+    if not file.ip or not file.internal_port_range:
+        return None
+    return model.Address(file.ip, file.internal_port_range[0])
+
+
 def parse_address(text: str) -> model.Address:
     """Return ``IP:PORT`` as an address; raise ValueError for other text."""
     host, separator, port = text.rpartition(':')
--- a/primrosereel/platform/_store.py
+++ b/primrosereel/platform/_store.py
@@ -205,9 +205,7 @@
         return None
 
 
-def _listing(
-    runner: ids.RunnerId, item: _Item
-) -> model.RunnerListing | None:
+def _listing(runner: ids.RunnerId, item: _Item) -> model.RunnerListing | None:
     entry = _value(item, _Runner)
     if entry is None or entry.state not in LEAVING:
         return None
--- /dev/null
+++ b/primrosereel/routing/_decode_places.py
@@ -0,0 +1,237 @@
+"""Admission to decode runners by memory: a place is taken before the prefill.
+
+Pattern: admission control with a reservation. A prompt that is read while no
+decode runner has room for it is read in vain, as the handle lapses within a
+moment. Requests wait for room in order: those that can still meet their
+target first, then by priority and arrival; a large request at the head is
+not passed by smaller ones.
+"""
+
+from collections.abc import Callable
+from collections.abc import Collection
+import dataclasses
+import random as random_module
+
+from primrosereel import _ids as ids
+from primrosereel import _states as states
+from primrosereel.routing import _ledger as ledger_module
+from primrosereel.routing import _model as model
+from primrosereel.routing import _runners as runners
+
+__all__ = ['DecodePlaces', 'Ticket', 'tokens_needed']
+
+# The part of an engine's memory that is given out.
+USABLE_SHARE = 0.97
+# Streams hold less than their whole length for most of their time.
+OUTPUT_SHARE = 0.6
+# Used until an instance has seen how long streams hold their place.
+DEFAULT_HOLD_S = 3.0
+HOLD_WEIGHT = 0.1
+
+OTHER_ZONE_COST = 0.04
+FAILURE_COST = 2.0
+TIE_SPREAD = 0.02
+
+
+def tokens_needed(facts: model.RequestFacts) -> int:
+    """Return the KV cache that a request is expected to need, in tokens."""
+    output = facts.output_tokens
+    if facts.length_hint is not None:
+        output = min(output, facts.length_hint)
+    return facts.prompt_tokens + int(OUTPUT_SHARE * output)
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class Ticket:
+    """A request that wants a place; ``row`` is set once it has one."""
+
+    service: ids.ServiceId
+    tokens: int
+    priority: int
+    arrived_at: float
+    on_time_until: float
+    excluded: Collection[ids.RunnerId] = ()
+    row: runners.Runner | None = None
+    admitted: Callable[[], None] = lambda: None
+
+    def rank(self, now: float) -> tuple[bool, int, float]:
+        """Order in which tickets get places."""
+        return now > self.on_time_until, self.priority, self.arrived_at
+
+
+class DecodePlaces:
+    """Gives out the memory of decode runners."""
+
+    def __init__(
+        self,
+        table: runners.RunnerTable,
+        ledger: ledger_module.Ledger,
+        availability_zone: ids.AvailabilityZone,
+        random: random_module.Random,
+    ) -> None:
+        self._table = table
+        self._ledger = ledger
+        self._availability_zone = availability_zone
+        self._random = random
+        self._waiting: list[Ticket] = []
+        self._engines: dict[ids.ServiceId, model.Engine] = {}
+        self._hold_s = DEFAULT_HOLD_S
+
+    @property
+    def waiting_tokens(self) -> int:
+        """The tokens of this instance's waiting requests."""
+        return sum(ticket.tokens for ticket in self._waiting)
+
+    @property
+    def waiting(self) -> int:
+        """The requests that wait."""
+        return len(self._waiting)
+
+    def set_services(
+        self, services: dict[ids.ServiceId, model.Service]
+    ) -> None:
+        """Take the capacities of a new configuration."""
+        self._engines = {
+            name: service.engine
+            for name, service in services.items()
+            if service.engine is not None
+        }
+
+    def observe_hold(self, seconds: float) -> None:
+        """Learn how long a stream held its place."""
+        self._hold_s += HOLD_WEIGHT * (seconds - self._hold_s)
+
+    def add(self, ticket: Ticket, now: float) -> None:
+        """Queue a ticket and admit what fits."""
+        self._waiting.append(ticket)
+        self.admit(now)
+
+    def withdraw(self, ticket: Ticket) -> None:
+        """Take a ticket out of the queue."""
+        if ticket in self._waiting:
+            self._waiting.remove(ticket)
+
+    def admit(self, now: float) -> None:
+        """Give places to the waiting tickets in order, while they fit."""
+        blocked: set[ids.ServiceId] = set()
+        for ticket in sorted(self._waiting, key=lambda t: t.rank(now)):
+            if ticket.service in blocked:
+                continue
+            row = self.choose(ticket, now)
+            if row is None:
+                blocked.add(ticket.service)
+                continue
+            self._waiting.remove(ticket)
+            ticket.row = row
+            row.in_flight += 1
+            row.tokens += ticket.tokens
+            ticket.admitted()
+
+    def move(self, ticket: Ticket, row: runners.Runner) -> None:
+        """Move a ticket's place to another runner."""
+        self.release(ticket)
+        ticket.row = row
+        row.in_flight += 1
+        row.tokens += ticket.tokens
+
+    def release(self, ticket: Ticket) -> None:
+        """Give a ticket's place back."""
+        row, ticket.row = ticket.row, None
+        if row is not None:
+            row.in_flight -= 1
+            row.tokens -= ticket.tokens
+
+    def choose(self, ticket: Ticket, now: float) -> runners.Runner | None:
+        """Return the runner with the most room for a ticket, if any."""
+        candidates = [
+            row
+            for row in self._candidates(ticket, now)
+            if self._fits(row, ticket, now)
+        ]
+        return min(
+            candidates,
+            key=lambda row: self._cost(row, ticket, now),
+            default=None,
+        )
+
+    def least_used(self, ticket: Ticket, now: float) -> runners.Runner | None:
+        """Return the runner to try although none is known to have room."""
+        return min(
+            self._candidates(ticket, now),
+            key=lambda row: self._cost(row, ticket, now),
+            default=None,
+        )
+
+    def expected_wait_s(self, ticket: Ticket, now: float) -> float:
+        """Return when a ticket is expected to get a place, in seconds.
+
+        The runners' memory is given back at the rate at which streams end:
+        all that is in use within the time that a stream holds its place.
+        """
+        used = room = 0.0
+        for row in self._candidates(ticket, now):
+            capacity = self._capacity(row)
+            in_use = self._use(row, now).tokens
+            used += in_use
+            room += max(0.0, capacity - in_use)
+        if not used and not room:
+            return float('inf')
+        ahead = ticket.tokens + self._ledger.waiting_tokens(now)
+        ahead += sum(
+            other.tokens
+            for other in self._waiting
+            if other is not ticket
+            and other.service == ticket.service
+            and other.rank(now) < ticket.rank(now)
+        )
+        rate = used / max(self._hold_s, 0.1)
+        return max(0.0, ahead - room) / max(rate, 1.0)
+
+    def _candidates(self, ticket: Ticket, now: float) -> list[runners.Runner]:
+        """Return runners that may be sent the request, sound ones if any."""
+        ready = [
+            row
+            for row in self._table.ready(ticket.service, states.Role.DECODE)
+            if row.runner not in ticket.excluded
+        ]
+        sound = [
+            row
+            for row in ready
+            if not row.suspect(now) and now >= row.full_until
+        ]
+        return sound or ready
+
+    def _fits(self, row: runners.Runner, ticket: Ticket, now: float) -> bool:
+        if now < row.full_until:
+            return False
+        use = self._use(row, now)
+        if use.requests >= row.listing.slots:
+            return False
+        return (
+            not use.requests
+            or use.tokens + ticket.tokens <= self._capacity(row)
+        )
+
+    def _use(self, row: runners.Runner, now: float) -> ledger_module.Use:
+        others = self._ledger.use(row.runner, now)
+        requests = row.in_flight + others.requests
+        tokens = row.tokens + others.tokens
+        return ledger_module.Use(requests, tokens)
+
+    def _capacity(self, row: runners.Runner) -> float:
+        engine = self._engines.get(row.listing.service)
+        if engine is None or engine.kv_tokens <= 0:
+            return float('inf')
+        return USABLE_SHARE * engine.kv_tokens
+
+    def _cost(self, row: runners.Runner, ticket: Ticket, now: float) -> float:
+        use = self._use(row, now)
+        capacity = self._capacity(row)
+        cost = (use.tokens + ticket.tokens) / capacity
+        cost += use.requests / max(1, row.listing.slots)
+        if row.listing.availability_zone != self._availability_zone:
+            cost += OTHER_ZONE_COST
+        cost += FAILURE_COST * row.failure_rate
+        if row.suspect(now):
+            cost += 10.0 * (1 + row.failures)
+        return cost + TIE_SPREAD * self._random.random()
--- /dev/null
+++ b/primrosereel/routing/_ledger.py
@@ -0,0 +1,93 @@
+"""What each instance has under way at the engines, own and told by peers.
+
+Pattern: replicated soft state. Every instance sends its own use of the
+engines as a whole snapshot after each change, so that a lost message is made
+good by the next one. What a peer that fell silent had under way is forgotten:
+an engine drops the requests of connections that end.
+"""
+
+import dataclasses
+from typing import NamedTuple
+
+from primrosereel import _ids as ids
+
+__all__ = ['Ledger', 'PeerReport', 'Use']
+
+# A peer that was not heard for this long no longer counts.
+SILENT_S = 2.5
+
+
+class Use(NamedTuple):
+    """Requests at a runner, and the tokens of KV cache they need."""
+
+    requests: int
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerReport:
+    """One instance's use of the engines, and the tokens it has waiting.
+
+    ``sequence`` orders the reports of one ``incarnation``.
+    """
+
+    instance: ids.InstanceId
+    incarnation: int
+    sequence: int
+    uses: dict[ids.RunnerId, Use]
+    waiting_tokens: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _Peer:
+    report: PeerReport
+    heard_at: float
+
+
+class Ledger:
+    """The uses of all instances that are in sight."""
+
+    def __init__(self) -> None:
+        self._peers: dict[ids.InstanceId, _Peer] = {}
+
+    def apply(self, report: PeerReport, now: float) -> bool:
+        """Take a peer's report; False for one that is older than the last."""
+        known = self._peers.get(report.instance)
+        if known is not None and _order(report) <= _order(known.report):
+            return False
+        self._peers[report.instance] = _Peer(report, now)
+        return True
+
+    def instances(self, now: float) -> int:
+        """Return how many other instances are in sight."""
+        self._forget(now)
+        return len(self._peers)
+
+    def use(self, runner: ids.RunnerId, now: float) -> Use:
+        """Return what other instances have at a runner."""
+        self._forget(now)
+        requests = tokens = 0
+        for peer in self._peers.values():
+            use = peer.report.uses.get(runner)
+            if use is not None:
+                requests += use.requests
+                tokens += use.tokens
+        return Use(requests, tokens)
+
+    def waiting_tokens(self, now: float) -> int:
+        """Return the tokens of requests that wait at other instances."""
+        self._forget(now)
+        return sum(p.report.waiting_tokens for p in self._peers.values())
+
+    def _forget(self, now: float) -> None:
+        silent = [
+            instance
+            for instance, peer in self._peers.items()
+            if now - peer.heard_at > SILENT_S
+        ]
+        for instance in silent:
+            del self._peers[instance]
+
+
+def _order(report: PeerReport) -> tuple[int, int]:
+    return report.incarnation, report.sequence
--- a/primrosereel/routing/_model.py
+++ b/primrosereel/routing/_model.py
@@ -148,6 +148,8 @@
     prompt_tokens: int = DEFAULT_PROMPT_TOKENS
     output_tokens: int = DEFAULT_OUTPUT_TOKENS
     last_event_id: int | None = None
+    # The caller's estimate of the output tokens; often far off.
+    length_hint: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primrosereel/routing/_patience.py
+++ b/primrosereel/routing/_patience.py
@@ -12,7 +12,9 @@
     'plain_attempt_s',
     'prefill_s',
     'stream_gap_s',
+    'on_time_wait_s',
     'time_limit_s',
+    'wait_s',
 ]
 
 # Callers leave a stream after the longest of these gaps.
@@ -28,8 +30,13 @@
 # The share of the time left that the first of two runners may take.
 FIRST_ATTEMPT_SHARE = 0.45
 
-PREFILL_TARGET_SHARE = 0.6
-SHORTEST_PREFILL_S = 0.3
+# A prefill that takes longer than this is taken to be lost.
+PREFILL_FACTOR = 3.0
+SHORTEST_PREFILL_S = 0.6
+# The share of the target that is left for reading the prompt after a wait.
+READING_SHARE = 0.45
+# The share of a caller's patience that a request may wait for a place.
+WAIT_SHARE = 0.7
 
 
 def time_limit_s(route: model.Route, facts: model.RequestFacts) -> float:
@@ -68,5 +75,15 @@
 
 def prefill_s(route: model.Route, expected_s: float) -> float:
     """Return how long a prefill is waited for."""
-    usual = max(SHORTEST_PREFILL_S, 3 * expected_s)
-    return min(usual, max(PREFILL_TARGET_SHARE * route.target_s, 0.1))
+    usual = max(SHORTEST_PREFILL_S, PREFILL_FACTOR * expected_s)
+    return min(usual, SHARE_OF_PATIENCE * caller_gap_s(route))
+
+
+def on_time_wait_s(route: model.Route) -> float:
+    """Return the wait after which the first event will be late."""
+    return (1 - READING_SHARE) * route.target_s
+
+
+def wait_s(route: model.Route) -> float:
+    """Return how long a stream's request may wait for a place."""
+    return WAIT_SHARE * caller_gap_s(route)
--- a/primrosereel/routing/_placement.py
+++ b/primrosereel/routing/_placement.py
@@ -77,9 +77,7 @@
             (row.latency_s for row in candidates if row.latency_s),
             default=None,
         )
-        return min(
-            candidates, key=lambda row: self._cost(row, fastest, now)
-        )
+        return min(candidates, key=lambda row: self._cost(row, fastest, now))
 
     def _cost(
         self, row: runners.Runner, fastest: float | None, now: float
--- a/primrosereel/routing/_retry_budget.py
+++ b/primrosereel/routing/_retry_budget.py
@@ -19,7 +19,7 @@
 DIVIDED_SLACK = 0.5
 # The part of the ratio that is spent: sends that the bound's window counts
 # later than their request's window would otherwise exceed it.
-SPENT_RATIO = 0.75
+SPENT_RATIO = 0.9
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primrosereel/routing/_runners.py
+++ b/primrosereel/routing/_runners.py
@@ -34,6 +34,8 @@
     reported_at: float = -math.inf
     others: float = 0.0
     latency_s: float | None = None
+    # Time per unit of work, 1.0 where it is as usual.
+    slowness: float = 1.0
     failure_rate: float = 0.0
     failures: int = 0
     suspect_until: float = -math.inf
@@ -125,9 +127,7 @@
         """Forget a runner that left the list."""
         self._rows.pop(runner, None)
 
-    def ready(
-        self, service: ids.ServiceId, role: states.Role
-    ) -> list[Runner]:
+    def ready(self, service: ids.ServiceId, role: states.Role) -> list[Runner]:
         """Return the runners of a service that may be given new work."""
         return [
             row
@@ -138,9 +138,7 @@
         ]
 
 
-def _is_another(
-    old: model.RunnerListing, new: model.RunnerListing
-) -> bool:
+def _is_another(old: model.RunnerListing, new: model.RunnerListing) -> bool:
     return (
         old.born_ms != new.born_ms
         or old.address != new.address
--- a/primrosereel/routing/_split.py
+++ b/primrosereel/routing/_split.py
@@ -1,30 +1,91 @@
-"""Decides whether a prefill runner reads a prompt or the decode runner does.
+"""Chooses who reads a prompt: a prefill runner, or the decode runner itself.
 
-Pattern: shortest expected completion over two ways. A prefill runner reads at
+Pattern: shortest expected completion over all ways. A prefill runner reads at
 full speed one prompt after the other; a decode runner reads at half the speed
 between the tokens of the streams it runs, which it slows down.
 """
 
+from primrosereel import _ids as ids
+from primrosereel import _states as states
+from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _runners as runners
 
-__all__ = ['expected_prefill_s', 'reads_apart']
+__all__ = ['PrefillPlan', 'expected_prefill_s']
 
-# Used until a prefill was seen.
-DEFAULT_PREFILL_S = 0.15
-# The share of the first event's target that queueing and reading may take.
-TARGET_SHARE = 0.5
+# The time of a prefill apart from reading, and the time to read a token,
+# used until a runner's own prefills show its speed.
+FIXED_S = 0.12
+TOKEN_S = 2.0e-5
+# A decode runner reads at half the speed, and later tokens of all its streams
+# pay for it.
+DECODE_FACTOR = 2.0
+DECODE_EXTRA_S = 0.25
 
+SPEED_WEIGHT = 0.2
+SLOWEST = 8.0
+FASTEST = 0.3
 
-def expected_prefill_s(row: runners.Runner, now: float) -> float:
+
+def expected_prefill_s(row: runners.Runner, tokens: int, ahead: int) -> float:
     """Return the time until a prefill runner has read one more prompt."""
-    usual = row.latency_s or DEFAULT_PREFILL_S
-    return usual * (1 + row.busy(now))
+    return FIXED_S + row.slowness * TOKEN_S * (tokens + ahead)
+
+
+def observe_prefill(
+    row: runners.Runner, tokens: int, ahead: int, seconds: float
+) -> None:
+    """Learn a prefill runner's speed from a prefill it did."""
+    usual = TOKEN_S * max(1, tokens + ahead)
+    seen = min(max((seconds - FIXED_S) / usual, FASTEST), SLOWEST)
+    row.slowness += SPEED_WEIGHT * (seen - row.slowness)
+
+
+class PrefillPlan:
+    """Chooses the prefill runner of a prompt."""
+
+    def __init__(
+        self,
+        table: runners.RunnerTable,
+        ledger: ledger_module.Ledger,
+        availability_zone: ids.AvailabilityZone,
+    ) -> None:
+        self._table = table
+        self._ledger = ledger
+        self._availability_zone = availability_zone
+
+    def ahead(self, row: runners.Runner, now: float) -> int:
+        """Return the tokens that a prefill runner has to read first."""
+        return row.tokens + self._ledger.use(row.runner, now).tokens
 
+    def choose(
+        self, decode: runners.Runner, tokens: int, now: float
+    ) -> runners.Runner | None:
+        """Return the prefill runner; None where the decode runner reads."""
+        candidates = [
+            row
+            for row in self._table.ready(
+                decode.listing.service, states.Role.PREFILL
+            )
+            if not row.suspect(now) and now >= row.full_until
+        ]
+        if not candidates:
+            return None
+        best = min(
+            candidates, key=lambda row: self._cost(row, decode, tokens, now)
+        )
+        itself_s = FIXED_S + DECODE_FACTOR * TOKEN_S * tokens
+        expected_s = expected_prefill_s(best, tokens, self.ahead(best, now))
+        return best if expected_s <= itself_s + DECODE_EXTRA_S else None
 
-def reads_apart(
-    row: runners.Runner | None, target_s: float, now: float
-) -> bool:
-    """Tell whether a prefill runner is to read the prompt."""
-    if row is None or row.suspect(now):
-        return False
-    return expected_prefill_s(row, now) <= TARGET_SHARE * target_s
+    def _cost(
+        self,
+        row: runners.Runner,
+        decode: runners.Runner,
+        tokens: int,
+        now: float,
+    ) -> float:
+        cost = expected_prefill_s(row, tokens, self.ahead(row, now))
+        if row.listing.availability_zone != decode.listing.availability_zone:
+            # A transfer between zones takes twice as long and costs more.
+            cost += 0.01
+        return cost
