Order waiting requests over all instances by their first one

Change: instances tell their first waiting request, and only the one that goes first takes a place; a runner with room that refuses means a lapsed handle.

--- a/primrosereel/gateway/_admission.py
+++ b/primrosereel/gateway/_admission.py
@@ -11,6 +11,8 @@
 
 # How often waiting requests are looked at without a change being told.
 RECHECK_S = 0.05
+# How often peers are told of waiting requests.
+TELL_S = 0.2
 # Callers that are told to come back are spread over this share of the time.
 SPREAD = 0.3
 SHORTEST_RETRY_AFTER_S = 0.2
@@ -70,11 +72,15 @@
     limit_s: float,
 ) -> None:
     context = exchange.context
+    tell_at = context.clock() + TELL_S
     try:
         with anyio.move_on_after(limit_s):
             while ticket.row is None:
                 with anyio.move_on_after(RECHECK_S):
                     await admitted.wait()
+                if context.clock() >= tell_at:
+                    tell_at = context.clock() + TELL_S
+                    context.uses_changed()
                 context.places.admit(context.clock())
     except BaseException:
         context.places.withdraw(ticket)
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -143,6 +143,9 @@
             reason=reason.value,
             detail=why,
             in_flight=runner.in_flight,
+            tokens=runner.tokens,
+            peers=self.context.ledger.use(runner.runner, now),
+            report=runner.report,
             report_age_s=_age(now - runner.reported_at),
             left_s=round(self.left_s, 3),
         )
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -74,6 +74,7 @@
         self._rejections = 0
         self._may_have_run = False
         self._begun = False
+        self._handle_lapsed = False
         self._placed_at = 0.0
 
     async def serve(self) -> bool:
@@ -286,6 +287,7 @@
             self._may_have_run = ran_before
             row.observe_failure(self._context.clock())
             exchange.note_retry(Retry.CONNECT_FAILED, row, str(error))
+            self._excluded.add(row.runner)
         except upstream.Rejected as error:
             self._may_have_run = ran_before
             self._rejected(row, handle is not None, str(error))
@@ -297,7 +299,6 @@
             exchange.attempts += 1
             row.observe_failure(self._context.clock())
             raise Broken('no answer in time')
-        self._excluded.add(row.runner)
         return None
 
     def _rejected(
@@ -306,9 +307,14 @@
         exchange = self._exchange
         now = self._context.clock()
         self._rejections += 1
-        if not with_handle:
+        # A runner with room refuses a request whose handle has lapsed.
+        lapsed = with_handle and self._context.places.has_room(row, now)
+        reason = Retry.KV_CACHE_GONE if lapsed else Retry.ENGINE_FULL
+        if lapsed:
+            self._handle_lapsed = True
+        else:
             row.full_until = now + FULL_S
-        reason = Retry.KV_CACHE_GONE if with_handle else Retry.ENGINE_FULL
+            self._excluded.add(row.runner)
         exchange.note_retry(reason, row, why)
         if not self._context.budget.take(exchange.service, now):
             raise Ended(exchange.refusal(Reason.RETRY_BUDGET, RETRY_AFTER_S))
@@ -410,7 +416,9 @@
 
     def _usable_handle(self) -> Handle | None:
         handle = self._handle
-        if handle is None or self._context.clock() >= handle.expires_at:
+        if handle is None or self._handle_lapsed:
+            return None
+        if self._context.clock() >= handle.expires_at:
             return None
         return handle
 
--- a/primrosereel/gateway/_peers.py
+++ b/primrosereel/gateway/_peers.py
@@ -33,6 +33,8 @@
     # Runner, requests, tokens.
     uses: list[tuple[str, int, int]]
     waiting_tokens: int
+    # Service, late, priority and age in ms of the first waiting requests.
+    heads: list[tuple[str, bool, int, int]]
     # Hosts that the sender hears; empty in datagrams between heartbeats.
     hosts: list[str] = []
 
@@ -43,6 +45,8 @@
     def __init__(self, context: context_module.Context) -> None:
         self._context = context
         self._changed = anyio.Event()
+        # Set when a peer was found, which is told at once what is known.
+        self._greeting = anyio.Event()
         self._incarnation = time.time_ns() // 1_000_000
         self._sequence = 0
         # anyio allows one sender at a time.
@@ -86,7 +90,10 @@
             targets = set(hosts) | seeds
             targets.discard(own.host if own else '')
             await self._send(socket, sorted(targets), hosts)
-            await anyio.sleep(HEARTBEAT_S)
+            self._greeting = anyio.Event()
+            with anyio.move_on_after(HEARTBEAT_S):
+                await self._greeting.wait()
+                await anyio.sleep(COALESCE_S)
 
     def _peer_hosts(self) -> list[str]:
         return sorted(self._heard)
@@ -101,6 +108,10 @@
                 self._sequence,
                 self._context.engine_uses(),
                 self._context.places.waiting_tokens,
+                [
+                    (h.service, h.late, h.priority, int(1000 * h.age_s))
+                    for h in self._context.places.heads(self._context.clock())
+                ],
                 list(hosts),
             )
         )
@@ -133,6 +144,7 @@
             return
         if host not in self._heard:
             context.log.info('peer found', peer=datagram.instance, host=host)
+            self._greeting.set()
         self._heard[host] = now
         for other in datagram.hosts:
             own = context.settings.peer
@@ -149,6 +161,12 @@
                 datagram.sequence,
                 uses,
                 datagram.waiting_tokens,
+                tuple(
+                    ledger_module.Head(
+                        ids.ServiceId(service), late, priority, age_ms / 1000
+                    )
+                    for service, late, priority, age_ms in datagram.heads
+                ),
             ),
             now,
         )
--- a/primrosereel/routing/_decode_places.py
+++ b/primrosereel/routing/_decode_places.py
@@ -4,7 +4,9 @@
 decode runner has room for it is read in vain, as the handle lapses within a
 moment. Requests wait for room in order: those that can still meet their
 target first, then by priority and arrival; a large request at the head is
-not passed by smaller ones.
+not passed by smaller ones. Instances tell each other their first waiting
+request, and only the one that goes first takes a place that has come free;
+without that all of them take it at once.
 """
 
 from collections.abc import Callable
@@ -97,6 +99,13 @@
             if service.engine is not None
         }
 
+    def heads(self, now: float) -> tuple[ledger_module.Head, ...]:
+        """Return the first waiting request of each service."""
+        first: dict[ids.ServiceId, Ticket] = {}
+        for ticket in sorted(self._waiting, key=lambda t: t.rank(now)):
+            first.setdefault(ticket.service, ticket)
+        return tuple(_head(ticket, now) for ticket in first.values())
+
     def observe_hold(self, seconds: float) -> None:
         """Learn how long a stream held its place."""
         self._hold_s += HOLD_WEIGHT * (seconds - self._hold_s)
@@ -117,7 +126,9 @@
         for ticket in sorted(self._waiting, key=lambda t: t.rank(now)):
             if ticket.service in blocked:
                 continue
-            row = self.choose(ticket, now)
+            row = None
+            if self._ledger.is_first(_head(ticket, now), now):
+                row = self.choose(ticket, now)
             if row is None:
                 blocked.add(ticket.service)
                 continue
@@ -187,6 +198,10 @@
         rate = used / max(self._hold_s, 0.1)
         return max(0.0, ahead - room) / max(rate, 1.0)
 
+    def has_room(self, row: runners.Runner, now: float) -> bool:
+        """Tell whether what is known to be at a runner fits."""
+        return self._use(row, now).tokens <= self._capacity(row)
+
     def _candidates(self, ticket: Ticket, now: float) -> list[runners.Runner]:
         """Return runners that may be sent the request, sound ones if any."""
         ready = [
@@ -235,3 +250,10 @@
         if row.suspect(now):
             cost += 10.0 * (1 + row.failures)
         return cost + TIE_SPREAD * self._random.random()
+
+
+def _head(ticket: Ticket, now: float) -> ledger_module.Head:
+    late, priority, _ = ticket.rank(now)
+    return ledger_module.Head(
+        ticket.service, late, priority, now - ticket.arrived_at
+    )
--- a/primrosereel/routing/_ledger.py
+++ b/primrosereel/routing/_ledger.py
@@ -11,10 +11,28 @@
 
 from primrosereel import _ids as ids
 
-__all__ = ['Ledger', 'PeerReport', 'Use']
+__all__ = ['Head', 'Ledger', 'PeerReport', 'Use']
 
 # A peer that was not heard for this long no longer counts.
 SILENT_S = 2.5
+# Instances with waiting requests tell their first one again well within this.
+HEAD_VALID_S = 0.5
+
+
+class Head(NamedTuple):
+    """The first of the requests that wait at an instance for a service.
+
+    ``late`` says that it can no longer be answered within its target.
+    """
+
+    service: ids.ServiceId
+    late: bool
+    priority: int
+    age_s: float
+
+    def rank(self, older_s: float = 0.0) -> tuple[bool, int, float]:
+        """Order of heads, the first one lowest, ``older_s`` later."""
+        return self.late, self.priority, -(self.age_s + older_s)
 
 
 class Use(NamedTuple):
@@ -36,6 +54,7 @@
     sequence: int
     uses: dict[ids.RunnerId, Use]
     waiting_tokens: int = 0
+    heads: tuple[Head, ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
@@ -79,6 +98,22 @@
         self._forget(now)
         return sum(p.report.waiting_tokens for p in self._peers.values())
 
+    def is_first(self, head: Head, now: float) -> bool:
+        """Tell whether no other instance has a request that goes first.
+
+        A head that was not told again counts no more, so that an instance
+        that stopped does not hold up the others.
+        """
+        own = head.rank()
+        for peer in self._peers.values():
+            age_s = now - peer.heard_at
+            if age_s > HEAD_VALID_S:
+                continue
+            for other in peer.report.heads:
+                if other.service == head.service and other.rank(age_s) < own:
+                    return False
+        return True
+
     def _forget(self, now: float) -> None:
         silent = [
             instance
