Balance engines between prefill and decode; wait for peers after a start

Change: RoleBalance with hysteresis, orders from the instance that leads (Leadership), seeds asked every 0.1 s until heard, no place given out for 0.3 s.

--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -12,6 +12,7 @@
 
 from primrosereel import _registry as registry
 from primrosereel.gateway import _context as context_module
+from primrosereel.gateway import _orders as orders
 from primrosereel.gateway import _peers as peers
 from primrosereel.gateway import _pool as pool_module
 from primrosereel.gateway import _ports as ports
@@ -95,6 +96,7 @@
         )
         self._server = server_module.Server(self._context)
         self._peers = peers.Peers(self._context)
+        self._orders = orders.Orders(self._context)
         self._context.uses_changed = self._peers.changed
         self._most_instances = INSTANCES_PER_SEED * max(1, len(settings.seeds))
         self._stop_asked = anyio.Event()
@@ -113,7 +115,12 @@
         """Serve until a stop is asked for and nothing is in progress."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._wait_for_signal)
-            for part in (self._reader.run, self._maintain, self._peers.run):
+            for part in (
+                self._reader.run,
+                self._maintain,
+                self._peers.run,
+                self._orders.run,
+            ):
                 tasks.start_soon(self._supervise, part)
             check = readiness.ReadinessServer(
                 self._context.dialect.readiness_path,
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -23,6 +23,9 @@
 
 __all__ = ['Context', 'Exchange']
 
+# More than any engine's memory holds.
+WHOLE_RUNNER_TOKENS = 100_000_000
+
 
 @dataclasses.dataclass(slots=True)
 class Context:
@@ -43,6 +46,10 @@
     table: table_module.RoutingTable | None = None
     draining: bool = False
     active: int = 0
+    # Runners that change their role, and until when.
+    reserved: dict[ids.RunnerId, float] = dataclasses.field(
+        default_factory=dict
+    )
     # Called when the own use of the engines changed.
     uses_changed: Callable[[], None] = lambda: None
     counters: collections.Counter[str] = dataclasses.field(
@@ -50,12 +57,35 @@
     )
 
     def engine_uses(self) -> list[tuple[str, int, int]]:
-        """Return runner, requests and tokens of the own use of engines."""
-        return [
-            (row.runner, row.in_flight, row.tokens)
-            for row in self.runners
-            if row.in_flight and row.listing.role is not states.Role.PLAIN
-        ]
+        """Return runner, requests and tokens of the own use of engines.
+
+        A runner that was ordered to change its role counts as full.
+        """
+        uses = []
+        for row in self.runners:
+            if row.listing.role is states.Role.PLAIN:
+                continue
+            tokens = row.tokens
+            if row.runner in self.reserved:
+                tokens += WHOLE_RUNNER_TOKENS
+            if row.in_flight or tokens:
+                uses.append((row.runner, row.in_flight, tokens))
+        return uses
+
+    def reserve(self, runner: ids.RunnerId, until: float) -> None:
+        """Keep all requests away from a runner until a time."""
+        self.reserved[runner] = until
+        row = self.runners.get(runner)
+        if row is not None:
+            row.full_until = until
+        self.uses_changed()
+
+    def free_reservations(self, now: float) -> None:
+        """Forget the reservations whose time is over."""
+        for runner, until in list(self.reserved.items()):
+            if now >= until:
+                del self.reserved[runner]
+                self.uses_changed()
 
     def count(self, name: str) -> None:
         """Increment a counter."""
--- a/primrosereel/gateway/_peers.py
+++ b/primrosereel/gateway/_peers.py
@@ -18,6 +18,11 @@
 __all__ = ['Peers']
 
 HEARTBEAT_S = 1.0
+# While no peer was heard after a start, seeds are asked this often.
+SEARCH_INTERVAL_S = 0.1
+SEARCH_S = 5.0
+# How long an instance that started waits for what others have under way.
+SETTLE_S = 0.3
 # Changes within this time go out in one datagram.
 COALESCE_S = 0.002
 # A peer that was not heard for this long is only named by others.
@@ -80,6 +85,9 @@
 
     async def _beat(self, socket: anyio.abc.UDPSocket) -> None:
         own = self._context.settings.peer
+        began = self._context.clock()
+        if self._context.settings.seeds:
+            self._context.places.open_at(began + SETTLE_S)
         while True:
             now = self._context.clock()
             for host, heard_at in list(self._heard.items()):
@@ -91,7 +99,9 @@
             targets.discard(own.host if own else '')
             await self._send(socket, sorted(targets), hosts)
             self._greeting = anyio.Event()
-            with anyio.move_on_after(HEARTBEAT_S):
+            searching = not hosts and now - began < SEARCH_S
+            interval_s = SEARCH_INTERVAL_S if searching else HEARTBEAT_S
+            with anyio.move_on_after(interval_s):
                 await self._greeting.wait()
                 await anyio.sleep(COALESCE_S)
 
@@ -149,7 +159,9 @@
         for other in datagram.hosts:
             own = context.settings.peer
             if own is not None and other != own.host:
-                self._heard.setdefault(other, now)
+                if other not in self._heard:
+                    self._heard[other] = now
+                    self._greeting.set()
         uses = {
             ids.RunnerId(runner): ledger_module.Use(requests, tokens)
             for runner, requests, tokens in datagram.uses
--- a/primrosereel/gateway/_ports.py
+++ b/primrosereel/gateway/_ports.py
@@ -5,6 +5,8 @@
 from typing import NamedTuple
 from typing import Protocol
 
+from primrosereel import _ids as ids
+from primrosereel import _states as states
 from primrosereel.routing import _model as model
 from primrosereel.routing import _runner_list as runner_list
 from primrosereel.routing import _table as table_module
@@ -101,5 +103,14 @@
     ) -> model.PrefillResult | None:
         """Decode the answer to a prefill."""
 
+    def role_order(
+        self,
+        runner: ids.RunnerId,
+        role: states.Role,
+        holder: str,
+        fencing_token: int,
+    ) -> tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes]:
+        """Return method, target, headers and body of a change of role."""
+
     def free_handle(self, handle: str) -> tuple[bytes, bytes]:
         """Return method and target of the call that frees a handle."""
--- a/primrosereel/gateway/_settings.py
+++ b/primrosereel/gateway/_settings.py
@@ -30,6 +30,8 @@
     runner_drain_s: float
     configuration_s: float
     stable_window_s: float
+    # Orders of two instances to a runner are at least this far apart.
+    lease_s: float
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
--- a/primrosereel/platform/_dialect.py
+++ b/primrosereel/platform/_dialect.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from primrosereel import _ids as ids
+from primrosereel import _states as states
 from primrosereel.routing import _model as model
 
 __all__ = ['Dialect']
@@ -125,6 +127,28 @@
             f'{address}/{answer.kv_handle}', answer.tokens
         )
 
+    def role_order(
+        self,
+        runner: ids.RunnerId,
+        role: states.Role,
+        holder: str,
+        fencing_token: int,
+    ) -> tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes]:
+        """Return method, target, headers and body of a change of role."""
+        body = msgspec.json.encode(
+            {
+                'operation': 'stage',
+                'stage': role.value,
+                'holder': holder,
+                'fencingToken': fencing_token,
+            }
+        )
+        headers = [
+            (b'Content-Type', b'application/json'),
+            (b'Expect-Instance', runner.encode()),
+        ]
+        return b'POST', b'/v1/order', headers, body
+
     def free_handle(self, handle: str) -> tuple[bytes, bytes]:
         """Return method and target of the call that frees a handle."""
         name = handle.partition('/')[2]
--- a/primrosereel/platform/_settings.py
+++ b/primrosereel/platform/_settings.py
@@ -38,6 +38,7 @@
     budget_window_s: float = 10
     retry_budget_slack: float = 50
     reuse_after_s: float = 2
+    lease_ms: float = 3000
     stable_window_ms: float = 3000
 
 
@@ -90,6 +91,7 @@
         runner_drain_s=bounds.drain_ms / 1000,
         configuration_s=bounds.config_apply_ms / 1000,
         stable_window_s=bounds.stable_window_ms / 1000,
+        lease_s=bounds.lease_ms / 1000,
         retry_ratio=bounds.retry_budget_ratio,
         retry_slack=bounds.retry_budget_slack,
         retry_window_s=bounds.budget_window_s,
--- a/primrosereel/platform/_store.py
+++ b/primrosereel/platform/_store.py
@@ -80,6 +80,7 @@
     kv_token_bytes: float = 0
     link_mbps: float = 0
     handle_ttl_s: float = 0.5
+    stage_switch_s: float = 6.0
 
 
 class _Service(msgspec.Struct, rename='camel'):
@@ -280,6 +281,7 @@
             service.engine.kv_token_bytes,
             service.engine.link_mbps,
             service.engine.handle_ttl_s,
+            service.engine.stage_switch_s,
         )
     return model.Service(
         ids.ServiceId(service.name),
--- a/primrosereel/routing/_decode_places.py
+++ b/primrosereel/routing/_decode_places.py
@@ -78,12 +78,18 @@
         self._waiting: list[Ticket] = []
         self._engines: dict[ids.ServiceId, model.Engine] = {}
         self._hold_s = DEFAULT_HOLD_S
+        self._opens_at = 0.0
 
     @property
     def waiting_tokens(self) -> int:
         """The tokens of this instance's waiting requests."""
         return sum(ticket.tokens for ticket in self._waiting)
 
+    @property
+    def hold_s(self) -> float:
+        """How long a stream holds its place, on average."""
+        return self._hold_s
+
     @property
     def waiting(self) -> int:
         """The requests that wait."""
@@ -120,8 +126,18 @@
         if ticket in self._waiting:
             self._waiting.remove(ticket)
 
+    def open_at(self, when: float) -> None:
+        """Give out no place before a time.
+
+        An instance that started does not know what others have under way
+        until it has heard them.
+        """
+        self._opens_at = when
+
     def admit(self, now: float) -> None:
         """Give places to the waiting tickets in order, while they fit."""
+        if now < self._opens_at:
+            return
         blocked: set[ids.ServiceId] = set()
         for ticket in sorted(self._waiting, key=lambda t: t.rank(now)):
             if ticket.service in blocked:
--- a/primrosereel/routing/_ledger.py
+++ b/primrosereel/routing/_ledger.py
@@ -82,6 +82,11 @@
         self._forget(now)
         return len(self._peers)
 
+    def peers(self, now: float) -> frozenset[ids.InstanceId]:
+        """Return the other instances in sight."""
+        self._forget(now)
+        return frozenset(self._peers)
+
     def use(self, runner: ids.RunnerId, now: float) -> Use:
         """Return what other instances have at a runner."""
         self._forget(now)
--- a/primrosereel/routing/_model.py
+++ b/primrosereel/routing/_model.py
@@ -90,6 +90,7 @@
     kv_token_bytes: float
     link_mbps: float
     handle_ttl_s: float
+    switch_s: float = 6.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/primrosereel/routing/_roles.py
@@ -0,0 +1,153 @@
+"""Balances runners between prefill and decode.
+
+Pattern: utilization balancing with hysteresis. The busier of the two pools
+decides how much the service can take, so a runner changes its role where that
+lowers the higher of the two utilizations by a clear margin, for long enough
+that a burst of a moment does not cause it. One instance gives orders: the one
+with the lowest id of those in sight, while it sees most of them.
+"""
+
+import dataclasses
+from typing import NamedTuple
+
+from primrosereel import _ids as ids
+from primrosereel import _states as states
+from primrosereel.routing import _ledger as ledger_module
+from primrosereel.routing import _model as model
+from primrosereel.routing import _runners as runners
+from primrosereel.routing import _split as split
+
+__all__ = ['Leadership', 'RoleBalance', 'Switch']
+
+# Weight of a sample of the tokens in use; samples are taken twice a second.
+SAMPLE_WEIGHT = 0.2
+FEWEST_SAMPLES = 6
+# A switch must lower the higher utilization to this share of it.
+GAIN = 0.85
+# Below this utilization of both pools a switch has no use.
+LEAST_UTILIZATION = 0.25
+# Prefill is held to a lower utilization, as a queue there delays the first
+# token, and it is busy in bursts.
+PREFILL_WEIGHT = 1.25
+# The balance must call for a switch for this long.
+SUSTAINED_S = 1.5
+# Between two orders for a service, beyond the time of the switch itself.
+SETTLE_S = 8.0
+
+
+class Switch(NamedTuple):
+    """An order for a runner to change its role."""
+
+    runner: ids.RunnerId
+    address: model.Address
+    role: states.Role
+
+
+@dataclasses.dataclass(slots=True)
+class _Service:
+    """What is known of one service's balance; tokens are an average."""
+
+    tokens: float = 0.0
+    samples: int = 0
+    wanted_since: float | None = None
+    not_before: float = 0.0
+
+
+class RoleBalance:
+    """Decides which runner changes its role, and when."""
+
+    def __init__(
+        self, table: runners.RunnerTable, ledger: ledger_module.Ledger
+    ) -> None:
+        self._table = table
+        self._ledger = ledger
+        self._services: dict[ids.ServiceId, _Service] = {}
+
+    def sample(
+        self,
+        service: ids.ServiceId,
+        engine: model.Engine,
+        hold_s: float,
+        now: float,
+    ) -> Switch | None:
+        """Take a sample; return the switch that is called for."""
+        state = self._services.setdefault(service, _Service())
+        prefill = self._table.ready(service, states.Role.PREFILL)
+        decode = self._table.ready(service, states.Role.DECODE)
+        if not prefill or not decode or engine.kv_tokens <= 0:
+            return None
+        in_use = sum(
+            row.tokens + self._ledger.use(row.runner, now).tokens
+            for row in decode
+        )
+        state.tokens += SAMPLE_WEIGHT * (in_use - state.tokens)
+        state.samples += 1
+        role = self._wanted(state, engine, hold_s, prefill, decode)
+        if role is None or state.samples < FEWEST_SAMPLES:
+            state.wanted_since = None
+            return None
+        if state.wanted_since is None:
+            state.wanted_since = now
+        if now - state.wanted_since < SUSTAINED_S or now < state.not_before:
+            return None
+        state.wanted_since = None
+        state.not_before = now + engine.switch_s + SETTLE_S
+        giving = prefill if role is states.Role.DECODE else decode
+        row = min(giving, key=lambda r: (self._busy(r, now), r.runner))
+        return Switch(row.runner, row.listing.address, role)
+
+    def _busy(self, row: runners.Runner, now: float) -> int:
+        return row.tokens + self._ledger.use(row.runner, now).tokens
+
+    def _wanted(
+        self,
+        state: _Service,
+        engine: model.Engine,
+        hold_s: float,
+        prefill: list[runners.Runner],
+        decode: list[runners.Runner],
+    ) -> states.Role | None:
+        """Return the role of which one more runner is needed, if any."""
+        slowness = sum(row.slowness for row in prefill) / len(prefill)
+        per_s = state.tokens / max(hold_s, 0.1)
+        work = PREFILL_WEIGHT * per_s * split.TOKEN_S * slowness
+        memory = state.tokens / engine.kv_tokens
+        readers, holders = len(prefill), len(decode)
+        now_max = max(work / readers, memory / holders)
+        if now_max < LEAST_UTILIZATION:
+            return None
+        if readers > 1:
+            then = max(work / (readers - 1), memory / (holders + 1))
+            if then <= GAIN * now_max:
+                return states.Role.DECODE
+        if holders > 1:
+            then = max(work / (readers + 1), memory / (holders - 1))
+            if then <= GAIN * now_max:
+                return states.Role.PREFILL
+        return None
+
+
+class Leadership:
+    """Tells whether this instance gives orders.
+
+    An instance that leads must have led for a while, so that orders of two
+    instances never follow each other within a lease.
+    """
+
+    def __init__(self, instance: ids.InstanceId, lease_s: float) -> None:
+        self._instance = instance
+        self._lease_s = lease_s
+        self._leads_since: float | None = None
+        self._most_seen = 0
+
+    def update(self, peers: frozenset[ids.InstanceId], now: float) -> bool:
+        """Take the peers in sight; return whether orders may be given."""
+        self._most_seen = max(self._most_seen, len(peers) + 1)
+        leads = all(self._instance < peer for peer in peers)
+        sees_most = 2 * (len(peers) + 1) > self._most_seen
+        if not leads or not sees_most:
+            self._leads_since = None
+            return False
+        if self._leads_since is None:
+            self._leads_since = now
+        return now - self._leads_since >= 2 * self._lease_s
