Refuse requests late in a stop, and close the listener

Change: after 35% of the time for a stop no connection is accepted and requests get 503 with Retry-After 0.

--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import math
 import random
 import signal
 import time
@@ -37,10 +38,10 @@
 # After a stop is asked for, the platform still sends new connections until
 # two checks have failed.
 STOP_ACCEPTING_S = 2.5
-# The share of the time for a stop after which idle connections are closed,
-# and that after which requests in progress are cut.
-CLOSE_IDLE_SHARE = 0.4
-CUT_SHARE = 0.9
+# The shares of the time for a stop after which requests are refused, and
+# after which those in progress are cut.
+ACCEPT_SHARE = 0.35
+CUT_SHARE = 0.95
 # Instances that are assumed to share the retry budget for each seed, as those
 # that are out of sight spend it as well.
 INSTANCES_PER_SEED = 2
@@ -98,6 +99,7 @@
         self._peers = peers.Peers(self._context)
         self._orders = orders.Orders(self._context)
         self._context.uses_changed = self._peers.changed
+        self._cut_at = math.inf
         self._most_instances = INSTANCES_PER_SEED * max(1, len(settings.seeds))
         self._stop_asked = anyio.Event()
 
@@ -135,21 +137,31 @@
                     self._listen,
                     self._settings.callers,
                     self._server.serve_connection,
+                    tasks,
                 )
                 self._log.info('started')
-                await self._drain()
+                await self._stop_asked.wait()
+                await self._stop_accepting()
                 listening.cancel_scope.cancel()
+            await self._finish_requests()
             self._log.info('stopped', active=self._context.active)
             tasks.cancel_scope.cancel()
 
-    async def _listen(self, address: model.Address, handler) -> None:
+    async def _listen(
+        self,
+        address: model.Address,
+        handler: Callable[[anyio.abc.SocketStream], Awaitable[None]],
+        connections: anyio.abc.TaskGroup | None = None,
+    ) -> None:
+        """Accept connections; those in ``connections`` outlast this."""
         listener = await anyio.create_tcp_listener(
             local_host=address.host,
             local_port=address.port,
             backlog=BACKLOG,
             reuse_port=False,
         )
-        await listener.serve(handler)
+        async with listener:
+            await listener.serve(handler, connections)
 
     async def _wait_for_signal(self) -> None:
         with anyio.open_signal_receiver(
@@ -188,19 +200,20 @@
         self._most_instances = max(self._most_instances, seen)
         self._context.budget.set_instances(self._most_instances)
 
-    async def _drain(self) -> None:
-        """Wait for a stop, then until no request is in progress."""
-        await self._stop_asked.wait()
+    async def _stop_accepting(self) -> None:
+        """Go out of rotation, and serve what is still sent meanwhile."""
         self._context.draining = True
-        limit_s = self._settings.drain_limit_s
-        began = anyio.current_time()
         self._log.info('draining', active=self._context.active)
-        while anyio.current_time() < began + CUT_SHARE * limit_s:
-            await anyio.sleep(0.1)
-            elapsed = anyio.current_time() - began
-            if elapsed < min(STOP_ACCEPTING_S, CLOSE_IDLE_SHARE * limit_s):
-                continue
+        limit_s = self._settings.drain_limit_s
+        self._cut_at = anyio.current_time() + CUT_SHARE * limit_s
+        await anyio.sleep(min(STOP_ACCEPTING_S, ACCEPT_SHARE * limit_s))
+        self._context.refusing = True
+
+    async def _finish_requests(self) -> None:
+        """Close idle connections until no request is in progress."""
+        while anyio.current_time() < self._cut_at:
             await self._server.close_idle()
             if not self._context.active:
                 return
+            await anyio.sleep(0.1)
         self._log.error('requests cut', active=self._context.active)
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -44,7 +44,9 @@
     pool: pool_module.ConnectionPool
     log: Any
     table: table_module.RoutingTable | None = None
+    # Out of rotation, and, later in a stop, taking no more requests.
     draining: bool = False
+    refusing: bool = False
     active: int = 0
     # Runners that change their role, and until when.
     reserved: dict[ids.RunnerId, float] = dataclasses.field(
--- a/primrosereel/gateway/_peers.py
+++ b/primrosereel/gateway/_peers.py
@@ -158,10 +158,10 @@
         self._heard[host] = now
         for other in datagram.hosts:
             own = context.settings.peer
-            if own is not None and other != own.host:
-                if other not in self._heard:
-                    self._heard[other] = now
-                    self._greeting.set()
+            known = other in self._heard or (own and other == own.host)
+            if not known:
+                self._heard[other] = now
+                self._greeting.set()
         uses = {
             ids.RunnerId(runner): ledger_module.Use(requests, tokens)
             for runner, requests, tokens in datagram.uses
--- a/primrosereel/gateway/_server.py
+++ b/primrosereel/gateway/_server.py
@@ -115,18 +115,26 @@
         await connection.reply(await plain.PlainCall(found).serve())
         return True
 
+    def _refuse(
+        self, reason: states.RefusalReason, retry_after_s: float
+    ) -> callers.Reply:
+        self._context.count(f'refused.{reason.value}')
+        self._context.log.info('refused', reason=reason.value, status=503)
+        return callers.Reply(
+            503, headers=[(b'Retry-After', b'%.2f' % retry_after_s)]
+        )
+
     def _exchange(
         self, request: callers.CallerRequest
     ) -> context_module.Exchange | callers.Reply:
         """Find the route of a request; a reply where there is none."""
         context = self._context
         table = context.table
+        if context.refusing:
+            return self._refuse(states.RefusalReason.DRAINING, 0.0)
         if table is None:
             reason = states.RefusalReason.NO_CONFIGURATION
-            context.count(f'refused.{reason.value}')
-            return callers.Reply(
-                503, headers=[(b'Retry-After', b'%.2f' % RETRY_AFTER_S)]
-            )
+            return self._refuse(reason, RETRY_AFTER_S)
         route = table.match(request.host, request.path)
         if route is None or not route.services:
             reason = states.RefusalReason.UNKNOWN_SERVICE
