Connect to the decode runner before its prompt is read

Change: the connection is made before the prefill; 421 takes a runner out until the list changes; a newer runner at an address replaces the old entry; instances out of sight are counted.

--- a/primrosereel/gateway/_admission.py
+++ b/primrosereel/gateway/_admission.py
@@ -1,7 +1,10 @@
 """Waits for a place at a decode runner, or refuses at once."""
 
+from collections.abc import Collection
+
 import anyio
 
+from primrosereel import _ids as ids
 from primrosereel import _states as states
 from primrosereel.gateway import _context as context_module
 from primrosereel.routing import _decode_places as decode_places
@@ -31,6 +34,7 @@
 
 async def take_place(
     exchange: context_module.Exchange,
+    excluded: Collection[ids.RunnerId],
 ) -> decode_places.Ticket:
     """Return a ticket with a place; raise Refused where there is none.
 
@@ -45,8 +49,9 @@
         exchange.service,
         decode_places.tokens_needed(exchange.facts),
         exchange.route.priority,
-        now,
-        now + patience.on_time_wait_s(exchange.route),
+        exchange.request.received_at,
+        exchange.request.received_at + patience.on_time_wait_s(exchange.route),
+        excluded=excluded,
         admitted=admitted.set,
     )
     if not context.runners.ready(exchange.service, states.Role.DECODE):
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -27,6 +27,7 @@
 MAX_ANSWER_BYTES = 1024 * 1024
 # Decode runners that may be tried without having run the request.
 MAX_REJECTIONS = 4
+MAX_CONNECTS = 4
 RETRY_AFTER_S = 0.5
 # The share of a handle's life within which a decode runner is sent for it.
 HANDLE_SHARE = 0.7
@@ -75,6 +76,7 @@
         self._may_have_run = False
         self._begun = False
         self._handle_lapsed = False
+        self._connection: http.HttpConnection | None = None
         self._placed_at = 0.0
 
     async def serve(self) -> bool:
@@ -96,19 +98,57 @@
         finally:
             self._give_place_back()
             await self._free_handle()
+            if self._connection is not None:
+                with anyio.CancelScope(shield=True):
+                    await self._connection.close()
 
     async def _take_place(self) -> None:
-        try:
-            self._ticket = await admission.take_place(self._exchange)
-        except admission.Refused as refused:
-            reply = self._exchange.refusal(
-                refused.reason, refused.retry_after_s
-            )
-            raise Ended(reply) from refused
-        self._placed_at = self._context.clock()
+        """Take a place at a decode runner that can be reached.
+
+        The connection is made before the prompt is read, so that no prompt
+        is read for a runner that went dark.
+        """
+        for _ in range(MAX_CONNECTS):
+            try:
+                self._ticket = await admission.take_place(
+                    self._exchange, self._excluded
+                )
+            except admission.Refused as refused:
+                reply = self._exchange.refusal(
+                    refused.reason, refused.retry_after_s
+                )
+                raise Ended(reply) from refused
+            self._placed_at = self._context.clock()
+            row = self._ticket.row
+            assert row is not None
+            try:
+                self._connection = await upstream.connect(self._exchange, row)
+                return
+            except upstream.NotRun as error:
+                self._connect_failed(row, str(error))
+                self._give_place_back()
+        reply = self._exchange.refusal(Reason.NO_RUNNER, RETRY_AFTER_S)
+        raise Ended(reply)
+
+    def _connect_failed(self, row: runners.Runner, why: str) -> None:
+        row.observe_failure(self._context.clock())
+        self._exchange.note_retry(Retry.CONNECT_FAILED, row, why)
+        self._excluded.add(row.runner)
+
+    async def _decode_connection(
+        self, row: runners.Runner
+    ) -> http.HttpConnection:
+        """Return the connection made beforehand if it is still open."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            same = connection.address == row.listing.address
+            if same and not connection.has_input():
+                return connection
+            await connection.close()
+        return await upstream.connect(self._exchange, row)
 
     def _give_place_back(self) -> None:
-        if self._ticket is not None:
+        if self._ticket is not None and self._ticket.row is not None:
             now = self._context.clock()
             self._context.places.observe_hold(now - self._placed_at)
             self._context.places.release(self._ticket)
@@ -167,7 +207,8 @@
             exchange.route.priority,
             prefill_only=True,
         )
-        answer = await upstream.open_answer(exchange, row, options, reuse=True)
+        connection = await upstream.connect_or_reuse(exchange, row)
+        answer = await upstream.open_answer(exchange, row, options, connection)
         try:
             body = await answer.connection.whole_body(MAX_ANSWER_BYTES)
             found = self._context.dialect.prefill_result(
@@ -277,17 +318,16 @@
         ran_before, self._may_have_run = self._may_have_run, True
         try:
             with anyio.move_on_after(self._first_event_s()):
+                connection = await self._decode_connection(row)
                 answer = await upstream.open_answer(
-                    exchange, row, options, reuse=False
+                    exchange, row, options, connection
                 )
                 exchange.attempts += 1
                 await self._handle_taken()
                 return answer
         except upstream.NotRun as error:
             self._may_have_run = ran_before
-            row.observe_failure(self._context.clock())
-            exchange.note_retry(Retry.CONNECT_FAILED, row, str(error))
-            self._excluded.add(row.runner)
+            self._connect_failed(row, str(error))
         except upstream.Rejected as error:
             self._may_have_run = ran_before
             self._rejected(row, handle is not None, str(error))
--- a/primrosereel/gateway/_peers.py
+++ b/primrosereel/gateway/_peers.py
@@ -40,6 +40,7 @@
     waiting_tokens: int
     # Service, late, priority and age in ms of the first waiting requests.
     heads: list[tuple[str, bool, int, int]]
+    leaving: bool = False
     # Hosts that the sender hears; empty in datagrams between heartbeats.
     hosts: list[str] = []
 
@@ -122,6 +123,7 @@
                     (h.service, h.late, h.priority, int(1000 * h.age_s))
                     for h in self._context.places.heads(self._context.clock())
                 ],
+                self._context.draining,
                 list(hosts),
             )
         )
@@ -179,6 +181,7 @@
                     )
                     for service, late, priority, age_ms in datagram.heads
                 ),
+                datagram.leaving,
             ),
             now,
         )
--- a/primrosereel/gateway/_plain.py
+++ b/primrosereel/gateway/_plain.py
@@ -92,6 +92,7 @@
         self, row: runners.Runner, began: float
     ) -> callers.Reply | None:
         exchange = self._exchange
+        connection = await upstream.connect_or_reuse(exchange, row)
         exchange.attempts += 1
         answer = await upstream.open_answer(
             exchange,
@@ -102,7 +103,7 @@
                 exchange.route.priority,
                 last_event_id=exchange.facts.last_event_id,
             ),
-            reuse=True,
+            connection,
         )
         try:
             body = await answer.connection.whole_body(MAX_ANSWER_BYTES)
--- a/primrosereel/gateway/_upstream.py
+++ b/primrosereel/gateway/_upstream.py
@@ -17,6 +17,8 @@
     'OpenAnswer',
     'Rejected',
     'build_call',
+    'connect',
+    'connect_or_reuse',
     'occupied',
     'open_answer',
 ]
@@ -24,6 +26,7 @@
 # Longest time for a handshake; a reachable runner answers within a few ms, and
 # a lost packet is sent again only after a second.
 CONNECT_S = 0.12
+MISDIRECTED = 421
 
 
 class Rejected(Exception):
@@ -76,33 +79,45 @@
         row.tokens -= tokens
 
 
+async def connect(
+    exchange: context_module.Exchange, row: runners.Runner
+) -> http.HttpConnection:
+    """Open a connection to a runner; raise NotRun where that fails."""
+    exchange.context.count('connections.opened')
+    try:
+        limit_s = min(CONNECT_S, max(exchange.left_s, 0.001))
+        return await http.connect(row.listing.address, limit_s)
+    except http.ConnectFailed as error:
+        raise NotRun(str(error)) from error
+
+
+async def connect_or_reuse(
+    exchange: context_module.Exchange, row: runners.Runner
+) -> http.HttpConnection:
+    """Return an idle connection to a runner, or a new one."""
+    context = exchange.context
+    kept = await context.pool.take(row.listing.address, context.clock())
+    return kept or await connect(exchange, row)
+
+
 async def open_answer(
     exchange: context_module.Exchange,
     row: runners.Runner,
     options: model.RunOptions,
-    reuse: bool,
+    connection: http.HttpConnection,
 ) -> OpenAnswer:
     """Send the request and return the head of the answer.
 
-    Raises NotRun where nothing was sent, Rejected where the runner says that
-    it did not run the request, and BrokenAnswer where it may have run.
+    Raises Rejected where the runner says that it did not run the request, and
+    BrokenAnswer where it may have run.
     """
     context = exchange.context
-    address = row.listing.address
-    connection = None
-    if reuse:
-        connection = await context.pool.take(address, context.clock())
-    if connection is None:
-        context.count('connections.opened')
-        try:
-            limit_s = min(CONNECT_S, max(exchange.left_s, 0.001))
-            connection = await http.connect(address, limit_s)
-        except http.ConnectFailed as error:
-            raise NotRun(str(error)) from error
     try:
         head = await connection.exchange(build_call(exchange, options))
         facts = context.dialect.answer_facts(head.status, head.headers)
         row.observe_report(facts.load, context.clock())
+        if head.status == MISDIRECTED:
+            row.observe_replaced(context.clock())
         if not facts.not_run:
             return OpenAnswer(connection, head, facts)
         await connection.whole_body(http.READ_BYTES)
--- a/primrosereel/routing/_decode_places.py
+++ b/primrosereel/routing/_decode_places.py
@@ -30,6 +30,9 @@
 DEFAULT_HOLD_S = 3.0
 HOLD_WEIGHT = 0.1
 
+# Of a request of which nothing is known but that it is there.
+TYPICAL_TOKENS = 4000
+
 OTHER_ZONE_COST = 0.04
 FAILURE_COST = 2.0
 TIE_SPREAD = 0.02
@@ -247,7 +250,33 @@
         others = self._ledger.use(row.runner, now)
         requests = row.in_flight + others.requests
         tokens = row.tokens + others.tokens
-        return ledger_module.Use(requests, tokens)
+        missing = self._ledger.missing(now)
+        if not missing:
+            return ledger_module.Use(requests, tokens)
+        return self._with_missing(row, requests, tokens, missing, now)
+
+    def _with_missing(
+        self,
+        row: runners.Runner,
+        requests: int,
+        tokens: int,
+        missing: int,
+        now: float,
+    ) -> ledger_module.Use:
+        """Add what instances out of sight are believed to have there.
+
+        The runner's own report counts while it is fresh. An instance that
+        sees fewer than it misses takes each of those to use as much as
+        itself, which leaves every instance its share.
+        """
+        seen = self._ledger.instances(now) + 1
+        mean = tokens / requests if requests else TYPICAL_TOKENS
+        unseen = max(0.0, row.in_flight + row.others_now(now) - requests)
+        if missing > seen:
+            unseen = max(unseen, requests * missing / seen)
+        return ledger_module.Use(
+            requests + round(unseen), tokens + int(unseen * mean)
+        )
 
     def _capacity(self, row: runners.Runner) -> float:
         engine = self._engines.get(row.listing.service)
--- a/primrosereel/routing/_ledger.py
+++ b/primrosereel/routing/_ledger.py
@@ -15,6 +15,8 @@
 
 # A peer that was not heard for this long no longer counts.
 SILENT_S = 2.5
+# For how long an instance out of sight is taken to be cut off, not gone.
+MISSING_S = 20.0
 # Instances with waiting requests tell their first one again well within this.
 HEAD_VALID_S = 0.5
 
@@ -55,6 +57,8 @@
     uses: dict[ids.RunnerId, Use]
     waiting_tokens: int = 0
     heads: tuple[Head, ...] = ()
+    # The instance is in an orderly stop and will not come back soon.
+    leaving: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -68,6 +72,7 @@
 
     def __init__(self) -> None:
         self._peers: dict[ids.InstanceId, _Peer] = {}
+        self._lost: dict[ids.InstanceId, float] = {}
 
     def apply(self, report: PeerReport, now: float) -> bool:
         """Take a peer's report; False for one that is older than the last."""
@@ -75,6 +80,7 @@
         if known is not None and _order(report) <= _order(known.report):
             return False
         self._peers[report.instance] = _Peer(report, now)
+        self._lost.pop(report.instance, None)
         return True
 
     def instances(self, now: float) -> int:
@@ -82,6 +88,17 @@
         self._forget(now)
         return len(self._peers)
 
+    def missing(self, now: float) -> int:
+        """Return how many instances fell out of sight not long ago.
+
+        They may be cut off from this instance and still serve callers.
+        """
+        self._forget(now)
+        for instance, heard_at in list(self._lost.items()):
+            if now - heard_at > MISSING_S:
+                del self._lost[instance]
+        return len(self._lost)
+
     def peers(self, now: float) -> frozenset[ids.InstanceId]:
         """Return the other instances in sight."""
         self._forget(now)
@@ -126,7 +143,9 @@
             if now - peer.heard_at > SILENT_S
         ]
         for instance in silent:
-            del self._peers[instance]
+            peer = self._peers.pop(instance)
+            if not peer.report.leaving:
+                self._lost[instance] = peer.heard_at
 
 
 def _order(report: PeerReport) -> tuple[int, int]:
--- a/primrosereel/routing/_runners.py
+++ b/primrosereel/routing/_runners.py
@@ -17,6 +17,8 @@
 # A runner that failed is avoided this long; doubled with each failure.
 FIRST_SUSPECT_S = 0.5
 LONGEST_SUSPECT_S = 4.0
+# A runner whose address answers for another one is not tried for this long.
+REPLACED_S = 30.0
 
 # Weight of a new observation in a runner's moving averages.
 SPEED_WEIGHT = 0.3
@@ -90,6 +92,14 @@
         self.failures = min(self.failures + 1, 8)
         self.suspect_until = now + wait
 
+    def observe_replaced(self, now: float) -> None:
+        """Take the answer of another runner at this one's address.
+
+        The row is replaced once the list says what is there now.
+        """
+        self.failures = min(self.failures + 1, 8)
+        self.suspect_until = now + REPLACED_S
+
     def observe_error(self) -> None:
         """Take an error status, which a sound runner gives now and then."""
         self.failure_rate += FAILURE_WEIGHT * (1 - self.failure_rate)
@@ -117,6 +127,9 @@
         A runner that started again under its id, or moved to another
         address, is a new one: nothing of the old observations holds.
         """
+        for other in list(self._rows.values()):
+            if _replaces(listing, other.listing):
+                del self._rows[other.runner]
         row = self._rows.get(listing.runner)
         if row is None or _is_another(row.listing, listing):
             self._rows[listing.runner] = Runner(listing)
@@ -138,6 +151,19 @@
         ]
 
 
+def _replaces(new: model.RunnerListing, old: model.RunnerListing) -> bool:
+    """Tell whether a runner started at the address of one that is gone.
+
+    The entry of a runner that crashed stays listed for some heartbeats.
+    """
+    return (
+        new.runner != old.runner
+        and new.address == old.address
+        and new.service == old.service
+        and new.born_ms > old.born_ms > 0
+    )
+
+
 def _is_another(old: model.RunnerListing, new: model.RunnerListing) -> bool:
     return (
         old.born_ms != new.born_ms
