Refuse late requests once they are not expected to get a place

Change: a late request's wait is judged anew as others arrive; an order that a runner did not take is given to another a second later.

--- a/primrosereel/gateway/_admission.py
+++ b/primrosereel/gateway/_admission.py
@@ -77,10 +77,13 @@
     limit_s: float,
 ) -> None:
     context = exchange.context
-    tell_at = context.clock() + TELL_S
+    began = context.clock()
+    tell_at = began + TELL_S
     try:
         with anyio.move_on_after(limit_s):
-            while ticket.row is None:
+            while ticket.row is None and not _hopeless(
+                exchange, ticket, began + limit_s
+            ):
                 with anyio.move_on_after(RECHECK_S):
                     await admitted.wait()
                 if context.clock() >= tell_at:
@@ -97,6 +100,22 @@
         raise _no_capacity(exchange, wait_s)
 
 
+def _hopeless(
+    exchange: context_module.Exchange,
+    ticket: decode_places.Ticket,
+    until: float,
+) -> bool:
+    """Tell whether a late request is not expected to get a place in time.
+
+    Callers that can still be answered on time go first, so a late one's wait
+    is judged anew as others arrive.
+    """
+    now = exchange.context.clock()
+    if now <= ticket.on_time_until:
+        return False
+    return now + exchange.context.places.expected_wait_s(ticket, now) > until
+
+
 def _no_capacity(exchange: context_module.Exchange, wait_s: float) -> Refused:
     random = exchange.context.random
     spread = 1 + SPREAD * random.random()
--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -41,7 +41,7 @@
 # The shares of the time for a stop after which requests are refused, and
 # after which those in progress are cut.
 ACCEPT_SHARE = 0.35
-CUT_SHARE = 0.95
+CUT_SHARE = 0.9
 # Instances that are assumed to share the retry budget for each seed, as those
 # that are out of sight spend it as well.
 INSTANCES_PER_SEED = 2
--- a/primrosereel/gateway/_orders.py
+++ b/primrosereel/gateway/_orders.py
@@ -6,6 +6,7 @@
 
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _http as http
+from primrosereel.routing import _model as model
 from primrosereel.routing import _roles as roles
 
 __all__ = ['Orders']
@@ -13,6 +14,8 @@
 SAMPLE_S = 0.5
 ANSWER_S = 1.0
 MAX_ANSWER_BYTES = 65536
+# The runner carries the order out, or it holds already.
+TAKEN = ('status 202', 'status 200')
 
 
 class Orders:
@@ -46,7 +49,11 @@
                     now,
                 )
                 if switch is not None and self._leads:
-                    await self._order(switch, service.engine.switch_s)
+                    taken = await self._order(switch, service.engine)
+                    if not taken:
+                        self._balance.order_failed(
+                            service.name, context.clock()
+                        )
 
     def _update_leadership(self, now: float) -> None:
         context = self._context
@@ -58,12 +65,20 @@
                 'leads' if leads else 'leads no longer', peers=len(peers)
             )
 
-    async def _order(self, switch: roles.Switch, switch_s: float) -> None:
+    async def _order(self, switch: roles.Switch, engine: model.Engine) -> bool:
+        """Give an order; False where the runner did not take it."""
         context = self._context
         # Unix milliseconds: later holders have higher tokens without a store.
         token = time.time_ns() // 1_000_000
-        context.reserve(switch.runner, context.clock() + switch_s)
+        now = context.clock()
+        context.reserve(switch.runner, now + engine.switch_s)
         outcome = await self._send(switch, token)
+        taken = outcome in TAKEN
+        row = context.runners.get(switch.runner)
+        if not taken:
+            context.reserve(switch.runner, now)
+            if row is not None:
+                row.observe_failure(now)
         context.count('orders')
         context.log.info(
             'order',
@@ -72,6 +87,7 @@
             fencing_token=token,
             outcome=outcome,
         )
+        return taken
 
     async def _send(self, switch: roles.Switch, token: int) -> str:
         context = self._context
--- a/primrosereel/routing/_decode_places.py
+++ b/primrosereel/routing/_decode_places.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from collections.abc import Collection
 import dataclasses
+import math
 import random as random_module
 
 from primrosereel import _ids as ids
@@ -29,6 +30,7 @@
 # Used until an instance has seen how long streams hold their place.
 DEFAULT_HOLD_S = 3.0
 HOLD_WEIGHT = 0.1
+ARRIVAL_WINDOW_S = 2.0
 
 # Of a request of which nothing is known but that it is there.
 TYPICAL_TOKENS = 4000
@@ -64,6 +66,21 @@
         return now > self.on_time_until, self.priority, self.arrived_at
 
 
+class _Arrivals:
+    """The rate at which tokens were asked for lately."""
+
+    def __init__(self) -> None:
+        self._per_s = 0.0
+        self._at = 0.0
+
+    def add(self, tokens: int, now: float) -> None:
+        self._per_s = self.per_s(now) + tokens / ARRIVAL_WINDOW_S
+        self._at = now
+
+    def per_s(self, now: float) -> float:
+        return self._per_s * math.exp((self._at - now) / ARRIVAL_WINDOW_S)
+
+
 class DecodePlaces:
     """Gives out the memory of decode runners."""
 
@@ -82,6 +99,7 @@
         self._engines: dict[ids.ServiceId, model.Engine] = {}
         self._hold_s = DEFAULT_HOLD_S
         self._opens_at = 0.0
+        self._arrivals = _Arrivals()
 
     @property
     def waiting_tokens(self) -> int:
@@ -121,6 +139,8 @@
 
     def add(self, ticket: Ticket, now: float) -> None:
         """Queue a ticket and admit what fits."""
+        if now <= ticket.on_time_until:
+            self._arrivals.add(ticket.tokens, now)
         self._waiting.append(ticket)
         self.admit(now)
 
@@ -215,7 +235,12 @@
             and other.rank(now) < ticket.rank(now)
         )
         rate = used / max(self._hold_s, 0.1)
-        return max(0.0, ahead - room) / max(rate, 1.0)
+        if now > ticket.on_time_until:
+            # What arrives meanwhile goes before a late request.
+            rate -= self._arrivals.per_s(now)
+        if ahead <= room:
+            return 0.0
+        return (ahead - room) / rate if rate > 0 else float('inf')
 
     def has_room(self, row: runners.Runner, now: float) -> bool:
         """Tell whether what is known to be at a runner fits."""
--- a/primrosereel/routing/_roles.py
+++ b/primrosereel/routing/_roles.py
@@ -33,6 +33,7 @@
 SUSTAINED_S = 1.5
 # Between two orders for a service, beyond the time of the switch itself.
 SETTLE_S = 8.0
+FAILED_S = 1.0
 
 
 class Switch(NamedTuple):
@@ -93,9 +94,16 @@
         state.wanted_since = None
         state.not_before = now + engine.switch_s + SETTLE_S
         giving = prefill if role is states.Role.DECODE else decode
-        row = min(giving, key=lambda r: (self._busy(r, now), r.runner))
+        row = min(
+            giving,
+            key=lambda r: (r.suspect(now), self._busy(r, now), r.runner),
+        )
         return Switch(row.runner, row.listing.address, role)
 
+    def order_failed(self, service: ids.ServiceId, now: float) -> None:
+        """Note that an order was not taken; another may follow soon."""
+        self._services[service].not_before = now + FAILED_S
+
     def _busy(self, row: runners.Runner, now: float) -> int:
         return row.tokens + self._ledger.use(row.runner, now).tokens
 
