Hold orders apart and back off from runners that refuse all

Change: refusals double a runner's pause, a reservation lasts until the role has changed, a reverse order waits 40 s; a request counts as late by the expected time to read its prompt.

--- a/primrosereel/gateway/_admission.py
+++ b/primrosereel/gateway/_admission.py
@@ -44,13 +44,17 @@
     context = exchange.context
     places = context.places
     now = context.clock()
+    reading_s = context.prefills.expected_s(
+        exchange.service, exchange.facts.prompt_tokens, now
+    )
     admitted = anyio.Event()
     ticket = decode_places.Ticket(
         exchange.service,
         decode_places.tokens_needed(exchange.facts),
         exchange.route.priority,
         exchange.request.received_at,
-        exchange.request.received_at + patience.on_time_wait_s(exchange.route),
+        exchange.request.received_at
+        + patience.on_time_wait_s(exchange.route, reading_s),
         excluded=excluded,
         admitted=admitted.set,
     )
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -48,9 +48,9 @@
     draining: bool = False
     refusing: bool = False
     active: int = 0
-    # Runners that change their role, and until when.
-    reserved: dict[ids.RunnerId, float] = dataclasses.field(
-        default_factory=dict
+    # Runners that change their role: the one they give up, and until when.
+    reserved: dict[ids.RunnerId, tuple[states.Role, float]] = (
+        dataclasses.field(default_factory=dict)
     )
     # Called when the own use of the engines changed.
     uses_changed: Callable[[], None] = lambda: None
@@ -76,16 +76,19 @@
 
     def reserve(self, runner: ids.RunnerId, until: float) -> None:
         """Keep all requests away from a runner until a time."""
-        self.reserved[runner] = until
         row = self.runners.get(runner)
-        if row is not None:
-            row.full_until = until
+        if row is None:
+            return
+        self.reserved[runner] = row.listing.role, until
+        row.full_until = until
         self.uses_changed()
 
     def free_reservations(self, now: float) -> None:
-        """Forget the reservations whose time is over."""
-        for runner, until in list(self.reserved.items()):
-            if now >= until:
+        """Forget reservations of runners that have changed their role."""
+        for runner, (role, until) in list(self.reserved.items()):
+            row = self.runners.get(runner)
+            switched = row is not None and row.listing.role is not role
+            if now >= until or switched:
                 del self.reserved[runner]
                 self.uses_changed()
 
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -31,7 +31,6 @@
 RETRY_AFTER_S = 0.5
 # The share of a handle's life within which a decode runner is sent for it.
 HANDLE_SHARE = 0.7
-FULL_S = 0.3
 LEAST_LEFT_S = 0.005
 
 
@@ -187,7 +186,7 @@
             row.observe_failure(self._context.clock())
             exchange.note_retry(Retry.CONNECT_FAILED, row, str(error))
         except upstream.Rejected as error:
-            row.full_until = self._context.clock() + FULL_S
+            row.observe_rejection(self._context.clock())
             self._context.budget.take(exchange.service, now)
             exchange.note_retry(Retry.ENGINE_FULL, row, str(error))
         except http.BrokenAnswer as error:
@@ -348,12 +347,16 @@
         now = self._context.clock()
         self._rejections += 1
         # A runner with room refuses a request whose handle has lapsed.
-        lapsed = with_handle and self._context.places.has_room(row, now)
+        lapsed = (
+            with_handle
+            and row.rejections == 0
+            and self._context.places.has_room(row, now)
+        )
         reason = Retry.KV_CACHE_GONE if lapsed else Retry.ENGINE_FULL
         if lapsed:
             self._handle_lapsed = True
         else:
-            row.full_until = now + FULL_S
+            row.observe_rejection(now)
             self._excluded.add(row.runner)
         exchange.note_retry(reason, row, why)
         if not self._context.budget.take(exchange.service, now):
--- a/primrosereel/gateway/_orders.py
+++ b/primrosereel/gateway/_orders.py
@@ -14,6 +14,7 @@
 SAMPLE_S = 0.5
 ANSWER_S = 1.0
 MAX_ANSWER_BYTES = 65536
+FINISH_S = 4.0
 # The runner carries the order out, or it holds already.
 TAKEN = ('status 202', 'status 200')
 
@@ -71,7 +72,8 @@
         # Unix milliseconds: later holders have higher tokens without a store.
         token = time.time_ns() // 1_000_000
         now = context.clock()
-        context.reserve(switch.runner, now + engine.switch_s)
+        # Running work is finished before the switch begins.
+        context.reserve(switch.runner, now + engine.switch_s + FINISH_S)
         outcome = await self._send(switch, token)
         taken = outcome in TAKEN
         row = context.runners.get(switch.runner)
--- a/primrosereel/gateway/_plain.py
+++ b/primrosereel/gateway/_plain.py
@@ -77,7 +77,7 @@
             return None
         except upstream.Rejected as error:
             self._may_have_run = ran_before
-            row.full_until = self._context.clock() + RETRY_AFTER_S
+            row.observe_rejection(self._context.clock())
             exchange.note_retry(Retry.PLAIN_NOT_RUN, row, str(error))
             return self._again()
         except http.BrokenAnswer as error:
--- a/primrosereel/routing/_patience.py
+++ b/primrosereel/routing/_patience.py
@@ -33,8 +33,11 @@
 # A prefill that takes longer than this is taken to be lost.
 PREFILL_FACTOR = 3.0
 SHORTEST_PREFILL_S = 0.6
-# The share of the target that is left for reading the prompt after a wait.
-READING_SHARE = 0.45
+# Left of the target for reading the prompt after a wait: a share of it at
+# least, and the expected time with a margin.
+LEAST_READING_SHARE = 0.35
+READING_MARGIN = 1.3
+DECODE_START_S = 0.06
 # The share of a caller's patience that a request may wait for a place.
 WAIT_SHARE = 0.7
 
@@ -79,9 +82,15 @@
     return min(usual, SHARE_OF_PATIENCE * caller_gap_s(route))
 
 
-def on_time_wait_s(route: model.Route) -> float:
-    """Return the wait after which the first event will be late."""
-    return (1 - READING_SHARE) * route.target_s
+def on_time_wait_s(route: model.Route, reading_s: float) -> float:
+    """Return the wait after which the first event will be late.
+
+    ``reading_s`` is the expected time until the prompt has been read.
+    """
+    needed_s = max(
+        LEAST_READING_SHARE * route.target_s, READING_MARGIN * reading_s
+    )
+    return route.target_s - needed_s - DECODE_START_S
 
 
 def wait_s(route: model.Route) -> float:
--- a/primrosereel/routing/_roles.py
+++ b/primrosereel/routing/_roles.py
@@ -34,6 +34,8 @@
 # Between two orders for a service, beyond the time of the switch itself.
 SETTLE_S = 8.0
 FAILED_S = 1.0
+# A switch back would undo an order for a lull between two bursts.
+REVERSE_S = 40.0
 
 
 class Switch(NamedTuple):
@@ -52,6 +54,8 @@
     samples: int = 0
     wanted_since: float | None = None
     not_before: float = 0.0
+    last_role: states.Role | None = None
+    last_at: float = 0.0
 
 
 class RoleBalance:
@@ -91,7 +95,11 @@
             state.wanted_since = now
         if now - state.wanted_since < SUSTAINED_S or now < state.not_before:
             return None
+        reverses = state.last_role not in (None, role)
+        if reverses and now < state.last_at + REVERSE_S:
+            return None
         state.wanted_since = None
+        state.last_role, state.last_at = role, now
         state.not_before = now + engine.switch_s + SETTLE_S
         giving = prefill if role is states.Role.DECODE else decode
         row = min(
--- a/primrosereel/routing/_runners.py
+++ b/primrosereel/routing/_runners.py
@@ -20,6 +20,10 @@
 # A runner whose address answers for another one is not tried for this long.
 REPLACED_S = 30.0
 
+# A runner that refused a request is not sent another for this long.
+FIRST_FULL_S = 0.25
+LONGEST_FULL_S = 3.0
+
 # Weight of a new observation in a runner's moving averages.
 SPEED_WEIGHT = 0.3
 FAILURE_WEIGHT = 0.25
@@ -40,6 +44,7 @@
     slowness: float = 1.0
     failure_rate: float = 0.0
     failures: int = 0
+    rejections: int = 0
     suspect_until: float = -math.inf
     full_until: float = -math.inf
 
@@ -78,6 +83,7 @@
     def observe_success(self, seconds: float, now: float) -> None:
         """Take a whole answer and its duration."""
         self.failures = 0
+        self.rejections = 0
         self.suspect_until = -math.inf
         self.failure_rate *= 1 - FAILURE_WEIGHT
         if self.latency_s is None:
@@ -100,6 +106,15 @@
         self.failures = min(self.failures + 1, 8)
         self.suspect_until = now + REPLACED_S
 
+    def observe_rejection(self, now: float) -> None:
+        """Take a refusal: the runner is full or changes its role.
+
+        The wait doubles while the runner refuses all that it is sent.
+        """
+        wait = min(FIRST_FULL_S * 2**self.rejections, LONGEST_FULL_S)
+        self.rejections = min(self.rejections + 1, 8)
+        self.full_until = now + wait
+
     def observe_error(self) -> None:
         """Take an error status, which a sound runner gives now and then."""
         self.failure_rate += FAILURE_WEIGHT * (1 - self.failure_rate)
--- a/primrosereel/routing/_split.py
+++ b/primrosereel/routing/_split.py
@@ -57,17 +57,32 @@
         """Return the tokens that a prefill runner has to read first."""
         return row.tokens + self._ledger.use(row.runner, now).tokens
 
+    def expected_s(
+        self, service: ids.ServiceId, tokens: int, now: float
+    ) -> float:
+        """Return how long reading a prompt is expected to take."""
+        return min(
+            (
+                expected_prefill_s(row, tokens, self.ahead(row, now))
+                for row in self._sound(service, now)
+            ),
+            default=FIXED_S + DECODE_FACTOR * TOKEN_S * tokens,
+        )
+
+    def _sound(
+        self, service: ids.ServiceId, now: float
+    ) -> list[runners.Runner]:
+        return [
+            row
+            for row in self._table.ready(service, states.Role.PREFILL)
+            if not row.suspect(now) and now >= row.full_until
+        ]
+
     def choose(
         self, decode: runners.Runner, tokens: int, now: float
     ) -> runners.Runner | None:
         """Return the prefill runner; None where the decode runner reads."""
-        candidates = [
-            row
-            for row in self._table.ready(
-                decode.listing.service, states.Role.PREFILL
-            )
-            if not row.suspect(now) and now >= row.full_until
-        ]
+        candidates = self._sound(decode.listing.service, now)
         if not candidates:
             return None
         best = min(
