--- a/primrosereel/gateway/_admission.py
+++ b/primrosereel/gateway/_admission.py
@@ -25,11 +25,15 @@
     """The request is not served; ``retry_after_s`` is when to come back."""
 
     def __init__(
-        self, reason: states.RefusalReason, retry_after_s: float
+        self,
+        reason: states.RefusalReason,
+        retry_after_s: float,
+        detail: str = '',
     ) -> None:
         super().__init__(reason.value)
         self.reason = reason
         self.retry_after_s = retry_after_s
+        self.detail = detail
 
 
 async def take_place(
@@ -124,4 +128,10 @@
     random = exchange.context.random
     spread = 1 + SPREAD * random.random()
     after_s = max(SHORTEST_RETRY_AFTER_S, min(wait_s, exchange.left_s / 3))
-    return Refused(states.RefusalReason.NO_CAPACITY, after_s * spread)
+    now = exchange.context.clock()
+    detail = exchange.context.places.describe(exchange.service, now)
+    return Refused(
+        states.RefusalReason.NO_CAPACITY,
+        after_s * spread,
+        f'wait {wait_s:.2f} s; {detail}',
+    )
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -137,10 +137,13 @@
         return self.ends_at - self.context.clock()
 
     def refusal(
-        self, reason: states.RefusalReason, retry_after_s: float
+        self,
+        reason: states.RefusalReason,
+        retry_after_s: float,
+        detail: str = '',
     ) -> callers.Reply:
         """Return the answer to a request that did not and will not run."""
-        self._note(reason, 503)
+        self._note(reason, 503, detail, round(retry_after_s, 2))
         return callers.Reply(
             503, headers=[(b'Retry-After', b'%.2f' % retry_after_s)]
         )
@@ -152,7 +155,13 @@
         self._note(reason, status)
         return callers.Reply(status)
 
-    def _note(self, reason: states.RefusalReason, status: int) -> None:
+    def _note(
+        self,
+        reason: states.RefusalReason,
+        status: int,
+        detail: str = '',
+        retry_after_s: float | None = None,
+    ) -> None:
         self.context.count(f'refused.{reason.value}')
         self.context.log.info(
             'refused',
@@ -160,6 +169,8 @@
             service=self.service,
             reason=reason.value,
             status=status,
+            detail=detail,
+            retry_after_s=retry_after_s,
             attempts=self.attempts,
             left_s=round(self.left_s, 3),
             version=self.context.table.version if self.context.table else 0,
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -114,7 +114,7 @@
                 )
             except admission.Refused as refused:
                 reply = self._exchange.refusal(
-                    refused.reason, refused.retry_after_s
+                    refused.reason, refused.retry_after_s, refused.detail
                 )
                 raise Ended(reply) from refused
             self._placed_at = self._context.clock()
--- a/primrosereel/routing/_decode_places.py
+++ b/primrosereel/routing/_decode_places.py
@@ -204,6 +204,23 @@
             default=None,
         )
 
+    def describe(self, service: ids.ServiceId, now: float) -> str:
+        """Return what a decision about a service rests on, for the log."""
+        parts = [
+            f'{row.runner} {use.requests}/{use.tokens}'
+            + ('' if now >= row.full_until else ' full')
+            + (' suspect' if row.suspect(now) else '')
+            for row in self._table.ready(service, states.Role.DECODE)
+            for use in (self._use(row, now),)
+        ]
+        return (
+            f'{len(self._waiting)} waiting here, '
+            f'{self._ledger.waiting_tokens(now)} tokens at '
+            f'{self._ledger.instances(now)} peers, '
+            f'{self._ledger.missing(now)} missing, '
+            f'hold {self._hold_s:.2f} s; ' + ', '.join(parts)
+        )
+
     def least_used(self, ticket: Ticket, now: float) -> runners.Runner | None:
         """Return the runner to try although none is known to have room."""
         return min(
--- a/primrosereel/routing/_roles.py
+++ b/primrosereel/routing/_roles.py
@@ -26,9 +26,7 @@
 GAIN = 0.85
 # Below this utilization of both pools a switch has no use.
 LEAST_UTILIZATION = 0.25
-# Prefill is held to a lower utilization, as a queue there delays the first
-# token, and it is busy in bursts.
-PREFILL_WEIGHT = 1.25
+
 # The balance must call for a switch for this long.
 SUSTAINED_S = 1.5
 # Between two orders for a service, beyond the time of the switch itself.
@@ -126,7 +124,7 @@
         """Return the role of which one more runner is needed, if any."""
         slowness = sum(row.slowness for row in prefill) / len(prefill)
         per_s = state.tokens / max(hold_s, 0.1)
-        work = PREFILL_WEIGHT * per_s * split.TOKEN_S * slowness
+        work = per_s * split.TOKEN_S * slowness
         memory = state.tokens / engine.kv_tokens
         readers, holders = len(prefill), len(decode)
         now_max = max(work / readers, memory / holders)
--- /dev/null
+++ b/primrosereel/standin/_listed_runner.py
@@ -0,0 +1,177 @@
+"""Stand-in of a runner on the users' platform: prefill, decode or plain.
+
+It counts what ran by request id, so that a test sees what ran twice, and has
+the faults of the platform's pages: refusals, resets, late second answers,
+handles that lapse and streams that break off.
+"""
+
+import collections
+from collections.abc import AsyncIterator
+import dataclasses
+import enum
+
+import anyio
+import msgspec
+
+from primrosereel.standin import _raw_http as raw_http
+
+__all__ = ['Fault', 'ListedRunner', 'RunnerOptions']
+
+NOT_RUN = (b'Not-Executed', b'1')
+
+
+class Fault(enum.Enum):
+    """What happens to the next requests, one fault each."""
+
+    SHED = 'shed'
+    RESET_BEFORE_RUN = 'reset_before_run'
+    RESET_AFTER_RUN = 'reset_after_run'
+    SILENT = 'silent'
+    ERROR = 'error'
+    SECOND_ANSWER = 'second_answer'
+    UNSIGNED = 'unsigned'
+    BREAK_STREAM = 'break_stream'
+    HANDLE_GONE = 'handle_gone'
+
+
+@dataclasses.dataclass(slots=True)
+class RunnerOptions:
+    """What a runner is; ``stage`` is None for a plain one."""
+
+    runner: str
+    service: str
+    stage: str | None = None
+    events: int = 5
+    event_s: float = 0.01
+    work_s: float = 0.01
+    slots: int = 8
+
+
+class ListedRunner:
+    """One runner with its server."""
+
+    def __init__(self, options: RunnerOptions) -> None:
+        self.options = options
+        self.server = raw_http.RawServer(self._handle)
+        self.server.on_gone(lambda request: self.left.append(request))
+        self.faults: collections.deque[Fault] = collections.deque()
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.prefills: collections.Counter[str] = collections.Counter()
+        self.requests: list[raw_http.Request] = []
+        self.left: list[raw_http.Request] = []
+        self.handles: set[str] = set()
+        self.orders: list[dict[str, str]] = []
+        self.running = 0
+
+    def entry(self, state: str = 'ready') -> dict[str, object]:
+        """Return what the runner writes into the store."""
+        options = self.options
+        entry: dict[str, object] = {
+            'service': options.service,
+            'address': f'127.0.0.1:{self.server.port}',
+            'zone': 'zone-a',
+            'version': 'v1',
+            'slots': options.slots,
+            'state': state,
+            'coldRemainingMs': 0,
+            'sequence': 1,
+            'born': 1_700_000_000_000,
+        }
+        if options.stage is not None:
+            entry['stage'] = options.stage
+        return entry
+
+    async def _handle(self, request: raw_http.Request) -> raw_http.Answer:
+        self.requests.append(request)
+        expected = request.headers.get('expect-instance')
+        if expected not in (None, self.options.runner):
+            return raw_http.Answer(421)
+        if request.path == '/v1/order':
+            self.orders.append(msgspec.json.decode(request.body))
+            return raw_http.Answer(202)
+        if request.method == 'DELETE':
+            self.handles.discard(request.path.rpartition('/')[2])
+            return raw_http.Answer(200)
+        fault = self.faults.popleft() if self.faults else None
+        if fault is Fault.SHED:
+            return raw_http.Answer(503, [NOT_RUN])
+        if fault is Fault.RESET_BEFORE_RUN:
+            raise raw_http.Reset
+        if fault is Fault.SILENT:
+            raise raw_http.Silence
+        if request.headers.get('stage') == 'prefill':
+            return await self._prefill(request)
+        source = request.headers.get('kv-source')
+        if source is not None and fault is Fault.HANDLE_GONE:
+            return raw_http.Answer(503, [NOT_RUN])
+        return await self._run(request, fault)
+
+    async def _prefill(self, request: raw_http.Request) -> raw_http.Answer:
+        if self.options.stage != 'prefill':
+            return raw_http.Answer(421)
+        await anyio.sleep(self.options.work_s)
+        request_id = request.headers['request-id']
+        self.prefills[request_id] += 1
+        handle = f'h{len(self.prefills)}'
+        self.handles.add(handle)
+        body = {'kvHandle': handle, 'tokens': 100, 'version': 1}
+        return raw_http.Answer(200, [], msgspec.json.encode(body))
+
+    async def _run(
+        self, request: raw_http.Request, fault: Fault | None
+    ) -> raw_http.Answer:
+        if self.options.stage == 'prefill':
+            return raw_http.Answer(421)
+        request_id = request.headers['request-id']
+        self.runs[request_id] += 1
+        headers = self._headers(request_id)
+        if self.options.stage == 'decode':
+            if fault is Fault.ERROR:
+                return raw_http.Answer(500, headers, b'error')
+            headers.append((b'Content-Type', b'text/event-stream'))
+            first = int(request.headers.get('last-event-id', '0')) + 1
+            broken = fault is Fault.BREAK_STREAM
+            parts = self._events(first, broken)
+            return raw_http.Answer(200, headers, parts=parts)
+        await anyio.sleep(self.options.work_s)
+        if fault is Fault.RESET_AFTER_RUN:
+            raise raw_http.Reset
+        if fault is Fault.ERROR:
+            return raw_http.Answer(500, headers, b'error')
+        if fault is Fault.UNSIGNED:
+            return raw_http.Answer(200, [], b'not from the runner')
+        body = f'answer to {request_id}'.encode()
+        extra = b''
+        if fault is Fault.SECOND_ANSWER:
+            extra = _second_answer(request_id)
+        return raw_http.Answer(200, headers, body, extra=extra)
+
+    def _headers(self, request_id: str) -> raw_http.Headers:
+        load = f'{self.running},0,{self.options.slots},100'
+        return [
+            (b'Request-Id', request_id.encode()),
+            (b'Instance-Signature', self.options.runner.encode()),
+            (b'Instance-Load', load.encode()),
+            (b'Keep-Alive', b'timeout=10'),
+        ]
+
+    async def _events(self, first: int, broken: bool) -> AsyncIterator[bytes]:
+        self.running += 1
+        try:
+            for number in range(first, self.options.events + 1):
+                await anyio.sleep(self.options.event_s)
+                if broken and number == first + 2:
+                    yield f'id: {number}\ndata: cut in the mid'.encode()
+                    raise raw_http.Reset
+                yield f'id: {number}\ndata: token {number}\n\n'.encode()
+        finally:
+            self.running -= 1
+
+
+def _second_answer(request_id: str) -> bytes:
+    body = b'a second, late answer'
+    return (
+        b'HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n'
+        b'Instance-Signature: late\r\nContent-Length: %d\r\n\r\n%s'
+        % (request_id.encode(), len(body), body)
+    )
--- /dev/null
+++ b/primrosereel/standin/_metadata_store.py
@@ -0,0 +1,149 @@
+"""Stand-in of the users' metadata store: revisions, watches, lost history."""
+
+import base64
+import dataclasses
+import enum
+from typing import Any
+import urllib.parse
+
+import anyio
+import msgspec
+
+from primrosereel.standin import _raw_http as raw_http
+
+__all__ = ['MetadataStore', 'StoreMode']
+
+PAGE_ITEMS = 50
+LONGEST_WAIT_MS = 30_000
+
+
+class StoreMode(enum.Enum):
+    """How the store answers."""
+
+    UP = 'up'
+    BUSY = 'busy'
+    RESET = 'reset'
+    SILENT = 'silent'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Event:
+    key: str
+    revision: int
+    value: bytes | None
+
+    def as_item(self) -> dict[str, Any]:
+        if self.value is None:
+            return {
+                'key': self.key,
+                'revision': self.revision,
+                'deleted': True,
+            }
+        return {
+            'key': self.key,
+            'value': base64.b64encode(self.value).decode(),
+            'revision': self.revision,
+            'created': self.revision,
+            'lease': 0,
+        }
+
+
+class MetadataStore:
+    """Holds items; every write raises the one revision."""
+
+    def __init__(self) -> None:
+        self.server = raw_http.RawServer(self._handle)
+        self.mode = StoreMode.UP
+        self.calls = 0
+        self._items: dict[str, _Event] = {}
+        self._history: list[_Event] = []
+        self._revision = 1
+        self._first = 1
+        self._changed = anyio.Event()
+
+    def put(self, key: str, value: Any) -> None:
+        """Write an item; bytes as they are, other values as JSON."""
+        if not isinstance(value, bytes):
+            value = msgspec.json.encode(value)
+        self._write(key, value)
+
+    def delete(self, key: str) -> None:
+        """Remove an item."""
+        self._write(key, None)
+
+    def forget_history(self) -> None:
+        """Drop the history, so that older watches are told 410."""
+        self._history.clear()
+        self._first = self._revision + 1
+        self._notify()
+
+    def _write(self, key: str, value: bytes | None) -> None:
+        self._revision += 1
+        event = _Event(key, self._revision, value)
+        self._history.append(event)
+        if value is None:
+            self._items.pop(key, None)
+        else:
+            self._items[key] = event
+        self._notify()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    async def _handle(self, request: raw_http.Request) -> raw_http.Answer:
+        self.calls += 1
+        if self.mode is StoreMode.BUSY:
+            return raw_http.Answer(503)
+        if self.mode is StoreMode.RESET:
+            raise raw_http.Reset
+        if self.mode is StoreMode.SILENT:
+            raise raw_http.Silence
+        query = dict(urllib.parse.parse_qsl(request.query))
+        if request.path == '/v1/kv-range':
+            return self._range(query)
+        if request.path == '/v1/kv-watch':
+            return await self._watch(query)
+        return raw_http.Answer(404)
+
+    def _range(self, query: dict[str, str]) -> raw_http.Answer:
+        prefix, after = query.get('prefix', ''), query.get('after', '')
+        keys = sorted(
+            key
+            for key in self._items
+            if key.startswith(prefix) and key > after
+        )
+        page = keys[:PAGE_ITEMS]
+        return _json(
+            {
+                'items': [self._items[key].as_item() for key in page],
+                'hasMore': len(keys) > len(page),
+                'at': self._revision,
+            }
+        )
+
+    async def _watch(self, query: dict[str, str]) -> raw_http.Answer:
+        after = int(query['after'])
+        prefix = query.get('prefix', '')
+        wait_s = min(int(query['waitMs']), LONGEST_WAIT_MS) / 1000
+        with anyio.move_on_after(wait_s):
+            while True:
+                if after + 1 < self._first:
+                    return raw_http.Answer(410)
+                found = [
+                    event.as_item()
+                    for event in self._history
+                    if event.revision > after and event.key.startswith(prefix)
+                ]
+                if found:
+                    return _json({'events': found, 'at': self._revision})
+                await self._changed.wait()
+        return _json({'events': [], 'at': self._revision})
+
+
+def _json(value: Any) -> raw_http.Answer:
+    return raw_http.Answer(
+        200,
+        [(b'Content-Type', b'application/json')],
+        msgspec.json.encode(value),
+    )
--- /dev/null
+++ b/primrosereel/standin/_raw_http.py
@@ -0,0 +1,181 @@
+"""HTTP/1.1 server of the platform's stand-ins, with control over each byte.
+
+Faults of runners and of the store happen below HTTP: a connection that is
+reset, an answer that comes twice or without its end.
+"""
+
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import socket
+import struct
+
+import anyio
+import anyio.abc
+import h11
+
+__all__ = ['Answer', 'RawServer', 'Request', 'Reset', 'Silence']
+
+Headers = list[tuple[bytes, bytes]]
+READ_BYTES = 65536
+
+
+class Reset(Exception):
+    """The connection is to be reset without an answer."""
+
+
+class Silence(Exception):
+    """The connection is to stay open without an answer."""
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """A request that was read whole; header names are in lower case."""
+
+    method: str
+    path: str
+    query: str
+    headers: dict[str, str]
+    body: bytes
+    target: str
+
+
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """An answer; ``parts`` is streamed after ``body``.
+
+    ``extra`` are bytes that follow a complete answer.
+    """
+
+    status: int
+    headers: Headers = dataclasses.field(default_factory=list)
+    body: bytes = b''
+    parts: AsyncIterator[bytes] | None = None
+    extra: bytes = b''
+
+
+Handler = Callable[[Request], Awaitable[Answer]]
+
+
+class RawServer:
+    """Listens on a free loopback port and hands requests to a handler."""
+
+    def __init__(self, handler: Handler) -> None:
+        self._handler = handler
+        self._gone: Callable[[Request], None] = lambda _: None
+        self.port = 0
+        self.connections = 0
+
+    def on_gone(self, callback: Callable[[Request], None]) -> None:
+        """Call back when a caller leaves while its request is served."""
+        self._gone = callback
+
+    async def serve(
+        self,
+        *,
+        port: int = 0,
+        task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until cancelled; the port is reported as started."""
+        listener = await anyio.create_tcp_listener(
+            local_host='127.0.0.1', local_port=port
+        )
+        self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        task_status.started(self.port)
+        async with listener:
+            await listener.serve(self._serve_connection)
+
+    async def _serve_connection(self, stream: anyio.abc.SocketStream) -> None:
+        self.connections += 1
+        parser = h11.Connection(h11.SERVER)
+        try:
+            while await self._serve_request(stream, parser):
+                parser.start_next_cycle()
+        except (
+            Reset,
+            anyio.BrokenResourceError,
+            anyio.EndOfStream,
+            h11.ProtocolError,
+        ):
+            _linger(stream)
+        finally:
+            await anyio.aclose_forcefully(stream)
+
+    async def _serve_request(self, stream, parser) -> bool:
+        request = await _read(stream, parser)
+        if request is None:
+            return False
+        gone = False
+
+        async def watch() -> None:
+            nonlocal gone
+            try:
+                parser.receive_data(await stream.receive(READ_BYTES))
+                return
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                gone = True
+                self._gone(request)
+                tasks.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watch)
+            try:
+                await self._answer(stream, parser, request)
+            except (Silence, Reset) as fault:
+                if isinstance(fault, Reset):
+                    _linger(stream)
+                    gone = True
+                else:
+                    await anyio.sleep_forever()
+            tasks.cancel_scope.cancel()
+        return not gone and parser.our_state is h11.DONE
+
+    async def _answer(self, stream, parser, request: Request) -> None:
+        answer = await self._handler(request)
+        headers = list(answer.headers)
+        if answer.parts is None:
+            headers.append((b'Content-Length', b'%d' % len(answer.body)))
+        else:
+            headers.append((b'Transfer-Encoding', b'chunked'))
+        head = h11.Response(status_code=answer.status, headers=headers)
+        data = parser.send(head)
+        if answer.body:
+            data += parser.send(h11.Data(data=answer.body))
+        await stream.send(data)
+        if answer.parts is not None:
+            async for part in answer.parts:
+                await stream.send(parser.send(h11.Data(data=part)))
+        await stream.send(parser.send(h11.EndOfMessage()) + answer.extra)
+
+
+async def _read(stream, parser) -> Request | None:
+    head = None
+    body = b''
+    while True:
+        event = parser.next_event()
+        if event is h11.NEED_DATA:
+            try:
+                parser.receive_data(await stream.receive(READ_BYTES))
+            except anyio.EndOfStream:
+                return None
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += bytes(event.data)
+        elif isinstance(event, h11.EndOfMessage) and head is not None:
+            target = head.target.decode()
+            path, _, query = target.partition('?')
+            headers = {n.decode(): v.decode() for n, v in head.headers}
+            return Request(
+                head.method.decode(), path, query, headers, body, target
+            )
+        else:
+            return None
+
+
+def _linger(stream: anyio.abc.SocketStream) -> None:
+    """Make the close of a connection a reset."""
+    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    option = struct.pack('ii', 1, 0)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
--- /dev/null
+++ b/tests/property/test_routing_places.py
@@ -0,0 +1,262 @@
+"""Admission to decode runners, and the order of waiting requests."""
+
+import random
+
+import pytest
+
+from primrosereel import _ids as ids
+from primrosereel import _states as states
+from primrosereel.routing import _decode_places as decode_places
+from primrosereel.routing import _ledger as ledger_module
+from primrosereel.routing import _model as model
+from primrosereel.routing import _runners as runners
+
+SERVICE = ids.ServiceId('llm')
+ZONE = ids.AvailabilityZone('a')
+ENGINE = model.Engine(64, 50_000, 35_000, 740_000, 0.5)
+
+
+def listing(name, role=states.Role.DECODE, port=1, **changes):
+    facts = {
+        'runner': ids.RunnerId(name),
+        'service': SERVICE,
+        'address': model.Address('127.0.0.1', port),
+        'availability_zone': ZONE,
+        'role': role,
+        'slots': 64,
+        'leaving': False,
+    }
+    return model.RunnerListing(**(facts | changes))
+
+
+class Instance:
+    """One instance's tables."""
+
+    def __init__(self, name, decode=2):
+        self.name = ids.InstanceId(name)
+        self.table = runners.RunnerTable()
+        for number in range(decode):
+            self.table.put(listing(f'd{number}', port=100 + number))
+        self.ledger = ledger_module.Ledger()
+        self.places = decode_places.DecodePlaces(
+            self.table, self.ledger, ZONE, random.Random(1)
+        )
+        service = model.Service(SERVICE, '/health', 100, ENGINE)
+        self.places.set_services({SERVICE: service})
+        self.sequence = 0
+
+    def report(self, now, leaving=False):
+        self.sequence += 1
+        uses = {
+            row.runner: ledger_module.Use(row.in_flight, row.tokens)
+            for row in self.table
+        }
+        return ledger_module.PeerReport(
+            self.name,
+            1,
+            self.sequence,
+            uses,
+            self.places.waiting_tokens,
+            self.places.heads(now),
+            leaving,
+        )
+
+    def ask(self, tokens, now, on_time_s=0.5, priority=1):
+        ticket = decode_places.Ticket(
+            SERVICE, tokens, priority, now, now + on_time_s
+        )
+        self.places.add(ticket, now)
+        return ticket
+
+
+def tell(instances, now):
+    """Exchange every instance's report with all others."""
+    for sender in instances:
+        for receiver in instances:
+            if receiver is not sender:
+                receiver.ledger.apply(sender.report(now), now)
+
+
+def test_no_place_is_given_out_beyond_the_memory():
+    """Prompts were read for decode runners that had no room for them."""
+    instance = Instance('i1')
+    tickets = [instance.ask(10_000, 0.0) for _ in range(12)]
+    placed = [ticket for ticket in tickets if ticket.row is not None]
+    assert len(placed) == 8
+    assert all(row.tokens <= 50_000 for row in instance.table)
+
+
+def test_places_of_peers_count():
+    """Instances that did not know of each other took the same memory."""
+    first, second = Instance('i1'), Instance('i2')
+    for _ in range(8):
+        assert first.ask(10_000, 0.0).row is not None
+    tell([first, second], 0.0)
+    assert second.ask(10_000, 0.01).row is None
+
+
+def test_only_the_first_instance_takes_a_freed_place():
+    """All instances with waiting requests took a freed place at once."""
+    instances = [Instance(f'i{number}', decode=1) for number in range(4)]
+    holder = instances[0].ask(45_000, 0.0)
+    tell(instances, 0.0)
+    waiting = [
+        instance.ask(20_000, 0.01 * (number + 1))
+        for number, instance in enumerate(instances)
+    ]
+    tell(instances, 0.1)
+    instances[0].places.release(holder)
+    tell(instances, 0.11)
+    for instance in instances:
+        instance.places.admit(0.12)
+    assert [ticket.row is not None for ticket in waiting] == [
+        True,
+        False,
+        False,
+        False,
+    ]
+
+
+def test_a_head_that_is_not_told_again_holds_up_nobody():
+    """An instance that stopped must not block the queue of the others."""
+    dead, alive = Instance('i1', decode=1), Instance('i2', decode=1)
+    holder = alive.ask(45_000, 0.0)
+    dead.ledger.apply(alive.report(0.0), 0.0)
+    dead.ask(20_000, 0.0)
+    ticket = alive.ask(20_000, 0.01)
+    tell([dead, alive], 0.02)
+    alive.places.release(holder)
+    alive.places.admit(0.03)
+    assert ticket.row is None
+    alive.places.admit(1.0)
+    assert ticket.row is not None
+
+
+def test_requests_that_can_be_on_time_go_first():
+    """Serving by age alone makes every answer late under overload."""
+    instance = Instance('i1', decode=1)
+    holder = instance.ask(45_000, 0.0)
+    late = instance.ask(20_000, 0.0, on_time_s=0.1)
+    fresh = instance.ask(40_000, 0.3)
+    instance.places.release(holder)
+    instance.places.admit(0.4)
+    assert fresh.row is not None
+    assert late.row is None
+
+
+def test_urgent_requests_go_first():
+    """Priority 0 is served before work that may wait."""
+    instance = Instance('i1', decode=1)
+    holder = instance.ask(45_000, 0.0)
+    patient = instance.ask(40_000, 0.1, priority=3)
+    urgent = instance.ask(40_000, 0.2, priority=0)
+    instance.places.release(holder)
+    instance.places.admit(0.3)
+    assert (patient.row, urgent.row is not None) == (None, True)
+
+
+def test_large_requests_are_not_passed_by_small_ones():
+    """The largest tenth of requests was starved by smaller ones."""
+    instance = Instance('i1', decode=1)
+    instance.ask(30_000, 0.0)
+    large = instance.ask(40_000, 0.1)
+    small = instance.ask(1_000, 0.2)
+    assert (large.row, small.row) == (None, None)
+
+
+def test_a_request_larger_than_memory_gets_an_empty_runner():
+    """A prompt that never fits must not wait for ever."""
+    assert Instance('i1').ask(90_000, 0.0).row is not None
+
+
+def test_expected_wait_grows_with_the_queue():
+    """A request that cannot be served in time is refused at once."""
+    instance = Instance('i1', decode=1)
+    instance.ask(45_000, 0.0)
+    waits = []
+    for number in range(3):
+        ticket = instance.ask(20_000, 0.01 * number)
+        waits.append(instance.places.expected_wait_s(ticket, 0.05))
+    assert waits == sorted(waits)
+    assert waits[0] > 0.5
+    assert waits[2] > 2.0
+
+
+def test_a_late_request_in_overload_is_not_expected_to_be_served():
+    """Requests were held 2.5 s and refused then."""
+    instance = Instance('i1', decode=1)
+    instance.ask(45_000, 0.0)
+    late = instance.ask(20_000, 0.0, on_time_s=0.1)
+    for number in range(20):
+        instance.ask(10_000, 0.1 * number)
+    assert instance.places.expected_wait_s(late, 2.0) == float('inf')
+
+
+def test_an_instance_without_peers_leaves_them_their_share():
+    """An instance cut off from its peers took all of the memory."""
+    cut_off = Instance('i0')
+    peers = [Instance(f'i{number}') for number in range(1, 7)]
+    for peer in peers:
+        cut_off.ledger.apply(peer.report(0.0), 0.0)
+    tickets = [cut_off.ask(5_000, 5.0) for _ in range(12)]
+    assert sum(ticket.row is not None for ticket in tickets) <= 4
+
+
+def test_an_instance_that_stopped_in_order_is_not_missing():
+    """Places stayed reserved for instances that had ended."""
+    instance, leaver = Instance('i0'), Instance('i1')
+    instance.ledger.apply(leaver.report(0.0, leaving=True), 0.0)
+    assert instance.ledger.missing(5.0) == 0
+    instance.ledger.apply(Instance('i2').report(5.0), 5.0)
+    assert instance.ledger.missing(9.0) == 1
+
+
+def test_nothing_is_given_out_before_peers_were_heard():
+    """After all instances restarted at once each took all of the memory."""
+    instance = Instance('i1')
+    instance.places.open_at(0.3)
+    ticket = instance.ask(1_000, 0.0)
+    assert ticket.row is None
+    instance.places.admit(0.31)
+    assert ticket.row is not None
+
+
+@pytest.mark.parametrize(
+    ('fault', 'expected'),
+    [('observe_failure', 'd1'), ('observe_rejection', 'd1')],
+)
+def test_a_runner_that_failed_is_avoided(fault, expected):
+    """Every request met the runner that was down."""
+    instance = Instance('i1')
+    getattr(instance.table.get(ids.RunnerId('d0')), fault)(0.0)
+    assert instance.ask(1_000, 0.1).row.runner == expected
+
+
+def test_refusals_double_the_pause():
+    """A runner that changed its role was sent 44 requests in vain."""
+    row = runners.Runner(listing('d0'))
+    pauses = []
+    for _ in range(6):
+        row.observe_rejection(10.0)
+        pauses.append(row.full_until - 10.0)
+    assert pauses == [0.25, 0.5, 1.0, 2.0, 3.0, 3.0]
+    row.observe_success(0.1, 20.0)
+    row.observe_rejection(20.0)
+    assert row.full_until == 20.25
+
+
+def test_reports_in_the_wrong_order_are_ignored():
+    """A late datagram must not bring back what has ended."""
+    instance, peer = Instance('i0'), Instance('i1')
+    old = peer.report(0.0)
+    peer.ask(9_000, 0.0)
+    new = peer.report(0.0)
+    assert instance.ledger.apply(new, 0.1)
+    assert not instance.ledger.apply(old, 0.2)
+    assert (
+        sum(
+            instance.ledger.use(row.runner, 0.3).tokens
+            for row in instance.table
+        )
+        == 9_000
+    )
--- /dev/null
+++ b/tests/property/test_routing_roles.py
@@ -0,0 +1,151 @@
+"""Balance between prefill and decode, and who gives orders."""
+
+import pytest
+
+from primrosereel import _ids as ids
+from primrosereel import _states as states
+from primrosereel.routing import _ledger as ledger_module
+from primrosereel.routing import _model as model
+from primrosereel.routing import _roles as roles
+from primrosereel.routing import _runners as runners
+from primrosereel.routing import _split as split
+from tests.property import test_routing_places as places_tests
+
+SERVICE = places_tests.SERVICE
+ENGINE = model.Engine(64, 50_000, 35_000, 740_000, 0.5, 6.0)
+
+
+def fleet(prefill, decode, tokens):
+    """Return a balance over runners that hold ``tokens`` each to decode."""
+    table = runners.RunnerTable()
+    roles_wanted = [states.Role.PREFILL] * prefill
+    roles_wanted += [states.Role.DECODE] * decode
+    for number, role in enumerate(roles_wanted):
+        name = f'{role.value}{number}'
+        table.put(places_tests.listing(name, role, port=1 + number))
+        if role is states.Role.DECODE:
+            row = table.get(ids.RunnerId(name))
+            row.in_flight, row.tokens = tokens // 5_000, tokens
+    return roles.RoleBalance(table, ledger_module.Ledger()), table
+
+
+def switches(balance, seconds, hold_s=3.0, start=0.0):
+    found = []
+    for step in range(int(2 * seconds)):
+        switch = balance.sample(SERVICE, ENGINE, hold_s, start + step / 2)
+        if switch is not None:
+            found.append((start + step / 2, switch))
+    return found
+
+
+@pytest.mark.parametrize(
+    ('prefill', 'decode', 'tokens', 'role'),
+    [
+        (3, 3, 45_000, states.Role.DECODE),
+        (3, 1, 45_000, states.Role.DECODE),
+        (1, 5, 45_000, states.Role.PREFILL),
+        (2, 4, 40_000, None),
+        (1, 1, 45_000, None),
+        (3, 3, 5_000, None),
+    ],
+)
+def test_the_busier_pool_gets_a_runner(prefill, decode, tokens, role):
+    """Decode memory was full while prefill runners were a fifth busy."""
+    balance, _ = fleet(prefill, decode, tokens)
+    found = switches(balance, 10)
+    assert [switch.role for _, switch in found[:1]] == ([role] if role else [])
+
+
+def test_a_moment_of_load_causes_no_switch():
+    """A switch takes a runner out for 6 s; a moment is not worth it."""
+    balance, table = fleet(3, 3, 45_000)
+    assert not switches(balance, 2)
+    for row in table:
+        row.tokens = 0
+    assert not switches(balance, 10, start=2)
+
+
+def test_orders_are_held_apart():
+    """The next order waits for the switch and for its effect."""
+    balance, _ = fleet(3, 1, 45_000)
+    times = [when for when, _ in switches(balance, 40)]
+    assert len(times) >= 2
+    assert all(b - a >= 14.0 for a, b in zip(times, times[1:], strict=False))
+
+
+def test_an_order_is_not_undone_in_a_lull():
+    """A switch back in a lull took a runner out of the next burst."""
+    balance, table = fleet(3, 3, 45_000)
+    (when, switch), *_ = switches(balance, 8)
+    row = table.get(switch.runner)
+    table.put(
+        places_tests.listing(
+            switch.runner, switch.role, row.listing.address.port
+        )
+    )
+    for row in table:
+        row.slowness = 6.0
+    found = switches(balance, 30, start=8)
+    assert not [s for _, s in found if s.role is states.Role.PREFILL]
+
+
+def test_an_order_that_failed_is_given_again_soon():
+    """The runner had crashed; the next order came 14 s later."""
+    balance, _ = fleet(3, 3, 45_000)
+    (when, switch), *_ = switches(balance, 8)
+    balance.order_failed(SERVICE, when)
+    later = switches(balance, 5, start=when)
+    assert later and later[0][0] - when <= 3.0
+
+
+def test_the_lowest_instance_in_sight_leads_after_two_leases():
+    """Orders of two holders must not follow each other within a lease."""
+    first = roles.Leadership(ids.InstanceId('i1'), 3.0)
+    other = frozenset({ids.InstanceId('i2'), ids.InstanceId('i3')})
+    assert not first.update(other, 0.0)
+    assert not first.update(other, 5.9)
+    assert first.update(other, 6.0)
+    second = roles.Leadership(ids.InstanceId('i2'), 3.0)
+    for step in range(20):
+        seen = frozenset({ids.InstanceId('i1'), ids.InstanceId('i3')})
+        assert not second.update(seen, float(step))
+
+
+def test_an_instance_that_sees_few_peers_gives_no_orders():
+    """Both sides of a partition gave orders."""
+    leader = roles.Leadership(ids.InstanceId('i1'), 3.0)
+    peers = frozenset(ids.InstanceId(f'i{n}') for n in range(2, 8))
+    leader.update(peers, 0.0)
+    assert leader.update(peers, 6.0)
+    assert not leader.update(frozenset(), 7.0)
+    assert not leader.update(peers, 8.0)
+    assert leader.update(peers, 14.0)
+
+
+def test_prompts_go_to_the_prefill_runner_that_is_done_first():
+    """Two instances queued their prompts at the same runner."""
+    _, table = fleet(2, 1, 0)
+    ledger = ledger_module.Ledger()
+    plan = split.PrefillPlan(table, ledger, places_tests.ZONE)
+    decode = table.get(ids.RunnerId('decode2'))
+    ledger.apply(
+        ledger_module.PeerReport(
+            ids.InstanceId('i2'),
+            1,
+            1,
+            {ids.RunnerId('prefill0'): ledger_module.Use(1, 9_000)},
+        ),
+        0.0,
+    )
+    assert plan.choose(decode, 5_000, 0.1).runner == 'prefill1'
+
+
+def test_a_decode_runner_reads_when_the_prefill_queue_is_long():
+    """A prompt waited behind others although decode was idle."""
+    _, table = fleet(1, 1, 0)
+    plan = split.PrefillPlan(table, ledger_module.Ledger(), places_tests.ZONE)
+    decode = table.get(ids.RunnerId('decode1'))
+    prefill = table.get(ids.RunnerId('prefill0'))
+    assert plan.choose(decode, 5_000, 0.0) is prefill
+    prefill.tokens = 60_000
+    assert plan.choose(decode, 5_000, 0.0) is None
