--- /dev/null
+++ b/tests/gateway_fleet.py
@@ -0,0 +1,272 @@
+"""A gateway on loopback with stand-ins of the users' store and runners."""
+
+import contextlib
+import socket
+
+import anyio
+import anyio.abc
+import h11
+
+from primrosereel import _ids as ids
+from primrosereel import platform
+from primrosereel.gateway import _composition as composition
+from primrosereel.gateway import _settings as settings
+from primrosereel.routing import _model as model
+from primrosereel.standin import _listed_runner as listed_runner
+from primrosereel.standin import _metadata_store as metadata_store
+
+__all__ = ['Client', 'ListLog', 'Reply', 'fleet']
+
+HOST = 'registry.example'
+KV_TOKENS = 50_000
+
+
+class ListLog:
+    """Keeps log lines."""
+
+    def __init__(self):
+        self.lines = []
+
+    def _line(self, event, **fields):
+        self.lines.append({'event': event} | fields)
+
+    debug = info = warning = error = _line
+
+    def named(self, event):
+        return [line for line in self.lines if line['event'] == event]
+
+
+def configuration(version=1, extra_routes=(), **limits):
+    """Return a configuration as the operators write it."""
+
+    def route(prefix, service, kind, **changes):
+        return {
+            'name': prefix,
+            'host': HOST,
+            'prefix': prefix,
+            'routeType': kind,
+            'timeoutMs': 1000,
+            'targetLatencyMs': 300,
+            'priority': 1,
+            'service': service,
+            'maxAttempts': 2,
+        } | changes
+
+    stream = {
+        'timeoutMs': 4000,
+        'targetLatencyMs': 900,
+        'sticky': True,
+        'gapTargetMs': 100,
+    }
+    return {
+        'version': version,
+        'routes': [
+            route('/read/', 'plain', 'idempotent'),
+            route('/file/', 'plain', 'non_idempotent', maxAttempts=1),
+            route('/ask/', 'llm', 'streaming', resumable=True, **stream),
+            route('/once/', 'llm', 'streaming', resumable=False, **stream),
+            *(route(p, s, k) for p, s, k in extra_routes),
+        ],
+        'services': [
+            {'name': 'plain', 'healthPath': '/health', 'maxConnections': 9},
+            {
+                'name': 'llm',
+                'healthPath': '/health',
+                'maxConnections': 99,
+                'engine': {
+                    'slots': 8,
+                    'kvCacheTokens': KV_TOKENS,
+                    'kvTokenBytes': 35136,
+                    'linkMbps': 740000.0,
+                    'handleTtlS': 0.5,
+                    'stageSwitchS': 6.0,
+                },
+            },
+        ],
+        'limits': {
+            'maxHeaderBytes': 16384,
+            'maxBodyBytes': 100_000,
+            'headerTimeoutMs': 1000,
+            'idleTimeoutMs': 3000,
+        }
+        | limits,
+    }
+
+
+class Reply:
+    """A caller's view of an answer; ``whole`` says that it ended."""
+
+    def __init__(self):
+        self.status = 0
+        self.headers = {}
+        self.body = b''
+        self.whole = False
+
+
+class Client:
+    """One caller's connection."""
+
+    def __init__(self, address):
+        self._address = address
+        self._stream = None
+        self._parser = None
+
+    async def __aenter__(self):
+        self._stream = await anyio.connect_tcp(
+            self._address.host, self._address.port
+        )
+        self._parser = h11.Connection(h11.CLIENT)
+        return self
+
+    async def __aexit__(self, *_):
+        await anyio.aclose_forcefully(self._stream)
+
+    async def send(
+        self, target, request_id, method='GET', body=b'', **headers
+    ):
+        """Send a request; header names have underscores for dashes."""
+        if self._parser.our_state is h11.DONE:
+            self._parser.start_next_cycle()
+        fields = [('Host', HOST), ('Request-Id', request_id)]
+        fields += [
+            (name.replace('_', '-'), str(value))
+            for name, value in headers.items()
+        ]
+        if body:
+            fields.append(('Content-Length', str(len(body))))
+        data = self._parser.send(
+            h11.Request(method=method, target=target, headers=fields)
+        )
+        if body:
+            data += self._parser.send(h11.Data(data=body))
+        data += self._parser.send(h11.EndOfMessage())
+        await self._stream.send(data)
+
+    async def receive(self, until=None):
+        """Return the answer; at ``until`` bytes it is left unfinished."""
+        reply = Reply()
+        while True:
+            event = self._parser.next_event()
+            if event is h11.NEED_DATA:
+                try:
+                    data = await self._stream.receive()
+                except (anyio.EndOfStream, anyio.BrokenResourceError):
+                    data = b''
+                try:
+                    self._parser.receive_data(data)
+                    if not data:
+                        self._parser.next_event()
+                        return reply
+                except h11.RemoteProtocolError:
+                    return reply
+            elif isinstance(event, h11.Response):
+                reply.status = event.status_code
+                reply.headers = {
+                    n.decode(): v.decode() for n, v in event.headers
+                }
+            elif isinstance(event, h11.Data):
+                reply.body += bytes(event.data)
+                if until is not None and until in reply.body:
+                    return reply
+            elif isinstance(event, h11.EndOfMessage):
+                reply.whole = True
+                return reply
+            else:
+                return reply
+
+    async def ask(self, target, request_id, method='GET', body=b'', **headers):
+        """Send a request and return its answer."""
+        await self.send(target, request_id, method, body, **headers)
+        return await self.receive()
+
+
+def _free_port():
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return probe.getsockname()[1]
+
+
+class Fleet:
+    """The parts of one run."""
+
+    def __init__(self, tasks):
+        self.tasks = tasks
+        self.store = metadata_store.MetadataStore()
+        self.runners = {}
+        self.log = ListLog()
+        self.gateway = None
+        self.callers = None
+        self.readiness = None
+
+    def client(self):
+        return Client(self.callers)
+
+    async def ask(self, target, request_id, **headers):
+        """Ask on a connection of its own."""
+        async with self.client() as client:
+            return await client.ask(target, request_id, **headers)
+
+    async def add_runner(self, name, service, stage=None, **options):
+        runner = listed_runner.ListedRunner(
+            listed_runner.RunnerOptions(name, service, stage, **options)
+        )
+        await self.tasks.start(runner.server.serve)
+        self.runners[name] = runner
+        self.list_runner(name)
+        return runner
+
+    def list_runner(self, name, state='ready'):
+        self.store.put(f'servers/{name}', self.runners[name].entry(state))
+
+    async def start(self, **changes):
+        """Start the store and the gateway, and wait until it is ready."""
+        await self.tasks.start(self.store.server.serve)
+        facts = {
+            'instance': ids.InstanceId('i1'),
+            'availability_zone': ids.AvailabilityZone('zone-a'),
+            'callers': model.Address('127.0.0.1', _free_port()),
+            'readiness': model.Address('127.0.0.1', _free_port()),
+            'store': model.Address('127.0.0.1', self.store.server.port),
+            'peer': None,
+            'seeds': (),
+            'file_descriptors': 1024,
+            'drain_limit_s': 2.0,
+            'runner_drain_s': 0.2,
+            'configuration_s': 0.2,
+            'stable_window_s': 1.0,
+            'lease_s': 1.0,
+            'retry_ratio': 0.2,
+            'retry_slack': 50.0,
+            'retry_window_s': 10.0,
+        }
+        made = settings.GatewaySettings(**(facts | changes))
+        self.callers, self.readiness = made.callers, made.readiness
+        self.gateway = composition.Gateway(
+            made, platform.Dialect(), platform.Store, self.log
+        )
+        self.tasks.start_soon(self.gateway.run)
+        await self.wait_for(lambda: self.gateway.ready)
+        # The listeners are open within a moment of the first reading.
+        await self.wait_for(lambda: bool(self.log.named('started')))
+        await anyio.sleep(0.05)
+
+    async def wait_for(self, condition, limit_s=5.0):
+        with anyio.fail_after(limit_s):
+            while not condition():
+                await anyio.sleep(0.01)
+
+
+@contextlib.asynccontextmanager
+async def fleet(**changes):
+    """Run a gateway with a prefill, a decode and two plain runners."""
+    async with anyio.create_task_group() as tasks:
+        made = Fleet(tasks)
+        made.store.put('op/config', configuration())
+        await made.add_runner('p1', 'llm', 'prefill')
+        await made.add_runner('d1', 'llm', 'decode')
+        await made.add_runner('d2', 'llm', 'decode')
+        await made.add_runner('s1', 'plain')
+        await made.add_runner('s2', 'plain')
+        await made.start(**changes)
+        yield made
+        tasks.cancel_scope.cancel()
