Make the gateway's tests fail for the faults they guard against

Cause: mutations showed two tests that passed without the code they guard: a route of one attempt hid a second send, and a silent store answered watches that were waiting. Change: two attempts on the route, and the stand-in answers no waiting watch while it is away.

--- a/primrosereel/standin/_metadata_store.py
+++ b/primrosereel/standin/_metadata_store.py
@@ -95,17 +95,23 @@
         self.calls += 1
         if self.mode is StoreMode.BUSY:
             return raw_http.Answer(503)
-        if self.mode is StoreMode.RESET:
-            raise raw_http.Reset
-        if self.mode is StoreMode.SILENT:
-            raise raw_http.Silence
+        self._fail()
         query = dict(urllib.parse.parse_qsl(request.query))
         if request.path == '/v1/kv-range':
             return self._range(query)
         if request.path == '/v1/kv-watch':
-            return await self._watch(query)
+            answer = await self._watch(query)
+            # A store that went away answers no watch that was waiting.
+            self._fail()
+            return answer
         return raw_http.Answer(404)
 
+    def _fail(self) -> None:
+        if self.mode is StoreMode.RESET:
+            raise raw_http.Reset
+        if self.mode is StoreMode.SILENT:
+            raise raw_http.Silence
+
     def _range(self, query: dict[str, str]) -> raw_http.Answer:
         prefix, after = query.get('prefix', ''), query.get('after', '')
         keys = sorted(
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -62,7 +62,7 @@
         'version': version,
         'routes': [
             route('/read/', 'plain', 'idempotent'),
-            route('/file/', 'plain', 'non_idempotent', maxAttempts=1),
+            route('/file/', 'plain', 'non_idempotent'),
             route('/ask/', 'llm', 'streaming', resumable=True, **stream),
             route('/once/', 'llm', 'streaming', resumable=False, **stream),
             *(route(p, s, k) for p, s, k in extra_routes),
--- a/tests/property/test_gateway.py
+++ b/tests/property/test_gateway.py
@@ -285,6 +285,8 @@
             fleet.store.forget_history()
         else:
             fleet.store.mode = trouble
+            # Waiting watches hear nothing of this change.
+            fleet.store.put('other', {})
             await anyio.sleep(1.0)
             assert (await fleet.ask('/read/1', 'r1')).status == 200
         fleet.store.put(
