Add metrics, reload of settings, and a baseline policy

Change: counters and latency histograms at /metrics (the library that renders them is loaded at the first question), the settings are read again on SIGHUP and when the file changes (a bad file keeps what is in force), the policy is a registry choice.

--- a/primrosereel/_registry.py
+++ b/primrosereel/_registry.py
@@ -45,9 +45,9 @@
         'reserving': 'core._reserving:ReservingPolicy',
         'naive': 'core._placement:NaivePolicy',
     },
-    'runner-placement': {
-        'expected-completion': 'routing._placement:Placement',
-        'random': 'routing._placement:RandomPlacement',
+    'routing-policy': {
+        'expected-completion': 'routing._policies:EXPECTED_COMPLETION',
+        'baseline': 'routing._policies:BASELINE',
     },
 }
 
--- a/primrosereel/cmd/gateway.py
+++ b/primrosereel/cmd/gateway.py
@@ -4,7 +4,9 @@
 """
 
 import argparse
+import pathlib
 import sys
+from typing import Any
 
 import anyio
 from returns import pipeline
@@ -13,6 +15,7 @@
 from primrosereel import platform
 from primrosereel.gateway import _composition as composition
 from primrosereel.gateway import _log as log_module
+from primrosereel.gateway import _settings as settings_module
 from primrosereel.platform import _settings as platform_settings
 
 __all__ = ['main']
@@ -26,14 +29,49 @@
         description="Routes requests on the users' platform.",
     )
     parser.add_argument(
-        '--placement',
-        choices=registry.names('runner-placement'),
-        default=composition.DEFAULT_PLACEMENT,
-        help='how a runner is chosen',
+        '--policy',
+        choices=registry.names('routing-policy'),
+        default=composition.DEFAULT_POLICY,
+        help='how requests are placed',
+    )
+    parser.add_argument(
+        '--metrics-port',
+        type=int,
+        default=0,
+        metavar='PORT',
+        help='port of the metrics at /metrics; 0 for none',
+    )
+    parser.add_argument(
+        '--check', action='store_true', help='check the settings and exit'
     )
     return parser
 
 
+class _Reloader:
+    """Reads the settings again when the file has changed."""
+
+    def __init__(self, path: pathlib.Path, body: bytes, log: Any) -> None:
+        self._path = path
+        self._body = body
+        self._log = log
+
+    def read(self) -> settings_module.GatewaySettings | None:
+        """Return changed settings; None for none, or for bad ones."""
+        try:
+            body = self._path.read_bytes()
+        except OSError as error:
+            self._log.warning('settings not read', detail=str(error))
+            return None
+        if body == self._body:
+            return None
+        self._body = body
+        parsed = platform.read_settings(body)
+        if pipeline.is_successful(parsed):
+            return parsed.unwrap()
+        self._log.error('settings refused', detail=parsed.failure())
+        return None
+
+
 def main(arguments: list[str] | None = None) -> int:
     """Run the gateway; return the exit status."""
     options = _parser().parse_args(arguments)
@@ -48,12 +86,22 @@
         print(f'{path}: {parsed.failure()}', file=sys.stderr)
         return EXIT_SETTINGS
     settings = parsed.unwrap()
+    if options.check:
+        return 0
     log = log_module.configure(
         log_module.BoundedWriter(sys.stdout.fileno()),
         instance=settings.instance,
     )
     gateway = composition.Gateway(
-        settings, platform.Dialect(), platform.Store, log, options.placement
+        settings,
+        platform.Dialect(),
+        platform.Store,
+        log,
+        composition.Options(
+            options.policy,
+            options.metrics_port,
+            _Reloader(path, body, log).read,
+        ),
     )
     anyio.run(gateway.run, backend='asyncio')
     return 0
--- a/primrosereel/gateway/_callers.py
+++ b/primrosereel/gateway/_callers.py
@@ -136,7 +136,7 @@
             await self._receive()
 
     async def _read_body(self) -> bytes:
-        parts = []
+        parts: list[bytes] = []
         size = 0
         while True:
             event = await self._event()
@@ -272,7 +272,7 @@
 
 def end_to_end(headers: http.Headers) -> http.Headers:
     """Return headers without those of one connection and of the framing."""
-    named = set()
+    named: set[bytes] = set()
     for name, value in headers:
         if name.lower() == b'connection':
             named.update(part.strip().lower() for part in value.split(b','))
--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 import math
 import random
 import signal
@@ -12,29 +13,29 @@
 import anyio.abc
 
 from primrosereel import _registry as registry
+from primrosereel.gateway import _callers as callers
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _orders as orders
 from primrosereel.gateway import _peers as peers
 from primrosereel.gateway import _pool as pool_module
 from primrosereel.gateway import _ports as ports
-from primrosereel.gateway import _readiness as readiness
 from primrosereel.gateway import _server as server_module
 from primrosereel.gateway import _settings as settings_module
+from primrosereel.gateway import _status as status
 from primrosereel.gateway import _store_client as store_client
 from primrosereel.gateway import _store_reader as store_reader
-from primrosereel.routing import _decode_places as decode_places
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _model as model
 from primrosereel.routing import _retry_budget as retry_budget
 from primrosereel.routing import _runners as runners
-from primrosereel.routing import _split as split
 
-__all__ = ['Gateway', 'clock']
+__all__ = ['Gateway', 'Options', 'clock']
 
 BACKLOG = 512
 MAINTENANCE_S = 0.5
 RESTART_S = 0.5
-DEFAULT_PLACEMENT = 'expected-completion'
+DEFAULT_POLICY = 'expected-completion'
+METRICS_PATH = b'/metrics'
 # After a stop is asked for, the platform still sends new connections until
 # two checks have failed.
 STOP_ACCEPTING_S = 2.5
@@ -52,6 +53,22 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Options:
+    """What the command line chooses; without a port there are no metrics.
+
+    ``reload`` returns the settings as they are now, or None where they are
+    unchanged or cannot be used.
+    """
+
+    policy: str = DEFAULT_POLICY
+    metrics_port: int = 0
+    reload: Callable[[], settings_module.GatewaySettings | None] = lambda: None
+
+
+DEFAULT_OPTIONS = Options()
+
+
 class Gateway:
     """One process: tables, handlers, listeners and the store's reader."""
 
@@ -61,11 +78,19 @@
         dialect: ports.RequestDialect,
         make_store: Callable[[ports.HttpCall], ports.MetadataStore],
         log: Any,
-        placement: str = DEFAULT_PLACEMENT,
+        options: Options = DEFAULT_OPTIONS,
     ) -> None:
         self._settings = settings
+        self._reload = options.reload
+        self._metrics_at = None
+        if options.metrics_port:
+            self._metrics_at = model.Address(
+                settings.callers.host, options.metrics_port
+            )
         self._log = log
         chance = random.Random()
+        policy = registry.load('routing-policy', options.policy)
+        self._policy = policy
         table = runners.RunnerTable()
         ledger = ledger_module.Ledger()
         zone = settings.availability_zone
@@ -75,16 +100,14 @@
             random=chance,
             dialect=dialect,
             runners=table,
-            placement=registry.load('runner-placement', placement)(
-                table, zone, chance
-            ),
+            placement=policy.plain(table, zone, chance),
             ledger=ledger,
-            places=decode_places.DecodePlaces(table, ledger, zone, chance),
-            prefills=split.PrefillPlan(table, ledger, zone),
+            places=policy.decode(table, ledger, zone, chance),
+            prefills=policy.prefill(table, ledger, zone),
             budget=retry_budget.RetryBudget(
                 retry_budget.BudgetBounds(
-                    settings.retry_ratio,
-                    settings.retry_slack,
+                    settings.retry_ratio * policy.retries,
+                    settings.retry_slack * policy.retries,
                     settings.retry_window_s,
                     1,
                 )
@@ -117,21 +140,22 @@
         """Serve until a stop is asked for and nothing is in progress."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._wait_for_signal)
-            for part in (
-                self._reader.run,
-                self._maintain,
-                self._peers.run,
-                self._orders.run,
-            ):
+            parts = [self._reader.run, self._maintain, self._peers.run]
+            if self._policy.balances_roles:
+                parts.append(self._orders.run)
+            for part in parts:
                 tasks.start_soon(self._supervise, part)
-            check = readiness.ReadinessServer(
-                self._context.dialect.readiness_path,
-                lambda: self.ready,
-                clock,
+            check = status.StatusServer(
+                {self._context.dialect.readiness_path: self._readiness}, clock
             )
             tasks.start_soon(
                 self._listen, self._settings.readiness, check.serve_connection
             )
+            if self._metrics_at is not None:
+                pages = status.StatusServer({METRICS_PATH: self._text}, clock)
+                tasks.start_soon(
+                    self._listen, self._metrics_at, pages.serve_connection
+                )
             async with anyio.create_task_group() as listening:
                 listening.start_soon(
                     self._listen,
@@ -147,6 +171,24 @@
             self._log.info('stopped', active=self._context.active)
             tasks.cancel_scope.cancel()
 
+    def _readiness(self) -> callers.Reply:
+        return callers.Reply(200 if self.ready else 503)
+
+    def _text(self) -> callers.Reply:
+        context = self._context
+        now = clock()
+        metrics = context.metrics
+        metrics.gauge('active_requests', context.active)
+        metrics.gauge('waiting_requests', context.places.waiting)
+        metrics.gauge('runners', len(context.runners))
+        metrics.gauge('peers', context.ledger.instances(now))
+        if context.table is not None:
+            metrics.gauge('configuration_version', context.table.version)
+        body, content_type = metrics.render()
+        return callers.Reply(
+            200, headers=[(b'Content-Type', content_type)], body=body
+        )
+
     async def _listen(
         self,
         address: model.Address,
@@ -170,6 +212,7 @@
             async for number in signals:
                 if number == signal.SIGHUP:
                     self._log.info('reload asked for')
+                    self._take_settings()
                     continue
                 self._log.info('stop asked for', signal=number.name)
                 self._stop_asked.set()
@@ -193,6 +236,23 @@
             await self._reader.settle()
             await self._context.pool.close_old(clock())
             self._share_budget()
+            self._take_settings()
+
+    def _take_settings(self) -> None:
+        """Put changed settings in force; addresses need a new process."""
+        new = self._reload()
+        if new is None or new == self._settings:
+            return
+        kept = ('instance', 'callers', 'readiness', 'peer')
+        changes = {name: getattr(self._settings, name) for name in kept}
+        if any(getattr(new, name) != changes[name] for name in kept):
+            self._log.warning('settings need a new process', kept=kept)
+        new = dataclasses.replace(new, **changes)
+        self._settings = self._context.settings = new
+        self._context.budget.set_bounds(
+            new.retry_ratio, new.retry_slack, new.retry_window_s
+        )
+        self._log.info('settings in force')
 
     def _share_budget(self) -> None:
         """Divide the retry budget by the instances that may share it."""
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -1,6 +1,5 @@
 """What the handlers of requests share; built by the composition root."""
 
-import collections
 from collections.abc import Callable
 import dataclasses
 import random as random_module
@@ -9,6 +8,7 @@
 from primrosereel import _ids as ids
 from primrosereel import _states as states
 from primrosereel.gateway import _callers as callers
+from primrosereel.gateway import _metrics as metrics_module
 from primrosereel.gateway import _pool as pool_module
 from primrosereel.gateway import _ports as ports
 from primrosereel.gateway import _settings as settings
@@ -25,6 +25,8 @@
 
 # More than any engine's memory holds.
 WHOLE_RUNNER_TOKENS = 100_000_000
+# Steps of a request that have a histogram each.
+LATENCY_STEPS = ('queued_s', 'prefill_s', 'first_event_s')
 
 
 @dataclasses.dataclass(slots=True)
@@ -54,8 +56,8 @@
     )
     # Called when the own use of the engines changed.
     uses_changed: Callable[[], None] = lambda: None
-    counters: collections.Counter[str] = dataclasses.field(
-        default_factory=collections.Counter
+    metrics: metrics_module.Metrics = dataclasses.field(
+        default_factory=metrics_module.Metrics
     )
 
     def engine_uses(self) -> list[tuple[str, int, int]]:
@@ -63,7 +65,7 @@
 
         A runner that was ordered to change its role counts as full.
         """
-        uses = []
+        uses: list[tuple[str, int, int]] = []
         for row in self.runners:
             if row.listing.role is states.Role.PLAIN:
                 continue
@@ -94,7 +96,7 @@
 
     def count(self, name: str) -> None:
         """Increment a counter."""
-        self.counters[name] += 1
+        self.metrics.count(name)
 
 
 @dataclasses.dataclass(slots=True)
@@ -120,6 +122,13 @@
         """Log and count an answer that came from a runner."""
         context = self.context
         context.count('served')
+        seconds = context.clock() - self.request.received_at
+        kind = self.route.kind.value
+        context.metrics.observe(f'served_{kind}_seconds', seconds)
+        for step in LATENCY_STEPS:
+            if step in self.steps:
+                name = step.removesuffix('_s') + '_seconds'
+                context.metrics.observe(name, self.steps[step])
         context.log.info(
             'served',
             request=self.facts.request_id,
@@ -127,7 +136,7 @@
             runner=runner,
             status=status,
             attempts=self.attempts,
-            seconds=round(context.clock() - self.request.received_at, 4),
+            seconds=round(seconds, 4),
             **self.steps,
         )
 
--- /dev/null
+++ b/primrosereel/gateway/_metrics.py
@@ -0,0 +1,118 @@
+"""Counters and latency histograms, rendered when they are asked for.
+
+The library that renders them is loaded at the first question, as it takes
+more memory than all the counters.
+"""
+
+import bisect
+import collections
+from collections.abc import Iterator
+
+__all__ = ['BUCKETS_S', 'Histogram', 'Metrics']
+
+PREFIX = 'primrosereel_'
+BUCKETS_S = (
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.2,
+    0.4,
+    0.9,
+    2.0,
+    5.0,
+    15.0,
+)
+
+
+class Histogram:
+    """Durations by bucket; the last count is of those above all bounds."""
+
+    def __init__(self) -> None:
+        self._counts = [0] * (len(BUCKETS_S) + 1)
+        self._sum = 0.0
+
+    def observe(self, seconds: float) -> None:
+        """Count a duration."""
+        self._counts[bisect.bisect_left(BUCKETS_S, seconds)] += 1
+        self._sum += seconds
+
+    @property
+    def total_s(self) -> float:
+        """The sum of all durations."""
+        return self._sum
+
+    def cumulative(self) -> list[tuple[str, int]]:
+        """Return upper bounds and how many durations are below each."""
+        rows = []
+        count = 0
+        for bound, number in zip(
+            (*map(str, BUCKETS_S), '+Inf'), self._counts, strict=True
+        ):
+            count += number
+            rows.append((bound, count))
+        return rows
+
+
+class Metrics:
+    """All counters, gauges and histograms of a process."""
+
+    def __init__(self) -> None:
+        self._counters: collections.Counter[str] = collections.Counter()
+        self._gauges: dict[str, float] = {}
+        self._histograms: dict[str, Histogram] = {}
+
+    @property
+    def counters(self) -> dict[str, int]:
+        """The counters by name."""
+        return dict(self._counters)
+
+    def count(self, name: str) -> None:
+        """Increment a counter; a dot parts its name from a reason."""
+        self._counters[name] += 1
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        self._gauges[name] = value
+
+    def observe(self, name: str, seconds: float) -> None:
+        """Count a duration."""
+        self._histograms.setdefault(name, Histogram()).observe(seconds)
+
+    def render(self) -> tuple[bytes, bytes]:
+        """Return the text of all metrics and its content type."""
+        import prometheus_client
+
+        registry = prometheus_client.CollectorRegistry()
+        registry.register(self)  # type: ignore[arg-type]
+        text = prometheus_client.generate_latest(registry)
+        return text, prometheus_client.CONTENT_TYPE_LATEST.encode()
+
+    def describe(self) -> list[object]:
+        """Return nothing: names are only known when metrics are collected."""
+        return []
+
+    def collect(self) -> Iterator[object]:
+        """Yield the metrics as the library's families."""
+        from prometheus_client import core
+
+        families: dict[str, core.CounterMetricFamily] = {}
+        for key, value in sorted(self._counters.items()):
+            name, _, reason = key.partition('.')
+            family = families.get(name)
+            if family is None:
+                family = families[name] = core.CounterMetricFamily(
+                    PREFIX + name, name, labels=['reason']
+                )
+            family.add_metric([reason], value)
+        yield from families.values()
+        for name, level in sorted(self._gauges.items()):
+            yield core.GaugeMetricFamily(PREFIX + name, name, value=level)
+        for name, histogram in sorted(self._histograms.items()):
+            yield core.HistogramMetricFamily(
+                PREFIX + name,
+                name,
+                buckets=histogram.cumulative(),
+                sum_value=histogram.total_s,
+            )
--- a/primrosereel/gateway/_readiness.py
+++ b/primrosereel/gateway/_status.py
@@ -1,26 +1,25 @@
-"""Answers the platform's readiness check."""
+"""Small pages for the platform and for operators: readiness and metrics."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 
 import anyio.abc
 
 from primrosereel.gateway import _callers as callers
 from primrosereel.routing import _model as model
 
-__all__ = ['ReadinessServer']
+__all__ = ['StatusServer']
 
+Page = Callable[[], callers.Reply]
 
-class ReadinessServer:
-    """Answers 200 while the instance can serve, else 503."""
+
+class StatusServer:
+    """Answers GET requests for the pages it was given."""
 
     def __init__(
-        self,
-        path: bytes,
-        ready: Callable[[], bool],
-        clock: Callable[[], float],
+        self, pages: Mapping[bytes, Page], clock: Callable[[], float]
     ) -> None:
-        self._path = path
-        self._ready = ready
+        self._pages = pages
         self._clock = clock
 
     async def serve_connection(self, stream: anyio.abc.SocketStream) -> None:
@@ -42,6 +41,5 @@
             await connection.close()
 
     def _answer(self, request: callers.CallerRequest) -> callers.Reply:
-        if request.target.partition(b'?')[0] != self._path:
-            return callers.Reply(404)
-        return callers.Reply(200 if self._ready() else 503)
+        page = self._pages.get(request.target.partition(b'?')[0])
+        return callers.Reply(404) if page is None else page()
--- a/primrosereel/gateway/_store_reader.py
+++ b/primrosereel/gateway/_store_reader.py
@@ -36,15 +36,21 @@
         self._context = context
         self._store = store
         self._list = runner_list.RunnerList(context.runners)
-        settings = context.settings
-        self._pause_s = PAUSE_SHARE * min(
-            settings.runner_drain_s, settings.configuration_s
-        )
-        self._wait_s = WAIT_SHARE * settings.stable_window_s
         self._revision = 0
         self._backoff_s = FIRST_BACKOFF_S
         self._available = True
 
+    @property
+    def _pause_s(self) -> float:
+        settings = self._context.settings
+        return PAUSE_SHARE * min(
+            settings.runner_drain_s, settings.configuration_s
+        )
+
+    @property
+    def _wait_s(self) -> float:
+        return WAIT_SHARE * self._context.settings.stable_window_s
+
     @property
     def synchronized(self) -> bool:
         """Whether the store has been read since the start."""
--- a/primrosereel/routing/_placement.py
+++ b/primrosereel/routing/_placement.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Collection
 import random as random_module
+from typing import Protocol
 
 from primrosereel import _ids as ids
 from primrosereel import _states as states
@@ -24,8 +25,13 @@
 TIE_SPREAD = 0.05
 
 
-class PlacementPolicy:
-    """The interface of placement policies in the registry."""
+class PlacementPolicy(Protocol):
+    """Chooses the runner of a plain call."""
+
+    def set_services(
+        self, services: dict[ids.ServiceId, model.Service]
+    ) -> None:
+        """Take the capacities of a new configuration."""
 
     def choose(
         self,
@@ -35,10 +41,9 @@
         now: float,
     ) -> runners.Runner | None:
         """Return the runner for a request; None where none is left."""
-        raise NotImplementedError
 
 
-class Placement(PlacementPolicy):
+class Placement:
     """Shortest expected completion among the ready runners."""
 
     def __init__(
@@ -114,7 +119,7 @@
         return max(busy, 4 * tokens / engine.kv_tokens)
 
 
-class RandomPlacement(PlacementPolicy):
+class RandomPlacement:
     """A random ready runner: the baseline that scores are set beside."""
 
     def __init__(
--- /dev/null
+++ b/primrosereel/routing/_policies.py
@@ -0,0 +1,56 @@
+"""The routing policies by name: what the product does, and a baseline."""
+
+from typing import Any
+from typing import NamedTuple
+
+from primrosereel import _states as states
+from primrosereel.routing import _decode_places as decode_places
+from primrosereel.routing import _placement as placement
+from primrosereel.routing import _runners as runners
+from primrosereel.routing import _split as split
+
+__all__ = ['BASELINE', 'EXPECTED_COMPLETION', 'Policy']
+
+
+class Policy(NamedTuple):
+    """The classes that place work, and the share of retries allowed."""
+
+    plain: Any
+    decode: Any
+    prefill: Any
+    retries: float = 1.0
+    balances_roles: bool = True
+
+
+class RandomDecodePlaces(decode_places.DecodePlaces):
+    """A random ready decode runner at once, without regard to memory."""
+
+    def choose(
+        self, ticket: decode_places.Ticket, now: float
+    ) -> runners.Runner | None:
+        """Return any ready runner."""
+        ready = self._table.ready(ticket.service, states.Role.DECODE)
+        rows = [row for row in ready if row.runner not in ticket.excluded]
+        return self._random.choice(rows) if rows else None
+
+
+class NoPrefillPlan(split.PrefillPlan):
+    """Every decode runner reads its prompts itself."""
+
+    def choose(
+        self, decode: runners.Runner, tokens: int, now: float
+    ) -> runners.Runner | None:
+        """Return no prefill runner."""
+        return None
+
+
+EXPECTED_COMPLETION = Policy(
+    placement.Placement, decode_places.DecodePlaces, split.PrefillPlan
+)
+BASELINE = Policy(
+    placement.RandomPlacement,
+    RandomDecodePlaces,
+    NoPrefillPlan,
+    retries=0.0,
+    balances_roles=False,
+)
--- a/primrosereel/routing/_retry_budget.py
+++ b/primrosereel/routing/_retry_budget.py
@@ -53,6 +53,12 @@
             self._bounds, instances=max(1, instances)
         )
 
+    def set_bounds(self, ratio: float, slack: float, window_s: float) -> None:
+        """Put other bounds in force; what was spent still counts."""
+        self._bounds = dataclasses.replace(
+            self._bounds, ratio=ratio, slack=slack, window_s=window_s
+        )
+
     def request(self, service: ids.ServiceId, now: float) -> None:
         """Count a caller's request."""
         self._window(self._requests, service, now).append(now)
--- a/primrosereel/routing/_table.py
+++ b/primrosereel/routing/_table.py
@@ -54,7 +54,7 @@
         name = host.lower()
         routes = self._by_host.get(name)
         if routes is None:
-            routes = self._by_host.get(name.partition(':')[0], ())
+            routes = self._by_host.get(name.partition(':')[0], [])
         for route in routes:
             if path.startswith(route.prefix):
                 return route
