Explain requests from logs; demonstrate the gateway; fuzz the adapter

Cause: an id could only be followed by asking a daemon, and make demo and make test did not prove the adapter.

--- a/primrosereel/cmd/_demo.py
+++ b/primrosereel/cmd/_demo.py
@@ -3,6 +3,7 @@
 import argparse
 
 from primrosereel.bench import _demo as demo
+from primrosereel.bench import _gateway_demo as gateway_demo
 from primrosereel.cmd import _command as command
 
 __all__ = ['DemoCommand']
@@ -21,10 +22,18 @@
         command.add_json(parser)
 
     def run(self, options: argparse.Namespace) -> int:
-        """Run; 1 when a request was lost or the call ran twice."""
+        """Run; 1 when a request was lost or a call ran twice."""
         report = demo.run()
+        report['users_platform'] = platform = gateway_demo.run()
         command.print_result(report, options.json)
         completions = report['completions']
         whole = completions['answered'] == completions['asked']
         once = report['certification']['executed'] == 1
-        return 0 if whole and once else 1
+        served = platform['generations']
+        filings = platform['filings']
+        sound = (
+            served['whole'] == served['asked']
+            and filings['executed'] == filings['filed'] == filings['asked']
+            and platform['stop'] == {'stream_whole': True, 'exit_status': 0}
+        )
+        return 0 if whole and once and sound else 1
--- /dev/null
+++ b/primrosereel/cmd/_log_story.py
@@ -0,0 +1,51 @@
+"""Tells one request's story from the logs of several processes."""
+
+from collections.abc import Iterable
+import json
+import pathlib
+from typing import Any
+
+__all__ = ['read_logs', 'story', 'tell']
+
+# Fields that every line has, or that tell nothing of the request.
+COMMON = frozenset(
+    {'event', 'level', 'timestamp', 'instance', 'request', 'exc_info'}
+)
+
+
+def read_logs(paths: Iterable[pathlib.Path]) -> list[dict[str, Any]]:
+    """Return the JSON lines of files; what is no JSON object is skipped.
+
+    A prefix before the object, such as a collector's, is left out.
+    """
+    lines = []
+    for path in paths:
+        with path.open(errors='replace') as file:
+            for text in file:
+                start = text.find('{')
+                try:
+                    line = json.loads(text[start:]) if start >= 0 else None
+                except ValueError:
+                    continue
+                if isinstance(line, dict) and 'event' in line:
+                    lines.append(line)
+    return lines
+
+
+def story(
+    lines: Iterable[dict[str, Any]], request_id: str
+) -> list[dict[str, Any]]:
+    """Return the lines of one request, in the order of their times."""
+    found = [line for line in lines if line.get('request') == request_id]
+    return sorted(found, key=lambda line: str(line.get('timestamp', '')))
+
+
+def tell(line: dict[str, Any]) -> str:
+    """Return a log line as a person reads it."""
+    facts = ', '.join(
+        f'{name} {value}'
+        for name, value in line.items()
+        if name not in COMMON and value not in (None, '')
+    )
+    when = line.get('timestamp', '')
+    return f'{when} {line.get("instance", "-")}: {line["event"]}: {facts}'
--- a/primrosereel/cmd/_remote.py
+++ b/primrosereel/cmd/_remote.py
@@ -2,12 +2,14 @@
 
 import argparse
 import os
+import pathlib
 import sys
 from typing import Any
 
 import httpx
 
 from primrosereel.cmd import _command as command
+from primrosereel.cmd import _log_story as log_story
 
 __all__ = ['DrainCommand', 'ExplainCommand', 'StatusCommand']
 
@@ -15,10 +17,12 @@
 TIMEOUT_S = 5.0
 
 
-def _add_arguments(parser: argparse.ArgumentParser) -> None:
+def _add_arguments(
+    parser: argparse.ArgumentParser, required: bool = True
+) -> None:
     parser.add_argument(
         '--operators',
-        required=True,
+        required=required,
         metavar='URL',
         help="the daemon's operators' port, such as http://127.0.0.1:18001",
     )
@@ -68,12 +72,38 @@
     def add_arguments(self, parser: argparse.ArgumentParser) -> None:
         """Declare the command's options."""
         parser.add_argument('request_id', metavar='REQUEST-ID')
-        _add_arguments(parser)
+        parser.add_argument(
+            '--log',
+            action='append',
+            type=pathlib.Path,
+            metavar='FILE',
+            help='read logs instead of asking a daemon; may be repeated',
+        )
+        _add_arguments(parser, required=False)
 
     def run(self, options: argparse.Namespace) -> int:
-        """Run; 1 when the daemon does not know the request."""
+        """Run; 1 when the request is not known."""
+        if options.log:
+            return self._from_logs(options)
+        if not options.operators:
+            print('either --log or --operators is needed', file=sys.stderr)
+            return 2
         return _ask(options, 'GET', f'/explain/{options.request_id}')
 
+    def _from_logs(self, options: argparse.Namespace) -> int:
+        try:
+            lines = log_story.read_logs(options.log)
+        except OSError as error:
+            print(error, file=sys.stderr)
+            return 1
+        found = log_story.story(lines, options.request_id)
+        if options.json:
+            command.print_result(found, True)
+        else:
+            for line in found:
+                print(log_story.tell(line))
+        return 0 if found else 1
+
 
 class DrainCommand:
     """Stops a daemon gracefully."""
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -89,6 +89,7 @@
                 return await self._run()
         except Ended as ended:
             if self._begun:
+                self._note_cut('the stream broke off')
                 return False
             await self._caller.reply(ended.reply)
             return True
@@ -157,11 +158,22 @@
     async def _out_of_time(self) -> bool:
         if self._begun:
             self._exchange.failure(Reason.UPSTREAM_TIMEOUT, 0)
+            self._note_cut('the time is over')
             return False
         reply = self._exchange.failure(Reason.UPSTREAM_TIMEOUT, 504)
         await self._caller.reply(reply)
         return True
 
+    def _note_cut(self, why: str) -> None:
+        self._context.count('streams.cut')
+        self._context.log.info(
+            'stream cut',
+            request=self._exchange.facts.request_id,
+            detail=why,
+            events=self._progress.events,
+            attempts=self._exchange.attempts,
+        )
+
     async def _read_prompt(self) -> None:
         """Have a prefill runner read the prompt where that is sooner."""
         exchange = self._exchange
--- a/primrosereel/platform/_dialect.py
+++ b/primrosereel/platform/_dialect.py
@@ -121,7 +121,7 @@
             answer = msgspec.json.decode(body, type=_PrefillBody)
         except (msgspec.DecodeError, UnicodeDecodeError):
             return None
-        if not answer.kv_handle.isalnum():
+        if not (answer.kv_handle.isascii() and answer.kv_handle.isalnum()):
             return None
         return model.PrefillResult(
             f'{address}/{answer.kv_handle}', answer.tokens
--- /dev/null
+++ b/primrosereel/standin/_operator_config.py
@@ -0,0 +1,75 @@
+"""A configuration as the users' operators write it into their store."""
+
+from collections.abc import Iterable
+from typing import Any
+
+__all__ = ['HOST', 'configuration']
+
+HOST = 'registry.example'
+KV_TOKENS = 50_000
+
+
+def configuration(
+    version: int = 1,
+    extra_routes: Iterable[tuple[str, str, str]] = (),
+    **limits: int,
+) -> dict[str, Any]:
+    """Return a configuration with plain and streaming routes.
+
+    ``extra_routes`` are prefix, service and type of more routes.
+    """
+
+    def route(
+        prefix: str, service: str, kind: str, **changes: Any
+    ) -> dict[str, Any]:
+        return {
+            'name': prefix,
+            'host': HOST,
+            'prefix': prefix,
+            'routeType': kind,
+            'timeoutMs': 1000,
+            'targetLatencyMs': 300,
+            'priority': 1,
+            'service': service,
+            'maxAttempts': 2,
+        } | changes
+
+    stream: dict[str, Any] = {
+        'timeoutMs': 4000,
+        'targetLatencyMs': 900,
+        'sticky': True,
+        'gapTargetMs': 100,
+    }
+    return {
+        'version': version,
+        'routes': [
+            route('/read/', 'plain', 'idempotent'),
+            route('/file/', 'plain', 'non_idempotent'),
+            route('/ask/', 'llm', 'streaming', resumable=True, **stream),
+            route('/once/', 'llm', 'streaming', resumable=False, **stream),
+            *(route(p, s, k) for p, s, k in extra_routes),
+        ],
+        'services': [
+            {'name': 'plain', 'healthPath': '/health', 'maxConnections': 9},
+            {
+                'name': 'llm',
+                'healthPath': '/health',
+                'maxConnections': 99,
+                'engine': {
+                    'slots': 8,
+                    'kvCacheTokens': KV_TOKENS,
+                    'kvTokenBytes': 35136,
+                    'linkMbps': 740000.0,
+                    'handleTtlS': 0.5,
+                    'stageSwitchS': 6.0,
+                },
+            },
+        ],
+        'limits': {
+            'maxHeaderBytes': 16384,
+            'maxBodyBytes': 100_000,
+            'headerTimeoutMs': 1000,
+            'idleTimeoutMs': 3000,
+        }
+        | limits,
+    }
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -14,11 +14,12 @@
 from primrosereel.routing import _model as model
 from primrosereel.standin import _listed_runner as listed_runner
 from primrosereel.standin import _metadata_store as metadata_store
+from primrosereel.standin import _operator_config as operator_config
 
-__all__ = ['Client', 'ListLog', 'Reply', 'fleet']
+__all__ = ['Client', 'ListLog', 'Reply', 'configuration', 'fleet']
 
-HOST = 'registry.example'
-KV_TOKENS = 50_000
+HOST = operator_config.HOST
+configuration = operator_config.configuration
 
 
 class ListLog:
@@ -36,63 +37,6 @@
         return [line for line in self.lines if line['event'] == event]
 
 
-def configuration(version=1, extra_routes=(), **limits):
-    """Return a configuration as the operators write it."""
-
-    def route(prefix, service, kind, **changes):
-        return {
-            'name': prefix,
-            'host': HOST,
-            'prefix': prefix,
-            'routeType': kind,
-            'timeoutMs': 1000,
-            'targetLatencyMs': 300,
-            'priority': 1,
-            'service': service,
-            'maxAttempts': 2,
-        } | changes
-
-    stream = {
-        'timeoutMs': 4000,
-        'targetLatencyMs': 900,
-        'sticky': True,
-        'gapTargetMs': 100,
-    }
-    return {
-        'version': version,
-        'routes': [
-            route('/read/', 'plain', 'idempotent'),
-            route('/file/', 'plain', 'non_idempotent'),
-            route('/ask/', 'llm', 'streaming', resumable=True, **stream),
-            route('/once/', 'llm', 'streaming', resumable=False, **stream),
-            *(route(p, s, k) for p, s, k in extra_routes),
-        ],
-        'services': [
-            {'name': 'plain', 'healthPath': '/health', 'maxConnections': 9},
-            {
-                'name': 'llm',
-                'healthPath': '/health',
-                'maxConnections': 99,
-                'engine': {
-                    'slots': 8,
-                    'kvCacheTokens': KV_TOKENS,
-                    'kvTokenBytes': 35136,
-                    'linkMbps': 740000.0,
-                    'handleTtlS': 0.5,
-                    'stageSwitchS': 6.0,
-                },
-            },
-        ],
-        'limits': {
-            'maxHeaderBytes': 16384,
-            'maxBodyBytes': 100_000,
-            'headerTimeoutMs': 1000,
-            'idleTimeoutMs': 3000,
-        }
-        | limits,
-    }
-
-
 class Reply:
     """A caller's view of an answer; ``whole`` says that it ended."""
 
--- /dev/null
+++ b/tests/property/test_fuzz_platform.py
@@ -0,0 +1,243 @@
+"""What the adapter decodes: nothing crashes, nothing is invented."""
+
+import base64
+import os
+
+import anyio
+from hypothesis import given
+from hypothesis import strategies as st
+import msgspec
+import pytest
+from returns import pipeline
+
+from primrosereel import platform
+from primrosereel.gateway import _log as log_module
+from primrosereel.gateway import _metrics as metrics_module
+from primrosereel.gateway import _ports as ports
+from primrosereel.platform import _store as store_module
+from primrosereel.routing import _model as model
+
+SETTINGS = b"""
+nodeName = "n1"
+zone = "a"
+ip = "127.0.0.1"
+internalPortRange = [7000, 7015]
+seeds = ["127.0.0.2:8000"]
+unknown = 1
+[listen]
+frontend = "127.0.0.1:1001"
+ready = "127.0.0.1:1002"
+[bounds]
+drainMs = 1500
+graceS = 6
+[platform]
+address = "127.0.0.1:1003"
+"""
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(), inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+HEADER_VALUES = st.binary(max_size=40)
+
+
+def test_settings_are_decoded_into_our_units():
+    """Bounds come from the settings, never from a site."""
+    settings = platform.read_settings(SETTINGS).unwrap()
+    assert settings.runner_drain_s == 1.5
+    assert settings.drain_limit_s == 6
+    assert settings.peer == model.Address('127.0.0.1', 7000)
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'named'),
+    [
+        (b'zone = "a"', b'zone = 3', 'zone'),
+        (b'frontend = "127.0.0.1:1001"', b'frontend = "127.0.0.1"', 'PORT'),
+        (b'[platform]', b'[other]', 'platform'),
+        (b'graceS = 6', b'graceS = "six"', 'graceS'),
+        (b'nodeName = "n1"', b'nodeName = ', 'line'),
+    ],
+)
+def test_faults_of_settings_name_the_field(old, new, named):
+    """An operator must see what is wrong with a file."""
+    parsed = platform.read_settings(SETTINGS.replace(old, new))
+    assert not pipeline.is_successful(parsed)
+    assert named in parsed.failure()
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_as_settings_are_refused_or_read(body):
+    """A torn settings file must not end the process on a reload."""
+    parsed = platform.read_settings(body + SETTINGS[len(body) :])
+    assert pipeline.is_successful(parsed) or parsed.failure()
+
+
+def read(items, status=200):
+    """Read a store that holds items, as raw JSON values."""
+
+    async def call(method, target, limit, wait_s):
+        del method, limit, wait_s
+        page = {'items': [], 'hasMore': False, 'at': 7}
+        if b'servers' in target:
+            page['items'] = items
+        return status, msgspec.json.encode(page)
+
+    async def main():
+        return await platform.Store(call).read()
+
+    return anyio.run(main)
+
+
+ENTRY = {
+    'service': 's',
+    'address': '127.0.0.1:80',
+    'zone': 'a',
+    'version': 'v1',
+    'slots': 4,
+    'state': 'ready',
+    'coldRemainingMs': 0,
+    'stage': 'decode',
+    'sequence': 3,
+    'born': 1_700_000_000_000,
+}
+
+
+def item(value):
+    if not isinstance(value, bytes):
+        value = msgspec.json.encode(value)
+    encoded = base64.b64encode(value).decode()
+    return {'key': 'servers/r1', 'value': encoded, 'revision': 3}
+
+
+def test_a_sound_entry_is_read():
+    """The checks below must not pass because nothing is ever read."""
+    (change,) = read([item(ENTRY)]).changes
+    assert change.runner.listing.address.port == 80
+
+
+@given(st.sampled_from(sorted(ENTRY)), JSON_VALUES)
+def test_an_entry_with_a_spoiled_field_names_a_runner_only_if_sound(
+    field, value
+):
+    """An entry of another writer must name no runner to use."""
+    (change,) = read([item(ENTRY | {field: value})]).changes
+    if change.runner.listing is None:
+        assert change.fault
+        return
+    assert change.runner.listing.slots >= 1
+    assert 0 < change.runner.listing.address.port < 65536
+
+
+@given(st.binary(max_size=80))
+def test_bytes_that_cannot_be_read_name_no_runner(value):
+    """Torn entries must not stop the reading of others."""
+    (change, sound) = read([item(value), item(ENTRY)]).changes
+    assert change.runner.listing is None
+    assert sound.runner.listing is not None
+
+
+@pytest.mark.parametrize('value', ['$$$', 'AAA', 7, None])
+def test_values_that_are_not_base64_name_no_runner(value):
+    """A value of another type made the whole page unreadable."""
+    spoiled = {'key': 'servers/r1', 'value': value, 'revision': 3}
+    try:
+        changes = read([spoiled, item(ENTRY)]).changes
+    except ports.StoreUnavailable:
+        assert value == 7
+        return
+    assert changes[0].runner.listing is None
+
+
+@pytest.mark.parametrize('status', [429, 500, 503])
+def test_refused_calls_are_store_errors(status):
+    """A refusal must not be taken for an empty store."""
+    with pytest.raises(ports.StoreUnavailable):
+        read([], status)
+
+
+@given(
+    st.dictionaries(
+        st.sampled_from(
+            [
+                b'Request-Id',
+                b'Deadline-Ms',
+                b'Token-Usage',
+                b'Last-Event-Id',
+                b'Length-Hint',
+                b'Instance-Load',
+                b'Not-Executed',
+                b'Content-Encoding',
+            ]
+        ),
+        HEADER_VALUES,
+    )
+)
+def test_any_header_values_are_decoded(headers):
+    """A caller's or runner's odd header must not fail the request."""
+    dialect = platform.Dialect()
+    facts = dialect.request_facts(list(headers.items()))
+    assert facts.deadline_s is None or facts.deadline_s >= 0
+    assert facts.prompt_tokens >= 0
+    answer = dialect.answer_facts(200, list(headers.items()))
+    assert answer.not_run == (b'Not-Executed' in headers)
+    assert answer.load is None or answer.load.slots >= 0
+
+
+@given(
+    st.binary(max_size=60)
+    | JSON_VALUES.map(lambda value: repr(value).encode())
+)
+def test_a_handle_is_only_taken_from_a_sound_answer(body):
+    """A spoiled answer must not become a header of another request."""
+    address = model.Address('127.0.0.1', 80)
+    found = platform.Dialect().prefill_result(address, body)
+    assert found is None or found.handle.startswith('127.0.0.1:80/')
+
+
+@given(st.integers(0, 2**60), st.binary(max_size=64))
+def test_watch_answers_that_cannot_be_read_are_errors(revision, body):
+    """A torn answer must not move the revision on."""
+
+    async def call(method, target, limit, wait_s):
+        del method, target, limit, wait_s
+        return 200, body
+
+    async def main():
+        await store_module.Store(call).watch(revision, 0.1)
+
+    with pytest.raises(ports.StoreUnavailable):
+        anyio.run(main)
+
+
+def test_a_reader_that_does_not_read_holds_up_nothing():
+    """Logs to a full pipe blocked the process."""
+    reading, writing = os.pipe()
+    writer = log_module.BoundedWriter(writing)
+    for number in range(20_000):
+        writer.msg(f'{{"event": "line {number}"}}' + 'x' * 60)
+    assert writer.dropped > 0
+    received = 0
+    while received < 400_000:
+        received += len(os.read(reading, 65536))
+        writer.msg('{"event": "more"}')
+        if writer.dropped == 0:
+            break
+    os.close(reading)
+    os.close(writing)
+    assert writer.dropped == 0
+
+
+def test_metrics_are_rendered_as_text():
+    """Counters by reason and histograms with all their buckets."""
+    metrics = metrics_module.Metrics()
+    metrics.count('refused.no_capacity')
+    metrics.observe('prefill_seconds', 0.3)
+    metrics.gauge('runners', 4)
+    text = metrics.render()[0].decode()
+    assert 'primrosereel_refused_total{reason="no_capacity"} 1.0' in text
+    assert 'primrosereel_prefill_seconds_bucket{le="0.4"} 1.0' in text
+    assert 'primrosereel_runners 4.0' in text
--- a/tests/property/test_operations_page.py
+++ b/tests/property/test_operations_page.py
@@ -8,13 +8,13 @@
 from primrosereel import _states as states
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-PAGE = (ROOT / 'docs' / 'operations.md').read_text()
+PAGE = (ROOT / 'docs' / 'OPERATIONS.md').read_text()
 COUNTER = re.compile(r"\.count\(\s*'([a-z_.]+)'")
 
 
 def _counters():
     found = set()
-    for folder in ('core', 'daemon'):
+    for folder in ('core', 'daemon', 'gateway'):
         for path in (ROOT / 'primrosereel' / folder).glob('*.py'):
             found.update(COUNTER.findall(path.read_text()))
     return sorted(found)
--- /dev/null
+++ b/tests/property/test_request_stories.py
@@ -0,0 +1,96 @@
+"""The operations page's three failed requests, played and explained."""
+
+import json
+import pathlib
+
+import anyio
+import pytest
+
+from primrosereel.cmd import tool
+from primrosereel.standin import _listed_runner as listed_runner
+from tests import gateway_fleet
+
+Fault = listed_runner.Fault
+PAGE = pathlib.Path(__file__).resolve().parents[2] / 'docs' / 'OPERATIONS.md'
+STREAM = {'method': 'POST', 'Token_Usage': '45000,10', 'Deadline_Ms': 4000}
+
+
+async def no_capacity(fleet):
+    for name in ('d1', 'd2'):
+        row = fleet.gateway._context.runners.get(name)
+        row.tokens, row.in_flight = 49_000, 7
+    reply = await fleet.ask('/once/1', 'r1', **STREAM)
+    assert reply.status == 503
+
+
+async def broken_stream(fleet):
+    for name in ('d1', 'd2'):
+        fleet.runners[name].faults.append(Fault.BREAK_STREAM)
+    reply = await fleet.ask('/once/1', 'r1', **STREAM)
+    assert not reply.whole
+
+
+async def silent_filing(fleet):
+    for name in ('s1', 's2'):
+        fleet.runners[name].faults.append(Fault.SILENT)
+    reply = await fleet.ask('/file/1', 'r1', method='POST')
+    assert reply.status == 504
+
+
+@pytest.mark.parametrize(
+    ('scenario', 'told'),
+    [
+        (no_capacity, ['refused', 'reason no_capacity', 'status 503', 'wait']),
+        (
+            broken_stream,
+            [
+                'attempt failed',
+                'reason stream_broken',
+                'reason upstream_failed',
+                'status 502',
+                'stream cut',
+            ],
+        ),
+        (
+            silent_filing,
+            ['reason upstream_timeout', 'status 504', 'attempts 1'],
+        ),
+    ],
+)
+def test_an_id_leads_to_the_cause(scenario, told, tmp_path, capsys):
+    """On-call must get from a request's id to why it failed."""
+    log = gateway_fleet.ListLog()
+
+    async def main():
+        with anyio.fail_after(20):
+            async with gateway_fleet.fleet() as fleet:
+                await fleet.ask('/read/1', 'other')
+                await scenario(fleet)
+                log.lines = fleet.log.lines
+
+    anyio.run(main)
+    halves = log.lines[::2], log.lines[1::2]
+    arguments = ['explain', 'r1']
+    for number, lines in enumerate(halves):
+        path = tmp_path / f'{number}.log'
+        path.write_text(
+            ''.join(
+                json.dumps(line | {'timestamp': log.lines.index(line)}) + '\n'
+                for line in lines
+            )
+            + 'not a log line\n'
+        )
+        arguments += ['--log', str(path)]
+    assert tool.main(arguments) == 0
+    printed = capsys.readouterr().out
+    for words in told:
+        assert words in printed
+        assert words == 'wait' or words.split()[-1] in PAGE.read_text()
+    assert 'other' not in printed
+
+
+def test_an_unknown_id_is_said_to_be_unknown(tmp_path):
+    """An empty story must not look like a success."""
+    path = tmp_path / 'empty.log'
+    path.write_text('')
+    assert tool.main(['explain', 'r1', '--log', str(path)]) == 1
