--- a/primrosereel/routing/_split.py
+++ b/primrosereel/routing/_split.py
@@ -19,7 +19,7 @@
 # A decode runner reads at half the speed, and later tokens of all its streams
 # pay for it.
 DECODE_FACTOR = 2.0
-DECODE_EXTRA_S = 0.25
+DECODE_EXTRA_S = 0.7
 
 SPEED_WEIGHT = 0.2
 SLOWEST = 8.0
