Come back sooner after an outage of the store, and say when

Change: without a configuration the store is asked every 0.2 s, and Retry-After grows with the outage.

--- a/primrosereel/gateway/_server.py
+++ b/primrosereel/gateway/_server.py
@@ -15,14 +15,13 @@
 
 __all__ = ['Server']
 
-RETRY_AFTER_S = 0.5
-
 
 class Server:
     """Serves callers' connections."""
 
     def __init__(self, context: context_module.Context) -> None:
         self._context = context
+        self._began = context.clock()
         self._connections: set[callers.CallerConnection] = set()
 
     async def serve_connection(self, stream: anyio.abc.SocketStream) -> None:
@@ -134,7 +133,10 @@
             return self._refuse(states.RefusalReason.DRAINING, 0.0)
         if table is None:
             reason = states.RefusalReason.NO_CONFIGURATION
-            return self._refuse(reason, RETRY_AFTER_S)
+            waited_s = context.clock() - self._began
+            return self._refuse(
+                reason, patience.outage_retry_after_s(waited_s)
+            )
         route = table.match(request.host, request.path)
         if route is None or not route.services:
             reason = states.RefusalReason.UNKNOWN_SERVICE
--- a/primrosereel/gateway/_store_reader.py
+++ b/primrosereel/gateway/_store_reader.py
@@ -25,6 +25,8 @@
 WAIT_SHARE = 0.5
 FIRST_BACKOFF_S = 0.1
 LONGEST_BACKOFF_S = 1.0
+# An instance without a configuration serves nobody, so it asks more often.
+LONGEST_FIRST_BACKOFF_S = 0.2
 
 
 class StoreReader:
@@ -71,7 +73,10 @@
             except ports.StoreUnavailable as error:
                 self._lost(str(error))
                 await anyio.sleep(self._backoff_s)
-                self._backoff_s = min(2 * self._backoff_s, LONGEST_BACKOFF_S)
+                longest_s = LONGEST_BACKOFF_S
+                if self._context.table is None:
+                    longest_s = LONGEST_FIRST_BACKOFF_S
+                self._backoff_s = min(2 * self._backoff_s, longest_s)
 
     async def settle(self) -> None:
         """Remove runners that did not come back after an outage."""
--- a/primrosereel/routing/_patience.py
+++ b/primrosereel/routing/_patience.py
@@ -13,6 +13,7 @@
     'prefill_s',
     'stream_gap_s',
     'on_time_wait_s',
+    'outage_retry_after_s',
     'time_limit_s',
     'wait_s',
 ]
@@ -40,6 +41,8 @@
 DECODE_START_S = 0.06
 # The share of a caller's patience that a request may wait for a place.
 WAIT_SHARE = 0.7
+SHORTEST_OUTAGE_S = 0.5
+LONGEST_OUTAGE_S = 3.0
 
 
 def time_limit_s(route: model.Route, facts: model.RequestFacts) -> float:
@@ -93,6 +96,14 @@
     return route.target_s - needed_s - DECODE_START_S
 
 
+def outage_retry_after_s(lasted_s: float) -> float:
+    """Return when to come back during an outage of unknown length.
+
+    An outage is taken to last about as long again as it has lasted.
+    """
+    return min(max(lasted_s, SHORTEST_OUTAGE_S), LONGEST_OUTAGE_S)
+
+
 def wait_s(route: model.Route) -> float:
     """Return how long a stream's request may wait for a place."""
     return WAIT_SHARE * caller_gap_s(route)
