--- a/primrosereel/gateway/_admission.py
+++ b/primrosereel/gateway/_admission.py
@@ -48,17 +48,22 @@
     context = exchange.context
     places = context.places
     now = context.clock()
-    reading_s = context.prefills.expected_s(
-        exchange.service, exchange.facts.prompt_tokens, now
-    )
+
+    def latest_start(when: float) -> float:
+        reading_s = context.prefills.expected_s(
+            exchange.service, exchange.facts.prompt_tokens, when
+        )
+        return exchange.request.received_at + patience.on_time_wait_s(
+            exchange.route, reading_s
+        )
+
     admitted = anyio.Event()
     ticket = decode_places.Ticket(
         exchange.service,
         decode_places.tokens_needed(exchange.facts),
         exchange.route.priority,
         exchange.request.received_at,
-        exchange.request.received_at
-        + patience.on_time_wait_s(exchange.route, reading_s),
+        latest_start,
         excluded=excluded,
         admitted=admitted.set,
     )
@@ -119,7 +124,7 @@
     is judged anew as others arrive.
     """
     now = exchange.context.clock()
-    if now <= ticket.on_time_until:
+    if not ticket.is_late(now):
         return False
     return now + exchange.context.places.expected_wait_s(ticket, now) > until
 
--- a/primrosereel/routing/_decode_places.py
+++ b/primrosereel/routing/_decode_places.py
@@ -56,14 +56,20 @@
     tokens: int
     priority: int
     arrived_at: float
-    on_time_until: float
+    # The latest moment to start that still meets the target, as seen now:
+    # the prompts that are read meanwhile change it.
+    latest_start: Callable[[float], float]
     excluded: Collection[ids.RunnerId] = ()
     row: runners.Runner | None = None
     admitted: Callable[[], None] = lambda: None
 
     def rank(self, now: float) -> tuple[bool, int, float]:
         """Order in which tickets get places."""
-        return now > self.on_time_until, self.priority, self.arrived_at
+        return self.is_late(now), self.priority, self.arrived_at
+
+    def is_late(self, now: float) -> bool:
+        """Tell whether the target is missed even if it starts now."""
+        return now > self.latest_start(now)
 
 
 class _Arrivals:
@@ -139,7 +145,7 @@
 
     def add(self, ticket: Ticket, now: float) -> None:
         """Queue a ticket and admit what fits."""
-        if now <= ticket.on_time_until:
+        if not ticket.is_late(now):
             self._arrivals.add(ticket.tokens, now)
         self._waiting.append(ticket)
         self.admit(now)
@@ -252,7 +258,7 @@
             and other.rank(now) < ticket.rank(now)
         )
         rate = used / max(self._hold_s, 0.1)
-        if now > ticket.on_time_until:
+        if ticket.is_late(now):
             # What arrives meanwhile goes before a late request.
             rate -= self._arrivals.per_s(now)
         if ahead <= room:
--- a/tests/property/test_routing_places.py
+++ b/tests/property/test_routing_places.py
@@ -63,7 +63,7 @@
 
     def ask(self, tokens, now, on_time_s=0.5, priority=1):
         ticket = decode_places.Ticket(
-            SERVICE, tokens, priority, now, now + on_time_s
+            SERVICE, tokens, priority, now, lambda _: now + on_time_s
         )
         self.places.add(ticket, now)
         return ticket
@@ -260,3 +260,15 @@
         )
         == 9_000
     )
+
+
+def test_a_request_is_late_by_the_prompts_read_now():
+    """Places went to requests that prompts read meanwhile made late."""
+    instance = Instance('i1', decode=1)
+    holder = instance.ask(45_000, 0.0)
+    overtaken = instance.ask(20_000, 0.0)
+    fresh = instance.ask(40_000, 0.3)
+    overtaken.latest_start = lambda now: 0.35
+    instance.places.release(holder)
+    instance.places.admit(0.4)
+    assert (overtaken.row, fresh.row is not None) == (None, True)
