Let the longest-running process lead, and give prefill a runner when it has none

Change: a service without prefill gets one from decode; the lead stays with the process that has run longest, and those in a stop are no candidates.

--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -97,6 +97,7 @@
         self._context = context_module.Context(
             settings=settings,
             clock=clock,
+            incarnation=time.time_ns() // 1_000_000,
             random=chance,
             dialect=dialect,
             runners=table,
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -35,6 +35,8 @@
 
     settings: settings.GatewaySettings
     clock: Callable[[], float]
+    # The Unix millisecond of the process's start.
+    incarnation: int
     random: random_module.Random
     dialect: ports.RequestDialect
     runners: runners.RunnerTable
--- a/primrosereel/gateway/_orders.py
+++ b/primrosereel/gateway/_orders.py
@@ -6,6 +6,7 @@
 
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _http as http
+from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _model as model
 from primrosereel.routing import _roles as roles
 
@@ -26,7 +27,10 @@
         self._context = context
         self._balance = roles.RoleBalance(context.runners, context.ledger)
         self._leadership = roles.Leadership(
-            context.settings.instance, context.settings.lease_s
+            ledger_module.Process(
+                context.incarnation, context.settings.instance
+            ),
+            context.settings.lease_s,
         )
         self._leads = False
 
@@ -58,12 +62,15 @@
 
     def _update_leadership(self, now: float) -> None:
         context = self._context
-        peers = context.ledger.peers(now)
-        leads = not context.draining and self._leadership.update(peers, now)
+        candidates = context.ledger.processes(now)
+        peers = context.ledger.instances(now)
+        leads = not context.draining and self._leadership.update(
+            candidates, peers, now
+        )
         if leads != self._leads:
             self._leads = leads
             context.log.info(
-                'leads' if leads else 'leads no longer', peers=len(peers)
+                'leads' if leads else 'leads no longer', peers=peers
             )
 
     async def _order(self, switch: roles.Switch, engine: model.Engine) -> bool:
--- a/primrosereel/gateway/_peers.py
+++ b/primrosereel/gateway/_peers.py
@@ -5,8 +5,6 @@
 names the peers that its sender hears.
 """
 
-import time
-
 import anyio
 import anyio.abc
 import msgspec
@@ -53,7 +51,6 @@
         self._changed = anyio.Event()
         # Set when a peer was found, which is told at once what is known.
         self._greeting = anyio.Event()
-        self._incarnation = time.time_ns() // 1_000_000
         self._sequence = 0
         # anyio allows one sender at a time.
         self._sending = anyio.Lock()
@@ -115,7 +112,7 @@
             _Datagram(
                 VERSION,
                 self._context.settings.instance,
-                self._incarnation,
+                self._context.incarnation,
                 self._sequence,
                 self._context.engine_uses(),
                 self._context.places.waiting_tokens,
--- a/primrosereel/routing/_ledger.py
+++ b/primrosereel/routing/_ledger.py
@@ -11,7 +11,7 @@
 
 from primrosereel import _ids as ids
 
-__all__ = ['Head', 'Ledger', 'PeerReport', 'Use']
+__all__ = ['Head', 'Ledger', 'PeerReport', 'Process', 'Use']
 
 # A peer that was not heard for this long no longer counts.
 SILENT_S = 2.5
@@ -21,6 +21,16 @@
 HEAD_VALID_S = 0.5
 
 
+class Process(NamedTuple):
+    """One run of an instance; the one that has run longest is the lowest.
+
+    ``incarnation`` is the Unix millisecond of its start.
+    """
+
+    incarnation: int
+    instance: ids.InstanceId
+
+
 class Head(NamedTuple):
     """The first of the requests that wait at an instance for a service.
 
@@ -99,10 +109,14 @@
                 del self._lost[instance]
         return len(self._lost)
 
-    def peers(self, now: float) -> frozenset[ids.InstanceId]:
-        """Return the other instances in sight."""
+    def processes(self, now: float) -> frozenset[Process]:
+        """Return the other processes in sight that are not stopping."""
         self._forget(now)
-        return frozenset(self._peers)
+        return frozenset(
+            Process(peer.report.incarnation, instance)
+            for instance, peer in self._peers.items()
+            if not peer.report.leaving
+        )
 
     def use(self, runner: ids.RunnerId, now: float) -> Use:
         """Return what other instances have at a runner."""
--- a/primrosereel/routing/_roles.py
+++ b/primrosereel/routing/_roles.py
@@ -4,9 +4,10 @@
 decides how much the service can take, so a runner changes its role where that
 lowers the higher of the two utilizations by a clear margin, for long enough
 that a burst of a moment does not cause it. One instance gives orders: the one
-with the lowest id of those in sight, while it sees most of them.
+whose process has run longest of those in sight, while it sees most of them.
 """
 
+from collections.abc import Collection
 import dataclasses
 from typing import NamedTuple
 
@@ -77,7 +78,7 @@
         state = self._services.setdefault(service, _Service())
         prefill = self._table.ready(service, states.Role.PREFILL)
         decode = self._table.ready(service, states.Role.DECODE)
-        if not prefill or not decode or engine.kv_tokens <= 0:
+        if not decode or engine.kv_tokens <= 0:
             return None
         in_use = sum(
             row.tokens + self._ledger.use(row.runner, now).tokens
@@ -93,7 +94,7 @@
             state.wanted_since = now
         if now - state.wanted_since < SUSTAINED_S or now < state.not_before:
             return None
-        reverses = state.last_role not in (None, role)
+        reverses = bool(prefill) and state.last_role not in (None, role)
         if reverses and now < state.last_at + REVERSE_S:
             return None
         state.wanted_since = None
@@ -122,11 +123,14 @@
         decode: list[runners.Runner],
     ) -> states.Role | None:
         """Return the role of which one more runner is needed, if any."""
+        readers, holders = len(prefill), len(decode)
+        if not readers:
+            # Decode runners that read slow down all their streams.
+            return states.Role.PREFILL if holders > 1 else None
         slowness = sum(row.slowness for row in prefill) / len(prefill)
         per_s = state.tokens / max(hold_s, 0.1)
         work = per_s * split.TOKEN_S * slowness
         memory = state.tokens / engine.kv_tokens
-        readers, holders = len(prefill), len(decode)
         now_max = max(work / readers, memory / holders)
         if now_max < LEAST_UTILIZATION:
             return None
@@ -144,21 +148,31 @@
 class Leadership:
     """Tells whether this instance gives orders.
 
-    An instance that leads must have led for a while, so that orders of two
-    instances never follow each other within a lease.
+    The process that has run longest leads, so that a restart moves the lead
+    at most once. An instance that leads must have led for a while, so that
+    orders of two instances never follow each other within a lease.
     """
 
-    def __init__(self, instance: ids.InstanceId, lease_s: float) -> None:
-        self._instance = instance
+    def __init__(self, own: ledger_module.Process, lease_s: float) -> None:
+        self._own = own
         self._lease_s = lease_s
         self._leads_since: float | None = None
         self._most_seen = 0
 
-    def update(self, peers: frozenset[ids.InstanceId], now: float) -> bool:
-        """Take the peers in sight; return whether orders may be given."""
-        self._most_seen = max(self._most_seen, len(peers) + 1)
-        leads = all(self._instance < peer for peer in peers)
-        sees_most = 2 * (len(peers) + 1) > self._most_seen
+    def update(
+        self,
+        candidates: Collection[ledger_module.Process],
+        in_sight: int,
+        now: float,
+    ) -> bool:
+        """Return whether orders may be given.
+
+        ``candidates`` are the other processes that may lead, and ``in_sight``
+        counts all other instances, those in an orderly stop too.
+        """
+        self._most_seen = max(self._most_seen, in_sight + 1)
+        leads = all(self._own < other for other in candidates)
+        sees_most = 2 * (in_sight + 1) > self._most_seen
         if not leads or not sees_most:
             self._leads_since = None
             return False
--- a/tests/property/test_routing_roles.py
+++ b/tests/property/test_routing_roles.py
@@ -47,6 +47,8 @@
         (2, 4, 40_000, None),
         (1, 1, 45_000, None),
         (3, 3, 5_000, None),
+        (0, 4, 45_000, states.Role.PREFILL),
+        (0, 1, 45_000, None),
     ],
 )
 def test_the_busier_pool_gets_a_runner(prefill, decode, tokens, role):
@@ -98,28 +100,54 @@
     assert later and later[0][0] - when <= 3.0
 
 
-def test_the_lowest_instance_in_sight_leads_after_two_leases():
+def process(started, name):
+    return ledger_module.Process(started, ids.InstanceId(name))
+
+
+def test_the_process_that_ran_longest_leads_after_two_leases():
     """Orders of two holders must not follow each other within a lease."""
-    first = roles.Leadership(ids.InstanceId('i1'), 3.0)
-    other = frozenset({ids.InstanceId('i2'), ids.InstanceId('i3')})
-    assert not first.update(other, 0.0)
-    assert not first.update(other, 5.9)
-    assert first.update(other, 6.0)
-    second = roles.Leadership(ids.InstanceId('i2'), 3.0)
+    others = [process(20, 'i0'), process(30, 'i3')]
+    first = roles.Leadership(process(10, 'i1'), 3.0)
+    assert not first.update(others, 2, 0.0)
+    assert not first.update(others, 2, 5.9)
+    assert first.update(others, 2, 6.0)
+    second = roles.Leadership(process(20, 'i0'), 3.0)
     for step in range(20):
-        seen = frozenset({ids.InstanceId('i1'), ids.InstanceId('i3')})
-        assert not second.update(seen, float(step))
+        seen = [process(10, 'i1'), process(30, 'i3')]
+        assert not second.update(seen, 2, float(step))
+
+
+def test_a_restart_does_not_take_the_lead():
+    """In a rolling restart nobody led for 15 s."""
+    leader = roles.Leadership(process(10, 'i5'), 3.0)
+    leader.update([process(12, 'i1')], 1, 0.0)
+    assert leader.update([process(12, 'i1')], 1, 6.0)
+    assert leader.update([process(99, 'i1')], 1, 7.0)
+
+
+def test_an_instance_in_a_stop_is_no_candidate():
+    """The lead passed on only when the old leader had ended."""
+    ledger = ledger_module.Ledger()
+    for name, leaving in (('i1', True), ('i2', False)):
+        ledger.apply(
+            ledger_module.PeerReport(
+                ids.InstanceId(name), 5, 1, {}, leaving=leaving
+            ),
+            0.0,
+        )
+    assert ledger.processes(0.1) == {process(5, 'i2')}
+    assert ledger.instances(0.1) == 2
 
 
 def test_an_instance_that_sees_few_peers_gives_no_orders():
     """Both sides of a partition gave orders."""
-    leader = roles.Leadership(ids.InstanceId('i1'), 3.0)
-    peers = frozenset(ids.InstanceId(f'i{n}') for n in range(2, 8))
-    leader.update(peers, 0.0)
-    assert leader.update(peers, 6.0)
-    assert not leader.update(frozenset(), 7.0)
-    assert not leader.update(peers, 8.0)
-    assert leader.update(peers, 14.0)
+    leader = roles.Leadership(process(1, 'i1'), 3.0)
+    peers = [process(2, f'i{n}') for n in range(2, 8)]
+    leader.update(peers, 6, 0.0)
+    assert leader.update(peers, 6, 6.0)
+    assert not leader.update([], 0, 7.0)
+    assert not leader.update(peers, 6, 8.0)
+    assert leader.update(peers, 6, 14.0)
 
 
 def test_prompts_go_to_the_prefill_runner_that_is_done_first():
