--- a/primrosereel/_ids.py
+++ b/primrosereel/_ids.py
@@ -12,7 +12,7 @@
 
 __all__ = [
     'AvailabilityZone',
-    'CustomerId',
+    'ClientAccountId',
     'EngineRequestId',
     'GroupId',
     'Holder',
@@ -31,7 +31,7 @@
 ]
 
 AvailabilityZone = NewType('AvailabilityZone', str)
-CustomerId = NewType('CustomerId', str)
+ClientAccountId = NewType('ClientAccountId', str)
 EngineRequestId = NewType('EngineRequestId', str)
 GroupId = NewType('GroupId', str)
 IdempotencyKey = NewType('IdempotencyKey', str)
--- a/primrosereel/bench/_capacity_core.py
+++ b/primrosereel/bench/_capacity_core.py
@@ -34,7 +34,7 @@
 FULL = sizes.Shape(390, 1400, 760)
 DAEMONS = (78, 156, 273, 390)
 RUNNERS = (175, 350, 700, 1400)
-CUSTOMERS = (95, 190, 380, 760)
+CLIENT_ACCOUNTS = (95, 190, 380, 760)
 # Regions of 6, 13, 26 and 65 daemons.
 REGION_DAEMONS = (36, 78, 156, 390)
 RATE = 1600 / 390
@@ -80,7 +80,7 @@
     return sizes.Shape(
         daemons,
         round(FULL.runners * part),
-        max(sizes.MODELS, round(FULL.customers * part)),
+        max(sizes.MODELS, round(FULL.client_accounts * part)),
     )
 
 
@@ -154,7 +154,7 @@
     }
     for daemons in DAEMONS:
         for runners in RUNNERS:
-            shape = sizes.Shape(daemons, runners, FULL.customers)
+            shape = sizes.Shape(daemons, runners, FULL.client_accounts)
             simulated = region.Region(shape, real=1)
             simulated.run(WARM_S)
             place = (float(daemons), float(runners))
@@ -182,13 +182,13 @@
 
 
 def memory() -> list[fits.Fit]:
-    """Measure a core's memory against daemons, runners and customers."""
+    """Measure a core's memory against daemons, runners and client accounts."""
     full = dataclasses.asdict(FULL)
     found = []
     for name, counts in (
         ('daemons', DAEMONS),
         ('runners', RUNNERS),
-        ('customers', CUSTOMERS),
+        ('client_accounts', CLIENT_ACCOUNTS),
     ):
         runs = {}
         for size in counts:
@@ -307,17 +307,17 @@
 def claim_request(world, now: float, number: int) -> messages.ClaimRequest:
     """Return a claim on a new key of which the own instance is a witness."""
     source = random.Random(number)
-    customer = ids.CustomerId('customer-1')
+    client_account = ids.ClientAccountId('client_account-1')
     while True:
         key = _key(int((region.EPOCH_S + now) * 1000), source)
         found = witnesses.witness_set(
-            world, world.identity.region, customer, key
+            world, world.identity.region, client_account, key
         )
         if world.identity.instance in (name for name, _ in found):
             break
     return messages.ClaimRequest(
         key,
-        customer,
+        client_account,
         source.getrandbits(62),
         ids.RequestId(f'entry-001.1800000000000.{number}'),
         world.identity.region,
@@ -337,7 +337,7 @@
     found: dict[str, dict[float, list[float]]] = {}
     for part in TEXT_PARTS:
         shape = sizes.Shape(
-            390, round(FULL.runners * part), round(FULL.customers * part)
+            390, round(FULL.runners * part), round(FULL.client_accounts * part)
         )
         for _ in range(RUNS):
             for name, value in _text_run(shape).items():
--- a/primrosereel/bench/_capacity_wire.py
+++ b/primrosereel/bench/_capacity_wire.py
@@ -188,7 +188,11 @@
 @contextlib.contextmanager
 def _engine():
     """Run an engine stand-in and yield its address."""
-    text: dict[str, Any] = {'models': {}, 'services': {}, 'customers': {}}
+    text: dict[str, Any] = {
+        'models': {},
+        'services': {},
+        'client_accounts': {},
+    }
     runners = fleet.Fleet(text, daemons=0)
     address = f'{fleet.HOST}:{fleet.free_port()}'
     command = [
--- a/primrosereel/bench/_load.py
+++ b/primrosereel/bench/_load.py
@@ -15,7 +15,7 @@
 class Result:
     """What one caller saw; times in seconds from the request's start."""
 
-    customer: str
+    client_account: str
     status: int = 0
     reason: str = ''
     ran: str = ''
@@ -47,10 +47,10 @@
     service: str,
     prompt: str,
     max_tokens: int,
-    customer: str = '',
+    client_account: str = '',
 ) -> Result:
     """Stream one completion and return what the caller saw."""
-    found = Result(customer)
+    found = Result(client_account)
     started = last = time.perf_counter()
     body = {
         'model': service,
@@ -110,10 +110,10 @@
     path: str,
     idempotency_key: str | None = None,
     body: bytes = b'',
-    customer: str = '',
+    client_account: str = '',
 ) -> Result:
     """Call a plain service and return what the caller saw."""
-    found = Result(customer)
+    found = Result(client_account)
     headers = {'authorization': f'Bearer {key}'}
     if idempotency_key is not None:
         headers['idempotency-key'] = idempotency_key
--- a/primrosereel/bench/_texts.py
+++ b/primrosereel/bench/_texts.py
@@ -1,7 +1,7 @@
 """Operators' texts for the demonstration, the load tool and the tests.
 
 ``lynreg`` and ``guadalajara`` follow the two deployments under ``examples``;
-``scale`` multiplies their runners and customers' rates.
+``scale`` multiplies their runners and client accounts' rates.
 """
 
 import hashlib
@@ -19,12 +19,12 @@
 BASE_PORT = 18_100
 
 
-def key_of(customer: str) -> str:
+def key_of(client_account: str) -> str:
     """Return the API key that the texts here hold the hash of."""
-    return f'demo-{customer}'
+    return f'demo-{client_account}'
 
 
-def _customer(
+def _client_account(
     name: str, services: list[str], priority: int = 0, rate: float = 1000.0
 ) -> dict[str, Any]:
     return {
@@ -112,9 +112,9 @@
                 ],
             ),
         },
-        'customers': {
-            'analysts': _customer('analysts', ['analyst', 'office']),
-            'records': _customer('records', ['analyst', 'office'], 5),
+        'client_accounts': {
+            'analysts': _client_account('analysts', ['analyst', 'office']),
+            'records': _client_account('records', ['analyst', 'office'], 5),
         },
     }
 
@@ -147,11 +147,13 @@
                 depends_on=['log-analyst'],
             ),
         },
-        'customers': {
-            'analysts': _customer('analysts', ['log-analyst']),
-            'grid-operators': _customer('grid-operators', ['log-analyst']),
-            'assessors': _customer('assessors', ['log-analyst']),
-            'records-office': _customer(
+        'client_accounts': {
+            'analysts': _client_account('analysts', ['log-analyst']),
+            'grid-operators': _client_account(
+                'grid-operators', ['log-analyst']
+            ),
+            'assessors': _client_account('assessors', ['log-analyst']),
+            'records-office': _client_account(
                 'records-office', ['log-analyst', 'records-office'], 5
             ),
         },
@@ -186,11 +188,11 @@
                 depends_on=['lectores-modelo'],
             ),
         },
-        'customers': {
-            'clerks': _customer(
+        'client_accounts': {
+            'clerks': _client_account(
                 'clerks', ['lectores-modelo', 'ventanilla-app']
             ),
-            'supervisors': _customer(
+            'supervisors': _client_account(
                 'supervisors', ['lectores-modelo', 'ventanilla-app'], 5
             ),
         },
--- a/primrosereel/bench/_workloads.py
+++ b/primrosereel/bench/_workloads.py
@@ -36,8 +36,8 @@
     text: dict[str, Any]
     region: str
     service: str
-    customers: tuple[str, ...]
-    priority_customer: str
+    client_accounts: tuple[str, ...]
+    priority_client_account: str
     prompt_tokens: int
     spread: float
     output_tokens: int
@@ -162,13 +162,13 @@
 ) -> simulation.Arrival:
     tokens = int(shape.prompt_tokens * source.lognormvariate(0, shape.spread))
     tokens = max(BLOCK_TOKENS // 8, min(tokens, 60_000))
-    customer = source.choice(shape.customers)
+    client_account = source.choice(shape.client_accounts)
     if source.random() < priority_share:
-        customer = shape.priority_customer
-    digest = hashlib.sha256(texts.key_of(customer).encode()).hexdigest()
+        client_account = shape.priority_client_account
+    digest = hashlib.sha256(texts.key_of(client_account).encode()).hexdigest()
     return simulation.Arrival(
         time=time,
-        customer=customer,
+        client_account=client_account,
         key_sha256=digest,
         service=ids.ServiceId(shape.service),
         tokens=tokens,
--- a/primrosereel/core/_admission.py
+++ b/primrosereel/core/_admission.py
@@ -23,7 +23,7 @@
 class Admitted(NamedTuple):
     """Who calls which service, and with which priority."""
 
-    customer: ids.CustomerId
+    client_account: ids.ClientAccountId
     priority: int
     service: text_module.Service
 
@@ -42,15 +42,15 @@
     kind: states.ServiceKind,
     now: float,
 ) -> result.Result[Admitted, Refusal]:
-    """Authenticate a call and hold it against its customer's limits."""
+    """Authenticate a call and hold it against its client account's limits."""
     if world.draining:
         return _refuse(Reason.DRAINING, DEFAULT_RETRY_AFTER_S)
     if world.text is None:
         return _refuse(Reason.NO_CONFIGURATION, DEFAULT_RETRY_AFTER_S)
-    customer = world.customers_by_key.get(call.key_sha256)
-    if customer is None:
+    client_account = world.client_accounts_by_key.get(call.key_sha256)
+    if client_account is None:
         return _refuse(Reason.UNAUTHENTICATED)
-    facts = world.customers[customer].facts
+    facts = world.client_accounts[client_account].facts
     service = world.text.services.get(call.service)
     if (
         service is None
@@ -67,10 +67,10 @@
             Reason.DEPENDENCY_UNAVAILABLE, DEFAULT_RETRY_AFTER_S, missing
         )
     # The limit comes last: a refused call must not use up the rate.
-    wait_s = limits.take(world, customer, now)
+    wait_s = limits.take(world, client_account, now)
     if wait_s > 0:
         return _refuse(Reason.RATE_LIMITED, wait_s)
-    return result.Success(Admitted(customer, priority, service))
+    return result.Success(Admitted(client_account, priority, service))
 
 
 def _refuse(reason, retry_after_s=None, detail=''):
--- a/primrosereel/core/_claim_round.py
+++ b/primrosereel/core/_claim_round.py
@@ -42,7 +42,7 @@
     """Which call claims which key, and where its witnesses are."""
 
     key: ids.IdempotencyKey
-    customer: ids.CustomerId
+    client_account: ids.ClientAccountId
     fingerprint: int
     request_id: ids.RequestId
     region: ids.Region
@@ -146,7 +146,7 @@
                 instance,
                 messages.ClaimWithdrawn(
                     key=self._call.key,
-                    customer=self._call.customer,
+                    client_account=self._call.client_account,
                     request_id=self._call.request_id,
                     round=self._round,
                 ),
@@ -162,7 +162,7 @@
                 instance,
                 messages.ClaimOutcome(
                     key=self._call.key,
-                    customer=self._call.customer,
+                    client_account=self._call.client_account,
                     request_id=self._call.request_id,
                     status=status,
                     content_type=content_type,
@@ -180,7 +180,7 @@
         self._stamp = stamp
         call = self._call
         found = witnesses.witness_set(
-            self._world, call.region, call.customer, call.key
+            self._world, call.region, call.client_account, call.key
         )
         if found == self._witnesses:
             return
@@ -208,7 +208,7 @@
             witness[0],
             messages.ClaimRequest(
                 key=call.key,
-                customer=call.customer,
+                client_account=call.client_account,
                 fingerprint=call.fingerprint,
                 request_id=call.request_id,
                 region=call.region,
--- a/primrosereel/core/_claims.py
+++ b/primrosereel/core/_claims.py
@@ -24,7 +24,7 @@
 # margin for corrections of the own clock.
 CLAIM_KEPT_S = witnesses.KEY_AGE_LIMIT_S + witnesses.KEY_FUTURE_LIMIT_S + 10.0
 
-ClaimKey = tuple[ids.CustomerId, ids.IdempotencyKey]
+ClaimKey = tuple[ids.ClientAccountId, ids.IdempotencyKey]
 
 
 @dataclasses.dataclass(slots=True)
@@ -85,7 +85,7 @@
     def _answer(
         self, request: messages.ClaimRequest
     ) -> messages.ClaimReply | None:
-        claim = self._claims.get((request.customer, request.key))
+        claim = self._claims.get((request.client_account, request.key))
         # Compared first, so that a refusal for another reason also says
         # that this witness knows of no other claim.
         if claim is not None and _is_held_by_other(claim, request):
@@ -100,7 +100,9 @@
             refusal = Answer.FULL
         if refusal is not None:
             return _reply(request, refusal)
-        if self._history.may_consent(request.customer, request.key, made_at):
+        if self._history.may_consent(
+            request.client_account, request.key, made_at
+        ):
             return _reply(request, Answer.CONSENT)
         return _reply(request, Answer.ABSTAIN)
 
@@ -116,7 +118,7 @@
             return Answer.STALE
         own = (world.identity.instance, world.identity.incarnation)
         view = witnesses.witness_set(
-            world, world.identity.region, request.customer, request.key
+            world, world.identity.region, request.client_account, request.key
         )
         if (
             request.region != world.identity.region
@@ -142,7 +144,7 @@
         made_at: float,
     ) -> bool:
         """Record the claim; return False when the table is full."""
-        key = (request.customer, request.key)
+        key = (request.client_account, request.key)
         if claim is None:
             return self._insert(
                 key,
@@ -166,7 +168,7 @@
 
     def _store(self, outcome: messages.ClaimOutcome) -> None:
         """Keep the outcome of the request that holds the key."""
-        claim = self._claims.get((outcome.customer, outcome.key))
+        claim = self._claims.get((outcome.client_account, outcome.key))
         if claim is None or claim.request_id != outcome.request_id:
             return
         fits = len(outcome.body) <= MAX_OUTCOME_BYTES
@@ -177,7 +179,7 @@
 
     def _withdraw(self, withdrawn: messages.ClaimWithdrawn) -> None:
         """Free the key if the request holds it under no later round."""
-        key = (withdrawn.customer, withdrawn.key)
+        key = (withdrawn.client_account, withdrawn.key)
         claim = self._claims.get(key)
         if claim is None:
             self._mark_withdrawn(key, withdrawn)
@@ -217,7 +219,7 @@
 ) -> messages.ClaimReply:
     return messages.ClaimReply(
         key=request.key,
-        customer=request.customer,
+        client_account=request.client_account,
         request_id=request.request_id,
         answer=answer,
         round=request.round,
@@ -231,7 +233,7 @@
     if claim.fingerprint != request.fingerprint:
         return messages.ClaimReply(
             key=request.key,
-            customer=request.customer,
+            client_account=request.client_account,
             request_id=request.request_id,
             answer=Answer.TAKEN,
             same=False,
@@ -239,7 +241,7 @@
         )
     return messages.ClaimReply(
         key=request.key,
-        customer=request.customer,
+        client_account=request.client_account,
         request_id=request.request_id,
         answer=Answer.TAKEN,
         status=claim.status,
--- a/primrosereel/core/_entry.py
+++ b/primrosereel/core/_entry.py
@@ -126,7 +126,7 @@
         assert service.model is not None
         row = requests.Request(
             message,
-            admitted.customer,
+            admitted.client_account,
             admitted.priority,
             service,
             self._world.text.models[service.model],
--- a/primrosereel/core/_grants.py
+++ b/primrosereel/core/_grants.py
@@ -155,7 +155,7 @@
         row.attempt,
         row.call.service,
         row.group,
-        row.customer,
+        row.client_account,
         row.priority,
         row.call.prompt_tokens + done,
         max(1, row.call.max_tokens - done),
--- a/primrosereel/core/_group.py
+++ b/primrosereel/core/_group.py
@@ -297,9 +297,13 @@
         others = [r.instance for r in listed if r.region == region]
         return [own, *(i for i in sorted(others) if i != own)]
 
-    def _weight(self, customer: ids.CustomerId) -> float:
+    def _weight(self, client_account: ids.ClientAccountId) -> float:
         text = self._world.text
-        facts = text.customers.get(customer) if text is not None else None
+        facts = (
+            text.client_accounts.get(client_account)
+            if text is not None
+            else None
+        )
         return 1.0 if facts is None else facts.weight
 
     def _take_release(self, news: messages.Progress, now: float) -> None:
@@ -349,7 +353,7 @@
             grant.attempt,
             sender,
             incarnation,
-            grant.customer,
+            grant.client_account,
             grant.priority,
             grant.prefill_runner,
             grant.decode_runner,
--- a/primrosereel/core/_holdings.py
+++ b/primrosereel/core/_holdings.py
@@ -73,6 +73,6 @@
         row.call.prompt_tokens + row.call.max_tokens,
         row.priority,
         row.stream is not None and row.stream.begun,
-        row.customer,
+        row.client_account,
         row.stream is not None and row.stream.pause is requests.Pause.PAUSED,
     )
--- a/primrosereel/core/_limits.py
+++ b/primrosereel/core/_limits.py
@@ -1,8 +1,8 @@
-"""Customers' rates over all daemons.
+"""Client accounts' rates over all daemons.
 
-Each daemon has a token bucket for each customer, filled at the daemon's
-share of the customer's rate. The customer's limit owner, one of the listed
-instances, divides the rate by the demand that the daemons report.
+Each daemon has a token bucket for each client account, filled at the daemon's
+share of the client account's rate. The account's limit owner, one of the
+listed instances, divides the rate by the demand that the daemons report.
 """
 
 import dataclasses
@@ -18,18 +18,18 @@
 
 SHARE_LEASE_S = 3.0
 REPORT_S = 1.0
-# A customer's first call is reported at once, but no more often than this.
+# An account's first call is reported at once, but no more often than this.
 FIRST_REPORT_S = 0.1
 # A demand that was not reported for this long counts no more; it covers one
 # lost report.
 DEMAND_KEPT_S = 2.5
-# A customer without a call for this long is no more reported.
+# A client account without a call for this long is no more reported.
 IDLE_S = 10.0
-# A customer that was not seen here for BORROW_IDLE_S may use BORROWED_S of
-# its whole rate before its share arrives.
+# A client account that was not seen here for BORROW_IDLE_S may use
+# BORROWED_S of its whole rate before its share arrives.
 BORROW_IDLE_S = 60.0
 BORROWED_S = 0.25
-# Tokens that an active customer saves up at least. A daemon with a call
+# Tokens that an active client account saves up at least. A daemon with a call
 # every few seconds wastes a part of its share otherwise: with 3, 40 daemons
 # that offered 1.3 times a limit of 50/s together reached 0.93 of it, with 6
 # 0.99 of it.
@@ -41,16 +41,18 @@
 COLLECT_S = 1.2
 
 
-def take(world: tables.World, customer: ids.CustomerId, now: float) -> float:
-    """Take one request from a customer's rate.
+def take(
+    world: tables.World, client_account: ids.ClientAccountId, now: float
+) -> float:
+    """Take one request from a client account's rate.
 
     Return 0 when it may go on, else the seconds after which to try again.
     """
-    row = world.customers[customer]
+    row = world.client_accounts[client_account]
     _fill(world, row, now)
     row.demand += 1
     row.wanted_at = now
-    world.active_customers.add(customer)
+    world.active_client_accounts.add(client_account)
     if row.tokens >= 1.0:
         row.tokens -= 1.0
         return 0.0
@@ -59,7 +61,7 @@
     return (1.0 - row.tokens) / row.rate
 
 
-def _fill(world: tables.World, row: tables.Customer, now: float) -> None:
+def _fill(world: tables.World, row: tables.ClientAccount, now: float) -> None:
     """Add the tokens of the time since the last call."""
     if now > row.share_until:
         row.rate = row.facts.rate / _instance_count(world)
@@ -78,11 +80,11 @@
     row.filled_at = now
 
 
-def _depth(row: tables.Customer, idle_s: float) -> float:
+def _depth(row: tables.ClientAccount, idle_s: float) -> float:
     """Return the tokens to save up: the share's part of the burst.
 
-    An idle customer saves up one at each daemon, since all of them together
-    could let a burst through when it returns.
+    An idle client account saves up one at each daemon, since all of them
+    together could let a burst through when it returns.
     """
     least = ACTIVE_DEPTH if idle_s <= IDLE_S else 1.0
     if row.facts.rate <= 0:
@@ -104,16 +106,16 @@
 
 
 def limit_owner(
-    world: tables.World, customer: ids.CustomerId
+    world: tables.World, client_account: ids.ClientAccountId
 ) -> ids.InstanceId:
-    """Return the listed instance that divides a customer's rate."""
+    """Return the listed instance that divides a client account's rate."""
     names = _live(world) or [world.identity.instance]
-    return ownership.rank(f'limit/{customer}', names, 1)[0]
+    return ownership.rank(f'limit/{client_account}', names, 1)[0]
 
 
 @dataclasses.dataclass(slots=True)
 class Ledger:
-    """What the daemons reported of one customer: demand and when."""
+    """What the daemons reported of one client_account: demand and when."""
 
     since: float
     demands: dict[ids.InstanceId, float] = dataclasses.field(
@@ -138,13 +140,13 @@
 
     def __init__(self, world: tables.World) -> None:
         self._world = world
-        self._ledgers: dict[ids.CustomerId, Ledger] = {}
-        self._smoothed: dict[ids.CustomerId, float] = {}
+        self._ledgers: dict[ids.ClientAccountId, Ledger] = {}
+        self._smoothed: dict[ids.ClientAccountId, float] = {}
         self._reported_at: float | None = None
         self._names: list[ids.InstanceId] = []
         self._listing_revision = -1
         self._collect_until = -math.inf
-        self._owners: dict[ids.CustomerId, ids.InstanceId] = {}
+        self._owners: dict[ids.ClientAccountId, ids.InstanceId] = {}
 
     def receive(self, message, now: float) -> None:
         """Take a daemon's demand or the own shares."""
@@ -155,7 +157,7 @@
             self._take_shares(message, now)
 
     def run(self, now: float) -> None:
-        """Report the own demand once a second, a new customer's at once."""
+        """Report the own demand once a second, a new account's at once."""
         self._follow_listing(now)
         if self._reported_at is None:
             # Spreads the reports of daemons that start together.
@@ -183,19 +185,19 @@
             if not first:
                 self._collect_until = now + COLLECT_S
 
-    def _owner(self, customer: ids.CustomerId) -> ids.InstanceId:
-        owner = self._owners.get(customer)
+    def _owner(self, client_account: ids.ClientAccountId) -> ids.InstanceId:
+        owner = self._owners.get(client_account)
         if owner is None:
-            owner = limit_owner(self._world, customer)
-            self._owners[customer] = owner
+            owner = limit_owner(self._world, client_account)
+            self._owners[client_account] = owner
         return owner
 
     def _report_all(self, elapsed_s: float, now: float) -> None:
         demands = {}
-        for name in sorted(self._world.active_customers):
-            row = self._world.customers.get(name)
+        for name in sorted(self._world.active_client_accounts):
+            row = self._world.client_accounts.get(name)
             if row is None or now - row.wanted_at > IDLE_S:
-                self._world.active_customers.discard(name)
+                self._world.active_client_accounts.discard(name)
                 self._smoothed.pop(name, None)
                 continue
             newest = row.demand / elapsed_s
@@ -205,21 +207,23 @@
         self._report(demands)
 
     def _report_new(self) -> None:
-        """Report customers whose first call came since the last report."""
+        """Report accounts whose first call came since the last report."""
         demands = {}
-        for name in sorted(self._world.active_customers):
-            row = self._world.customers.get(name)
+        for name in sorted(self._world.active_client_accounts):
+            row = self._world.client_accounts.get(name)
             if row is not None and name not in self._smoothed:
                 demands[name] = float(row.demand)
         self._report(demands)
 
-    def _report(self, demands: dict[ids.CustomerId, float]) -> None:
+    def _report(self, demands: dict[ids.ClientAccountId, float]) -> None:
         """Send each owner what concerns it, in one message."""
         self._smoothed.update(demands)
-        batches: dict[ids.InstanceId, list[tuple[ids.CustomerId, float]]] = {}
-        for customer, demand in demands.items():
-            batch = batches.setdefault(self._owner(customer), [])
-            batch.append((customer, demand))
+        batches: dict[
+            ids.InstanceId, list[tuple[ids.ClientAccountId, float]]
+        ] = {}
+        for client_account, demand in demands.items():
+            batch = batches.setdefault(self._owner(client_account), [])
+            batch.append((client_account, demand))
         for owner, batch in batches.items():
             self._world.send(owner, messages.DemandReport(tuple(batch)))
 
@@ -231,18 +235,18 @@
     ) -> None:
         """Record demands and answer with the sender's shares."""
         shares_of_sender = []
-        for customer, demand in report.demands:
-            row = self._world.customers.get(customer)
+        for client_account, demand in report.demands:
+            row = self._world.client_accounts.get(client_account)
             if row is None:
                 continue
-            ledger = self._ledgers.setdefault(customer, Ledger(now))
+            ledger = self._ledgers.setdefault(client_account, Ledger(now))
             ledger.forget(now)
             ledger.demands[sender] = demand
             ledger.reported_at[sender] = now
             if now < self._collect_until and now < ledger.since + COLLECT_S:
                 continue
             divided = shares.divide(row.facts.rate, ledger.demands)
-            shares_of_sender.append((customer, divided[sender]))
+            shares_of_sender.append((client_account, divided[sender]))
         if shares_of_sender:
             self._world.send(
                 sender,
@@ -250,12 +254,12 @@
             )
 
     def _take_shares(self, message: messages.FromPeer, now: float) -> None:
-        """Use the shares of a customer's owner until their lease ends."""
+        """Use the shares of an account's owner until their lease ends."""
         reply = message.message
         assert isinstance(reply, messages.ShareReply)
-        for customer, share in reply.shares:
-            row = self._world.customers.get(customer)
-            if row is None or self._owner(customer) != message.sender:
+        for client_account, share in reply.shares:
+            row = self._world.client_accounts.get(client_account)
+            if row is None or self._owner(client_account) != message.sender:
                 continue
             # The time until now was earned at the old rate.
             _fill(self._world, row, now)
@@ -266,8 +270,8 @@
             row.share_until = now + reply.lease_s
 
     def _forget(self, now: float) -> None:
-        """Drop ledgers of customers that no daemon reports any more."""
-        for customer, ledger in list(self._ledgers.items()):
+        """Drop ledgers of client accounts that no daemon reports any more."""
+        for client_account, ledger in list(self._ledgers.items()):
             ledger.forget(now)
             if not ledger.demands:
-                del self._ledgers[customer]
+                del self._ledgers[client_account]
--- a/primrosereel/core/_message_values.py
+++ b/primrosereel/core/_message_values.py
@@ -74,5 +74,5 @@
     tokens: int
     priority: int
     decoding: bool
-    customer: ids.CustomerId
+    client_account: ids.ClientAccountId
     paused: bool = False
--- a/primrosereel/core/_peer_messages.py
+++ b/primrosereel/core/_peer_messages.py
@@ -44,7 +44,7 @@
     attempt: int
     service: ids.ServiceId
     group: ids.GroupId
-    customer: ids.CustomerId
+    client_account: ids.ClientAccountId
     priority: int
     prompt_tokens: int
     max_tokens: int
@@ -143,7 +143,7 @@
     """
 
     key: ids.IdempotencyKey
-    customer: ids.CustomerId
+    client_account: ids.ClientAccountId
     fingerprint: int
     request_id: ids.RequestId
     region: ids.Region
@@ -161,7 +161,7 @@
     """
 
     key: ids.IdempotencyKey
-    customer: ids.CustomerId
+    client_account: ids.ClientAccountId
     request_id: ids.RequestId
     answer: states.ClaimAnswer
     same: bool = True
@@ -179,7 +179,7 @@
     """
 
     key: ids.IdempotencyKey
-    customer: ids.CustomerId
+    client_account: ids.ClientAccountId
     request_id: ids.RequestId
     status: int
     content_type: str
@@ -195,24 +195,24 @@
     """
 
     key: ids.IdempotencyKey
-    customer: ids.CustomerId
+    client_account: ids.ClientAccountId
     request_id: ids.RequestId
     round: int = 0
 
 
 class DemandReport(values.PeerMessage):
-    """A daemon's demand of customers in the last second.
+    """A daemon's demand of client accounts in the last second.
 
-    ``demands`` holds pairs of customer and requests a second.
+    ``demands`` holds pairs of client account and requests a second.
     """
 
-    demands: tuple[tuple[ids.CustomerId, float], ...]
+    demands: tuple[tuple[ids.ClientAccountId, float], ...]
 
 
 class ShareReply(values.PeerMessage):
     """The rates a daemon may use, in requests a second, on a lease."""
 
-    shares: tuple[tuple[ids.CustomerId, float], ...]
+    shares: tuple[tuple[ids.ClientAccountId, float], ...]
     lease_s: float
 
 
--- a/primrosereel/core/_plain.py
+++ b/primrosereel/core/_plain.py
@@ -93,7 +93,7 @@
             return
         call = plain_call.PlainCall(
             message=message,
-            customer=facts.customer,
+            client_account=facts.client_account,
             rank=(-facts.priority, self._sequence),
             rule=rule,
             deadline=now + facts.service.max_wait_s,
@@ -122,7 +122,7 @@
             self._world,
             claim_round.ClaimedCall(
                 key=key,
-                customer=call.customer,
+                client_account=call.client_account,
                 fingerprint=call.message.fingerprint,
                 request_id=call.request_id,
                 region=region,
--- a/primrosereel/core/_plain_call.py
+++ b/primrosereel/core/_plain_call.py
@@ -42,7 +42,7 @@
     """
 
     message: messages.PlainReceived
-    customer: ids.CustomerId
+    client_account: ids.ClientAccountId
     rank: tuple[int, int]
     rule: text_module.Call
     deadline: float
--- a/primrosereel/core/_queue.py
+++ b/primrosereel/core/_queue.py
@@ -1,7 +1,7 @@
 """The bounded queue of requests that wait for places in a group.
 
 The order is priority, then requests that continue earlier work, then the
-customer that was served least for its weight, then age.
+client account that was served least for its weight, then age.
 """
 
 from collections.abc import Callable
@@ -14,8 +14,8 @@
 
 __all__ = ['Fairness', 'ReleaseRate', 'Waiting', 'WaitingQueue']
 
-# Forgetting the least served customers is harmless: they start at the floor.
-MAX_CUSTOMERS = 4096
+# Forgetting the least served accounts is harmless: they start at the floor.
+MAX_CLIENT_ACCOUNTS = 4096
 # Releases of the last few stream lengths tell how fast places come back.
 RATE_WINDOW_S = 10.0
 # Fewer releases than this say nothing about the rate.
@@ -53,35 +53,37 @@
 
 
 class Fairness:
-    """What each customer was granted, in tokens over its weight.
+    """What each client account was granted, in tokens over its weight.
 
-    A customer that returns after a pause starts at the level of those that
-    are served now, so it cannot claim capacity for the time it was away.
+    A client account that returns after a pause starts at the level of those
+    that are served now, so it cannot claim capacity for the time it was away.
     """
 
-    def __init__(self, weight: Callable[[ids.CustomerId], float]) -> None:
+    def __init__(self, weight: Callable[[ids.ClientAccountId], float]) -> None:
         self._weight = weight
-        self._served: dict[ids.CustomerId, float] = {}
+        self._served: dict[ids.ClientAccountId, float] = {}
         self._floor = 0.0
 
-    def served(self, customer: ids.CustomerId) -> float:
-        """Return the weighted tokens granted to a customer."""
-        return self._served.get(customer, self._floor)
+    def served(self, client_account: ids.ClientAccountId) -> float:
+        """Return the weighted tokens granted to a client account."""
+        return self._served.get(client_account, self._floor)
 
-    def enter(self, customer: ids.CustomerId) -> None:
-        """Note that a customer starts to wait."""
-        self._served[customer] = max(self.served(customer), self._floor)
-        if len(self._served) > MAX_CUSTOMERS:
+    def enter(self, client_account: ids.ClientAccountId) -> None:
+        """Note that a client account starts to wait."""
+        self._served[client_account] = max(
+            self.served(client_account), self._floor
+        )
+        if len(self._served) > MAX_CLIENT_ACCOUNTS:
             self._served = {
                 c: s for c, s in self._served.items() if s > self._floor
             }
 
-    def charge(self, customer: ids.CustomerId, tokens: int) -> None:
+    def charge(self, client_account: ids.ClientAccountId, tokens: int) -> None:
         """Note a grant."""
-        before = self.served(customer)
+        before = self.served(client_account)
         self._floor = max(self._floor, before)
-        weight = max(self._weight(customer), 1e-6)
-        self._served[customer] = before + tokens / weight
+        weight = max(self._weight(client_account), 1e-6)
+        self._served[client_account] = before + tokens / weight
 
 
 class Key(NamedTuple):
@@ -100,7 +102,7 @@
     def __init__(self, fairness: Fairness) -> None:
         self._fairness = fairness
         self._waiting: dict[ids.RequestId, Waiting] = {}
-        self._customers: dict[ids.CustomerId, int] = {}
+        self._client_accounts: dict[ids.ClientAccountId, int] = {}
         self._order: list[Waiting] | None = []
 
     def __len__(self) -> int:
@@ -121,10 +123,12 @@
         """Let a request wait."""
         request = waiting.request
         self.remove(request.request_id)
-        customer = request.customer
-        if customer not in self._customers:
-            self._fairness.enter(customer)
-        self._customers[customer] = self._customers.get(customer, 0) + 1
+        client_account = request.client_account
+        if client_account not in self._client_accounts:
+            self._fairness.enter(client_account)
+        self._client_accounts[client_account] = (
+            self._client_accounts.get(client_account, 0) + 1
+        )
         self._waiting[request.request_id] = waiting
         self._order = None
 
@@ -133,18 +137,18 @@
         waiting = self._waiting.pop(request, None)
         if waiting is None:
             return None
-        customer = waiting.request.customer
-        self._customers[customer] -= 1
-        if not self._customers[customer]:
-            del self._customers[customer]
+        client_account = waiting.request.client_account
+        self._client_accounts[client_account] -= 1
+        if not self._client_accounts[client_account]:
+            del self._client_accounts[client_account]
         if self._order is not None:
             self._order.remove(waiting)
         return waiting
 
-    def charge(self, customer: ids.CustomerId, tokens: int) -> None:
-        """Note a grant to a customer; its other requests move back."""
-        self._fairness.charge(customer, tokens)
-        if customer in self._customers:
+    def charge(self, client_account: ids.ClientAccountId, tokens: int) -> None:
+        """Note a grant to a client account; its other requests move back."""
+        self._fairness.charge(client_account, tokens)
+        if client_account in self._client_accounts:
             self._order = None
 
     def in_order(self) -> tuple[Waiting, ...]:
@@ -194,7 +198,7 @@
         return Key(
             -request.priority,
             waiting.rank,
-            self._fairness.served(request.customer),
+            self._fairness.served(request.client_account),
             waiting.arrived,
             waiting.sequence,
         )
--- a/primrosereel/core/_requests.py
+++ b/primrosereel/core/_requests.py
@@ -101,7 +101,7 @@
     """
 
     call: messages.CompletionReceived
-    customer: ids.CustomerId
+    client_account: ids.ClientAccountId
     priority: int
     service: text_module.Service
     model: text_module.Model
--- a/primrosereel/core/_reservation.py
+++ b/primrosereel/core/_reservation.py
@@ -53,7 +53,7 @@
     attempt: int
     entry: ids.InstanceId
     incarnation: ids.Incarnation
-    customer: ids.CustomerId
+    client_account: ids.ClientAccountId
     priority: int
     prefill_runner: ids.RunnerId | None
     decode_runner: ids.RunnerId
--- a/primrosereel/core/_scheduler.py
+++ b/primrosereel/core/_scheduler.py
@@ -238,7 +238,7 @@
             request.attempt,
             waiting.entry,
             waiting.incarnation,
-            request.customer,
+            request.client_account,
             request.priority,
             choice.prefill,
             choice.decode,
@@ -256,7 +256,7 @@
                 stragglers.probe_taken(self._world, runner)
         self._queue.remove(request.request_id)
         self._queue.charge(
-            request.customer, request.prompt_tokens + request.max_tokens
+            request.client_account, request.prompt_tokens + request.max_tokens
         )
         late = waiting.is_late(now)
         self._since_late = 0 if late else self._since_late + 1
--- a/primrosereel/core/_shares.py
+++ b/primrosereel/core/_shares.py
@@ -1,4 +1,4 @@
-"""How a limit owner divides a customer's rate among daemons."""
+"""How a limit owner divides a client account's rate among daemons."""
 
 from collections.abc import Mapping
 from typing import TypeVar
--- a/primrosereel/core/_tables.py
+++ b/primrosereel/core/_tables.py
@@ -19,7 +19,7 @@
 from primrosereel.core import _retries as retries
 
 __all__ = [
-    'Customer',
+    'ClientAccount',
     'Gauged',
     'Identity',
     'Listing',
@@ -95,16 +95,16 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Customer:
-    """A customer of the text in force; ``facts`` follow the text.
+class ClientAccount:
+    """A client account of the text in force; ``facts`` follow the text.
 
     Everything else is written by the limits system.
     ``demand`` counts the calls asked for since the last report, and
     ``wanted_at`` is when the last of them was.
     """
 
-    customer: ids.CustomerId
-    facts: text_module.Customer
+    client_account: ids.ClientAccountId
+    facts: text_module.ClientAccount
     tokens: float = 0.0
     rate: float = 0.0
     filled_at: float = -math.inf
@@ -183,10 +183,10 @@
         # Group owners by region; cleared by whoever changes what they follow
         # from (list, text, a peer's state, draining).
         self.owners: dict[ids.Region, dict[ids.GroupId, ids.InstanceId]] = {}
-        self.customers: dict[ids.CustomerId, Customer] = {}
-        self.customers_by_key: dict[str, ids.CustomerId] = {}
-        # Customers with calls in the last seconds.
-        self.active_customers: set[ids.CustomerId] = set()
+        self.client_accounts: dict[ids.ClientAccountId, ClientAccount] = {}
+        self.client_accounts_by_key: dict[str, ids.ClientAccountId] = {}
+        # Client accounts with calls in the last seconds.
+        self.active_client_accounts: set[ids.ClientAccountId] = set()
         # Explanations of recent requests, oldest first.
         self.explanations: collections.OrderedDict[
             ids.RequestId, list[str]
--- a/primrosereel/core/_text_tables.py
+++ b/primrosereel/core/_text_tables.py
@@ -1,6 +1,6 @@
 """Fills the tables from an accepted text.
 
-Only services and customers that differ from the text before are touched.
+Only services and client accounts that differ from the text before are touched.
 """
 
 from primrosereel import _ids as ids
@@ -21,7 +21,7 @@
     world.text = text
     world.revision = revision
     _update_services(world, old, text)
-    _update_customers(world, old, text)
+    _update_client_accounts(world, old, text)
     world.owners.clear()
 
 
@@ -99,24 +99,26 @@
                 row.group = group
 
 
-def _update_customers(
+def _update_client_accounts(
     world: tables.World, old: text_module.Text, new: text_module.Text
 ) -> None:
-    changed = _changed(old.customers, new.customers)
-    # All old keys go first: two customers may have swapped theirs.
-    for customer in changed:
-        before = old.customers.get(customer)
+    changed = _changed(old.client_accounts, new.client_accounts)
+    # All old keys go first: two client accounts may have swapped theirs.
+    for client_account in changed:
+        before = old.client_accounts.get(client_account)
         if before is not None:
-            world.customers_by_key.pop(before.key_sha256, None)
-    for customer in changed:
-        facts = new.customers.get(customer)
+            world.client_accounts_by_key.pop(before.key_sha256, None)
+    for client_account in changed:
+        facts = new.client_accounts.get(client_account)
         if facts is None:
-            world.customers.pop(customer, None)
+            world.client_accounts.pop(client_account, None)
             continue
-        world.customers_by_key[facts.key_sha256] = customer
-        row = world.customers.get(customer)
+        world.client_accounts_by_key[facts.key_sha256] = client_account
+        row = world.client_accounts.get(client_account)
         if row is None:
-            world.customers[customer] = tables.Customer(customer, facts)
+            world.client_accounts[client_account] = tables.ClientAccount(
+                client_account, facts
+            )
         else:
             # Its tokens and share stay: a change must not refill a rate.
             row.facts = facts
--- a/primrosereel/core/_witnesses.py
+++ b/primrosereel/core/_witnesses.py
@@ -74,7 +74,7 @@
 def witness_set(
     world: tables.World,
     region: ids.Region,
-    customer: ids.CustomerId,
+    client_account: ids.ClientAccountId,
     key: ids.IdempotencyKey,
 ) -> tuple[Witness, ...]:
     """Return the witnesses of a key in the own view of the list.
@@ -83,12 +83,14 @@
     itself must not make its view differ from others' with the same list.
     """
     listed = _eligible(world.listing, region)
-    ranked = ownership.rank(_rank_key(customer, key), listed, WITNESSES)
+    ranked = ownership.rank(_rank_key(client_account, key), listed, WITNESSES)
     return tuple((name, listed[name]) for name in ranked)
 
 
-def _rank_key(customer: ids.CustomerId, key: ids.IdempotencyKey) -> str:
-    return f'{customer}\0{key}'
+def _rank_key(
+    client_account: ids.ClientAccountId, key: ids.IdempotencyKey
+) -> str:
+    return f'{client_account}\0{key}'
 
 
 def _eligible(
@@ -156,7 +158,7 @@
 
     def may_consent(
         self,
-        customer: ids.CustomerId,
+        client_account: ids.ClientAccountId,
         key: ids.IdempotencyKey,
         made_at: float,
     ) -> bool:
@@ -177,7 +179,9 @@
         names = set(self._listed)
         names.update(n for n, at in self._removed.items() if at > oldest)
         names.add(self._own.instance)
-        ranked = ownership.rank(_rank_key(customer, key), names, WITNESSES)
+        ranked = ownership.rank(
+            _rank_key(client_account, key), names, WITNESSES
+        )
         return self._own.instance in ranked
 
     def _follows(self, listing: tables.Listing) -> bool:
--- a/primrosereel/daemon/_callers.py
+++ b/primrosereel/daemon/_callers.py
@@ -361,10 +361,12 @@
 
     async def _list_models(self, call: _Call) -> None:
         world = self._driver.core.world
-        customer = world.customers_by_key.get(_key_sha256(call.scope))
-        if customer is None or world.text is None:
+        client_account = world.client_accounts_by_key.get(
+            _key_sha256(call.scope)
+        )
+        if client_account is None or world.text is None:
             raise _Refused(Reason.UNAUTHENTICATED)
-        allowed = world.customers[customer].facts.services
+        allowed = world.client_accounts[client_account].facts.services
         rows = [
             {'id': name, 'object': 'model', 'owned_by': 'primrosereel'}
             for name in allowed
--- a/primrosereel/gateway/_admission.py
+++ b/primrosereel/gateway/_admission.py
@@ -74,7 +74,7 @@
     if ticket.row is None:
         wait_s = places.expected_wait_s(ticket, now)
         if wait_s > limit_s:
-            places.withdraw(ticket)
+            _withdraw(exchange, ticket)
             raise _no_capacity(exchange, wait_s)
         context.uses_changed()
         await _wait(exchange, ticket, admitted, limit_s)
@@ -104,15 +104,23 @@
                     context.uses_changed()
                 context.places.admit(context.clock())
     except BaseException:
-        context.places.withdraw(ticket)
+        _withdraw(exchange, ticket)
         context.places.release(ticket)
         raise
     if ticket.row is None:
-        context.places.withdraw(ticket)
+        _withdraw(exchange, ticket)
         wait_s = context.places.expected_wait_s(ticket, context.clock())
         raise _no_capacity(exchange, wait_s)
 
 
+def _withdraw(
+    exchange: context_module.Exchange, ticket: decode_places.Ticket
+) -> None:
+    """Take a request out of the queue, and tell peers that wait behind it."""
+    exchange.context.places.withdraw(ticket)
+    exchange.context.uses_changed()
+
+
 def _hopeless(
     exchange: context_module.Exchange,
     ticket: decode_places.Ticket,
--- a/primrosereel/gateway/_orders.py
+++ b/primrosereel/gateway/_orders.py
@@ -57,7 +57,7 @@
                     taken = await self._order(switch, service.engine)
                     if not taken:
                         self._balance.order_failed(
-                            service.name, context.clock()
+                            service.name, switch.runner, context.clock()
                         )
 
     def _update_leadership(self, now: float) -> None:
--- a/primrosereel/routing/_roles.py
+++ b/primrosereel/routing/_roles.py
@@ -55,6 +55,10 @@
     not_before: float = 0.0
     last_role: states.Role | None = None
     last_at: float = 0.0
+    # Runners that were ordered to switch, and until when that is expected.
+    pending: dict[ids.RunnerId, float] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 class RoleBalance:
@@ -86,8 +90,10 @@
         )
         state.tokens += SAMPLE_WEIGHT * (in_use - state.tokens)
         state.samples += 1
-        role = self._wanted(state, engine, hold_s, prefill, decode)
-        if role is None or state.samples < FEWEST_SAMPLES:
+        self._forget_pending(state, now)
+        steps = self._wanted(state, engine, hold_s, prefill, decode)
+        role = states.Role.DECODE if steps > 0 else states.Role.PREFILL
+        if not steps or state.samples < FEWEST_SAMPLES:
             state.wanted_since = None
             return None
         if state.wanted_since is None:
@@ -99,17 +105,30 @@
             return None
         state.wanted_since = None
         state.last_role, state.last_at = role, now
-        state.not_before = now + engine.switch_s + SETTLE_S
+        # The further off the balance is, the sooner the next order follows.
+        state.not_before = now + (engine.switch_s + SETTLE_S) / abs(steps)
         giving = prefill if role is states.Role.DECODE else decode
         row = min(
-            giving,
+            (row for row in giving if row.runner not in state.pending),
             key=lambda r: (r.suspect(now), self._busy(r, now), r.runner),
         )
+        state.pending[row.runner] = now + engine.switch_s + SETTLE_S
         return Switch(row.runner, row.listing.address, role)
 
-    def order_failed(self, service: ids.ServiceId, now: float) -> None:
+    def order_failed(
+        self, service: ids.ServiceId, runner: ids.RunnerId, now: float
+    ) -> None:
         """Note that an order was not taken; another may follow soon."""
-        self._services[service].not_before = now + FAILED_S
+        state = self._services[service]
+        state.not_before = now + FAILED_S
+        state.pending.pop(runner, None)
+
+    def _forget_pending(self, state: _Service, now: float) -> None:
+        for runner, until in list(state.pending.items()):
+            row = self._table.get(runner)
+            switched = row is None or row.listing.role is state.last_role
+            if switched or now >= until:
+                del state.pending[runner]
 
     def _busy(self, row: runners.Runner, now: float) -> int:
         return row.tokens + self._ledger.use(row.runner, now).tokens
@@ -121,28 +140,31 @@
         hold_s: float,
         prefill: list[runners.Runner],
         decode: list[runners.Runner],
-    ) -> states.Role | None:
-        """Return the role of which one more runner is needed, if any."""
-        readers, holders = len(prefill), len(decode)
-        if not readers:
+    ) -> int:
+        """Return how many runners decode is to get; negative for prefill.
+
+        Runners that were ordered to switch count with their new role.
+        """
+        moving = len(state.pending)
+        if state.last_role is states.Role.PREFILL:
+            moving = -moving
+        readers, holders = len(prefill) - moving, len(decode) + moving
+        if readers < 1:
             # Decode runners that read slow down all their streams.
-            return states.Role.PREFILL if holders > 1 else None
-        slowness = sum(row.slowness for row in prefill) / len(prefill)
+            return -1 if holders > 1 else 0
+        slowness = sum(row.slowness for row in prefill) / max(1, len(prefill))
         per_s = state.tokens / max(hold_s, 0.1)
-        work = per_s * split.TOKEN_S * slowness
+        work = per_s * split.TOKEN_S * (slowness or 1.0)
         memory = state.tokens / engine.kv_tokens
-        now_max = max(work / readers, memory / holders)
-        if now_max < LEAST_UTILIZATION:
-            return None
-        if readers > 1:
-            then = max(work / (readers - 1), memory / (holders + 1))
-            if then <= GAIN * now_max:
-                return states.Role.DECODE
-        if holders > 1:
-            then = max(work / (readers + 1), memory / (holders - 1))
-            if then <= GAIN * now_max:
-                return states.Role.PREFILL
-        return None
+
+        def highest(count: int) -> float:
+            return max(work / count, memory / (readers + holders - count))
+
+        current = highest(readers) if holders else float('inf')
+        if current < LEAST_UTILIZATION:
+            return 0
+        best = min(range(1, readers + holders), key=highest, default=readers)
+        return readers - best if highest(best) <= GAIN * current else 0
 
 
 class Leadership:
--- a/primrosereel/text/__init__.py
+++ b/primrosereel/text/__init__.py
@@ -10,7 +10,7 @@
 from primrosereel.text._differences import encode
 from primrosereel.text._differences import encode_text
 from primrosereel.text._model import Call
-from primrosereel.text._model import Customer
+from primrosereel.text._model import ClientAccount
 from primrosereel.text._model import Model
 from primrosereel.text._model import Runner
 from primrosereel.text._model import Service
@@ -23,7 +23,7 @@
     'MAX_BODY_BYTES',
     'MAX_GROUP_RUNNERS',
     'Call',
-    'Customer',
+    'ClientAccount',
     'Difference',
     'Model',
     'Runner',
--- a/primrosereel/text/_checker.py
+++ b/primrosereel/text/_checker.py
@@ -40,7 +40,7 @@
         _check_calls(service, path, faults)
     _check_cycles(text, faults)
     _check_runners(text, faults)
-    _check_customers(text, faults)
+    _check_client_accounts(text, faults)
 
 
 def _check_llm(text, service, path, faults) -> None:
@@ -178,18 +178,18 @@
     return ipaddress.ip_address(host), int(port)
 
 
-def _check_customers(text, faults) -> None:
+def _check_client_accounts(text, faults) -> None:
     seen: dict[str, str] = {}
-    for name, customer in text.customers.items():
-        path = f'customers.{name}'
-        if customer.key_sha256:
+    for name, client_account in text.client_accounts.items():
+        path = f'client_accounts.{name}'
+        if client_account.key_sha256:
             _check_once(
-                customer.key_sha256,
-                customer.key_sha256,
+                client_account.key_sha256,
+                client_account.key_sha256,
                 f'{path}.key_sha256',
                 seen,
                 faults,
             )
         _check_names(
-            customer.services, text.services, f'{path}.services', faults
+            client_account.services, text.services, f'{path}.services', faults
         )
--- a/primrosereel/text/_differences.py
+++ b/primrosereel/text/_differences.py
@@ -3,7 +3,7 @@
 A difference lists changed paths::
 
     ('models', 'm')                              a model
-    ('customers', 'c')                           a customer
+    ('client_accounts', 'c')                           a client account
     ('services', 's')                            a whole service
     ('services', 's', 'calls')                   one field of a service
     ('services', 's', 'runners', 'r')            one runner
@@ -64,7 +64,7 @@
 SECTION_DECODERS: dict[str, msgspec.msgpack.Decoder[Any]] = {
     'models': msgspec.msgpack.Decoder(model.Model),
     'services': msgspec.msgpack.Decoder(model.Service),
-    'customers': msgspec.msgpack.Decoder(model.Customer),
+    'client_accounts': msgspec.msgpack.Decoder(model.ClientAccount),
 }
 RUNNER_DECODER = msgspec.msgpack.Decoder(model.Runner)
 FIELD_DECODERS: dict[str, msgspec.msgpack.Decoder[Any]] = {
@@ -79,7 +79,9 @@
     changes: list[Change] = []
     _compare_rows(('models',), old.models, new.models, changes)
     _compare_services(old.services, new.services, changes)
-    _compare_rows(('customers',), old.customers, new.customers, changes)
+    _compare_rows(
+        ('client_accounts',), old.client_accounts, new.client_accounts, changes
+    )
     return Difference(tuple(changes))
 
 
@@ -170,7 +172,7 @@
         self._sections: dict[str, dict[Any, Any]] = {
             'models': dict(text.models),
             'services': dict(text.services),
-            'customers': dict(text.customers),
+            'client_accounts': dict(text.client_accounts),
         }
         self._runners: dict[str, dict[Any, Any]] = {}
 
--- a/primrosereel/text/_fields.py
+++ b/primrosereel/text/_fields.py
@@ -30,7 +30,7 @@
 KEY_HASH = re.compile(r'[0-9a-fA-F]{64}')
 METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
 
-TEXT_FIELDS = ('models', 'services', 'customers')
+TEXT_FIELDS = ('models', 'services', 'client_accounts')
 MAX_PRIORITY = 9
 MAX_PLACES = 100_000
 MAX_PIECES = 100_000_000
@@ -57,11 +57,11 @@
         name: _read_service(entry, path, faults)
         for name, entry, path in _entries(data, 'services', '', faults)
     }
-    customers = {
-        name: _read_customer(entry, path, faults)
-        for name, entry, path in _entries(data, 'customers', '', faults)
+    client_accounts = {
+        name: _read_client_account(entry, path, faults)
+        for name, entry, path in _entries(data, 'client_accounts', '', faults)
     }
-    return model.Text(models, services, customers)
+    return model.Text(models, services, client_accounts)
 
 
 def _entries(
@@ -203,9 +203,11 @@
     )
 
 
-def _read_customer(entry, path, faults) -> model.Customer:
-    options.check_known(entry, model.Customer.__struct_fields__, faults, path)
-    return model.Customer(
+def _read_client_account(entry, path, faults) -> model.ClientAccount:
+    options.check_known(
+        entry, model.ClientAccount.__struct_fields__, faults, path
+    )
+    return model.ClientAccount(
         key_sha256=_key_hash(entry, path, faults),
         services=_strings(entry, 'services', faults, path),
         priority=options.get_int_opt(
--- a/primrosereel/text/_parser.py
+++ b/primrosereel/text/_parser.py
@@ -27,7 +27,7 @@
 
     No input makes it raise::
 
-        match parse(b'{models: {}, services: {}, customers: {}}'):
+        match parse(b'{models: {}, services: {}, client_accounts: {}}'):
             case result.Success(text): ...
             case result.Failure(faults): ...
     """
@@ -71,7 +71,7 @@
     return model.Text(
         _unshared(text.models, accepted.models),
         services,
-        _unshared(text.customers, accepted.customers),
+        _unshared(text.client_accounts, accepted.client_accounts),
     )
 
 
