--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -1,6 +1,5 @@
 """Generations: a prompt read, then a stream of events from a decode runner."""
 
-import dataclasses
 import math
 
 import anyio
@@ -11,13 +10,13 @@
 from primrosereel.gateway import _callers as callers
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _http as http
+from primrosereel.gateway import _prompt as prompt_module
 from primrosereel.gateway import _upstream as upstream
 from primrosereel.routing import _decode_places as decode_places
 from primrosereel.routing import _events as events
 from primrosereel.routing import _model as model
 from primrosereel.routing import _patience as patience
 from primrosereel.routing import _runners as runners
-from primrosereel.routing import _split as split
 
 __all__ = ['Generation']
 
@@ -29,21 +28,9 @@
 MAX_REJECTIONS = 4
 MAX_CONNECTS = 4
 RETRY_AFTER_S = 0.5
-# The share of a handle's life within which a decode runner is sent for it.
-HANDLE_SHARE = 0.7
 LEAST_LEFT_S = 0.005
 
 
-@dataclasses.dataclass(slots=True)
-class Handle:
-    """A prompt's KV cache at a prefill runner."""
-
-    name: str
-    connection: http.HttpConnection
-    keep_alive_s: float | None
-    expires_at: float
-
-
 class Ended(Exception):
     """The request ended without a stream; the reply says how."""
 
@@ -70,11 +57,10 @@
         self._progress = events.StreamProgress(exchange.facts.last_event_id)
         self._excluded: set[ids.RunnerId] = set()
         self._ticket: decode_places.Ticket | None = None
-        self._handle: Handle | None = None
+        self._prompt = prompt_module.Prompt(exchange)
         self._rejections = 0
         self._may_have_run = False
         self._begun = False
-        self._handle_lapsed = False
         self._connection: http.HttpConnection | None = None
         self._placed_at = 0.0
 
@@ -97,7 +83,7 @@
             return await self._out_of_time()
         finally:
             self._give_place_back()
-            await self._free_handle()
+            await self._prompt.free()
             if self._connection is not None:
                 with anyio.CancelScope(shield=True):
                     await self._connection.close()
@@ -175,81 +161,8 @@
         )
 
     async def _read_prompt(self) -> None:
-        """Have a prefill runner read the prompt where that is sooner."""
-        exchange = self._exchange
-        now = self._context.clock()
-        tokens = exchange.facts.prompt_tokens
         assert self._ticket is not None and self._ticket.row is not None
-        row = self._context.prefills.choose(self._ticket.row, tokens, now)
-        if row is None:
-            self._context.count('prefill.at_decode')
-            return
-        ahead = self._context.prefills.ahead(row, now)
-        expected_s = split.expected_prefill_s(row, tokens, ahead)
-        limit_s = patience.prefill_s(exchange.route, expected_s)
-        try:
-            with (
-                anyio.fail_after(limit_s),
-                upstream.occupied(row, tokens),
-            ):
-                self._context.uses_changed()
-                await self._prefill(row, now, ahead)
-        except upstream.NotRun as error:
-            row.observe_failure(self._context.clock())
-            exchange.note_retry(Retry.CONNECT_FAILED, row, str(error))
-        except upstream.Rejected as error:
-            row.observe_rejection(self._context.clock())
-            self._context.budget.take(exchange.service, now)
-            exchange.note_retry(Retry.ENGINE_FULL, row, str(error))
-        except http.BrokenAnswer as error:
-            row.observe_failure(self._context.clock())
-            exchange.note_retry(Retry.PREFILL_FAILED, row, str(error))
-        except TimeoutError:
-            row.observe_failure(self._context.clock())
-            exchange.note_retry(Retry.PREFILL_FAILED, row, 'timeout')
-
-    async def _prefill(
-        self, row: runners.Runner, began: float, ahead: int
-    ) -> None:
-        exchange = self._exchange
-        options = model.RunOptions(
-            row.runner,
-            exchange.left_s,
-            exchange.route.priority,
-            prefill_only=True,
-        )
-        connection = await upstream.connect_or_reuse(exchange, row)
-        answer = await upstream.open_answer(exchange, row, options, connection)
-        try:
-            body = await answer.connection.whole_body(MAX_ANSWER_BYTES)
-            found = self._context.dialect.prefill_result(
-                row.listing.address, body
-            )
-            if answer.head.status != 200 or found is None:
-                raise http.BrokenAnswer(f'prefill: {answer.head.status}')
-        except BaseException:
-            with anyio.CancelScope(shield=True):
-                await answer.connection.close()
-            raise
-        now = self._context.clock()
-        row.observe_success(now - began, now)
-        split.observe_prefill(
-            row, exchange.facts.prompt_tokens, ahead, now - began
-        )
-        exchange.note_step('prefill_s', began)
-        self._handle = Handle(
-            found.handle,
-            answer.connection,
-            answer.head.keep_alive_s,
-            now + HANDLE_SHARE * self._handle_ttl_s(),
-        )
-
-    def _handle_ttl_s(self) -> float:
-        table = self._context.table
-        service = table.services.get(self._exchange.service) if table else None
-        if service is None or service.engine is None:
-            return 0.0
-        return service.engine.handle_ttl_s
+        await self._prompt.read(self._ticket.row)
 
     async def _run(self) -> bool:
         """Stream from decode runners until the stream is whole."""
@@ -318,12 +231,12 @@
     async def _open(self, row: runners.Runner) -> upstream.OpenAnswer | None:
         """Return a runner's answer; None where it did not run the request."""
         exchange = self._exchange
-        handle = self._usable_handle()
+        handle = self._prompt.handle()
         options = model.RunOptions(
             row.runner,
             exchange.left_s,
             exchange.route.priority,
-            handle=None if handle is None else handle.name,
+            handle=handle,
             last_event_id=self._progress.last_id,
         )
         ran_before, self._may_have_run = self._may_have_run, True
@@ -334,7 +247,7 @@
                     exchange, row, options, connection
                 )
                 exchange.attempts += 1
-                await self._handle_taken()
+                await self._prompt.taken()
                 return answer
         except upstream.NotRun as error:
             self._may_have_run = ran_before
@@ -366,7 +279,7 @@
         )
         reason = Retry.KV_CACHE_GONE if lapsed else Retry.ENGINE_FULL
         if lapsed:
-            self._handle_lapsed = True
+            self._prompt.lapsed()
         else:
             row.observe_rejection(now)
             self._excluded.add(row.runner)
@@ -468,40 +381,3 @@
         raise Ended(
             callers.Reply(head.status, head.reason, head.headers, body)
         )
-
-    def _usable_handle(self) -> Handle | None:
-        handle = self._handle
-        if handle is None or self._handle_lapsed:
-            return None
-        if self._context.clock() >= handle.expires_at:
-            return None
-        return handle
-
-    async def _handle_taken(self) -> None:
-        """Keep the prefill runner's connection for other requests."""
-        handle, self._handle = self._handle, None
-        if handle is not None:
-            await self._context.pool.put(
-                handle.connection, handle.keep_alive_s, self._context.clock()
-            )
-
-    async def _free_handle(self) -> None:
-        """Free KV cache that no decode runner took."""
-        handle, self._handle = self._handle, None
-        if handle is None:
-            return
-        method, target = self._context.dialect.free_handle(handle.name)
-        address = str(handle.connection.address).encode()
-        call = http.Call(method, target, [(b'Host', address)])
-        self._context.count('prefill.freed')
-        with anyio.CancelScope(shield=True), anyio.move_on_after(0.3):
-            try:
-                await handle.connection.exchange(call)
-                await handle.connection.whole_body(MAX_ANSWER_BYTES)
-            except http.BrokenAnswer as error:
-                self._context.log.info(
-                    'handle not freed',
-                    request=self._exchange.facts.request_id,
-                    detail=str(error),
-                )
-            await handle.connection.close()
--- a/primrosereel/gateway/_plain.py
+++ b/primrosereel/gateway/_plain.py
@@ -52,7 +52,6 @@
         """Try one runner; None where another may be tried."""
         row = self._context.placement.choose(
             self._exchange.service,
-            states.Role.PLAIN,
             self._excluded,
             self._context.clock(),
         )
--- a/primrosereel/gateway/_store_reader.py
+++ b/primrosereel/gateway/_store_reader.py
@@ -127,7 +127,6 @@
         if context.table and table.version <= context.table.version:
             return
         context.table = table
-        context.placement.set_services(table.services)
         context.places.set_services(table.services)
         context.log.info('configuration in force', version=table.version)
 
--- a/primrosereel/routing/_placement.py
+++ b/primrosereel/routing/_placement.py
@@ -1,4 +1,4 @@
-"""Chooses the runner of a request by shortest expected completion.
+"""Chooses the runner of a plain call by shortest expected completion.
 
 Pattern: least expected completion time over the instance's own counts and the
 load that answers report. Ties are broken at random, so that instances with
@@ -11,7 +11,6 @@
 
 from primrosereel import _ids as ids
 from primrosereel import _states as states
-from primrosereel.routing import _model as model
 from primrosereel.routing import _runners as runners
 
 __all__ = ['Placement', 'PlacementPolicy', 'RandomPlacement']
@@ -28,15 +27,9 @@
 class PlacementPolicy(Protocol):
     """Chooses the runner of a plain call."""
 
-    def set_services(
-        self, services: dict[ids.ServiceId, model.Service]
-    ) -> None:
-        """Take the capacities of a new configuration."""
-
     def choose(
         self,
         service: ids.ServiceId,
-        role: states.Role,
         excluded: Collection[ids.RunnerId],
         now: float,
     ) -> runners.Runner | None:
@@ -55,25 +48,17 @@
         self._table = table
         self._availability_zone = availability_zone
         self._random = random
-        self._engines: dict[ids.ServiceId, model.Engine | None] = {}
-
-    def set_services(
-        self, services: dict[ids.ServiceId, model.Service]
-    ) -> None:
-        """Take the capacities of a new configuration."""
-        self._engines = {n: s.engine for n, s in services.items()}
 
     def choose(
         self,
         service: ids.ServiceId,
-        role: states.Role,
         excluded: Collection[ids.RunnerId],
         now: float,
     ) -> runners.Runner | None:
         """Return the runner with the lowest cost."""
         candidates = [
             row
-            for row in self._table.ready(service, role)
+            for row in self._table.ready(service, states.Role.PLAIN)
             if row.runner not in excluded
         ]
         if not candidates:
@@ -87,7 +72,7 @@
     def _cost(
         self, row: runners.Runner, fastest: float | None, now: float
     ) -> float:
-        cost = self._occupancy(row, now)
+        cost = (row.busy(now) + 1) / max(1, row.listing.slots)
         if fastest and row.latency_s:
             cost = (cost + 0.3) * min(row.latency_s / fastest, 4.0)
         if row.report is not None:
@@ -105,19 +90,6 @@
         cost += FAILURE_COST * row.failure_rate
         return cost + TIE_SPREAD * self._random.random()
 
-    def _occupancy(self, row: runners.Runner, now: float) -> float:
-        slots = max(1, row.listing.slots)
-        busy = (row.busy(now) + 1) / slots
-        if row.listing.role is states.Role.PREFILL:
-            # A prefill runner reads one prompt after the other.
-            return row.busy(now)
-        engine = self._engines.get(row.listing.service)
-        if engine is None or engine.kv_tokens <= 0:
-            return busy
-        per_request = row.tokens / row.in_flight if row.in_flight else 5000
-        tokens = row.tokens + row.others_now(now) * per_request
-        return max(busy, 4 * tokens / engine.kv_tokens)
-
 
 class RandomPlacement:
     """A random ready runner: the baseline that scores are set beside."""
@@ -131,22 +103,16 @@
         self._table = table
         self._random = random
 
-    def set_services(
-        self, services: dict[ids.ServiceId, model.Service]
-    ) -> None:
-        """Capacities make no difference to this policy."""
-
     def choose(
         self,
         service: ids.ServiceId,
-        role: states.Role,
         excluded: Collection[ids.RunnerId],
         now: float,
     ) -> runners.Runner | None:
         """Return any ready runner."""
         candidates = [
             row
-            for row in self._table.ready(service, role)
+            for row in self._table.ready(service, states.Role.PLAIN)
             if row.runner not in excluded
         ]
         return self._random.choice(candidates) if candidates else None
--- a/tests/property/test_routing_units.py
+++ b/tests/property/test_routing_units.py
@@ -186,7 +186,7 @@
 
 
 def choose(policy, now=0.0, excluded=()):
-    return policy.choose(SERVICE, states.Role.PLAIN, excluded, now)
+    return policy.choose(SERVICE, excluded, now)
 
 
 @pytest.mark.parametrize(
