Say 503 only where no earlier send may have run

Cause: read in the diff: a resumable stream whose first runner failed and whose second refused was answered 503 once the retry budget was spent, though the first may have run it; a call refused for the budget was logged as no_runner; for its first half second an instance took the whole slack for itself. Change: 502 there, the reason kept, the slack divided from the start.

--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -125,6 +125,7 @@
         self._context.uses_changed = self._peers.changed
         self._cut_at = math.inf
         self._most_instances = INSTANCES_PER_SEED * max(1, len(settings.seeds))
+        self._context.budget.set_instances(self._most_instances)
         self._stop_asked = anyio.Event()
 
     @property
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -113,8 +113,7 @@
             except upstream.NotRun as error:
                 self._connect_failed(row, str(error))
                 self._give_place_back()
-        reply = self._exchange.refusal(Reason.NO_RUNNER, RETRY_AFTER_S)
-        raise Ended(reply)
+        raise Ended(self._refusal(Reason.NO_RUNNER))
 
     def _connect_failed(self, row: runners.Runner, why: str) -> None:
         row.observe_failure(self._context.clock())
@@ -176,7 +175,6 @@
 
     def _choose_decode(self) -> runners.Runner:
         """Return the runner of the place, or of another one."""
-        exchange = self._exchange
         ticket = self._ticket
         assert ticket is not None
         row = ticket.row
@@ -191,9 +189,15 @@
                 self._context.uses_changed()
             return row
         if self._may_have_run:
-            raise Ended(exchange.failure(Reason.UPSTREAM_FAILED, 502))
+            raise Ended(self._refusal(Reason.UPSTREAM_FAILED))
         reason = Reason.NO_CAPACITY if self._rejections else Reason.NO_RUNNER
-        raise Ended(exchange.refusal(reason, RETRY_AFTER_S))
+        raise Ended(self._refusal(reason))
+
+    def _refusal(self, reason: states.RefusalReason) -> callers.Reply:
+        """Return 503 only where no earlier send may have run."""
+        if self._may_have_run:
+            return self._exchange.failure(reason, 502)
+        return self._exchange.refusal(reason, RETRY_AFTER_S)
 
     def _after_break(self, row: runners.Runner, why: str) -> None:
         """Go on at another runner, or end the request."""
@@ -285,7 +289,7 @@
             self._excluded.add(row.runner)
         exchange.note_retry(reason, row, why)
         if not self._context.budget.take(exchange.service, now):
-            raise Ended(exchange.refusal(Reason.RETRY_BUDGET, RETRY_AFTER_S))
+            raise Ended(self._refusal(Reason.RETRY_BUDGET))
 
     def _first_event_s(self) -> float:
         route = self._exchange.route
--- a/primrosereel/gateway/_plain.py
+++ b/primrosereel/gateway/_plain.py
@@ -36,6 +36,8 @@
         self._excluded: set[ids.RunnerId] = set()
         self._answer: callers.Reply | None = None
         self._may_have_run = False
+        # Why a call that did not run is refused.
+        self._reason = Reason.NO_RUNNER
 
     async def serve(self) -> callers.Reply:
         """Return the answer for the caller."""
@@ -160,7 +162,7 @@
             return self._last_word()
         now = self._context.clock()
         if not self._context.budget.take(exchange.service, now):
-            self._context.count('refused.retry_budget')
+            self._reason = Reason.RETRY_BUDGET
             return self._last_word()
         return None
 
@@ -176,4 +178,4 @@
             return exchange.failure(Reason.UPSTREAM_FAILED, 502)
         if exchange.attempts and exchange.left_s < LEAST_LEFT_S:
             return exchange.failure(Reason.DEADLINE, 504)
-        return exchange.refusal(Reason.NO_RUNNER, RETRY_AFTER_S)
+        return exchange.refusal(self._reason, RETRY_AFTER_S)
--- a/tests/property/test_gateway.py
+++ b/tests/property/test_gateway.py
@@ -402,3 +402,36 @@
         )
 
     run(scenario)
+
+
+def test_a_refusal_after_a_send_that_may_have_run_is_not_called_not_run():
+    """With the retry budget spent, 503 was said of a request that had run."""
+
+    async def scenario(fleet):
+        context = fleet.gateway._context
+        context.runners.get('d2').tokens = 20_000
+        context.runners.get('d2').in_flight = 4
+        # One repeated send: the one after the reset.
+        fleet.gateway._most_instances = 1
+        context.budget.set_instances(1)
+        context.budget.set_bounds(0.0, 2.0, 10.0)
+        fleet.runners['d1'].faults.append(Fault.RESET_BEFORE_RUN)
+        fleet.runners['d2'].faults.append(Fault.SHED)
+        reply = await fleet.ask('/ask/1', 'r1', method='POST', **STREAM)
+        assert len(fleet.runners['d2'].requests) == 1
+        assert reply.status == 502
+
+    run(scenario)
+
+
+def test_a_call_without_budget_is_refused_for_that_reason():
+    """On-call saw no_runner where the retry budget was spent."""
+
+    async def scenario(fleet):
+        for name in ('s1', 's2'):
+            fleet.runners[name].faults.append(Fault.SHED)
+        reply = await fleet.ask('/file/1', 'r1', method='POST')
+        assert reply.status == 503
+        assert fleet.log.named('refused')[0]['reason'] == 'retry_budget'
+
+    run(scenario, retry_slack=0.0)
