Stay ready when the store's history is lost

Cause: read in the diff: a watch answered 410 made the instance not ready until the store was read again; with the store away, all instances would have left the rotation though they could serve. Change: what was read once stays in use. Figures: the new test fails before and passes after.

--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -252,7 +252,9 @@
         new = dataclasses.replace(new, **changes)
         self._settings = self._context.settings = new
         self._context.budget.set_bounds(
-            new.retry_ratio, new.retry_slack, new.retry_window_s
+            new.retry_ratio * self._policy.retries,
+            new.retry_slack * self._policy.retries,
+            new.retry_window_s,
         )
         self._log.info('settings in force')
 
--- a/primrosereel/gateway/_status.py
+++ b/primrosereel/gateway/_status.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 
 import anyio.abc
+import h11
 
 from primrosereel.gateway import _callers as callers
 from primrosereel.routing import _model as model
@@ -35,7 +36,7 @@
                 await connection.reply(self._answer(request))
                 if not connection.next_cycle():
                     return
-        except callers.CallerGone:
+        except (callers.CallerGone, h11.LocalProtocolError):
             return
         finally:
             await connection.close()
--- a/primrosereel/gateway/_store_reader.py
+++ b/primrosereel/gateway/_store_reader.py
@@ -39,6 +39,8 @@
         self._store = store
         self._list = runner_list.RunnerList(context.runners)
         self._revision = 0
+        # Stays set when history is lost: what was read is still in use.
+        self._synchronized = False
         self._backoff_s = FIRST_BACKOFF_S
         self._available = True
 
@@ -56,7 +58,7 @@
     @property
     def synchronized(self) -> bool:
         """Whether the store has been read since the start."""
-        return self._revision > 0
+        return self._synchronized
 
     async def run(self) -> None:
         """Read and watch until cancelled."""
@@ -93,6 +95,7 @@
             self._take_table(change.table)
         self._list.snapshot(listings, self._context.clock())
         self._revision = state.revision
+        self._synchronized = True
         self._context.log.info(
             'store read', revision=state.revision, runners=len(listings)
         )
--- a/primrosereel/standin/_metadata_store.py
+++ b/primrosereel/standin/_metadata_store.py
@@ -55,6 +55,8 @@
         self.server = raw_http.RawServer(self._handle)
         self.mode = StoreMode.UP
         self.calls = 0
+        # Lists are refused while single watches are still answered.
+        self.ranges_refused = False
         self._items: dict[str, _Event] = {}
         self._history: list[_Event] = []
         self._revision = 1
@@ -98,6 +100,8 @@
         self._fail()
         query = dict(urllib.parse.parse_qsl(request.query))
         if request.path == '/v1/kv-range':
+            if self.ranges_refused:
+                return raw_http.Answer(503)
             return self._range(query)
         if request.path == '/v1/kv-watch':
             answer = await self._watch(query)
--- a/tests/property/test_gateway.py
+++ b/tests/property/test_gateway.py
@@ -435,3 +435,19 @@
         assert fleet.log.named('refused')[0]['reason'] == 'retry_budget'
 
     run(scenario, retry_slack=0.0)
+
+
+def test_lost_history_does_not_take_an_instance_out_of_rotation():
+    """With the history dropped and the store away no instance was ready."""
+
+    async def scenario(fleet):
+        fleet.store.ranges_refused = True
+        fleet.store.forget_history()
+        await fleet.wait_for(
+            lambda: bool(fleet.log.named('store history lost'))
+        )
+        await anyio.sleep(0.3)
+        assert fleet.gateway.ready
+        assert (await fleet.ask('/read/1', 'r1')).status == 200
+
+    run(scenario)
