Let the stand-in store tell waiting watches that history is lost

Cause: the stand-in's dropped history was only lost to watches that lagged, so the test of lost history met no 410 and could not fail. Change: dropping it moves the revision on.

--- a/primrosereel/standin/_metadata_store.py
+++ b/primrosereel/standin/_metadata_store.py
@@ -74,8 +74,9 @@
         self._write(key, None)
 
     def forget_history(self) -> None:
-        """Drop the history, so that older watches are told 410."""
+        """Drop the history, so that waiting watches are told 410."""
         self._history.clear()
+        self._revision += 1
         self._first = self._revision + 1
         self._notify()
 
