Choose candidate runners in one place; remove what nothing uses

Cause: read in the diff: four places filtered the ready runners by the excluded ones, and two by 'neither suspect nor refusing'; a constant, a method and a property had no use. Change: RunnerTable.ready takes the excluded runners and Runner.sound tells the rest; no behaviour.

--- a/primrosereel/gateway/_callers.py
+++ b/primrosereel/gateway/_callers.py
@@ -14,7 +14,6 @@
 
 # What a caller may send ahead of the answer to its request.
 MAX_PIPELINED_BYTES = 65536
-JSON = b'application/json'
 
 
 class CallerGone(Exception):
--- a/primrosereel/gateway/_metrics.py
+++ b/primrosereel/gateway/_metrics.py
@@ -63,11 +63,6 @@
         self._gauges: dict[str, float] = {}
         self._histograms: dict[str, Histogram] = {}
 
-    @property
-    def counters(self) -> dict[str, int]:
-        """The counters by name."""
-        return dict(self._counters)
-
     def count(self, name: str) -> None:
         """Increment a counter; a dot parts its name from a reason."""
         self._counters[name] += 1
--- a/primrosereel/gateway/_pool.py
+++ b/primrosereel/gateway/_pool.py
@@ -56,11 +56,6 @@
             idle_s = DEFAULT_IDLE_S
         rows.append((now + idle_s, connection))
 
-    async def drop(self, address: model.Address) -> None:
-        """Close the idle connections of an address."""
-        for _, connection in self._idle.pop(address, []):
-            await connection.close()
-
     async def close_old(self, now: float) -> None:
         """Close what has been idle for too long."""
         for address, rows in list(self._idle.items()):
--- a/primrosereel/routing/_decode_places.py
+++ b/primrosereel/routing/_decode_places.py
@@ -271,17 +271,10 @@
 
     def _candidates(self, ticket: Ticket, now: float) -> list[runners.Runner]:
         """Return runners that may be sent the request, sound ones if any."""
-        ready = [
-            row
-            for row in self._table.ready(ticket.service, states.Role.DECODE)
-            if row.runner not in ticket.excluded
-        ]
-        sound = [
-            row
-            for row in ready
-            if not row.suspect(now) and now >= row.full_until
-        ]
-        return sound or ready
+        ready = self._table.ready(
+            ticket.service, states.Role.DECODE, ticket.excluded
+        )
+        return [row for row in ready if row.sound(now)] or ready
 
     def _fits(self, row: runners.Runner, ticket: Ticket, now: float) -> bool:
         if now < row.full_until:
--- a/primrosereel/routing/_placement.py
+++ b/primrosereel/routing/_placement.py
@@ -56,11 +56,7 @@
         now: float,
     ) -> runners.Runner | None:
         """Return the runner with the lowest cost."""
-        candidates = [
-            row
-            for row in self._table.ready(service, states.Role.PLAIN)
-            if row.runner not in excluded
-        ]
+        candidates = self._table.ready(service, states.Role.PLAIN, excluded)
         if not candidates:
             return None
         fastest = min(
@@ -110,9 +106,5 @@
         now: float,
     ) -> runners.Runner | None:
         """Return any ready runner."""
-        candidates = [
-            row
-            for row in self._table.ready(service, states.Role.PLAIN)
-            if row.runner not in excluded
-        ]
+        candidates = self._table.ready(service, states.Role.PLAIN, excluded)
         return self._random.choice(candidates) if candidates else None
--- a/primrosereel/routing/_policies.py
+++ b/primrosereel/routing/_policies.py
@@ -29,8 +29,9 @@
         self, ticket: decode_places.Ticket, now: float
     ) -> runners.Runner | None:
         """Return any ready runner."""
-        ready = self._table.ready(ticket.service, states.Role.DECODE)
-        rows = [row for row in ready if row.runner not in ticket.excluded]
+        rows = self._table.ready(
+            ticket.service, states.Role.DECODE, ticket.excluded
+        )
         return self._random.choice(rows) if rows else None
 
 
--- a/primrosereel/routing/_runners.py
+++ b/primrosereel/routing/_runners.py
@@ -1,5 +1,6 @@
 """The table of runners: what the platform lists and what answers showed."""
 
+from collections.abc import Collection
 from collections.abc import Iterator
 import dataclasses
 import math
@@ -69,6 +70,10 @@
         """Tell whether the runner failed so recently that it is avoided."""
         return now < self.suspect_until
 
+    def sound(self, now: float) -> bool:
+        """Tell whether the runner neither failed nor refused just now."""
+        return not self.suspect(now) and now >= self.full_until
+
     def observe_report(
         self, report: model.LoadReport | None, now: float
     ) -> None:
@@ -155,7 +160,12 @@
         """Forget a runner that left the list."""
         self._rows.pop(runner, None)
 
-    def ready(self, service: ids.ServiceId, role: states.Role) -> list[Runner]:
+    def ready(
+        self,
+        service: ids.ServiceId,
+        role: states.Role,
+        excluded: Collection[ids.RunnerId] = (),
+    ) -> list[Runner]:
         """Return the runners of a service that may be given new work."""
         return [
             row
@@ -163,6 +173,7 @@
             if row.listing.service == service
             and row.listing.role is role
             and not row.listing.leaving
+            and row.runner not in excluded
         ]
 
 
--- a/primrosereel/routing/_split.py
+++ b/primrosereel/routing/_split.py
@@ -75,7 +75,7 @@
         return [
             row
             for row in self._table.ready(service, states.Role.PREFILL)
-            if not row.suspect(now) and now >= row.full_until
+            if row.sound(now)
         ]
 
     def choose(
