Count prompts read at decode runners; leave runners in a switch alone

Change: runners that failed twice in a row count as gone in the balance, and a service without prefill is not made to wait; tokens that decode runners read are told to peers and weigh in the placement; an idle runner that refuses a whole prompt is left alone for a third of a switch, at all instances; changes of the runners' list are logged.

--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -138,6 +138,10 @@
             and not self._context.draining
         )
 
+    def engine_uses(self) -> list[tuple[str, int, int, int]]:
+        """Return what peers are told of the own use of the engines."""
+        return self._context.engine_uses()
+
     async def run(self) -> None:
         """Serve until a stop is asked for and nothing is in progress."""
         async with anyio.create_task_group() as tasks:
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -62,12 +62,12 @@
         default_factory=metrics_module.Metrics
     )
 
-    def engine_uses(self) -> list[tuple[str, int, int]]:
-        """Return runner, requests and tokens of the own use of engines.
+    def engine_uses(self) -> list[tuple[str, int, int, int]]:
+        """Return runner, requests, tokens and tokens read, own ones only.
 
         A runner that was ordered to change its role counts as full.
         """
-        uses: list[tuple[str, int, int]] = []
+        uses: list[tuple[str, int, int, int]] = []
         for row in self.runners:
             if row.listing.role is states.Role.PLAIN:
                 continue
@@ -75,7 +75,7 @@
             if row.runner in self.reserved:
                 tokens += WHOLE_RUNNER_TOKENS
             if row.in_flight or tokens:
-                uses.append((row.runner, row.in_flight, tokens))
+                uses.append((row.runner, row.in_flight, tokens, row.reading))
         return uses
 
     def reserve(self, runner: ids.RunnerId, until: float) -> None:
@@ -83,6 +83,8 @@
         row = self.runners.get(runner)
         if row is None:
             return
+        _, before = self.reserved.get(runner, (None, until))
+        until = max(until, before)
         self.reserved[runner] = row.listing.role, until
         row.full_until = until
         self.uses_changed()
@@ -142,6 +144,13 @@
             **self.steps,
         )
 
+    @property
+    def engine(self) -> model.Engine | None:
+        """The capacity of the service's engines, None without engines."""
+        table = self.context.table
+        service = table.services.get(self.service) if table else None
+        return service.engine if service is not None else None
+
     @property
     def left_s(self) -> float:
         """The time left."""
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -24,6 +24,10 @@
 Retry = states.RetryReason
 
 MAX_ANSWER_BYTES = 1024 * 1024
+# The share of a change of role for which an idle runner that refuses a whole
+# request is taken to be in it; its order may have come from an instance that
+# is gone.
+SWITCHING_SHARE = 0.35
 # Decode runners that may be tried without having run the request.
 MAX_REJECTIONS = 4
 MAX_CONNECTS = 4
@@ -63,6 +67,8 @@
         self._begun = False
         self._connection: http.HttpConnection | None = None
         self._placed_at = 0.0
+        # The decode runner that reads the prompt itself at the moment.
+        self._reader: runners.Runner | None = None
 
     async def serve(self) -> bool:
         """Answer the caller; False where the answer had to be cut."""
@@ -218,10 +224,19 @@
         False is returned where the runner did not run the request.
         """
         began = self._context.clock()
-        answer = await self._open(row)
-        if answer is None:
-            return False
-        self._exchange.note_step('head_s', began)
+        try:
+            answer = await self._open(row)
+            if answer is None:
+                return False
+            self._exchange.note_step('head_s', began)
+            await self._pass_on_and_close(answer, row, began)
+        finally:
+            self._set_reader(None)
+        return True
+
+    async def _pass_on_and_close(
+        self, answer: upstream.OpenAnswer, row: runners.Runner, began: float
+    ) -> None:
         try:
             await self._pass_on(answer, row, began)
         except (http.BrokenAnswer, events.SequenceError) as error:
@@ -230,7 +245,18 @@
         finally:
             with anyio.CancelScope(shield=True):
                 await answer.connection.close()
-        return True
+
+    def _set_reader(self, row: runners.Runner | None) -> None:
+        """Count the prompt at the decode runner that reads it, if one does."""
+        if row is self._reader:
+            return
+        tokens = self._exchange.facts.prompt_tokens
+        if self._reader is not None:
+            self._reader.reading -= tokens
+        if row is not None:
+            row.reading += tokens
+        self._reader = row
+        self._context.uses_changed()
 
     async def _open(self, row: runners.Runner) -> upstream.OpenAnswer | None:
         """Return a runner's answer; None where it did not run the request."""
@@ -244,6 +270,8 @@
             last_event_id=self._progress.last_id,
         )
         ran_before, self._may_have_run = self._may_have_run, True
+        if handle is None:
+            self._set_reader(row)
         try:
             with anyio.move_on_after(self._first_event_s()):
                 connection = await self._decode_connection(row)
@@ -287,10 +315,26 @@
         else:
             row.observe_rejection(now)
             self._excluded.add(row.runner)
+            if not with_handle and row.idle:
+                self._avoid_switching(row, now)
         exchange.note_retry(reason, row, why)
         if not self._context.budget.take(exchange.service, now):
             raise Ended(self._refusal(Reason.RETRY_BUDGET))
 
+    def _avoid_switching(self, row: runners.Runner, now: float) -> None:
+        """Keep all requests from an idle runner that refused a whole one."""
+        engine = self._exchange.engine
+        avoid_s = SWITCHING_SHARE * engine.switch_s if engine else 0.0
+        self._context.count('runners.switching')
+        self._context.log.info(
+            'runner taken to change its role',
+            runner=row.runner,
+            request=self._exchange.facts.request_id,
+            report=row.report,
+            avoided_s=round(avoid_s, 2),
+        )
+        self._context.reserve(row.runner, now + avoid_s)
+
     def _first_event_s(self) -> float:
         route = self._exchange.route
         may_repeat = (
@@ -317,6 +361,7 @@
             await self._send(head, splitter.feed(data))
             if first and self._progress.events:
                 first = False
+                self._set_reader(None)
                 self._exchange.note_step('first_event_s', began)
                 row.observe_success(
                     self._context.clock() - began, self._context.clock()
--- a/primrosereel/gateway/_peers.py
+++ b/primrosereel/gateway/_peers.py
@@ -25,7 +25,7 @@
 COALESCE_S = 0.002
 # A peer that was not heard for this long is only named by others.
 FORGET_S = 10.0
-VERSION = 1
+VERSION = 2
 
 
 class _Datagram(msgspec.Struct, array_like=True):
@@ -33,8 +33,8 @@
     instance: str
     incarnation: int
     sequence: int
-    # Runner, requests, tokens.
-    uses: list[tuple[str, int, int]]
+    # Runner, requests, tokens, and tokens of prompts that it reads itself.
+    uses: list[tuple[str, int, int, int]]
     waiting_tokens: int
     # Service, late, priority and age in ms of the first waiting requests.
     heads: list[tuple[str, bool, int, int]]
@@ -162,8 +162,8 @@
                 self._heard[other] = now
                 self._greeting.set()
         uses = {
-            ids.RunnerId(runner): ledger_module.Use(requests, tokens)
-            for runner, requests, tokens in datagram.uses
+            ids.RunnerId(runner): ledger_module.Use(requests, tokens, reading)
+            for runner, requests, tokens, reading in datagram.uses
         }
         context.ledger.apply(
             ledger_module.PeerReport(
--- a/primrosereel/gateway/_prompt.py
+++ b/primrosereel/gateway/_prompt.py
@@ -106,20 +106,15 @@
             row, exchange.facts.prompt_tokens, ahead, now - began
         )
         exchange.note_step('prefill_s', began)
+        engine = exchange.engine
+        handle_ttl_s = engine.handle_ttl_s if engine is not None else 0.0
         self._handle = Handle(
             found.handle,
             answer.connection,
             answer.head.keep_alive_s,
-            now + HANDLE_SHARE * self._handle_ttl_s(),
+            now + HANDLE_SHARE * handle_ttl_s,
         )
 
-    def _handle_ttl_s(self) -> float:
-        table = self._context.table
-        service = table.services.get(self._exchange.service) if table else None
-        if service is None or service.engine is None:
-            return 0.0
-        return service.engine.handle_ttl_s
-
     def handle(self) -> str | None:
         """Return the handle that a decode runner can be sent for, if any."""
         handle = self._handle
--- a/primrosereel/gateway/_store_reader.py
+++ b/primrosereel/gateway/_store_reader.py
@@ -7,11 +7,13 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from typing import Any
 
 import anyio
 
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _ports as ports
+from primrosereel.routing import _model as model
 from primrosereel.routing import _runner_list as runner_list
 from primrosereel.routing import _table as table_module
 
@@ -109,6 +111,7 @@
         now = self._context.clock()
         for change in state.changes:
             if change.runner is not None:
+                self._note_listing(change.runner)
                 self._list.change(change.runner, now)
             self._take_table(change.table)
             if change.fault:
@@ -116,6 +119,29 @@
         self._revision = max(self._revision, state.revision)
         await anyio.sleep(self._pause_s)
 
+    def _note_listing(self, change: runner_list.ListingChange) -> None:
+        """Log what a change makes of a runner; none where all is as before."""
+        row = self._context.runners.get(change.runner)
+        new = change.listing
+        if new is None:
+            if row is not None:
+                self._context.log.info(
+                    'runner entry gone', runner=change.runner
+                )
+            return
+        old = row.listing if row is not None else None
+        if old is not None and _noted(old) == _noted(new):
+            return
+        self._context.log.info(
+            'runner listed',
+            runner=new.runner,
+            service=new.service,
+            address=str(new.address),
+            role=new.role.value,
+            leaving=new.leaving,
+            born_ms=new.born_ms,
+        )
+
     async def _call(
         self, call: Callable[[], Awaitable[ports.StoreState]]
     ) -> ports.StoreState:
@@ -145,3 +171,14 @@
         if not self._available:
             self._available = True
             self._context.log.info('store regained')
+
+
+def _noted(listing: model.RunnerListing) -> tuple[Any, ...]:
+    """Return what of a listing decides where requests go."""
+    return (
+        listing.service,
+        listing.address,
+        listing.role,
+        listing.leaving,
+        listing.born_ms,
+    )
--- a/primrosereel/routing/_decode_places.py
+++ b/primrosereel/routing/_decode_places.py
@@ -20,6 +20,7 @@
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _model as model
 from primrosereel.routing import _runners as runners
+from primrosereel.routing import _split as split
 
 __all__ = ['DecodePlaces', 'Ticket', 'tokens_needed']
 
@@ -37,6 +38,9 @@
 
 OTHER_ZONE_COST = 0.04
 FAILURE_COST = 2.0
+# Of a second of reading prompts between the tokens of streams, beside a whole
+# runner's memory.
+READING_COST = 1.0
 TIE_SPREAD = 0.02
 
 
@@ -289,18 +293,18 @@
 
     def _use(self, row: runners.Runner, now: float) -> ledger_module.Use:
         others = self._ledger.use(row.runner, now)
-        requests = row.in_flight + others.requests
-        tokens = row.tokens + others.tokens
+        use = ledger_module.Use(
+            row.in_flight + others.requests,
+            row.tokens + others.tokens,
+            row.reading + others.reading,
+        )
         missing = self._ledger.missing(now)
-        if not missing:
-            return ledger_module.Use(requests, tokens)
-        return self._with_missing(row, requests, tokens, missing, now)
+        return self._with_missing(row, use, missing, now) if missing else use
 
     def _with_missing(
         self,
         row: runners.Runner,
-        requests: int,
-        tokens: int,
+        use: ledger_module.Use,
         missing: int,
         now: float,
     ) -> ledger_module.Use:
@@ -310,13 +314,14 @@
         sees fewer than it misses takes each of those to use as much as
         itself, which leaves every instance its share.
         """
+        requests, tokens, reading = use
         seen = self._ledger.instances(now) + 1
         mean = tokens / requests if requests else TYPICAL_TOKENS
         unseen = max(0.0, row.in_flight + row.others_now(now) - requests)
         if missing > seen:
             unseen = max(unseen, requests * missing / seen)
         return ledger_module.Use(
-            requests + round(unseen), tokens + int(unseen * mean)
+            requests + round(unseen), tokens + int(unseen * mean), reading
         )
 
     def _capacity(self, row: runners.Runner) -> float:
@@ -330,6 +335,7 @@
         capacity = self._capacity(row)
         cost = (use.tokens + ticket.tokens) / capacity
         cost += use.requests / max(1, row.listing.slots)
+        cost += READING_COST * split.reading_s(use.reading)
         if row.listing.availability_zone != self._availability_zone:
             cost += OTHER_ZONE_COST
         cost += FAILURE_COST * row.failure_rate
--- a/primrosereel/routing/_ledger.py
+++ b/primrosereel/routing/_ledger.py
@@ -48,10 +48,14 @@
 
 
 class Use(NamedTuple):
-    """Requests at a runner, and the tokens of KV cache they need."""
+    """Requests at a runner, and the tokens of KV cache they need.
+
+    ``reading`` counts the prompt tokens that a decode runner reads itself.
+    """
 
     requests: int
     tokens: int
+    reading: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -121,13 +125,14 @@
     def use(self, runner: ids.RunnerId, now: float) -> Use:
         """Return what other instances have at a runner."""
         self._forget(now)
-        requests = tokens = 0
+        requests = tokens = reading = 0
         for peer in self._peers.values():
             use = peer.report.uses.get(runner)
             if use is not None:
                 requests += use.requests
                 tokens += use.tokens
-        return Use(requests, tokens)
+                reading += use.reading
+        return Use(requests, tokens, reading)
 
     def waiting_tokens(self, now: float) -> int:
         """Return the tokens of requests that wait at other instances."""
--- a/primrosereel/routing/_roles.py
+++ b/primrosereel/routing/_roles.py
@@ -80,8 +80,8 @@
     ) -> Switch | None:
         """Take a sample; return the switch that is called for."""
         state = self._services.setdefault(service, _Service())
-        prefill = self._table.ready(service, states.Role.PREFILL)
-        decode = self._table.ready(service, states.Role.DECODE)
+        prefill = self._working(service, states.Role.PREFILL, now)
+        decode = self._working(service, states.Role.DECODE, now)
         if not decode or engine.kv_tokens <= 0:
             return None
         in_use = sum(
@@ -98,7 +98,8 @@
             return None
         if state.wanted_since is None:
             state.wanted_since = now
-        if now - state.wanted_since < SUSTAINED_S or now < state.not_before:
+        sustained = now - state.wanted_since >= SUSTAINED_S or not prefill
+        if not sustained or now < state.not_before:
             return None
         reverses = bool(prefill) and state.last_role not in (None, role)
         if reverses and now < state.last_at + REVERSE_S:
@@ -115,6 +116,20 @@
         state.pending[row.runner] = now + engine.switch_s + SETTLE_S
         return Switch(row.runner, row.listing.address, role)
 
+    def _working(
+        self, service: ids.ServiceId, role: states.Role, now: float
+    ) -> list[runners.Runner]:
+        """Return the runners of a role that answer.
+
+        A runner that is gone stays listed for some heartbeats, and longer
+        while the store is away.
+        """
+        return [
+            row
+            for row in self._table.ready(service, role)
+            if not row.lost(now)
+        ]
+
     def order_failed(
         self, service: ids.ServiceId, runner: ids.RunnerId, now: float
     ) -> None:
--- a/primrosereel/routing/_runners.py
+++ b/primrosereel/routing/_runners.py
@@ -18,6 +18,8 @@
 # A runner that failed is avoided this long; doubled with each failure.
 FIRST_SUSPECT_S = 0.5
 LONGEST_SUSPECT_S = 4.0
+# A runner that failed this often in a row does no work for its service.
+LOST_FAILURES = 2
 # A runner whose address answers for another one is not tried for this long.
 REPLACED_S = 30.0
 
@@ -37,6 +39,8 @@
     listing: model.RunnerListing
     in_flight: int = 0
     tokens: int = 0
+    # Prompt tokens of own requests that this decode runner reads itself.
+    reading: int = 0
     report: model.LoadReport | None = None
     reported_at: float = -math.inf
     others: float = 0.0
@@ -54,6 +58,12 @@
         """The runner's id."""
         return self.listing.runner
 
+    @property
+    def idle(self) -> bool:
+        """Whether the runner last reported that it runs nothing."""
+        report = self.report
+        return report is not None and report.running + report.waiting == 0
+
     def busy(self, now: float) -> float:
         """Return the requests believed to be at the runner."""
         return self.in_flight + self.others_now(now)
@@ -70,6 +80,10 @@
         """Tell whether the runner failed so recently that it is avoided."""
         return now < self.suspect_until
 
+    def lost(self, now: float) -> bool:
+        """Tell whether the runner failed again when it was tried again."""
+        return self.failures >= LOST_FAILURES and self.suspect(now)
+
     def sound(self, now: float) -> bool:
         """Tell whether the runner neither failed nor refused just now."""
         return not self.suspect(now) and now >= self.full_until
--- a/primrosereel/routing/_split.py
+++ b/primrosereel/routing/_split.py
@@ -10,7 +10,7 @@
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _runners as runners
 
-__all__ = ['PrefillPlan', 'expected_prefill_s']
+__all__ = ['PrefillPlan', 'expected_prefill_s', 'reading_s']
 
 # The time of a prefill apart from reading, and the time to read a token,
 # used until a runner's own prefills show its speed.
@@ -31,6 +31,11 @@
     return FIXED_S + row.slowness * TOKEN_S * (tokens + ahead)
 
 
+def reading_s(tokens: int) -> float:
+    """Return how long a decode runner reads prompts of so many tokens."""
+    return DECODE_FACTOR * TOKEN_S * tokens
+
+
 def observe_prefill(
     row: runners.Runner, tokens: int, ahead: int, seconds: float
 ) -> None:
@@ -61,13 +66,24 @@
         self, service: ids.ServiceId, tokens: int, now: float
     ) -> float:
         """Return how long reading a prompt is expected to take."""
-        return min(
-            (
+        prefills = self._sound(service, now)
+        if prefills:
+            return min(
                 expected_prefill_s(row, tokens, self.ahead(row, now))
-                for row in self._sound(service, now)
+                for row in prefills
+            )
+        least = min(
+            (
+                self._reading(row, now)
+                for row in self._table.ready(service, states.Role.DECODE)
             ),
-            default=FIXED_S + DECODE_FACTOR * TOKEN_S * tokens,
+            default=0,
         )
+        return FIXED_S + reading_s(least + tokens)
+
+    def _reading(self, decode: runners.Runner, now: float) -> int:
+        """Return the prompt tokens that a decode runner reads itself."""
+        return decode.reading + self._ledger.use(decode.runner, now).reading
 
     def _sound(
         self, service: ids.ServiceId, now: float
@@ -88,7 +104,7 @@
         best = min(
             candidates, key=lambda row: self._cost(row, decode, tokens, now)
         )
-        itself_s = FIXED_S + DECODE_FACTOR * TOKEN_S * tokens
+        itself_s = FIXED_S + reading_s(self._reading(decode, now) + tokens)
         expected_s = expected_prefill_s(best, tokens, self.ahead(best, now))
         return best if expected_s <= itself_s + DECODE_EXTRA_S else None
 
--- a/primrosereel/standin/_listed_runner.py
+++ b/primrosereel/standin/_listed_runner.py
@@ -94,7 +94,7 @@
             return raw_http.Answer(200)
         fault = self.faults.popleft() if self.faults else None
         if fault is Fault.SHED:
-            return raw_http.Answer(503, [NOT_RUN])
+            return raw_http.Answer(503, [NOT_RUN, self._load()])
         if fault is Fault.RESET_BEFORE_RUN:
             raise raw_http.Reset
         if fault is Fault.SILENT:
@@ -147,14 +147,17 @@
         return raw_http.Answer(200, headers, body, extra=extra)
 
     def _headers(self, request_id: str) -> raw_http.Headers:
-        load = f'{self.running},0,{self.options.slots},100'
         return [
             (b'Request-Id', request_id.encode()),
             (b'Instance-Signature', self.options.runner.encode()),
-            (b'Instance-Load', load.encode()),
+            self._load(),
             (b'Keep-Alive', b'timeout=10'),
         ]
 
+    def _load(self) -> tuple[bytes, bytes]:
+        load = f'{self.running},0,{self.options.slots},100'
+        return b'Instance-Load', load.encode()
+
     async def _events(self, first: int, broken: bool) -> AsyncIterator[bytes]:
         self.running += 1
         try:
--- a/tests/property/test_gateway.py
+++ b/tests/property/test_gateway.py
@@ -183,6 +183,32 @@
     run(scenario)
 
 
+def test_a_decode_runner_that_changes_its_role_is_left_alone():
+    """After a restart each instance sent a switching runner many prompts."""
+
+    async def scenario(fleet):
+        fleet.list_runner('p1', 'draining')
+        await fleet.wait_for(
+            lambda: any(
+                line['leaving'] for line in fleet.log.named('runner listed')
+            )
+        )
+        for name in ('d1', 'd2'):
+            fleet.runners[name].faults.append(Fault.SHED)
+        await fleet.ask('/ask/1', 'r1', method='POST', **STREAM)
+        lines = fleet.log.named('runner taken to change its role')
+        assert {line['runner'] for line in lines} == {'d1', 'd2'}
+        # The stand-in's engines change their role within 6 s.
+        assert {line['avoided_s'] for line in lines} == {2.1}
+        told = fleet.gateway.engine_uses()
+        assert {runner for runner, _, tokens, _ in told if tokens > 1e6} == {
+            'd1',
+            'd2',
+        }
+
+    run(scenario)
+
+
 @pytest.mark.parametrize('path', ['/ask/1', '/read/1'])
 def test_a_caller_that_leaves_frees_its_runner(path):
     """Runners worked on for callers that had left."""
--- a/tests/property/test_routing_places.py
+++ b/tests/property/test_routing_places.py
@@ -95,6 +95,16 @@
     assert second.ask(10_000, 0.01).row is None
 
 
+def test_a_decode_runner_that_reads_prompts_gets_no_more_of_them():
+    """Without prefill runners prompts queued at one decode runner."""
+    instance = Instance('i1')
+    uses = {ids.RunnerId('d0'): ledger_module.Use(1, 5_000, 20_000)}
+    uses[ids.RunnerId('d1')] = ledger_module.Use(3, 15_000)
+    report = ledger_module.PeerReport(ids.InstanceId('i2'), 1, 1, uses)
+    instance.ledger.apply(report, 0.0)
+    assert instance.ask(5_000, 0.0).row.runner == 'd1'
+
+
 def test_only_the_first_instance_takes_a_freed_place():
     """All instances with waiting requests took a freed place at once."""
     instances = [Instance(f'i{number}', decode=1) for number in range(4)]
--- a/tests/property/test_routing_roles.py
+++ b/tests/property/test_routing_roles.py
@@ -185,3 +185,26 @@
     assert plan.choose(decode, 5_000, 0.0) is prefill
     prefill.tokens = 60_000
     assert plan.choose(decode, 5_000, 0.0) is None
+
+
+def test_a_decode_runner_that_reads_leaves_prompts_to_prefill():
+    """Prompts were read one after another between the tokens of streams."""
+    _, table = fleet(1, 1, 0)
+    plan = split.PrefillPlan(table, ledger_module.Ledger(), places_tests.ZONE)
+    decode = table.get(ids.RunnerId('decode1'))
+    prefill = table.get(ids.RunnerId('prefill0'))
+    prefill.tokens = 60_000
+    decode.reading = 20_000
+    assert plan.choose(decode, 5_000, 0.0) is prefill
+
+
+def test_prefill_runners_that_do_not_answer_are_replaced_at_once():
+    """Prefill runners that were gone stayed listed; 5 s passed in vain."""
+    balance, table = fleet(2, 4, 45_000)
+    assert not switches(balance, 5)
+    for name in ('prefill0', 'prefill1'):
+        row = table.get(ids.RunnerId(name))
+        row.observe_failure(4.9)
+        row.observe_failure(5.0)
+    ((when, switch),) = switches(balance, 1, start=5.0)
+    assert (when, switch.role) == (5.0, states.Role.PREFILL)
