Divide a large fleet into shards by availability zone

Change: beyond 24 instances an instance uses the engines of its zone and tells changes to its zone; members are known by gossip with ages; requests spill over to shards that told of room; each shard has a leader; a process that starts again is greeted at once, which it was not before.

--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -12,6 +12,7 @@
 import anyio
 import anyio.abc
 
+from primrosereel import _ids as ids
 from primrosereel import _registry as registry
 from primrosereel.gateway import _callers as callers
 from primrosereel.gateway import _context as context_module
@@ -25,9 +26,11 @@
 from primrosereel.gateway import _store_client as store_client
 from primrosereel.gateway import _store_reader as store_reader
 from primrosereel.routing import _ledger as ledger_module
+from primrosereel.routing import _members as members_module
 from primrosereel.routing import _model as model
 from primrosereel.routing import _retry_budget as retry_budget
 from primrosereel.routing import _runners as runners
+from primrosereel.routing import _shards as shards_module
 
 __all__ = ['Gateway', 'Options', 'clock']
 
@@ -91,9 +94,10 @@
         chance = random.Random()
         policy = registry.load('routing-policy', options.policy)
         self._policy = policy
-        table = runners.RunnerTable()
-        ledger = ledger_module.Ledger()
         zone = settings.availability_zone
+        shards = shards_module.Shards(zone)
+        table = runners.RunnerTable(shards.owns)
+        ledger = ledger_module.Ledger(shards.owns)
         self._context = context_module.Context(
             settings=settings,
             clock=clock,
@@ -113,6 +117,10 @@
                     1,
                 )
             ),
+            members=members_module.Members(
+                settings.peer.host if settings.peer else ''
+            ),
+            shards=shards,
             pool=pool_module.ConnectionPool(),
             log=log,
         )
@@ -142,6 +150,15 @@
         """Return what peers are told of the own use of the engines."""
         return self._context.engine_uses()
 
+    def told_uses(self) -> list[tuple[ids.RunnerId, ledger_module.Use]]:
+        """Return what peers told of their use of the engines."""
+        now = clock()
+        uses = (
+            (row.runner, self._context.ledger.use(row.runner, now))
+            for row in self._context.runners
+        )
+        return [(runner, use) for runner, use in uses if use.requests]
+
     async def run(self) -> None:
         """Serve until a stop is asked for and nothing is in progress."""
         async with anyio.create_task_group() as tasks:
@@ -188,6 +205,7 @@
         metrics.gauge('waiting_requests', context.places.waiting)
         metrics.gauge('runners', len(context.runners))
         metrics.gauge('peers', context.ledger.instances(now))
+        metrics.gauge('members', len(context.members))
         if context.table is not None:
             metrics.gauge('configuration_version', context.table.version)
         body, content_type = metrics.render()
@@ -264,7 +282,7 @@
 
     def _share_budget(self) -> None:
         """Divide the retry budget by the instances that may share it."""
-        seen = self._context.ledger.instances(clock()) + 1
+        seen = len(self._context.members) + 1
         self._most_instances = max(self._most_instances, seen)
         self._context.budget.set_instances(self._most_instances)
 
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -14,10 +14,12 @@
 from primrosereel.gateway import _settings as settings
 from primrosereel.routing import _decode_places as decode_places
 from primrosereel.routing import _ledger as ledger_module
+from primrosereel.routing import _members as members_module
 from primrosereel.routing import _model as model
 from primrosereel.routing import _placement as placement
 from primrosereel.routing import _retry_budget as retry_budget
 from primrosereel.routing import _runners as runners
+from primrosereel.routing import _shards as shards_module
 from primrosereel.routing import _split as split
 from primrosereel.routing import _table as table_module
 
@@ -45,6 +47,8 @@
     places: decode_places.DecodePlaces
     prefills: split.PrefillPlan
     budget: retry_budget.RetryBudget
+    members: members_module.Members
+    shards: shards_module.Shards
     pool: pool_module.ConnectionPool
     log: Any
     table: table_module.RoutingTable | None = None
@@ -78,6 +82,16 @@
                 uses.append((row.runner, row.in_flight, tokens, row.reading))
         return uses
 
+    def foreign_zones(self) -> set[ids.AvailabilityZone]:
+        """Return the zones of other shards whose engines are in use here."""
+        return {
+            row.listing.availability_zone
+            for row in self.runners
+            if row.listing.role is not states.Role.PLAIN
+            and row.in_flight
+            and not self.runners.owned(row)
+        }
+
     def reserve(self, runner: ids.RunnerId, until: float) -> None:
         """Keep all requests away from a runner until a time."""
         row = self.runners.get(runner)
--- a/primrosereel/routing/_decode_places.py
+++ b/primrosereel/routing/_decode_places.py
@@ -11,6 +11,7 @@
 
 from collections.abc import Callable
 from collections.abc import Collection
+from collections.abc import Iterable
 import dataclasses
 import math
 import random as random_module
@@ -33,6 +34,11 @@
 HOLD_WEIGHT = 0.1
 ARRIVAL_WINDOW_S = 2.0
 
+# Free memory that a runner of another shard must have been told to have, in
+# sizes of the request, and for how long that is believed.
+SPILL_ROOM = 2.5
+ROOM_VALID_S = 2.5
+
 # Of a request of which nothing is known but that it is there.
 TYPICAL_TOKENS = 4000
 
@@ -110,6 +116,8 @@
         self._hold_s = DEFAULT_HOLD_S
         self._opens_at = 0.0
         self._arrivals = _Arrivals()
+        # What other shards told: free tokens of a runner, and when.
+        self._rooms: dict[ids.RunnerId, tuple[int, float]] = {}
 
     @property
     def waiting_tokens(self) -> int:
@@ -177,7 +185,7 @@
                 continue
             row = None
             if self._ledger.is_first(_head(ticket, now), now):
-                row = self.choose(ticket, now)
+                row = self.choose(ticket, now) or self._spill(ticket, now)
             if row is None:
                 blocked.add(ticket.service)
                 continue
@@ -214,6 +222,51 @@
             default=None,
         )
 
+    def rooms(self, now: float) -> list[tuple[ids.RunnerId, int]]:
+        """Return the free memory of the shard's decode runners, most first.
+
+        Those that failed or refused just now are left out.
+        """
+        rooms = [
+            (row.runner, int(self._capacity(row) - self._use(row, now).tokens))
+            for service in self._engines
+            for row in self._table.ready(service, states.Role.DECODE)
+            if row.sound(now) and self._table.owned(row)
+        ]
+        return sorted(rooms, key=lambda room: -room[1])
+
+    def learn_rooms(
+        self, rooms: Iterable[tuple[ids.RunnerId, int]], now: float
+    ) -> None:
+        """Take the free memory that another shard told of its runners."""
+        for runner, tokens in rooms:
+            self._rooms[runner] = tokens, now
+
+    def _spill(self, ticket: Ticket, now: float) -> runners.Runner | None:
+        """Return a runner of another shard that was told to have much room.
+
+        Others may spill there at the same moment, so it is one of several at
+        random, with room for more than the ticket.
+        """
+        wanted = SPILL_ROOM * ticket.tokens
+        found = [
+            row
+            for row in self._table.foreign(
+                ticket.service, states.Role.DECODE, ticket.excluded
+            )
+            if row.sound(now) and self._told_room(row, now) >= wanted
+        ]
+        if not found:
+            return None
+        row = self._random.choice(found)
+        tokens, told_at = self._rooms[row.runner]
+        self._rooms[row.runner] = tokens - ticket.tokens, told_at
+        return row
+
+    def _told_room(self, row: runners.Runner, now: float) -> float:
+        tokens, told_at = self._rooms.get(row.runner, (0, -math.inf))
+        return tokens if now - told_at <= ROOM_VALID_S else 0.0
+
     def describe(self, service: ids.ServiceId, now: float) -> str:
         """Return what a decision about a service rests on, for the log."""
         parts = [
--- a/primrosereel/routing/_ledger.py
+++ b/primrosereel/routing/_ledger.py
@@ -6,6 +6,7 @@
 an engine drops the requests of connections that end.
 """
 
+from collections.abc import Callable
 import dataclasses
 from typing import NamedTuple
 
@@ -73,6 +74,7 @@
     heads: tuple[Head, ...] = ()
     # The instance is in an orderly stop and will not come back soon.
     leaving: bool = False
+    availability_zone: ids.AvailabilityZone = ids.AvailabilityZone('')
 
 
 @dataclasses.dataclass(slots=True)
@@ -82,9 +84,17 @@
 
 
 class Ledger:
-    """The uses of all instances that are in sight."""
+    """The uses of all instances that are in sight.
 
-    def __init__(self) -> None:
+    Instances of other shards tell only what they have at the runners of the
+    own one; they count for nothing else.
+    """
+
+    def __init__(
+        self,
+        owns: Callable[[ids.AvailabilityZone], bool] = lambda _: True,
+    ) -> None:
+        self._owns = owns
         self._peers: dict[ids.InstanceId, _Peer] = {}
         self._lost: dict[ids.InstanceId, float] = {}
 
@@ -98,9 +108,9 @@
         return True
 
     def instances(self, now: float) -> int:
-        """Return how many other instances are in sight."""
+        """Return how many other instances of the shard are in sight."""
         self._forget(now)
-        return len(self._peers)
+        return len(self._shard())
 
     def missing(self, now: float) -> int:
         """Return how many instances fell out of sight not long ago.
@@ -120,6 +130,7 @@
             Process(peer.report.incarnation, instance)
             for instance, peer in self._peers.items()
             if not peer.report.leaving
+            and self._owns(peer.report.availability_zone)
         )
 
     def use(self, runner: ids.RunnerId, now: float) -> Use:
@@ -137,7 +148,7 @@
     def waiting_tokens(self, now: float) -> int:
         """Return the tokens of requests that wait at other instances."""
         self._forget(now)
-        return sum(p.report.waiting_tokens for p in self._peers.values())
+        return sum(p.report.waiting_tokens for p in self._shard())
 
     def is_first(self, head: Head, now: float) -> bool:
         """Tell whether no other instance has a request that goes first.
@@ -146,7 +157,7 @@
         that stopped does not hold up the others.
         """
         own = head.rank()
-        for peer in self._peers.values():
+        for peer in self._shard():
             age_s = now - peer.heard_at
             if age_s > HEAD_VALID_S:
                 continue
@@ -155,6 +166,14 @@
                     return False
         return True
 
+    def _shard(self) -> list[_Peer]:
+        """Return the peers of the own shard."""
+        return [
+            peer
+            for peer in self._peers.values()
+            if self._owns(peer.report.availability_zone)
+        ]
+
     def _forget(self, now: float) -> None:
         silent = [
             instance
@@ -163,7 +182,9 @@
         ]
         for instance in silent:
             peer = self._peers.pop(instance)
-            if not peer.report.leaving:
+            if not peer.report.leaving and self._owns(
+                peer.report.availability_zone
+            ):
                 self._lost[instance] = peer.heard_at
 
 
--- a/primrosereel/routing/_roles.py
+++ b/primrosereel/routing/_roles.py
@@ -127,7 +127,7 @@
         return [
             row
             for row in self._table.ready(service, role)
-            if not row.lost(now)
+            if self._table.owned(row) and not row.lost(now)
         ]
 
     def order_failed(
--- a/primrosereel/routing/_runners.py
+++ b/primrosereel/routing/_runners.py
@@ -1,5 +1,6 @@
 """The table of runners: what the platform lists and what answers showed."""
 
+from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterator
 import dataclasses
@@ -140,9 +141,16 @@
 
 
 class RunnerTable:
-    """All runners by id, kept in step with the platform's list."""
+    """All runners by id, kept in step with the platform's list.
 
-    def __init__(self) -> None:
+    ``owns`` tells whether the engines of a zone belong to the own shard.
+    """
+
+    def __init__(
+        self,
+        owns: Callable[[ids.AvailabilityZone], bool] = lambda _: True,
+    ) -> None:
+        self._owns = owns
         self._rows: dict[ids.RunnerId, Runner] = {}
 
     def __len__(self) -> int:
@@ -180,7 +188,35 @@
         role: states.Role,
         excluded: Collection[ids.RunnerId] = (),
     ) -> list[Runner]:
-        """Return the runners of a service that may be given new work."""
+        """Return the runners of a service that may be given new work.
+
+        Engines are those of the own shard while it has any.
+        """
+        rows = self._listed(service, role, excluded)
+        if role is states.Role.PLAIN:
+            return rows
+        return [r for r in rows if self.owned(r)] or rows
+
+    def foreign(
+        self,
+        service: ids.ServiceId,
+        role: states.Role,
+        excluded: Collection[ids.RunnerId] = (),
+    ) -> list[Runner]:
+        """Return the engines of other shards that may be given new work."""
+        rows = self._listed(service, role, excluded)
+        return [row for row in rows if not self.owned(row)]
+
+    def owned(self, row: Runner) -> bool:
+        """Tell whether a runner belongs to the own shard."""
+        return self._owns(row.listing.availability_zone)
+
+    def _listed(
+        self,
+        service: ids.ServiceId,
+        role: states.Role,
+        excluded: Collection[ids.RunnerId],
+    ) -> list[Runner]:
         return [
             row
             for row in self._rows.values()
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -124,7 +124,8 @@
         return await self.receive()
 
 
-def _free_port():
+def free_port():
+    """Return a port that is free on loopback."""
     with socket.socket() as probe:
         probe.bind(('127.0.0.1', 0))
         return probe.getsockname()[1]
@@ -165,25 +166,7 @@
     async def start(self, **changes):
         """Start the store and the gateway, and wait until it is ready."""
         await self.tasks.start(self.store.server.serve)
-        facts = {
-            'instance': ids.InstanceId('i1'),
-            'availability_zone': ids.AvailabilityZone('zone-a'),
-            'callers': model.Address('127.0.0.1', _free_port()),
-            'readiness': model.Address('127.0.0.1', _free_port()),
-            'store': model.Address('127.0.0.1', self.store.server.port),
-            'peer': None,
-            'seeds': (),
-            'file_descriptors': 1024,
-            'drain_limit_s': 2.0,
-            'runner_drain_s': 0.2,
-            'configuration_s': 0.2,
-            'stable_window_s': 1.0,
-            'lease_s': 1.0,
-            'retry_ratio': 0.2,
-            'retry_slack': 50.0,
-            'retry_window_s': 10.0,
-        }
-        made = settings.GatewaySettings(**(facts | changes))
+        made = made_settings(self, **changes)
         self.callers, self.readiness = made.callers, made.readiness
         self.gateway = composition.Gateway(
             made, platform.Dialect(), platform.Store, self.log
@@ -200,6 +183,29 @@
                 await anyio.sleep(0.01)
 
 
+def made_settings(fleet, **changes):
+    """Return settings of an instance that reads a fleet's store."""
+    facts = {
+        'instance': ids.InstanceId('i1'),
+        'availability_zone': ids.AvailabilityZone('zone-a'),
+        'callers': model.Address('127.0.0.1', free_port()),
+        'readiness': model.Address('127.0.0.1', free_port()),
+        'store': model.Address('127.0.0.1', fleet.store.server.port),
+        'peer': None,
+        'seeds': (),
+        'file_descriptors': 1024,
+        'drain_limit_s': 2.0,
+        'runner_drain_s': 0.2,
+        'configuration_s': 0.2,
+        'stable_window_s': 1.0,
+        'lease_s': 1.0,
+        'retry_ratio': 0.2,
+        'retry_slack': 50.0,
+        'retry_window_s': 10.0,
+    }
+    return settings.GatewaySettings(**(facts | changes))
+
+
 @contextlib.asynccontextmanager
 async def fleet(**changes):
     """Run a gateway with a prefill, a decode and two plain runners."""
--- /dev/null
+++ b/tests/property/test_routing_shards.py
@@ -0,0 +1,221 @@
+"""Membership, shards of a large fleet, and what spills between them."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from primrosereel import _ids as ids
+from primrosereel import _states as states
+from primrosereel.gateway import _peers as peers
+from primrosereel.routing import _decode_places as decode_places
+from primrosereel.routing import _ledger as ledger_module
+from primrosereel.routing import _members as members_module
+from primrosereel.routing import _model as model
+from primrosereel.routing import _roles as roles
+from primrosereel.routing import _runners as runners
+from primrosereel.routing import _shards as shards_module
+from tests.property import test_routing_places as places_tests
+
+ZONES = [ids.AvailabilityZone(name) for name in 'abcde']
+SERVICE = places_tests.SERVICE
+
+
+def shards(zone, instances=67, instance_zones=ZONES, runner_zones=ZONES):
+    made = shards_module.Shards(ids.AvailabilityZone(zone))
+    made.update(instances, instance_zones, runner_zones)
+    return made
+
+
+def test_a_small_fleet_is_one_shard():
+    """With few runners a zone alone has no room for a burst."""
+    made = shards('a', instances=7)
+    assert not made.divided
+    assert all(made.owns(zone) for zone in ZONES)
+
+
+def test_a_large_fleet_is_divided_by_zone():
+    """At 67 instances a day took more processor time than it may."""
+    made = shards('a')
+    assert [zone for zone in ZONES if made.owns(zone)] == ['a']
+
+
+def test_restarts_do_not_divide_and_join_a_fleet_again():
+    """A fleet near the size at which it is divided would go to and fro."""
+    made = shards('a', instances=25)
+    for instances in (24, 20, 17, 25):
+        assert not made.update(instances, ZONES, ZONES)
+    assert made.update(12, ZONES, ZONES)
+    assert not made.update(24, ZONES, ZONES)
+
+
+@hypothesis.given(
+    st.sets(st.sampled_from(ZONES), min_size=1),
+    st.sets(st.sampled_from(ZONES), min_size=1),
+)
+def test_every_instance_has_engines_and_every_engine_an_owner(
+    instance_zones, runner_zones
+):
+    """A zone that lost its instances left its runners unused."""
+    made = {
+        zone: shards(zone, 67, instance_zones, runner_zones)
+        for zone in instance_zones
+    }
+    for zone, view in made.items():
+        assert view.owns(zone)
+        assert any(view.owns(engine) for engine in runner_zones)
+    for engine in runner_zones:
+        owners = {z for z, view in made.items() if view.owns(engine)}
+        assert owners
+        if made[min(owners)].divided:
+            assert owners == made[min(owners)].zones(engine) & instance_zones
+
+
+def test_a_member_that_ended_is_forgotten_everywhere():
+    """Members that name each other kept an ended one for good."""
+    first, second = members_module.Members('1'), members_module.Members('2')
+    first.hear('9', ZONES[0], 0.0)
+    for second_of_day in range(20):
+        now = float(second_of_day)
+        for sender, receiver in ((first, second), (second, first)):
+            sender.forget(now)
+            for member in list(sender):
+                receiver.hear(member.host, ZONES[0], member.heard_at)
+    assert len(first) == len(second) == 0
+
+
+def test_a_sample_is_bounded():
+    """Naming all members of a large fleet took most of its bytes."""
+    known = members_module.Members('1')
+    for number in range(2, 12):
+        known.hear(str(number), ZONES[0], 0.0)
+    assert len(set(known.sample(3, random.Random(1)))) == 3
+    assert len(known.sample(99, random.Random(1))) == 10
+
+
+def test_news_of_a_large_fleet_reaches_all_by_gossip():
+    """A member that many had not heard themselves was forgotten by them."""
+    chance = random.Random(1)
+    fleet = {str(n): members_module.Members(str(n)) for n in range(200)}
+    for view in fleet.values():
+        for host in fleet:
+            view.hear(host, ZONES[0], 0.0)
+    for second in range(1, 60):
+        now = float(second)
+        for host, view in fleet.items():
+            view.forget(now)
+            for target in view.sample(peers.GOSSIP_TARGETS, chance):
+                fleet[target].hear(host, ZONES[0], now)
+                for other in view.sample(peers.GOSSIP_MEMBERS, chance):
+                    member = view[other]
+                    fleet[target].hear(other, ZONES[0], member.heard_at)
+    assert {len(view) for view in fleet.values()} == {199}
+
+
+class Instance:
+    """Tables of an instance in zone a; a runner in each zone."""
+
+    def __init__(self):
+        self.shards = shards('a')
+        self.table = runners.RunnerTable(self.shards.owns)
+        self.ledger = ledger_module.Ledger(self.shards.owns)
+        for number, zone in enumerate(ZONES):
+            listing = places_tests.listing(
+                f'd-{zone}', port=100 + number, availability_zone=zone
+            )
+            self.table.put(listing)
+        self.places = decode_places.DecodePlaces(
+            self.table, self.ledger, ZONES[0], random.Random(1)
+        )
+        service = model.Service(SERVICE, '/health', 100, places_tests.ENGINE)
+        self.places.set_services({SERVICE: service})
+
+    def ask(self, tokens, now):
+        ticket = decode_places.Ticket(
+            SERVICE, tokens, 1, now, lambda _: now + 0.5
+        )
+        self.places.add(ticket, now)
+        return ticket
+
+
+def test_requests_stay_in_the_shard_while_it_has_room():
+    """Memory that moves between zones costs twice as much."""
+    instance = Instance()
+    instance.places.learn_rooms([(ids.RunnerId('d-b'), 50_000)], 0.0)
+    assert instance.ask(10_000, 0.0).row.runner == 'd-a'
+
+
+def test_a_full_shard_spills_over_to_one_that_was_told_to_have_room():
+    """A zone with more callers than others refused while those were idle."""
+    instance = Instance()
+    instance.ask(45_000, 0.0)
+    rooms = [(ids.RunnerId('d-b'), 26_000), (ids.RunnerId('d-c'), 20_000)]
+    instance.places.learn_rooms(rooms, 0.0)
+    assert instance.ask(10_000, 0.1).row.runner == 'd-b'
+    # What was taken is no longer counted as room.
+    assert instance.ask(10_000, 0.1).row is None
+
+
+def test_other_shards_are_told_of_the_most_room_first():
+    """Only some runners of a large shard are told of."""
+    instance = Instance()
+    instance.table.put(
+        places_tests.listing(
+            'd2', port=200, availability_zone=ZONES[0], slots=64
+        )
+    )
+    first = instance.ask(20_000, 0.0).row.runner
+    (most, _), (least, room) = instance.places.rooms(0.0)
+    assert {most, least} == {'d-a', 'd2'}
+    assert (least, room) == (first, 28_500)
+
+
+def test_room_that_was_told_long_ago_is_not_used():
+    """Prompts were read for a runner that had filled up since."""
+    instance = Instance()
+    instance.ask(45_000, 0.0)
+    instance.places.learn_rooms([(ids.RunnerId('d-b'), 50_000)], 0.0)
+    assert instance.ask(10_000, 5.0).row is None
+
+
+def test_uses_of_other_shards_count_but_their_silence_does_not():
+    """An instance that spilled over once was missed for 20 s after."""
+    instance = Instance()
+    uses = {ids.RunnerId('d-a'): ledger_module.Use(4, 45_000)}
+    report = ledger_module.PeerReport(
+        ids.InstanceId('far'), 1, 1, uses, 9_000, availability_zone=ZONES[1]
+    )
+    instance.ledger.apply(report, 0.0)
+    assert instance.ask(10_000, 0.1).row is None
+    assert instance.ledger.instances(0.1) == 0
+    assert instance.ledger.waiting_tokens(0.1) == 0
+    assert not instance.ledger.processes(0.1)
+    assert instance.ledger.missing(5.0) == 0
+
+
+@pytest.mark.parametrize('zone', ZONES)
+def test_one_shard_orders_its_own_runners_only(zone):
+    """Leaders of two shards gave orders to one runner."""
+    made = shards(zone)
+    table = runners.RunnerTable(made.owns)
+    for number, other in enumerate(ZONES * 4):
+        role = states.Role.PREFILL if number % 2 else states.Role.DECODE
+        table.put(
+            places_tests.listing(
+                f'{role.value}-{other}-{number}',
+                role,
+                port=1 + number,
+                availability_zone=other,
+            )
+        )
+        row = table.get(ids.RunnerId(f'{role.value}-{other}-{number}'))
+        row.tokens = 45_000 if role is states.Role.DECODE else 0
+    balance = roles.RoleBalance(table, ledger_module.Ledger(made.owns))
+    engine = places_tests.ENGINE
+    found = [
+        balance.sample(SERVICE, engine, 3.0, step / 2) for step in range(40)
+    ]
+    switched = {switch.runner for switch in found if switch is not None}
+    assert switched
+    assert all(f'-{zone}-' in runner for runner in switched)
