Move streams from engines that leave

Change: the KV cache is copied to a runner with a place while the stream goes on, then the rest after it was stopped, and the other runner goes on after the caller's last event.

--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -16,6 +16,7 @@
 from primrosereel import _registry as registry
 from primrosereel.gateway import _callers as callers
 from primrosereel.gateway import _context as context_module
+from primrosereel.gateway import _departures as departures
 from primrosereel.gateway import _orders as orders
 from primrosereel.gateway import _peers as peers
 from primrosereel.gateway import _pool as pool_module
@@ -121,6 +122,7 @@
                 settings.peer.host if settings.peer else ''
             ),
             shards=shards,
+            departures=departures.Departures(self._part_failed),
             pool=pool_module.ConnectionPool(),
             log=log,
         )
@@ -163,7 +165,12 @@
         """Serve until a stop is asked for and nothing is in progress."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._wait_for_signal)
-            parts = [self._reader.run, self._maintain, self._peers.run]
+            parts = [
+                self._reader.run,
+                self._maintain,
+                self._peers.run,
+                self._context.departures.run,
+            ]
             if self._policy.balances_roles:
                 parts.append(self._orders.run)
             for part in parts:
@@ -248,12 +255,13 @@
                 await part()
                 return
             except Exception as error:
-                self._context.count('internal_errors')
-                self._log.error(
-                    'part failed', detail=repr(error), exc_info=error
-                )
+                self._part_failed(error)
                 await anyio.sleep(RESTART_S)
 
+    def _part_failed(self, error: Exception) -> None:
+        self._context.count('internal_errors')
+        self._log.error('part failed', detail=repr(error), exc_info=error)
+
     async def _maintain(self) -> None:
         while True:
             await anyio.sleep(MAINTENANCE_S)
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -1,5 +1,6 @@
 """Generations: a prompt read, then a stream of events from a decode runner."""
 
+import dataclasses
 import math
 
 import anyio
@@ -11,6 +12,7 @@
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _http as http
 from primrosereel.gateway import _prompt as prompt_module
+from primrosereel.gateway import _stream_move as stream_move
 from primrosereel.gateway import _upstream as upstream
 from primrosereel.routing import _decode_places as decode_places
 from primrosereel.routing import _events as events
@@ -47,6 +49,10 @@
     """A stream ended before its last event."""
 
 
+class Moved(Exception):
+    """A stream was stopped, and its copy at another runner goes on."""
+
+
 class Generation:
     """Serves one generation on a caller's connection."""
 
@@ -69,6 +75,9 @@
         self._placed_at = 0.0
         # The decode runner that reads the prompt itself at the moment.
         self._reader: runners.Runner | None = None
+        # The move of the present stream, and one to go on from.
+        self._move: stream_move.StreamMove | None = None
+        self._resume: stream_move.StreamMove | None = None
 
     async def serve(self) -> bool:
         """Answer the caller; False where the answer had to be cut."""
@@ -89,6 +98,8 @@
             return await self._out_of_time()
         finally:
             self._give_place_back()
+            if self._move is not None:
+                self._move.end()
             await self._prompt.free()
             if self._connection is not None:
                 with anyio.CancelScope(shield=True):
@@ -178,11 +189,18 @@
                     return True
             except Broken as error:
                 self._after_break(row, str(error))
+            except Moved:
+                self._resume = self._move
+                self._excluded.add(row.runner)
 
     def _choose_decode(self) -> runners.Runner:
         """Return the runner of the place, or of another one."""
         ticket = self._ticket
         assert ticket is not None
+        if self._resume is not None:
+            return self._take_copy(ticket, self._resume)
+        if self._may_have_run and not self._exchange.route.repeatable:
+            raise Ended(self._refusal(Reason.UPSTREAM_FAILED))
         row = ticket.row
         if row is None or row.runner in self._excluded:
             now = self._context.clock()
@@ -199,6 +217,17 @@
         reason = Reason.NO_CAPACITY if self._rejections else Reason.NO_RUNNER
         raise Ended(self._refusal(reason))
 
+    def _take_copy(
+        self, ticket: decode_places.Ticket, move: stream_move.StreamMove
+    ) -> runners.Runner:
+        """Return the runner that holds the copy of the stream."""
+        row = move.row
+        assert row is not None
+        move.end()
+        self._context.places.move(ticket, row)
+        self._context.uses_changed()
+        return row
+
     def _refusal(self, reason: states.RefusalReason) -> callers.Reply:
         """Return 503 only where no earlier send may have run."""
         if self._may_have_run:
@@ -237,15 +266,28 @@
     async def _pass_on_and_close(
         self, answer: upstream.OpenAnswer, row: runners.Runner, began: float
     ) -> None:
+        move = self._move = self._new_move(row)
         try:
-            await self._pass_on(answer, row, began)
+            with self._context.departures.watching(row.runner, move.run):
+                await self._pass_on(answer, row, began)
         except (http.BrokenAnswer, events.SequenceError) as error:
+            if await move.stopped():
+                raise Moved from error
+            move.end()
             row.observe_failure(self._context.clock())
             raise Broken(str(error)) from error
         finally:
             with anyio.CancelScope(shield=True):
                 await answer.connection.close()
 
+    def _new_move(self, row: runners.Runner) -> stream_move.StreamMove:
+        ticket = self._ticket
+        assert ticket is not None
+        place = dataclasses.replace(
+            ticket, row=None, excluded={*self._excluded, row.runner}
+        )
+        return stream_move.StreamMove(self._exchange, row, place)
+
     def _set_reader(self, row: runners.Runner | None) -> None:
         """Count the prompt at the decode runner that reads it, if one does."""
         if row is self._reader:
@@ -261,7 +303,10 @@
     async def _open(self, row: runners.Runner) -> upstream.OpenAnswer | None:
         """Return a runner's answer; None where it did not run the request."""
         exchange = self._exchange
-        handle = self._prompt.handle()
+        resume, self._resume = self._resume, None
+        # A stream that goes on from its copy counts as the same run.
+        runs = 0 if resume is not None else 1
+        handle = resume.handle if resume is not None else self._prompt.handle()
         options = model.RunOptions(
             row.runner,
             exchange.left_s,
@@ -278,7 +323,7 @@
                 answer = await upstream.open_answer(
                     exchange, row, options, connection
                 )
-                exchange.attempts += 1
+                exchange.attempts += runs
                 await self._prompt.taken()
                 return answer
         except upstream.NotRun as error:
@@ -288,11 +333,11 @@
             self._may_have_run = ran_before
             self._rejected(row, handle is not None, str(error))
         except http.BrokenAnswer as error:
-            exchange.attempts += 1
+            exchange.attempts += runs
             row.observe_failure(self._context.clock())
             raise Broken(str(error)) from error
         else:
-            exchange.attempts += 1
+            exchange.attempts += runs
             row.observe_failure(self._context.clock())
             raise Broken('no answer in time')
         return None
@@ -362,10 +407,14 @@
             if first and self._progress.events:
                 first = False
                 self._set_reader(None)
+                if self._move is not None:
+                    self._move.begun = True
                 self._exchange.note_step('first_event_s', began)
                 row.observe_success(
                     self._context.clock() - began, self._context.clock()
                 )
+        if self._move is not None and await self._move.stopped():
+            raise http.BrokenAnswer('the stream was stopped to be moved')
         if splitter.rest:
             raise http.BrokenAnswer('the stream ended within an event')
         await self._begin(head)
--- a/primrosereel/gateway/_ports.py
+++ b/primrosereel/gateway/_ports.py
@@ -112,5 +112,17 @@
     ) -> tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes]:
         """Return method, target, headers and body of a change of role."""
 
+    def move(
+        self,
+        runner: ids.RunnerId,
+        request_id: str,
+        target: model.Address,
+        last: bool,
+    ) -> tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes]:
+        """Return the call that copies a running request to another runner."""
+
+    def move_result(self, source: model.Address, body: bytes) -> str | None:
+        """Decode the answer to such a call."""
+
     def free_handle(self, handle: str) -> tuple[bytes, bytes]:
         """Return method and target of the call that frees a handle."""
--- a/primrosereel/gateway/_store_reader.py
+++ b/primrosereel/gateway/_store_reader.py
@@ -123,6 +123,8 @@
         """Log what a change makes of a runner; none where all is as before."""
         row = self._context.runners.get(change.runner)
         new = change.listing
+        if new is None or new.leaving:
+            self._context.departures.leaves(change.runner)
         if new is None:
             if row is not None:
                 self._context.log.info(
--- a/primrosereel/platform/_dialect.py
+++ b/primrosereel/platform/_dialect.py
@@ -1,6 +1,7 @@
 """Headers and calls of requests, runners and engines."""
 
 from collections.abc import Sequence
+from typing import TypeVar
 
 import msgspec
 
@@ -51,6 +52,13 @@
     tokens: int
 
 
+class _MoveBody(msgspec.Struct, rename='camel'):
+    kv_handle: str
+
+
+HandleBody = TypeVar('HandleBody', _PrefillBody, _MoveBody)
+
+
 class Dialect:
     """Translates between headers and the router's types."""
 
@@ -117,16 +125,34 @@
         self, address: model.Address, body: bytes
     ) -> model.PrefillResult | None:
         """Decode the answer to a prefill; None where it cannot be read."""
-        try:
-            answer = msgspec.json.decode(body, type=_PrefillBody)
-        except (msgspec.DecodeError, UnicodeDecodeError):
-            return None
-        if not (answer.kv_handle.isascii() and answer.kv_handle.isalnum()):
+        answer = _handle_body(body, _PrefillBody)
+        if answer is None:
             return None
         return model.PrefillResult(
             f'{address}/{answer.kv_handle}', answer.tokens
         )
 
+    def move(
+        self,
+        runner: ids.RunnerId,
+        request_id: str,
+        target: model.Address,
+        last: bool,
+    ) -> tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes]:
+        """Return the call that copies a running request's KV cache.
+
+        With ``last`` the run stops first.
+        """
+        body = msgspec.json.encode(
+            {'id': request_id, 'to': str(target), 'last': last}
+        )
+        return b'POST', b'/v1/kv-move', _json_headers(runner), body
+
+    def move_result(self, source: model.Address, body: bytes) -> str | None:
+        """Decode the handle of a copy; None where it cannot be read."""
+        answer = _handle_body(body, _MoveBody)
+        return None if answer is None else f'{source}/{answer.kv_handle}'
+
     def role_order(
         self,
         runner: ids.RunnerId,
@@ -143,11 +169,7 @@
                 'fencingToken': fencing_token,
             }
         )
-        headers = [
-            (b'Content-Type', b'application/json'),
-            (b'Expect-Instance', runner.encode()),
-        ]
-        return b'POST', b'/v1/order', headers, body
+        return b'POST', b'/v1/order', _json_headers(runner), body
 
     def free_handle(self, handle: str) -> tuple[bytes, bytes]:
         """Return method and target of the call that frees a handle."""
@@ -155,6 +177,23 @@
         return b'DELETE', b'/v1/kv-handle/' + name.encode()
 
 
+def _json_headers(runner: ids.RunnerId) -> list[tuple[bytes, bytes]]:
+    return [
+        (b'Content-Type', b'application/json'),
+        (b'Expect-Instance', runner.encode()),
+    ]
+
+
+def _handle_body(body: bytes, kind: type[HandleBody]) -> HandleBody | None:
+    """Decode an answer that names a handle; None if it cannot be read."""
+    try:
+        answer = msgspec.json.decode(body, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    name = answer.kv_handle
+    return answer if name.isascii() and name.isalnum() else None
+
+
 def _text(value: bytes) -> str:
     return value.decode('latin-1')
 
--- a/primrosereel/platform/_store.py
+++ b/primrosereel/platform/_store.py
@@ -81,6 +81,7 @@
     link_mbps: float = 0
     handle_ttl_s: float = 0.5
     stage_switch_s: float = 6.0
+    moves: bool = False
 
 
 class _Service(msgspec.Struct, rename='camel'):
@@ -282,6 +283,7 @@
             service.engine.link_mbps,
             service.engine.handle_ttl_s,
             service.engine.stage_switch_s,
+            service.engine.moves,
         )
     return model.Service(
         ids.ServiceId(service.name),
--- a/primrosereel/routing/_model.py
+++ b/primrosereel/routing/_model.py
@@ -83,7 +83,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Engine:
-    """The capacity of one engine of a service; memory in tokens."""
+    """The capacity of one engine of a service; memory in tokens.
+
+    ``moves`` tells whether running streams can be moved between engines.
+    """
 
     slots: int
     kv_tokens: int
@@ -91,6 +94,7 @@
     link_mbps: float
     handle_ttl_s: float
     switch_s: float = 6.0
+    moves: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primrosereel/standin/_listed_runner.py
+++ b/primrosereel/standin/_listed_runner.py
@@ -9,6 +9,7 @@
 from collections.abc import AsyncIterator
 import dataclasses
 import enum
+from typing import Any
 
 import anyio
 import msgspec
@@ -62,6 +63,10 @@
         self.handles: set[str] = set()
         self.orders: list[dict[str, str]] = []
         self.running = 0
+        # Calls that move runs; the events of each run, and the runs stopped.
+        self.moves: list[dict[str, Any]] = []
+        self.made: dict[str, int] = {}
+        self.stopped: set[str] = set()
 
     def entry(self, state: str = 'ready') -> dict[str, object]:
         """Return what the runner writes into the store."""
@@ -89,6 +94,8 @@
         if request.path == '/v1/order':
             self.orders.append(msgspec.json.decode(request.body))
             return raw_http.Answer(202)
+        if request.path == '/v1/kv-move':
+            return self._copy(request)
         if request.method == 'DELETE':
             self.handles.discard(request.path.rpartition('/')[2])
             return raw_http.Answer(200)
@@ -131,7 +138,7 @@
             headers.append((b'Content-Type', b'text/event-stream'))
             first = int(request.headers.get('last-event-id', '0')) + 1
             broken = fault is Fault.BREAK_STREAM
-            parts = self._events(first, broken)
+            parts = self._events(request_id, first, broken)
             return raw_http.Answer(200, headers, parts=parts)
         await anyio.sleep(self.options.work_s)
         if fault is Fault.RESET_AFTER_RUN:
@@ -158,17 +165,36 @@
         load = f'{self.running},0,{self.options.slots},100'
         return b'Instance-Load', load.encode()
 
-    async def _events(self, first: int, broken: bool) -> AsyncIterator[bytes]:
+    def _copy(self, request: raw_http.Request) -> raw_http.Answer:
+        """Answer a call that moves a run; with ``last`` the run stops."""
+        move = msgspec.json.decode(request.body)
+        self.moves.append(move)
+        if move['id'] not in self.made:
+            return raw_http.Answer(404)
+        if move['last']:
+            self.stopped.add(move['id'])
+        body = {'kvHandle': 'copy1', 'created': self.made[move['id']]}
+        close = [(b'Connection', b'close')]
+        return raw_http.Answer(200, close, msgspec.json.encode(body))
+
+    async def _events(
+        self, request_id: str, first: int, broken: bool
+    ) -> AsyncIterator[bytes]:
         self.running += 1
+        self.made[request_id] = first - 1
         try:
             for number in range(first, self.options.events + 1):
                 await anyio.sleep(self.options.event_s)
+                if request_id in self.stopped:
+                    raise raw_http.Reset
+                self.made[request_id] = number
                 if broken and number == first + 2:
                     yield f'id: {number}\ndata: cut in the mid'.encode()
                     raise raw_http.Reset
                 yield f'id: {number}\ndata: token {number}\n\n'.encode()
         finally:
             self.running -= 1
+            del self.made[request_id]
 
 
 def _second_answer(request_id: str) -> bytes:
--- a/primrosereel/standin/_operator_config.py
+++ b/primrosereel/standin/_operator_config.py
@@ -62,6 +62,7 @@
                     'linkMbps': 740000.0,
                     'handleTtlS': 0.5,
                     'stageSwitchS': 6.0,
+                    'moves': True,
                 },
             },
         ],
--- a/tests/property/test_gateway.py
+++ b/tests/property/test_gateway.py
@@ -26,6 +26,10 @@
     return sum(r.runs[request_id] for r in fleet.runners.values())
 
 
+def decoders(fleet):
+    return [fleet.runners['d1'], fleet.runners['d2']]
+
+
 def test_a_generation_is_prefilled_and_decoded_apart():
     """The whole path: prefill, handle, stream, and nothing ran twice."""
 
@@ -170,6 +174,83 @@
     run(scenario)
 
 
+@pytest.mark.parametrize('path', ['/ask/1', '/once/1'])
+def test_a_stream_is_moved_from_a_runner_that_leaves(path):
+    """Streams that may run once were cut when their runner was taken away."""
+
+    async def scenario(fleet):
+        for name in ('d1', 'd2'):
+            fleet.runners[name].options.events = 40
+            fleet.runners[name].options.event_s = 0.05
+        async with fleet.client() as client:
+            await client.send(path, 'r1', method='POST', **STREAM)
+            await fleet.wait_for(
+                lambda: any(r.made.get('r1', 0) > 2 for r in decoders(fleet))
+            )
+            (source,) = (r for r in decoders(fleet) if r.made)
+            (target,) = (r for r in decoders(fleet) if r is not source)
+            fleet.list_runner(source.options.runner, 'draining')
+            reply = await client.receive()
+        assert (reply.status, reply.whole) == (200, True)
+        numbers = [f'id: {n}\n'.encode() for n in range(1, 41)]
+        assert [reply.body.count(number) for number in numbers] == [1] * 40
+        assert [move['last'] for move in source.moves] == [False, True]
+        resumed = target.requests[-1].headers
+        address = f'127.0.0.1:{source.server.port}/copy1'
+        assert resumed['kv-source'] == address
+        assert int(resumed['last-event-id']) >= 2
+        (line,) = fleet.log.named('stream moved')
+        assert line['target'] == target.options.runner
+        assert not fleet.gateway.engine_uses()
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    ('path', 'whole'), [('/ask/1', True), ('/once/1', False)]
+)
+def test_a_move_that_fails_sends_no_second_run(path, whole):
+    """A stream that may run once must not run again without its copy."""
+
+    async def scenario(fleet):
+        for name in ('d1', 'd2'):
+            fleet.runners[name].options.events = 40
+            fleet.runners[name].options.event_s = 0.05
+        async with fleet.client() as client:
+            await client.send(path, 'r1', method='POST', **STREAM)
+            await fleet.wait_for(
+                lambda: any(r.made.get('r1', 0) > 2 for r in decoders(fleet))
+            )
+            (source,) = (r for r in decoders(fleet) if r.made)
+            (target,) = (r for r in decoders(fleet) if r is not source)
+            target.faults.append(Fault.HANDLE_GONE)
+            fleet.list_runner(source.options.runner, 'draining')
+            reply = await client.receive()
+        assert reply.whole == whole
+        assert total_runs(fleet, 'r1') == (2 if whole else 1)
+
+    run(scenario)
+
+
+def test_a_stream_goes_on_where_it_is_while_there_is_no_other_place():
+    """A stream was stopped although no other runner had room for it."""
+
+    async def scenario(fleet):
+        fleet.runners['d1'].options.events = 40
+        fleet.runners['d1'].options.event_s = 0.05
+        fleet.list_runner('d2', 'draining')
+        await anyio.sleep(0.4)
+        async with fleet.client() as client:
+            await client.send('/once/1', 'r1', method='POST', **STREAM)
+            await fleet.wait_for(lambda: bool(fleet.runners['d1'].made))
+            fleet.list_runner('d1', 'draining')
+            reply = await client.receive()
+        assert (reply.status, reply.whole) == (200, True)
+        assert not fleet.runners['d1'].moves
+
+    run(scenario)
+
+
 def test_a_lapsed_handle_is_replaced_by_reading_at_the_decode_runner():
     """All decode runners refused a request whose handle had lapsed."""
 
