--- a/primrosereel/standin/_raw_http.py
+++ b/primrosereel/standin/_raw_http.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import dataclasses
 import socket
 import struct
@@ -178,4 +179,6 @@
     """Make the close of a connection a reset."""
     raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
     option = struct.pack('ii', 1, 0)
-    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+    # A socket whose peer has reset it may be closed already.
+    with contextlib.suppress(OSError):
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A fault soak of real gateway processes; see soak.py."""
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,27 @@
+"""Runs many seeds by hand and prints what each of them broke."""
+
+import argparse
+import sys
+
+from tests.soak import soak
+
+
+def main():
+    """Exit with 1 where a seed broke a promise."""
+    parser = argparse.ArgumentParser(prog='python -m tests.soak')
+    parser.add_argument('--first', type=int, default=1)
+    parser.add_argument('--seeds', type=int, default=5)
+    parser.add_argument('--seconds', type=float, default=10.0)
+    options = parser.parse_args()
+    failed = 0
+    for seed in range(options.first, options.first + options.seeds):
+        found = soak.run(seed, options.seconds)
+        failed += bool(found.problems)
+        print(seed, dict(found.outcomes), sum(found.faults.values()))
+        for problem in found.problems:
+            print('  ', problem)
+    print(f'{options.seeds - failed} passed, {failed} failed')
+    return 1 if failed else 0
+
+
+sys.exit(main())
--- /dev/null
+++ b/tests/soak/links.py
@@ -0,0 +1,85 @@
+"""A TCP proxy on loopback that delays, resets, silences and cuts one way."""
+
+import contextlib
+import enum
+
+import anyio
+import anyio.abc
+
+__all__ = ['Link', 'Mode']
+
+READ_BYTES = 65536
+DELAY_S = 0.2
+
+
+class Mode(enum.Enum):
+    """What happens to connections."""
+
+    PASS = 'pass'
+    DELAY = 'delay'
+    RESET = 'reset'
+    # Connections stay open and nothing passes in either direction.
+    SILENT = 'silent'
+    # Requests pass and answers do not.
+    ONE_WAY = 'one_way'
+
+
+class Link:
+    """Forwards to a port of 127.0.0.1; the mode may change at any time."""
+
+    def __init__(self, target):
+        self._target = target
+        self._open = set()
+        self.mode = Mode.PASS
+        self.port = 0
+
+    def set_mode(self, mode):
+        """Change the mode; a reset also ends what is open."""
+        self.mode = mode
+        if mode is Mode.RESET:
+            for scope in list(self._open):
+                scope.cancel()
+
+    async def serve(self, *, task_status=anyio.TASK_STATUS_IGNORED):
+        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+        self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        task_status.started()
+        async with listener:
+            await listener.serve(self._connection)
+
+    async def _connection(self, near):
+        with anyio.CancelScope() as scope:
+            self._open.add(scope)
+            try:
+                if self.mode is not Mode.RESET:
+                    await self._forward(near)
+            finally:
+                self._open.discard(scope)
+                with anyio.CancelScope(shield=True):
+                    await anyio.aclose_forcefully(near)
+
+    async def _forward(self, near):
+        try:
+            far = await anyio.connect_tcp('127.0.0.1', self._target)
+        except OSError:
+            return
+        async with far:
+            with contextlib.suppress(ExceptionGroup, OSError):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._pump, near, far, True, tasks)
+                    tasks.start_soon(self._pump, far, near, False, tasks)
+
+    async def _pump(self, source, sink, forth, tasks):
+        with contextlib.suppress(
+            anyio.EndOfStream, anyio.BrokenResourceError, OSError
+        ):
+            while True:
+                data = await source.receive(READ_BYTES)
+                while self.mode is Mode.SILENT:
+                    await anyio.sleep(0.02)
+                if self.mode is Mode.DELAY:
+                    await anyio.sleep(DELAY_S)
+                if self.mode is Mode.ONE_WAY and not forth:
+                    continue
+                await sink.send(data)
+        tasks.cancel_scope.cancel()
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,443 @@
+"""A fault soak: real gateway processes, stand-ins, and faults in series.
+
+Three processes serve callers while processes are killed, paused and stopped,
+links to runners and store are disturbed, runners fail and leave, and the
+configuration changes, several at once. What callers and runners see is checked
+against the promises. A seed fixes the faults and requests, not their timing
+to the millisecond.
+
+Run by hand: ``python -m tests.soak --seeds 50 --first 1000 --seconds 10``.
+"""
+
+import collections
+import json
+import os
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+
+import anyio
+
+from primrosereel.routing import _model as model
+from primrosereel.standin import _listed_runner as listed_runner
+from primrosereel.standin import _metadata_store as metadata_store
+from primrosereel.standin import _operator_config as operator_config
+from tests import gateway_fleet
+from tests.soak import links
+
+__all__ = ['Soak', 'run']
+
+Fault = listed_runner.Fault
+HOSTS = ('127.0.0.1', '127.0.0.2', '127.0.0.3')
+RUNNERS = (
+    *((f'p{n}', 'llm', 'prefill') for n in range(2)),
+    *((f'd{n}', 'llm', 'decode') for n in range(3)),
+    *((f's{n}', 'plain', None) for n in range(3)),
+)
+EVENTS = 12
+PATHS = ('/read/1', '/file/1', '/ask/1', '/once/1')
+ONCE = ('/file/1', '/once/1')
+PROMISES = (408, 421, 429, 503)
+REQUESTS_PER_S = 25.0
+START_S = 20.0
+RECOVERY_S = 12.0
+SETTINGS = """
+nodeName = "soak-{number}"
+zone = "zone-a"
+ip = "{host}"
+internalPortRange = [{peer}, {peer}]
+seeds = ["127.0.0.1:1"]
+[listen]
+frontend = "{host}:{callers}"
+ready = "{host}:{readiness}"
+[bounds]
+drainMs = 1000
+configApplyMs = 1000
+stableWindowMs = 1000
+graceS = 6
+retryBudgetRatio = 0.2
+budgetWindowS = 10
+retryBudgetSlack = 50
+[platform]
+address = "127.0.0.1:{store}"
+"""
+
+
+class Process:
+    """One gateway process and its log."""
+
+    def __init__(self, number, folder, store, peer):
+        self.host = HOSTS[number]
+        self.callers = gateway_fleet.free_port()
+        self.readiness = gateway_fleet.free_port()
+        self._settings = folder / f'{number}.toml'
+        self.log = folder / f'{number}.log'
+        self._settings.write_text(
+            SETTINGS.format(
+                number=number,
+                host=self.host,
+                peer=peer,
+                callers=self.callers,
+                readiness=self.readiness,
+                store=store,
+            )
+        )
+        self.process = None
+        # Held while a fault of this process is under way.
+        self.busy = anyio.Lock()
+
+    def start(self):
+        with self.log.open('ab') as log:
+            self.process = subprocess.Popen(
+                [sys.executable, '-m', 'primrosereel.cmd.gateway'],
+                env=os.environ | {'PRIMROSEREEL_CONFIG': str(self._settings)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number):
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def rewrite(self):
+        """Change the settings file without changing what it says."""
+        self._settings.write_text(self._settings.read_text() + '\n')
+
+    async def ended(self, limit_s):
+        """Return the exit status; None if it still runs after a time."""
+        with anyio.move_on_after(limit_s):
+            while self.process.poll() is None:
+                await anyio.sleep(0.05)
+        return self.process.poll()
+
+    async def wait_ready(self, limit_s):
+        address = model.Address(self.host, self.readiness)
+        with anyio.fail_after(limit_s):
+            while True:
+                try:
+                    async with gateway_fleet.Client(address) as client:
+                        reply = await client.ask('/v1/readiness', 'ready')
+                    if reply.status == 200:
+                        return
+                except OSError:
+                    pass
+                await anyio.sleep(0.05)
+
+
+class Soak:
+    """One run; ``problems`` lists the promises that were broken."""
+
+    def __init__(self, seed, seconds):
+        self._random = random.Random(seed)
+        self._seconds = seconds
+        self._until = 0.0
+        self._version = 1
+        self._asked = 0
+        self._refused_once = set()
+        self.problems = []
+        self.outcomes = collections.Counter()
+        self.faults = collections.Counter()
+
+    async def run(self):
+        with tempfile.TemporaryDirectory() as folder:
+            async with anyio.create_task_group() as tasks:
+                await self._start(tasks, pathlib.Path(folder))
+                try:
+                    await self._play()
+                finally:
+                    for process in self._processes:
+                        process.signal(signal.SIGCONT)
+                        process.signal(signal.SIGKILL)
+                        process.process.wait()
+                self._check_logs()
+                tasks.cancel_scope.cancel()
+
+    async def _start(self, tasks, folder):
+        self._store = metadata_store.MetadataStore()
+        await tasks.start(self._store.server.serve)
+        self._store.put('op/config', operator_config.configuration())
+        self._store_link = links.Link(self._store.server.port)
+        await tasks.start(self._store_link.serve)
+        self._runners, self._links = {}, {}
+        for name, service, stage in RUNNERS:
+            options = listed_runner.RunnerOptions(
+                name, service, stage, events=EVENTS, event_s=0.05
+            )
+            runner = listed_runner.ListedRunner(options)
+            await tasks.start(runner.server.serve)
+            link = links.Link(runner.server.port)
+            await tasks.start(link.serve)
+            self._runners[name], self._links[name] = runner, link
+            self._list(name, 'ready')
+        peer = gateway_fleet.free_port()
+        self._processes = [
+            Process(number, folder, self._store_link.port, peer)
+            for number in range(len(HOSTS))
+        ]
+        for process in self._processes:
+            process.start()
+        for process in self._processes:
+            await process.wait_ready(START_S)
+
+    def _list(self, name, state):
+        entry = self._runners[name].entry(state)
+        entry['address'] = f'127.0.0.1:{self._links[name].port}'
+        self._store.put(f'servers/{name}', entry)
+
+    async def _play(self):
+        self._until = anyio.current_time() + self._seconds
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._cause_faults, tasks)
+            while anyio.current_time() < self._until:
+                tasks.start_soon(self._ask, self._random.choice(PATHS))
+                wait_s = self._random.expovariate(REQUESTS_PER_S)
+                await anyio.sleep(wait_s)
+        await self._check_recovery()
+        self._check_runs()
+
+    # Requests.
+
+    async def _ask(self, path):
+        self._asked += 1
+        request_id = f'r{self._asked}'
+        process = self._random.choice(self._processes)
+        leaves_s = None
+        if self._random.random() < 0.1:
+            leaves_s = self._random.uniform(0.05, 0.5)
+        address = model.Address(process.host, process.callers)
+        headers = {'Deadline_Ms': 4000, 'Token_Usage': '2000,100'}
+        reply = None
+        with anyio.move_on_after(leaves_s if leaves_s else 8.0) as scope:
+            try:
+                async with gateway_fleet.Client(address) as client:
+                    reply = await client.ask(
+                        path, request_id, method='POST', **headers
+                    )
+            except (OSError, anyio.BrokenResourceError):
+                self.outcomes['connection lost'] += 1
+                return
+        if scope.cancelled_caught and leaves_s is None:
+            self.outcomes['no answer'] += 1
+        if reply is not None:
+            self._judge(path, request_id, reply)
+
+    def _judge(self, path, request_id, reply):
+        name = f'{reply.status}' + ('' if reply.whole else ' cut')
+        self.outcomes[name] += 1
+        if reply.status in PROMISES and path in ONCE:
+            self._refused_once.add(request_id)
+        if reply.status != 200:
+            return
+        wanted = f'answer to {request_id}'.encode()
+        if path in ('/ask/1', '/once/1'):
+            parts = reply.body.split(b'\n\n')
+            wanted = _stream(EVENTS)
+            if not reply.whole:
+                # What came of a stream that was cut is in order and once.
+                wanted = _stream(len(parts) - 1)
+        elif not reply.whole:
+            return
+        if reply.body != wanted:
+            self.problems.append(
+                f'{path} {request_id}: {reply.body[:80]!r} instead of '
+                f'{wanted[:80]!r}, whole {reply.whole}'
+            )
+
+    # Faults.
+
+    async def _cause_faults(self, tasks):
+        kinds = (
+            self._kill,
+            self._pause,
+            self._stop,
+            self._reload,
+            self._disturb_runner,
+            self._disturb_store,
+            self._fail_runner,
+            self._take_runner_away,
+            self._configure,
+        )
+        while anyio.current_time() < self._until:
+            kind = self._random.choice(kinds)
+            self.faults[kind.__name__] += 1
+            tasks.start_soon(kind)
+            await anyio.sleep(self._random.uniform(0.1, 1.0))
+
+    async def _kill(self):
+        process = self._random.choice(self._processes)
+        wait_s = self._random.uniform(0.1, 1.0)
+        async with process.busy:
+            process.signal(signal.SIGKILL)
+            await process.ended(2.0)
+            await anyio.sleep(wait_s)
+            process.start()
+
+    async def _pause(self):
+        process = self._random.choice(self._processes)
+        pause_s = self._random.uniform(0.3, 2.0)
+        async with process.busy:
+            process.signal(signal.SIGSTOP)
+            await anyio.sleep(pause_s)
+            process.signal(signal.SIGCONT)
+
+    async def _stop(self):
+        process = self._random.choice(self._processes)
+        async with process.busy:
+            # One that has not set its handlers up yet dies of the signal.
+            try:
+                await process.wait_ready(3.0)
+            except TimeoutError:
+                return
+            process.signal(signal.SIGTERM)
+            status = await process.ended(8.0)
+            if status != 0:
+                self.problems.append(f'exit status {status} after SIGTERM')
+            process.signal(signal.SIGKILL)
+            await process.ended(2.0)
+            process.start()
+
+    async def _reload(self):
+        process = self._random.choice(self._processes)
+        async with process.busy:
+            try:
+                await process.wait_ready(3.0)
+            except TimeoutError:
+                return
+            process.rewrite()
+            process.signal(signal.SIGHUP)
+
+    async def _disturb_runner(self):
+        link = self._links[self._random.choice(RUNNERS)[0]]
+        mode = self._random.choice(list(links.Mode)[1:])
+        wait_s = self._random.uniform(0.2, 2.0)
+        link.set_mode(mode)
+        await anyio.sleep(wait_s)
+        link.set_mode(links.Mode.PASS)
+
+    async def _disturb_store(self):
+        choice = self._random.random()
+        wait_s = self._random.uniform(0.3, 3.0)
+        if choice < 0.3:
+            self._store.forget_history()
+        elif choice < 0.6:
+            modes = list(metadata_store.StoreMode)
+            self._store.mode = self._random.choice(modes)
+            await anyio.sleep(wait_s)
+            self._store.mode = modes[0]
+        else:
+            self._store_link.set_mode(
+                self._random.choice(list(links.Mode)[1:])
+            )
+            await anyio.sleep(wait_s)
+            self._store_link.set_mode(links.Mode.PASS)
+
+    async def _fail_runner(self):
+        """Give half of the runners some faults each."""
+        for name, *_ in self._random.sample(RUNNERS, len(RUNNERS) // 2):
+            faults = self._random.choices(list(Fault), k=4)
+            self._runners[name].faults.extend(faults)
+
+    async def _take_runner_away(self):
+        name = self._random.choice(RUNNERS)[0]
+        wait_s = self._random.uniform(0.5, 2.0)
+        self._list(name, 'draining')
+        await anyio.sleep(wait_s)
+        if self._random.random() < 0.5:
+            self._store.delete(f'servers/{name}')
+            await anyio.sleep(wait_s)
+        self._list(name, 'ready')
+
+    async def _configure(self):
+        self._version += self._random.randint(1, 3)
+        self._store.put(
+            'op/config', operator_config.configuration(self._version)
+        )
+
+    # Checks after the faults.
+
+    async def _check_recovery(self):
+        for runner in self._runners.values():
+            runner.faults.clear()
+        for name, *_ in RUNNERS:
+            self._list(name, 'ready')
+        self._store.mode = next(iter(metadata_store.StoreMode))
+        for process in self._processes:
+            try:
+                await process.wait_ready(RECOVERY_S)
+            except TimeoutError:
+                self.problems.append(f'{process.host} is not ready again')
+                return
+        # Runners that failed are avoided for a few seconds.
+        await anyio.sleep(5.0)
+        before = self.outcomes['200']
+        for path in PATHS * 5:
+            await self._ask_whole(path)
+        served = self.outcomes['200'] - before
+        if served < 0.9 * len(PATHS) * 5:
+            self.problems.append(f'{served} of 20 served after the faults')
+
+    async def _ask_whole(self, path):
+        # The draw that lets some callers leave early must not decide here.
+        state, self._random = self._random, _Stays(self._random.random())
+        try:
+            await self._ask(path)
+        finally:
+            self._random = state
+
+    def _check_runs(self):
+        total = collections.Counter()
+        for runner in self._runners.values():
+            total.update(runner.runs)
+            if runner.running:
+                self.problems.append(
+                    f'{runner.options.runner} still runs {runner.running}'
+                )
+        for request_id in self._refused_once:
+            if total[request_id]:
+                self.problems.append(f'{request_id} was refused and has run')
+        once = {
+            request.headers['request-id']
+            for runner in self._runners.values()
+            for request in runner.requests
+            if request.path in ONCE
+        }
+        for request_id in once:
+            if total[request_id] > 1:
+                self.problems.append(
+                    f'{request_id} ran {total[request_id]} times'
+                )
+
+    def _check_logs(self):
+        for process in self._processes:
+            for line in process.log.read_text().splitlines():
+                try:
+                    event = json.loads(line).get('event')
+                except json.JSONDecodeError:
+                    # A process that was killed leaves half a line.
+                    continue
+                if event == 'part failed':
+                    self.problems.append(line[:2000])
+
+
+class _Stays(random.Random):
+    """Random choices of a caller that does not leave."""
+
+    def random(self):
+        return 0.5 + super().random() / 2
+
+
+def _stream(events):
+    return b''.join(
+        f'id: {number}\ndata: token {number}\n\n'.encode()
+        for number in range(1, events + 1)
+    )
+
+
+def run(seed, seconds):
+    """Run one soak and return it."""
+    soak = Soak(seed, seconds)
+    anyio.run(soak.run)
+    return soak
