Split the simulation: arrivals, virtual time, engines

Change: the types of a workload, the timeline and the engine side are modules of their own; no behaviour.

--- a/primrosereel/bench/_bounds.py
+++ b/primrosereel/bench/_bounds.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Sequence
 
-from primrosereel.bench import _simulation as simulation
+from primrosereel.bench import _arrivals as arrivals_module
 from primrosereel.bench import _workloads as workloads
 
 __all__ = ['most_good']
@@ -16,7 +16,7 @@
 
 def most_good(
     shape: workloads.Shape,
-    arrivals: Sequence[simulation.Arrival],
+    arrivals: Sequence[arrivals_module.Arrival],
     first_token_s: float,
     token_gap_s: float,
 ) -> int:
@@ -31,7 +31,7 @@
 
 def _prefilled(
     shape: workloads.Shape,
-    arrivals: Sequence[simulation.Arrival],
+    arrivals: Sequence[arrivals_module.Arrival],
     first_token_s: float,
 ) -> int:
     """Count the shortest prompts that fit between first and last deadline.
@@ -52,7 +52,7 @@
 
 def _decoded(
     shape: workloads.Shape,
-    arrivals: Sequence[simulation.Arrival],
+    arrivals: Sequence[arrivals_module.Arrival],
     first_token_s: float,
     token_gap_s: float,
 ) -> int:
--- a/primrosereel/bench/_experiments.py
+++ b/primrosereel/bench/_experiments.py
@@ -12,6 +12,7 @@
 import time
 from typing import Any
 
+from primrosereel.bench import _arrivals as arrivals_module
 from primrosereel.bench import _bounds as bounds
 from primrosereel.bench import _decisions as decisions
 from primrosereel.bench import _load as load
@@ -46,7 +47,7 @@
 def _simulate(
     shape: workloads.Shape,
     policy: str,
-    arrivals: list[simulation.Arrival],
+    arrivals: list[arrivals_module.Arrival],
     seed: int,
     prepare: Callable[[simulation.Simulation], None] | None = None,
 ) -> simulation.Simulation:
@@ -64,7 +65,7 @@
     return sim
 
 
-def _is_good(outcome: simulation.Outcome) -> bool:
+def _is_good(outcome: arrivals_module.Outcome) -> bool:
     return (
         outcome.whole
         and outcome.first_token_s <= FIRST_TOKEN_S
@@ -73,19 +74,19 @@
 
 
 def _within(
-    outcomes: Sequence[simulation.Outcome], start: float, end: float
-) -> list[simulation.Outcome]:
+    outcomes: Sequence[arrivals_module.Outcome], start: float, end: float
+) -> list[arrivals_module.Outcome]:
     return [o for o in outcomes if start <= o.arrival.time < end]
 
 
-def _goodput(outcomes: Sequence[simulation.Outcome]) -> float:
+def _goodput(outcomes: Sequence[arrivals_module.Outcome]) -> float:
     """Return the share of requests that met both targets."""
     if not outcomes:
         return 0.0
     return sum(map(_is_good, outcomes)) / len(outcomes)
 
 
-def _first_tokens(outcomes: Sequence[simulation.Outcome]) -> list[float]:
+def _first_tokens(outcomes: Sequence[arrivals_module.Outcome]) -> list[float]:
     return [o.first_token_s for o in outcomes if o.tokens]
 
 
@@ -144,7 +145,7 @@
                 sim = _simulate(
                     shape, policy, arrivals, seed, _kills if kills else None
                 )
-                done, wasted = sim.wasted_tokens()
+                done, wasted = sim.engines.wasted_tokens()
                 shares.append(wasted / max(1, done))
             more = {'target': target} if policy == 'primrosereel' else {}
             name = f'prefill wasted, {label}'
@@ -156,10 +157,12 @@
 
 def _kills(sim: simulation.Simulation) -> None:
     """Kill one runner in the middle of each minute, in turn."""
-    runners = sorted(sim.engines)
+    runners = sorted(sim.engines.engines)
     for minute in range(2):
         runner = runners[-1 - minute]
-        sim.at(30.0 + 60.0 * minute, functools.partial(sim.crash, runner))
+        sim.at(
+            30.0 + 60.0 * minute, functools.partial(sim.engines.crash, runner)
+        )
 
 
 def priority(shape: workloads.Shape, seeds: Sequence[int]) -> list[Row]:
@@ -228,7 +231,7 @@
         name = next(r for r, row in runners.items() if row['role'] == role)
 
         def slow(sim: simulation.Simulation, runner=name) -> None:
-            sim.at(WARM_UP_S, lambda: sim.slow(runner, 10.0))
+            sim.at(WARM_UP_S, lambda: sim.engines.slow(runner, 10.0))
 
         for policy in POLICIES:
             ratios = []
--- /dev/null
+++ b/primrosereel/bench/_simulated_engines.py
@@ -0,0 +1,413 @@
+"""Engine models under virtual time, and the routers' calls to them."""
+
+from collections.abc import Callable
+import math
+import random
+from typing import Any
+
+from primrosereel import _ids as ids
+from primrosereel import _states as states
+from primrosereel import standin
+from primrosereel.bench import _timeline as timeline_module
+from primrosereel.core import _messages as messages
+
+__all__ = ['LATENCY_S', 'Engines']
+
+# One way between two processes of a region.
+LATENCY_S = 0.0005
+# Tokens of a stream are delivered in batches of this time after the first.
+CHUNK_S = 0.2
+
+Carrier = Callable[[Any, Any], None]
+
+
+class _Stream:
+    """A connection to a decode stream."""
+
+    __slots__ = ('effect', 'node', 'offset', 'reader', 'runner')
+
+    def __init__(self, node, runner, effect, reader, offset) -> None:
+        self.node = node
+        self.runner = runner
+        self.effect = effect
+        self.reader = reader
+        self.offset = offset
+
+
+class Engines:
+    """The engines of a text; ``deliver`` hands a message to a node later.
+
+    ``prompt_of`` returns a request's prompt and the tokens that its caller
+    has already.
+    """
+
+    def __init__(
+        self,
+        timeline: timeline_module.Timeline,
+        deliver: Callable[[Any, messages.Inbound], None],
+        prompt_of: Callable[[ids.RequestId], tuple[standin.Prompt, int]],
+    ) -> None:
+        self.engines: dict[ids.RunnerId, standin.EngineModel] = {}
+        self._timeline = timeline
+        self._deliver = deliver
+        self._prompt_of = prompt_of
+        self._streams: dict[ids.EngineRequestId, _Stream] = {}
+        self._prefills: dict[tuple[str, str], Any] = {}
+        self._due: dict[ids.RunnerId, float] = {}
+
+    def carriers(self) -> dict[type, Carrier]:
+        """Return what carries each kind of call to an engine out."""
+        return {
+            messages.StartPrefill: self._start_prefill,
+            messages.StartDecode: self._start_decode,
+            messages.ReattachStream: self._reattach,
+            messages.CancelUpstream: self._cancel,
+            messages.PauseUpstream: self._pause,
+            messages.ResumeUpstream: self._resume,
+            messages.PollLoad: self._poll_load,
+            messages.PollCacheEvents: self._poll_cache_events,
+            messages.ListRequests: self._list_requests,
+        }
+
+    def crash(self, runner: ids.RunnerId, restart_s: float = 2.0) -> None:
+        """Kill an engine now; it comes back empty after ``restart_s``."""
+        engine = self.engines[runner]
+        engine.crash(self._timeline.now)
+        for engine_id, stream in list(self._streams.items()):
+            if stream.runner == runner:
+                del self._streams[engine_id]
+                self._close(stream, states.UpstreamError.BROKEN)
+        for key in [k for k in self._prefills if k[0] == runner]:
+            self._fail_prefill(*self._prefills.pop(key))
+        self._timeline.at(
+            self._timeline.now + restart_s,
+            lambda: engine.restart(self._timeline.now),
+        )
+
+    def slow(self, runner: ids.RunnerId, factor: float) -> None:
+        """Slow an engine down from now on; 1 is its normal speed."""
+        self.engines[runner].set_faults({'slow': factor}, self._timeline.now)
+        self._schedule_engine(runner)
+
+    def wasted_tokens(self) -> tuple[int, int]:
+        """Return prompt tokens computed, and those of them wasted."""
+        done = wasted = 0
+        for engine in self.engines.values():
+            done += engine.counters.prefill_tokens
+            wasted += engine.counters.wasted_tokens
+            wasted += engine.counters.cancelled_tokens
+        return done, wasted
+
+    def make(
+        self,
+        text: dict[str, Any],
+        chance: random.Random,
+        options: dict[str, Any],
+    ) -> None:
+        """Make the engines that a text names."""
+        for service in text['services'].values():
+            if service['kind'] != 'llm':
+                continue
+            model = text['models'][service['model']]
+            for name, row in service['runners'].items():
+                config = standin.EngineConfig(
+                    runner=name,
+                    role=states.Role(row['role']),
+                    kv_bytes_per_token=model['kv_bytes_per_token'],
+                    prefill_tokens_s=model['prefill_tokens_s'],
+                    decode_step_s=model['decode_step_s'],
+                    **options,
+                )
+                source = random.Random(chance.getrandbits(32))
+                self.engines[ids.RunnerId(name)] = standin.EngineModel(
+                    config, source
+                )
+
+    def _at_engine(
+        self, runner: ids.RunnerId, call: Callable[[], object]
+    ) -> None:
+        """Run a call at an engine one way later."""
+
+        def arrive() -> None:
+            call()
+            self._schedule_engine(runner)
+
+        self._timeline.at(self._timeline.now + LATENCY_S, arrive)
+
+    def _schedule_engine(self, runner: ids.RunnerId) -> None:
+        due = self.engines[runner].next_event()
+        if due < self._due.get(runner, math.inf):
+            self._due[runner] = due
+            self._timeline.at(
+                max(due, self._timeline.now),
+                lambda: self._advance(runner, due),
+            )
+
+    def _advance(self, runner: ids.RunnerId, due: float) -> None:
+        if self._due.get(runner) != due:
+            return
+        self._due[runner] = math.inf
+        for event in self.engines[runner].advance(self._timeline.now):
+            self._on_event(runner, event)
+        self._schedule_engine(runner)
+
+    def _on_event(self, runner: ids.RunnerId, event: standin.Event) -> None:
+        if isinstance(event, standin.PrefillEnded):
+            self._prefill_ended(runner, event)
+        elif isinstance(event, standin.ImportEnded):
+            self._release_export(event)
+        elif isinstance(event, standin.StreamStarted | standin.StreamEnded):
+            self._read(ids.EngineRequestId(event.request_id))
+        elif isinstance(event, standin.Paused):
+            self._switched(event, messages.StreamPaused)
+        elif isinstance(event, standin.Resumed):
+            self._switched(event, messages.StreamResumed)
+
+    def _start_prefill(self, node, effect: messages.StartPrefill) -> None:
+        engine = self.engines[effect.runner]
+        engine_id = ids.engine_request_id(effect.request_id, effect.attempt)
+        prompt, done = self._prompt_of(effect.request_id)
+        prompt = prompt._replace(tokens=prompt.tokens + done)
+
+        def start() -> None:
+            outcome = engine.prefill(
+                engine_id,
+                prompt,
+                effect.priority,
+                self._timeline.now,
+                effect.lease_s,
+            )
+            if outcome is standin.Outcome.OK:
+                key = (effect.runner, engine_id)
+                self._prefills[key] = (node, effect, self._timeline.now)
+            else:
+                self._fail_prefill(node, effect, self._timeline.now, outcome)
+
+        self._at_engine(effect.runner, start)
+
+    def _fail_prefill(self, node, effect, started, outcome=None) -> None:
+        """Report a prefill that ended without a result."""
+        error, ran = states.UpstreamError.BROKEN, states.Ran.UNKNOWN
+        if outcome is not None:
+            ran = states.Ran.NOT_RUN
+            error = states.UpstreamError.FULL
+            if outcome is standin.Outcome.DROPPED:
+                error = states.UpstreamError.CONNECT
+        self._deliver(
+            node,
+            messages.PrefillFailed(
+                effect.request_id, effect.attempt, effect.runner, error, ran
+            ),
+        )
+
+    def _prefill_ended(self, runner, event: standin.PrefillEnded) -> None:
+        found = self._prefills.pop((runner, event.request_id), None)
+        if found is None:
+            return
+        node, effect, started = found
+        kv = messages.KvTransfer(
+            event.kv.handle, runner, event.kv.tokens, event.kv.bytes
+        )
+        self._deliver(
+            node,
+            messages.PrefillDone(
+                effect.request_id,
+                effect.attempt,
+                runner,
+                kv,
+                event.cached_tokens,
+                self._timeline.now - started,
+            ),
+        )
+
+    def _start_decode(self, node, effect: messages.StartDecode) -> None:
+        self._at_engine(effect.runner, lambda: self._decode(node, effect))
+
+    def _decode(self, node, effect: messages.StartDecode) -> None:
+        engine = self.engines[effect.runner]
+        engine_id = ids.engine_request_id(effect.request_id, effect.attempt)
+        prompt, _ = self._prompt_of(effect.request_id)
+        stream = _Stream(node, effect.runner, effect, None, effect.offset)
+        outcome = engine.check_decode(
+            engine_id, prompt, effect.max_tokens, self._timeline.now
+        )
+        if outcome is not standin.Outcome.OK:
+            error = states.UpstreamError.FULL
+            if outcome is standin.Outcome.DROPPED:
+                error = states.UpstreamError.CONNECT
+            self._close(stream, error)
+            return
+        source = self.engines[effect.kv.runner]
+        if source.take_export(effect.kv.handle, self._timeline.now) is None:
+            self._close(stream, states.UpstreamError.KV_GONE)
+            return
+        engine.decode(
+            engine_id,
+            prompt,
+            effect.max_tokens,
+            effect.kv.bytes,
+            effect.priority,
+            effect.offset,
+            self._timeline.now,
+        )
+        self._prefills[('import', engine_id)] = effect.kv
+        stream.reader = engine.attach(engine_id, self._timeline.now)
+        self._streams[engine_id] = stream
+
+    def _release_export(self, event: standin.ImportEnded) -> None:
+        kv = self._prefills.pop(('import', event.request_id), None)
+        if kv is not None:
+            source = self.engines[kv.runner]
+            source.release_export(kv.handle, event.ok, self._timeline.now)
+            self._schedule_engine(kv.runner)
+
+    def _read(self, engine_id: ids.EngineRequestId) -> None:
+        """Deliver the tokens that a stream has produced since the last."""
+        stream = self._streams.get(engine_id)
+        if stream is None:
+            return
+        engine = self.engines[stream.runner]
+        chunk = engine.read(stream.reader, stream.offset, self._timeline.now)
+        if chunk.gone or chunk.cut or chunk.garbled:
+            del self._streams[engine_id]
+            self._close(stream, states.UpstreamError.BROKEN)
+            return
+        if chunk.tokens or chunk.finish:
+            self._deliver(
+                stream.node,
+                messages.TokensReceived(
+                    stream.effect.request_id,
+                    stream.effect.attempt,
+                    stream.runner,
+                    stream.offset,
+                    chunk.tokens,
+                    chunk.finish,
+                ),
+            )
+            stream.offset += len(chunk.tokens)
+        if chunk.finish:
+            del self._streams[engine_id]
+            engine.detach(stream.reader, self._timeline.now)
+            return
+        self._timeline.at(
+            self._timeline.now + CHUNK_S,
+            lambda: self._read_on(engine_id, stream),
+        )
+
+    def _read_on(self, engine_id, stream: _Stream) -> None:
+        if self._streams.get(engine_id) is stream:
+            self._read(engine_id)
+
+    def _close(self, stream: _Stream, error: states.UpstreamError) -> None:
+        effect = stream.effect
+        self._deliver(
+            stream.node,
+            messages.StreamClosed(
+                effect.request_id, effect.attempt, stream.runner, error
+            ),
+        )
+
+    def _reattach(self, node, effect: messages.ReattachStream) -> None:
+        def attach() -> None:
+            engine = self.engines[effect.runner]
+            engine_id = ids.engine_request_id(
+                effect.request_id, effect.attempt
+            )
+            reader = engine.attach(engine_id, self._timeline.now)
+            stream = _Stream(
+                node, effect.runner, effect, reader, effect.offset
+            )
+            if reader is None:
+                error = states.UpstreamError.NOT_FOUND
+                if not engine.alive:
+                    error = states.UpstreamError.CONNECT
+                self._close(stream, error)
+                return
+            self._streams[engine_id] = stream
+            self._read(engine_id)
+
+        self._at_engine(effect.runner, attach)
+
+    def _cancel(self, node, effect: messages.CancelUpstream) -> None:
+        def cancel() -> None:
+            engine_id = effect.engine_request_id
+            self._streams.pop(engine_id, None)
+            self._prefills.pop((effect.runner, engine_id), None)
+            engine = self.engines[effect.runner]
+            outcome = engine.cancel(engine_id, self._timeline.now)
+            if outcome is standin.Outcome.OK:
+                kind: Any = messages.CancelConfirmed
+            else:
+                kind = messages.CancelFailed
+            self._deliver(node, kind(effect.runner, engine_id))
+
+        self._at_engine(effect.runner, cancel)
+
+    def _pause(self, node, effect: messages.PauseUpstream) -> None:
+        engine_id = ids.engine_request_id(effect.request_id, effect.attempt)
+        engine = self.engines[effect.runner]
+        self._at_engine(
+            effect.runner, lambda: engine.pause(engine_id, self._timeline.now)
+        )
+
+    def _resume(self, node, effect: messages.ResumeUpstream) -> None:
+        engine_id = ids.engine_request_id(effect.request_id, effect.attempt)
+        engine = self.engines[effect.runner]
+        self._at_engine(
+            effect.runner, lambda: engine.resume(engine_id, self._timeline.now)
+        )
+
+    def _switched(self, event, kind) -> None:
+        stream = self._streams.get(event.request_id)
+        if stream is not None:
+            effect = stream.effect
+            self._deliver(
+                stream.node,
+                kind(effect.request_id, effect.attempt, stream.runner),
+            )
+
+    def _poll_load(self, node, effect: messages.PollLoad) -> None:
+        engine = self.engines.get(effect.runner)
+        if engine is None:
+            return
+        if not engine.alive:
+            self._deliver(node, messages.LoadFailed(effect.runner))
+            return
+        view = engine.load(self._timeline.now)
+        report = messages.LoadReport(
+            view.busy,
+            view.queued,
+            view.free_pieces,
+            view.backlog_tokens,
+            view.leaving,
+            view.incarnation,
+            view.age_s,
+        )
+        self._deliver(node, messages.LoadReported(effect.runner, report))
+
+    def _poll_cache_events(self, node, effect) -> None:
+        engine = self.engines[effect.runner]
+        if not engine.alive:
+            return
+        found = engine.cache_events(effect.since, self._timeline.now)
+        self._deliver(
+            node,
+            messages.CacheEventsReceived(
+                effect.runner,
+                effect.since,
+                found.first,
+                found.next,
+                found.stored,
+                found.evicted,
+            ),
+        )
+
+    def _list_requests(self, node, effect: messages.ListRequests) -> None:
+        engine = self.engines.get(effect.runner)
+        if engine is None or not engine.alive:
+            return
+        held = tuple(
+            ids.EngineRequestId(row.request_id)
+            for row in engine.requests(self._timeline.now)
+        )
+        self._deliver(node, messages.RequestsListed(effect.runner, held))
--- a/primrosereel/bench/_workloads.py
+++ b/primrosereel/bench/_workloads.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from primrosereel import _ids as ids
-from primrosereel.bench import _simulation as simulation
+from primrosereel.bench import _arrivals as arrivals_module
 from primrosereel.bench import _texts as texts
 
 __all__ = [
@@ -129,10 +129,10 @@
     seed: int,
     priority_share: float = 0.0,
     start: float = 1.0,
-) -> list[simulation.Arrival]:
+) -> list[arrivals_module.Arrival]:
     """Return Poisson arrivals at a rate in requests a second."""
     source = random.Random(seed)
-    found: list[simulation.Arrival] = []
+    found: list[arrivals_module.Arrival] = []
     time = start
     while True:
         time += source.expovariate(rate)
@@ -143,12 +143,12 @@
 
 def burst(
     shape: Shape, rate: float, seed: int, start: float = 1.0
-) -> list[simulation.Arrival]:
+) -> list[arrivals_module.Arrival]:
     """Return a swing from a rate to five times it and back.
 
     Ten seconds at the rate, ten at five times the rate, twenty at the rate.
     """
-    found: list[simulation.Arrival] = []
+    found: list[arrivals_module.Arrival] = []
     for number, (seconds, factor) in enumerate(((10, 1), (10, 5), (20, 1))):
         found += arrivals(
             shape, rate * factor, seconds, seed * 10 + number, start=start
@@ -159,14 +159,14 @@
 
 def _arrival(
     shape: Shape, time: float, source: random.Random, priority_share: float
-) -> simulation.Arrival:
+) -> arrivals_module.Arrival:
     tokens = int(shape.prompt_tokens * source.lognormvariate(0, shape.spread))
     tokens = max(BLOCK_TOKENS // 8, min(tokens, 60_000))
     client_account = source.choice(shape.client_accounts)
     if source.random() < priority_share:
         client_account = shape.priority_client_account
     digest = hashlib.sha256(texts.key_of(client_account).encode()).hexdigest()
-    return simulation.Arrival(
+    return arrivals_module.Arrival(
         time=time,
         client_account=client_account,
         key_sha256=digest,
