Free the copy of a stream that nobody goes on from

Cause: read in the diff: where a caller left between the copy of a stream and its stop, the copy held engine memory until it lapsed; a move without retry budget was logged as one without a place. Change: the copy's handle is kept until the other runner has taken it, and freed otherwise.

--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -99,7 +99,7 @@
         finally:
             self._give_place_back()
             if self._move is not None:
-                self._move.end()
+                await self._move.close()
             await self._prompt.free()
             if self._connection is not None:
                 with anyio.CancelScope(shield=True):
@@ -324,6 +324,8 @@
                     exchange, row, options, connection
                 )
                 exchange.attempts += runs
+                if resume is not None:
+                    resume.taken()
                 await self._prompt.taken()
                 return answer
         except upstream.NotRun as error:
--- a/primrosereel/gateway/_stream_move.py
+++ b/primrosereel/gateway/_stream_move.py
@@ -19,6 +19,7 @@
 RETRY_S = 0.2
 SEARCH_S = 6.0
 CALL_S = 1.5
+FREE_S = 0.5
 MAX_ANSWER_BYTES = 65536
 
 
@@ -44,6 +45,8 @@
         self._ended = False
         # Set once the caller has the first event; before, nothing runs yet.
         self.begun = False
+        # A copy that is held at the other runner and has not been taken.
+        self._copied: str | None = None
         self.handle: str | None = None
 
     @property
@@ -58,6 +61,28 @@
             self._context.places.release(self._place)
             self._context.uses_changed()
 
+    def taken(self) -> None:
+        """Note that the other runner goes on from the copy."""
+        self._copied = None
+
+    async def close(self) -> None:
+        """Give back the place, and the memory of a copy that nobody took."""
+        self.end()
+        copied, self._copied = self._copied, None
+        if copied is None:
+            return
+        method, target = self._context.dialect.free_handle(copied)
+        self._context.count('streams.copies_freed')
+        with anyio.CancelScope(shield=True), anyio.move_on_after(FREE_S):
+            try:
+                await self._ask(http.Call(method, target, []))
+            except http.ConnectionFailed as error:
+                self._context.log.info(
+                    'handle not freed',
+                    request=self._exchange.facts.request_id,
+                    detail=str(error),
+                )
+
     async def stopped(self) -> bool:
         """Tell, once the source's stream has ended, whether it was moved."""
         if self._stopping:
@@ -67,13 +92,12 @@
 
     async def run(self) -> None:
         """Copy the stream, stop it and copy the rest; errors end the move."""
-        outcome = 'no place'
+        outcome = ''
         try:
             engine = self._exchange.engine
             if engine is None or not engine.moves:
                 return
-            if await self._find_place():
-                outcome = await self._copy()
+            outcome = await self._take_place() or await self._copy()
         except http.ConnectionFailed as error:
             outcome = str(error)
         except TimeoutError:
@@ -81,7 +105,7 @@
         finally:
             self._done.set()
             if self.handle is None or self._ended:
-                self.end()
+                await self.close()
         row = self.row
         if row is not None:
             self._context.count('streams.moved')
@@ -95,7 +119,8 @@
             outcome=outcome,
         )
 
-    async def _find_place(self) -> bool:
+    async def _take_place(self) -> str:
+        """Take a place for the copy; return why there is none."""
         context = self._context
         until = context.clock() + SEARCH_S
         while not self._ended and context.clock() < until:
@@ -104,46 +129,52 @@
                 if not context.budget.take(
                     self._exchange.service, context.clock()
                 ):
-                    return False
+                    return 'no retry budget'
                 context.places.move(self._place, row)
                 context.uses_changed()
-                return True
+                return ''
             await anyio.sleep(RETRY_S)
-        return False
+        return 'stream ended' if self._ended else 'no place'
 
     async def _copy(self) -> str:
         """Return the outcome; ``handle`` is set if the stream was stopped."""
         row = self.row
         assert row is not None
         with anyio.fail_after(CALL_S):
-            status, _ = await self._call(row, last=False)
+            status = await self._call(row, last=False)
             if status != 200 or self._ended:
                 return f'copy: status {status}'
             self._stopping = True
-            status, body = await self._call(row, last=True)
+            status = await self._call(row, last=True)
             if status == 200:
-                self.handle = self._context.dialect.move_result(
-                    self._source.listing.address, body
-                )
+                self.handle = self._copied
             return f'stop: status {status}'
 
-    async def _call(
-        self, row: runners.Runner, last: bool
-    ) -> tuple[int, bytes]:
-        """Call the source; a runner that leaves closes its connections."""
-        method, target, headers, body = self._context.dialect.move(
+    async def _call(self, row: runners.Runner, last: bool) -> int:
+        """Copy to a runner, and keep the copy's handle."""
+        dialect = self._context.dialect
+        method, target, headers, body = dialect.move(
             self._source.runner,
             self._exchange.facts.request_id,
             row.listing.address,
             last,
         )
+        status, answer = await self._ask(
+            http.Call(method, target, headers, body)
+        )
+        if status == 200:
+            self._copied = dialect.move_result(
+                self._source.listing.address, answer
+            )
+        return status
+
+    async def _ask(self, call: http.Call) -> tuple[int, bytes]:
+        """Call the source; a runner that leaves closes its connections."""
         address = self._source.listing.address
-        headers.append((b'Host', str(address).encode()))
+        call.headers.append((b'Host', str(address).encode()))
         connection = await http.connect(address, CALL_S)
         try:
-            head = await connection.exchange(
-                http.Call(method, target, headers, body)
-            )
+            head = await connection.exchange(call)
             return head.status, await connection.whole_body(MAX_ANSWER_BYTES)
         finally:
             with anyio.CancelScope(shield=True):
--- a/primrosereel/standin/_listed_runner.py
+++ b/primrosereel/standin/_listed_runner.py
@@ -47,6 +47,7 @@
     events: int = 5
     event_s: float = 0.01
     work_s: float = 0.01
+    copy_s: float = 0.0
     slots: int = 8
 
 
@@ -97,7 +98,7 @@
             self.orders.append(msgspec.json.decode(request.body))
             return raw_http.Answer(202)
         if request.path == '/v1/kv-move':
-            return self._copy(request)
+            return await self._copy(request)
         if request.method == 'DELETE':
             self.handles.discard(request.path.rpartition('/')[2])
             return raw_http.Answer(200)
@@ -169,10 +170,11 @@
         load = f'{self.running},0,{self.options.slots},100'
         return b'Instance-Load', load.encode()
 
-    def _copy(self, request: raw_http.Request) -> raw_http.Answer:
+    async def _copy(self, request: raw_http.Request) -> raw_http.Answer:
         """Answer a call that moves a run; with ``last`` the run stops."""
         move = msgspec.json.decode(request.body)
         self.moves.append(move)
+        await anyio.sleep(self.options.copy_s)
         if move['id'] not in self.made:
             return raw_http.Answer(404)
         if move['last']:
--- a/tests/property/test_gateway.py
+++ b/tests/property/test_gateway.py
@@ -232,6 +232,36 @@
     run(scenario)
 
 
+def test_a_copy_is_freed_when_its_caller_leaves():
+    """The copy held engine memory for a caller who had left."""
+
+    async def scenario(fleet):
+        for name in ('d1', 'd2'):
+            fleet.runners[name].options.events = 40
+            fleet.runners[name].options.event_s = 0.05
+            fleet.runners[name].options.copy_s = 0.2
+        async with fleet.client() as client:
+            await client.send('/once/1', 'r1', method='POST', **STREAM)
+            await fleet.wait_for(
+                lambda: any(r.made.get('r1', 0) > 2 for r in decoders(fleet))
+            )
+            (source,) = (r for r in decoders(fleet) if r.made)
+            fleet.list_runner(source.options.runner, 'draining')
+            # The first copy is made, and the stop is asked for.
+            await fleet.wait_for(lambda: len(source.moves) == 2)
+        await fleet.wait_for(
+            lambda: any(
+                (request.method, request.path)
+                == ('DELETE', '/v1/kv-handle/copy1')
+                for request in source.requests
+            ),
+            2.0,
+        )
+        await fleet.wait_for(lambda: not fleet.gateway.engine_uses(), 2.0)
+
+    run(scenario)
+
+
 def test_a_stream_goes_on_where_it_is_while_there_is_no_other_place():
     """A stream was stopped although no other runner had room for it."""
 
