--- a/tests/features/faults/last_engine.feature
+++ b/tests/features/faults/last_engine.feature
@@ -9,6 +9,7 @@
     And the busiest decode engine of the fault fleet leaves by its text
     And the owner of the fault fleet has seen that it leaves
     Then every answer of the fault fleet is whole
-    When the fault fleet streams 4 answers through daemons 1 and 2
+    When the fault fleet streams 4 long answers through daemons 1 and 2
     And the last decode engine of the fault fleet has the fault garble
     Then every answer of the fault fleet is whole
+    And the fault garble of the fault fleet has struck
--- a/tests/features/steps/faults.py
+++ b/tests/features/steps/faults.py
@@ -23,6 +23,7 @@
 # About 3 s and 90 s of decoding; streams of the second length cannot end by
 # themselves while a scenario waits for their memory to be freed.
 MANY_TOKENS = 90
+LONG_TOKENS = 600
 ENDLESS_TOKENS = 3000
 
 
@@ -39,6 +40,20 @@
     )
 
 
+@when(
+    'the fault fleet streams {count:d} long answers through daemons {daemons}'
+)
+def start_long_streams(context, count, daemons):
+    """Streams that outlast the steps that prepare a fault on a busy machine.
+
+    Shorter ones had ended before the fault was set.
+    """
+    broken = context.broken
+    broken.wait_in_progress(
+        broken.start_streams(count, LONG_TOKENS, numbers_of(daemons))
+    )
+
+
 @when('the fault fleet streams {count:d} endless answers through {daemons}')
 def start_endless(context, count, daemons):
     broken = context.broken
