Tell a shard of a spilled request until it ends

Cause: read in the diff: another shard heard of a request that spilled over only when something changed, and forgot it after 2.5 s of silence while its stream went on for up to 8 s.

--- a/primrosereel/gateway/_peers.py
+++ b/primrosereel/gateway/_peers.py
@@ -115,7 +115,8 @@
             for host in self._incarnations.keys() - known:
                 del self._incarnations[host]
             seeds = {seed.host for seed in context.settings.seeds}
-            await self._send(socket, shard | seeds - known)
+            told = shard | self._foreign_hosts()
+            await self._send(socket, told | seeds - known)
             await self._gossip(socket, now)
             searching = not known and now - began < SEARCH_S
             await anyio.sleep(SEARCH_INTERVAL_S if searching else HEARTBEAT_S)
--- a/tests/property/test_gateway_peers.py
+++ b/tests/property/test_gateway_peers.py
@@ -7,6 +7,7 @@
 from primrosereel.gateway import _composition as composition
 from primrosereel.gateway import _peers as peers
 from primrosereel.routing import _model as model
+from primrosereel.routing import _shards as shards
 from tests import gateway_fleet
 
 STREAM = {
@@ -38,13 +39,14 @@
         # Ends the instance that was started last.
         self.scope = anyio.CancelScope()
 
-    def start(self, host):
+    def start(self, host, **changes):
         log = gateway_fleet.ListLog()
         settings = gateway_fleet.made_settings(
             self._fleet,
             instance=ids.InstanceId(f'i-{host}'),
             peer=model.Address(host, self._port),
             seeds=(model.Address('127.0.0.1', self._port),),
+            **changes,
         )
         gateway = composition.Gateway(
             settings, platform.Dialect(), platform.Store, log
@@ -107,6 +109,54 @@
     run(scenario, peer=own, seeds=(own,))
 
 
+def test_a_shard_hears_of_a_spilled_request_until_it_ends(monkeypatch):
+    """Other shards heard of changes only, and forgot a stream after 2.5 s."""
+    monkeypatch.setattr(shards, 'LARGEST_WHOLE', 1)
+    monkeypatch.setattr(shards, 'SMALLEST_DIVIDED', 1)
+    port = gateway_fleet.free_port()
+    own = model.Address('127.0.0.1', port)
+
+    async def scenario(fleet):
+        for name in ('d1', 'd2'):
+            fleet.runners[name].options.events = 16
+            fleet.runners[name].options.event_s = 0.3
+        # The engines of zone-a belong to the second instance, and this one's
+        # zone has one engine with one slot.
+        await fleet.add_runner('d9', 'llm', 'decode', events=99, event_s=0.1)
+        entry = fleet.runners['d9'].entry() | {'zone': 'zone-b', 'slots': 1}
+        fleet.store.put('servers/d9', entry)
+        gateway, log = Others(fleet, port).start(
+            '127.0.0.2', availability_zone=ids.AvailabilityZone('zone-a')
+        )
+        await fleet.wait_for(
+            lambda: any(
+                line['divided'] for line in fleet.log.named('shards changed')
+            )
+        )
+        # Until the room of the other shard has been told.
+        await anyio.sleep(1.5)
+        async with fleet.client() as first, fleet.client() as second:
+            await first.send('/ask/1', 'r1', method='POST', **STREAM)
+            await fleet.wait_for(lambda: bool(fleet.runners['d9'].made))
+            # In a large fleet gossip rarely reaches one instance.
+            monkeypatch.setattr(peers, 'GOSSIP_TARGETS', 0)
+            await second.send('/ask/1', 'r2', method='POST', **STREAM)
+
+            def told():
+                return {runner for runner, _ in gateway.told_uses()}
+
+            await fleet.wait_for(lambda: bool({'d1', 'd2'} & told()))
+            await anyio.sleep(3.2)
+            assert {'d1', 'd2'} & told()
+
+    run(
+        scenario,
+        peer=own,
+        seeds=(own,),
+        availability_zone=ids.AvailabilityZone('zone-b'),
+    )
+
+
 def test_a_datagram_that_cannot_be_read_is_counted_and_left():
     """Bytes from another sender ended the exchange with peers."""
     port = gateway_fleet.free_port()
