Make no shard of a zone without decode runners

Cause: read in the diff: a zone whose engines only read prompts became a shard, and its instances would have used all decode runners without telling anybody. Figures: the new test fails before and passes after.

--- a/primrosereel/gateway/_peers.py
+++ b/primrosereel/gateway/_peers.py
@@ -149,13 +149,14 @@
         context = self._context
         zones = self._members.zones()
         own = context.settings.availability_zone
-        engines = {
+        # A zone without decode runners could place no request by itself.
+        decode_zones = {
             row.listing.availability_zone
             for row in context.runners
-            if row.listing.role is not states.Role.PLAIN
+            if row.listing.role is states.Role.DECODE
         }
         changed = context.shards.update(
-            len(self._members) + 1, {own, *zones}, engines
+            len(self._members) + 1, {own, *zones}, decode_zones
         )
         if changed:
             context.log.info(
--- a/primrosereel/routing/_shards.py
+++ b/primrosereel/routing/_shards.py
@@ -49,7 +49,7 @@
         """Take the size of the fleet; True where the shards changed.
 
         ``instances`` and ``instance_zones`` are those of all instances, and
-        ``runner_zones`` those with engines.
+        ``runner_zones`` those with engines that decode.
         """
         limit = SMALLEST_DIVIDED if self._divided else LARGEST_WHOLE
         before = self._divided, self._homes
--- a/tests/property/test_gateway_peers.py
+++ b/tests/property/test_gateway_peers.py
@@ -157,6 +157,32 @@
     )
 
 
+def test_a_zone_that_only_reads_prompts_is_no_shard(monkeypatch):
+    """Its instances would have used all decode runners without telling."""
+    monkeypatch.setattr(shards, 'LARGEST_WHOLE', 1)
+    monkeypatch.setattr(shards, 'SMALLEST_DIVIDED', 1)
+    port = gateway_fleet.free_port()
+    own = model.Address('127.0.0.1', port)
+
+    async def scenario(fleet):
+        await fleet.add_runner('p9', 'llm', 'prefill')
+        entry = fleet.runners['p9'].entry() | {'zone': 'zone-b'}
+        fleet.store.put('servers/p9', entry)
+        Others(fleet, port).start(
+            '127.0.0.2', availability_zone=ids.AvailabilityZone('zone-a')
+        )
+        await fleet.wait_for(lambda: bool(_found(fleet.log)))
+        await anyio.sleep(1.5)
+        assert not fleet.log.named('shards changed')
+
+    run(
+        scenario,
+        peer=own,
+        seeds=(own,),
+        availability_zone=ids.AvailabilityZone('zone-b'),
+    )
+
+
 def test_a_datagram_that_cannot_be_read_is_counted_and_left():
     """Bytes from another sender ended the exchange with peers."""
     port = gateway_fleet.free_port()
