Forget the room of runners that are no longer told of

Cause: read in the diff: what other shards told of a runner's free memory stayed in memory for good. Change: it is dropped once it is too old to be used. Figures: the new test fails before (1,000 entries) and passes after.

--- a/primrosereel/routing/_decode_places.py
+++ b/primrosereel/routing/_decode_places.py
@@ -129,6 +129,11 @@
         """How long a stream holds its place, on average."""
         return self._hold_s
 
+    @property
+    def told_rooms(self) -> int:
+        """The runners of other shards whose free memory is known."""
+        return len(self._rooms)
+
     @property
     def waiting(self) -> int:
         """The requests that wait."""
@@ -239,6 +244,9 @@
         self, rooms: Iterable[tuple[ids.RunnerId, int]], now: float
     ) -> None:
         """Take the free memory that another shard told of its runners."""
+        for runner, (_, told_at) in list(self._rooms.items()):
+            if now - told_at > ROOM_VALID_S:
+                del self._rooms[runner]
         for runner, tokens in rooms:
             self._rooms[runner] = tokens, now
 
--- a/tests/property/test_routing_shards.py
+++ b/tests/property/test_routing_shards.py
@@ -171,6 +171,15 @@
     assert (least, room) == (first, 28_500)
 
 
+def test_runners_that_are_no_longer_told_of_are_forgotten():
+    """Each runner that ever was in another shard stayed in memory."""
+    instance = Instance()
+    for number in range(1000):
+        room = [(ids.RunnerId(f'gone{number}'), 1)]
+        instance.places.learn_rooms(room, float(number))
+    assert instance.places.told_rooms <= 4
+
+
 def test_room_that_was_told_long_ago_is_not_used():
     """Prompts were read for a runner that had filled up since."""
     instance = Instance()
