Use a runner again that refused a role order

Cause: avoid_runner keeps the later of two times, so calling it with the current time did not end the avoidance after an order that was refused; the runner got no work for a switch and 4 s. Test with a runner that answers 421: failed before.

--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import math
 import random as random_module
 from typing import Any
 
@@ -117,6 +118,14 @@
         runner.full_until = until
         self.uses_changed()
 
+    def stop_avoiding_runner(self, runner_id: ids.RunnerId) -> None:
+        """Send a runner requests again that did not accept an order."""
+        self.avoided_runners.pop(runner_id, None)
+        runner = self.runners.get(runner_id)
+        if runner is not None:
+            runner.full_until = -math.inf
+        self.uses_changed()
+
     def expire_avoided_runners(self, now: float) -> None:
         """Stop avoiding runners that have changed role or reached the time."""
         for runner_id, (role, until) in list(self.avoided_runners.items()):
--- a/primrosereel/gateway/_orders.py
+++ b/primrosereel/gateway/_orders.py
@@ -91,7 +91,7 @@
         accepted = outcome in ACCEPTED_OUTCOMES
         runner = context.runners.get(switch.runner)
         if not accepted:
-            context.avoid_runner(switch.runner, now)
+            context.stop_avoiding_runner(switch.runner)
             if runner is not None:
                 runner.observe_failure(now)
         context.count('orders')
--- /dev/null
+++ b/tests/property/test_gateway_orders.py
@@ -0,0 +1,48 @@
+"""Role orders that an instance sends to runners."""
+
+import anyio
+import pytest
+
+from primrosereel import _ids as ids
+from primrosereel import _states as states
+from primrosereel.routing import _roles as roles
+from tests import gateway_fleet
+
+
+def run(scenario):
+    async def main():
+        with anyio.fail_after(20):
+            async with gateway_fleet.fleet() as fleet:
+                await scenario(fleet)
+
+    anyio.run(main)
+
+
+def give_order(fleet, runner, address):
+    """Order a runner to change its role, at any runner's address."""
+    context = fleet.gateway._context
+    [engine] = [s.engine for s in context.table.services.values() if s.engine]
+    switch = roles.RoleSwitch(
+        ids.RunnerId(runner), address, states.Role.PREFILL
+    )
+    return fleet.gateway._orders._give_order(switch, engine)
+
+
+@pytest.mark.parametrize(
+    ('answering', 'accepted'), [('d1', True), ('d2', False)]
+)
+def test_only_accepted_order_keeps_runner_avoided(answering, accepted):
+    """Guards against a runner that gets no work after it refused an order.
+
+    A runner that is not the one named in the order answers 421.
+    """
+
+    async def scenario(fleet):
+        context = fleet.gateway._context
+        address = context.runners.get(answering).listing.address
+        assert await give_order(fleet, 'd1', address) is accepted
+        now = context.clock()
+        assert (context.runners.get('d1').full_until > now) is accepted
+        assert ('d1' in context.avoided_runners) is accepted
+
+    run(scenario)
