Close the channel to a peer's former address

Cause: a peer that restarted at another address got a new channel and the old one stayed open. The test counts open channels; it failed before.

--- a/primrosereel/daemon/_peers.py
+++ b/primrosereel/daemon/_peers.py
@@ -105,6 +105,8 @@
         """Queue messages; replies or PeerFailed are delivered later."""
         connection = self._connections.get(peer)
         if connection is None or connection.address != address:
+            if connection is not None:
+                self._tasks.start_soon(self._close_replaced, connection)
             connection = _PeerConnection(address, self._channel(peer, address))
             self._connections[peer] = connection
         if len(connection.queue) + len(outgoing) > MAX_QUEUED_MESSAGES:
@@ -127,6 +129,10 @@
         options = (*CHANNEL_OPTIONS, ('grpc.ssl_target_name_override', peer))
         return grpc.aio.secure_channel(address, self._credentials, options)
 
+    async def _close_replaced(self, connection: _PeerConnection) -> None:
+        """Close the channel to an address that the peer no longer has."""
+        await connection.channel.close(grace=CALL_TIMEOUT_S)
+
     async def _send_queued(
         self, peer: ids.InstanceId, connection: _PeerConnection
     ) -> None:
