--- a/primrosereel/bench/_capacity_core.py
+++ b/primrosereel/bench/_capacity_core.py
@@ -222,8 +222,9 @@
             runs[float(size)] = [
                 _core_bytes(fleet_size) for _ in range(REDUCED_RUNS)
             ]
+        kind = name.replace('_', ' ')
         line_fits.append(
-            fits.fit_line(f'core memory by {name}', 'B', name, runs)
+            fits.fit_line(f'core memory by {kind}', 'B', kind, runs)
         )
     return line_fits
 
--- a/primrosereel/cmd/_request_log.py
+++ b/primrosereel/cmd/_request_log.py
@@ -9,8 +9,19 @@
 
 # Fields that every line has, or that say nothing about the request.
 COMMON_FIELDS = frozenset(
-    {'event', 'level', 'timestamp', 'instance', 'request', 'exc_info'}
+    {
+        'event',
+        'level',
+        'timestamp',
+        'instance',
+        'request',
+        'request_id',
+        'exc_info',
+        'exception',
+    }
 )
+# The gateway and the daemon log a request's id under different names.
+REQUEST_ID_FIELDS = ('request', 'request_id')
 
 
 def read_logs(paths: Iterable[pathlib.Path]) -> list[dict[str, Any]]:
@@ -37,7 +48,11 @@
     lines: Iterable[dict[str, Any]], request_id: str
 ) -> list[dict[str, Any]]:
     """Return the lines of one request, ordered by timestamp."""
-    selected = [line for line in lines if line.get('request') == request_id]
+    selected = [
+        line
+        for line in lines
+        if any(line.get(name) == request_id for name in REQUEST_ID_FIELDS)
+    ]
     return sorted(selected, key=lambda line: str(line.get('timestamp', '')))
 
 
--- a/tests/property/test_capacity.py
+++ b/tests/property/test_capacity.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from primrosereel.bench import _capacity_core as capacity_core
 from primrosereel.bench import _capacity_fit as fits
 from primrosereel.bench import _capacity_page as page
 from primrosereel.bench import _capacity_region as region
@@ -59,6 +60,17 @@
         assert set(core.world.owners) == {'r0'}
 
 
+def test_memory_fits_have_the_names_that_the_rows_use(monkeypatch):
+    # Guards against a report that stops with a KeyError after it measured
+    # for minutes.
+    monkeypatch.setattr(capacity_core, '_core_bytes', lambda size: 1.0)
+    assert [fit.name for fit in capacity_core.measure_memory()] == [
+        'core memory by daemons',
+        'core memory by runners',
+        'core memory by client accounts',
+    ]
+
+
 def test_region_serves_requests():
     # Guards against measuring the load of a region that refuses requests.
     simulated = region.SimulatedRegion(SMALL_FLEET)
--- a/tests/property/test_request_stories.py
+++ b/tests/property/test_request_stories.py
@@ -6,6 +6,7 @@
 import anyio
 import pytest
 
+from primrosereel.cmd import _request_log as request_log
 from primrosereel.cmd import tool
 from primrosereel.standin import _listed_runner as listed_runner
 from tests import gateway_fleet
@@ -15,6 +16,22 @@
 STREAM = {'method': 'POST', 'Token_Usage': '45000,10', 'Deadline_Ms': 4000}
 
 
+def test_explain_finds_the_lines_of_daemons():
+    """Guards against an empty story of a request that a daemon served.
+
+    Daemons log the id as ``request_id`` and the gateway as ``request``.
+    """
+    lines = [
+        {'event': 'answered', 'request_id': 'n1.1.1', 'timestamp': '2'},
+        {'event': 'accepted', 'request_id': 'n1.1.1', 'timestamp': '1'},
+        {'event': 'accepted', 'request_id': 'n1.1.2', 'timestamp': '1'},
+    ]
+    selected = request_log.request_lines(lines, 'n1.1.1')
+    assert [line['event'] for line in selected] == ['accepted', 'answered']
+    line = lines[0] | {'exception': 'Traceback', 'reason': 'deadline'}
+    assert request_log.format_line(line) == '2 -: answered: reason deadline'
+
+
 async def no_capacity(fleet):
     for name in ('d1', 'd2'):
         row = fleet.gateway._context.runners.get(name)
