Keep the outputs of failed fault scenarios

Three scenarios of KNOWN-RED.txt could not be traced since neither the message nor the daemons' logs were kept. The test runner now prints the messages of failed tests, and a failed fault scenario writes all outputs to out/failures. Test fleets of the gateway take ports below the range of outgoing connections; one run had failed with 'Address already in use'.

--- a/tests/fault_fleet.py
+++ b/tests/fault_fleet.py
@@ -302,6 +302,22 @@
         for runner in self.runners('plain'):
             self.fleet.set_fault(runner, **fault)
 
+    def save_outputs(self, folder):
+        """Write what the processes printed, and the streams, to files."""
+        folder.mkdir(parents=True, exist_ok=True)
+        processes = [d.process for d in self.fleet.daemons]
+        for process in (*processes, *self.fleet.runners.values()):
+            file = folder / f'{time.time_ns()}-{process.name}.log'
+            file.write_text(process.output())
+        streams = [
+            f'{s.url} {s.outcome} {s.tokens} tokens, alive {s.is_alive()}: '
+            f'{s.result}'
+            for s in self.streams
+        ]
+        (folder / f'{time.time_ns()}-streams.txt').write_text(
+            '\n'.join(streams)
+        )
+
     def restore(self):
         """Restore all processes and the text for the next scenario."""
         for stream in self.streams:
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -1,9 +1,14 @@
 """Hooks that behave calls around features and scenarios."""
 
+import pathlib
+import re
+
 from tests import fault_fleet
 from tests import known_red
 
 FAULT_FLEET = 'fault_fleet'
+# Outputs of the processes of failed fault scenarios.
+FAILURES = pathlib.Path(__file__).resolve().parents[2] / 'out' / 'failures'
 
 
 def before_all(context):
@@ -27,6 +32,9 @@
 def after_scenario(context, scenario):
     """Restore the shared fleet after a fault scenario."""
     if FAULT_FLEET in scenario.effective_tags:
+        if scenario.status.has_failed():
+            name = re.sub(r'\W+', '-', scenario.name)
+            context.harness.save_outputs(FAILURES / name)
         context.harness.restore()
 
 
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -1,7 +1,6 @@
 """A gateway on loopback, with stand-ins for the store and the runners."""
 
 import contextlib
-import socket
 
 import anyio
 import anyio.abc
@@ -9,6 +8,7 @@
 
 from primrosereel import _ids as ids
 from primrosereel import platform
+from primrosereel.bench import _fleet as fleet_module
 from primrosereel.gateway import _composition as composition
 from primrosereel.gateway import _settings as settings
 from primrosereel.routing import _model as model
@@ -16,10 +16,11 @@
 from primrosereel.standin import _metadata_store as metadata_store
 from primrosereel.standin import _operator_config as operator_config
 
-__all__ = ['Client', 'ListLog', 'Reply', 'configuration', 'fleet']
+__all__ = ['Client', 'ListLog', 'Reply', 'configuration', 'fleet', 'free_port']
 
 HOST = operator_config.HOST
 configuration = operator_config.configuration
+free_port = fleet_module.free_port
 
 
 class ListLog:
@@ -127,13 +128,6 @@
         return await self.receive()
 
 
-def free_port():
-    """Return a free port on loopback."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
-
-
 class Fleet:
     """A gateway, a store and runners that run in one process."""
 
--- a/tests/run.py
+++ b/tests/run.py
@@ -4,6 +4,7 @@
 counted as passed.
 """
 
+import itertools
 import pathlib
 import subprocess
 import sys
@@ -17,15 +18,18 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 
+# The message of a failed test is printed up to this length.
+MAX_MESSAGE_CHARACTERS = 4000
+
+
 def _count(reports):
     passed = failed = skipped = 0
     for report in reports:
         for case in ElementTree.parse(report).iter('testcase'):
-            if (
-                case.find('failure') is not None
-                or case.find('error') is not None
-            ):
+            failures = [*case.iter('failure'), *case.iter('error')]
+            if failures:
                 failed += 1
+                _print_failures(case, failures)
             elif case.find('skipped') is not None:
                 skipped += 1
             else:
@@ -33,6 +37,15 @@
     return passed, failed, skipped
 
 
+def _print_failures(case, failures):
+    print(f'failed: {case.get("classname")}: {case.get("name")}')
+    for failure in failures:
+        text = '\n'.join(
+            itertools.chain([failure.get('message', '')], failure.itertext())
+        )
+        print(text[-MAX_MESSAGE_CHARACTERS:])
+
+
 def _run_pytest(folder):
     command = [sys.executable, '-m', 'pytest', f'--junitxml={folder}/p.xml']
     for node in known_red.pytest_ids():
