Wait for a place with a prefilled prompt after a rejection

All five 503 answers that were taken for an expired handle came from runners at 95% or more of their memory; each had its prompt read again by the decode runner. A 421 of a runner that had restarted was taken for an expired handle as well.

Change: a rejected request queues again, ahead of requests without a prompt, for as long as its handle lasts; a handle counts as gone only if its runner has memory for a second such request; 421 excludes the runner and has its own retry reason. The place of a generation has its own module.

--- a/primrosereel/_states.py
+++ b/primrosereel/_states.py
@@ -72,6 +72,7 @@
     ENGINE_FULL = 'engine_full'
     PREFILL_FAILED = 'prefill_failed'
     KV_CACHE_GONE = 'kv_cache_gone'
+    RUNNER_REPLACED = 'runner_replaced'
     DECODE_FAILED = 'decode_failed'
     STREAM_SILENT = 'stream_silent'
     STREAM_BROKEN = 'stream_broken'
--- a/primrosereel/gateway/_admission.py
+++ b/primrosereel/gateway/_admission.py
@@ -10,7 +10,7 @@
 from primrosereel.routing import _decode_places as decode_places
 from primrosereel.routing import _timeouts as timeouts
 
-__all__ = ['Refused', 'acquire_place']
+__all__ = ['Refused', 'acquire_another_place', 'acquire_place']
 
 # How often waiting requests are checked even if no change was signalled.
 RECHECK_INTERVAL_S = 0.05
@@ -79,17 +79,43 @@
             raise _no_capacity(exchange, wait_s)
         context.uses_changed()
         await _wait(exchange, ticket, admitted, limit_s)
+        if ticket.runner is None:
+            wait_s = places.expected_wait_s(ticket, context.clock())
+            raise _no_capacity(exchange, wait_s)
         exchange.record_step('queued_s', now)
     context.uses_changed()
     return ticket
 
 
+async def acquire_another_place(
+    exchange: context_module.Exchange,
+    ticket: decode_places.Ticket,
+    limit_s: float,
+) -> None:
+    """Queue a ticket whose place was given up.
+
+    Raises Refused if no place is free in time.
+    """
+    context = exchange.context
+    admitted = anyio.Event()
+    ticket.on_admitted = admitted.set
+    context.places.add(ticket, context.clock())
+    if ticket.runner is None:
+        context.uses_changed()
+        await _wait(exchange, ticket, admitted, limit_s)
+    if ticket.runner is None:
+        wait_s = context.places.expected_wait_s(ticket, context.clock())
+        raise _no_capacity(exchange, wait_s)
+    context.uses_changed()
+
+
 async def _wait(
     exchange: context_module.Exchange,
     ticket: decode_places.Ticket,
     admitted: anyio.Event,
     limit_s: float,
 ) -> None:
+    """Wait for a place; withdraw the ticket if none became free."""
     context = exchange.context
     started_at = context.clock()
     next_update_at = started_at + PEER_UPDATE_INTERVAL_S
@@ -110,8 +136,6 @@
         raise
     if ticket.runner is None:
         _withdraw(exchange, ticket)
-        wait_s = context.places.expected_wait_s(ticket, context.clock())
-        raise _no_capacity(exchange, wait_s)
 
 
 def _withdraw(
@@ -133,7 +157,7 @@
     of a late request changes as others arrive.
     """
     now = exchange.context.clock()
-    if not ticket.is_late(now):
+    if ticket.prefilled or not ticket.is_late(now):
         return False
     return now + exchange.context.places.expected_wait_s(ticket, now) > until
 
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -1,20 +1,18 @@
 """Generations: a prefill, then a stream of events from a decode runner."""
 
-import dataclasses
 import math
 
 import anyio
 
-from primrosereel import _ids as ids
 from primrosereel import _states as states
 from primrosereel.gateway import _admission as admission
 from primrosereel.gateway import _callers as callers
 from primrosereel.gateway import _context as context_module
+from primrosereel.gateway import _held_place as held_place
 from primrosereel.gateway import _http as http
 from primrosereel.gateway import _prompt as prompt_module
 from primrosereel.gateway import _stream_move as stream_move
 from primrosereel.gateway import _upstream as upstream
-from primrosereel.routing import _decode_places as decode_places
 from primrosereel.routing import _events as events
 from primrosereel.routing import _model as model
 from primrosereel.routing import _runners as runners
@@ -65,14 +63,12 @@
         self._context = exchange.context
         self._caller = caller
         self._progress = events.StreamProgress(exchange.facts.last_event_id)
-        self._excluded: set[ids.RunnerId] = set()
-        self._ticket: decode_places.Ticket | None = None
+        self._place = held_place.HeldPlace(exchange)
         self._prompt = prompt_module.Prompt(exchange)
         self._rejections = 0
         self._may_have_run = False
         self._head_sent = False
         self._connection: http.HttpConnection | None = None
-        self._place_acquired_at = 0.0
         # The decode runner that is currently prefilling the prompt itself.
         self._local_prefill_runner: runners.Runner | None = None
         # The move of the current stream, and the completed move whose copy
@@ -100,7 +96,7 @@
         except TimeoutError:
             return await self._handle_timeout()
         finally:
-            self._release_place()
+            self._place.release()
             if self._move is not None:
                 await self._move.close()
             await self._prompt.free()
@@ -116,17 +112,9 @@
         """
         for _ in range(MAX_CONNECT_ATTEMPTS):
             try:
-                self._ticket = await admission.acquire_place(
-                    self._exchange, self._excluded
-                )
+                runner = await self._place.acquire()
             except admission.Refused as refused:
-                reply = self._exchange.refusal(
-                    refused.reason, refused.retry_after_s, refused.detail
-                )
-                raise RequestEnded(reply) from refused
-            self._place_acquired_at = self._context.clock()
-            runner = self._ticket.runner
-            assert runner is not None
+                raise RequestEnded(self._admission_reply(refused)) from refused
             try:
                 self._connection = await upstream.connect(
                     self._exchange, runner
@@ -134,7 +122,6 @@
                 return
             except upstream.NotSent as error:
                 self._record_connect_failure(runner, str(error))
-                self._release_place()
         raise RequestEnded(self._refusal(Reason.NO_RUNNER))
 
     def _record_connect_failure(
@@ -144,7 +131,7 @@
         self._exchange.record_failed_attempt(
             Retry.CONNECT_FAILED, runner, detail
         )
-        self._excluded.add(runner.runner_id)
+        self._place.exclude(runner)
 
     async def _decode_connection(
         self, runner: runners.Runner
@@ -158,14 +145,6 @@
             await connection.close()
         return await upstream.connect(self._exchange, runner)
 
-    def _release_place(self) -> None:
-        if self._ticket is not None and self._ticket.runner is not None:
-            now = self._context.clock()
-            self._context.places.observe_hold(now - self._place_acquired_at)
-            self._context.places.release(self._ticket)
-            self._context.places.admit(now)
-            self._context.uses_changed()
-
     async def _handle_timeout(self) -> bool:
         if self._head_sent:
             self._exchange.failure(Reason.UPSTREAM_TIMEOUT, 0)
@@ -186,13 +165,14 @@
         )
 
     async def _prefill(self) -> None:
-        assert self._ticket is not None and self._ticket.runner is not None
-        await self._prompt.prefill(self._ticket.runner)
+        runner = self._place.runner
+        assert runner is not None
+        await self._prompt.prefill(runner)
 
     async def _stream_until_complete(self) -> bool:
         """Stream from decode runners until the stream is complete."""
         while True:
-            runner = self._choose_decode_runner()
+            runner = await self._choose_decode_runner()
             try:
                 if await self._stream_from(runner):
                     return True
@@ -200,45 +180,51 @@
                 self._handle_broken_stream(runner, str(error))
             except StreamMoved:
                 self._resume_from = self._move
-                self._excluded.add(runner.runner_id)
+                self._place.exclude(runner)
 
-    def _choose_decode_runner(self) -> runners.Runner:
-        """Return the runner of the ticket's place, or another runner."""
-        ticket = self._ticket
-        assert ticket is not None
+    async def _choose_decode_runner(self) -> runners.Runner:
+        """Return the runner of the place, or wait for another place."""
         if self._resume_from is not None:
-            return self._switch_to_copy(ticket, self._resume_from)
+            return self._switch_to_copy(self._resume_from)
         if self._may_have_run and not self._exchange.route.repeatable:
             raise RequestEnded(self._refusal(Reason.UPSTREAM_FAILED))
-        runner = ticket.runner
-        if runner is None or runner.runner_id in self._excluded:
-            now = self._context.clock()
-            ticket.excluded = self._excluded
-            places = self._context.places
-            runner = places.choose(ticket, now) or places.least_used(
-                ticket, now
-            )
-        if runner is not None and self._rejections < MAX_REJECTIONS:
-            if runner is not ticket.runner:
-                self._context.places.move(ticket, runner)
-                self._context.uses_changed()
-            return runner
-        if self._may_have_run:
-            raise RequestEnded(self._refusal(Reason.UPSTREAM_FAILED))
-        reason = Reason.NO_CAPACITY if self._rejections else Reason.NO_RUNNER
-        raise RequestEnded(self._refusal(reason))
+        if self._place.runner is not None:
+            return self._place.runner
+        if self._rejections >= MAX_REJECTIONS:
+            raise RequestEnded(self._refusal(Reason.NO_CAPACITY))
+        try:
+            return await self._place.acquire_another(self._place_wait_s())
+        except admission.Refused as refused:
+            raise RequestEnded(self._admission_reply(refused)) from refused
+
+    def _place_wait_s(self) -> float:
+        """Return how long to wait for another place.
+
+        A prompt is lost when its handle expires.
+        """
+        limit_s = min(
+            timeouts.place_wait_s(self._exchange.route),
+            self._exchange.remaining_s,
+        )
+        handle_s = self._prompt.handle_remaining_s()
+        return limit_s if handle_s is None else min(limit_s, handle_s)
 
-    def _switch_to_copy(
-        self, ticket: decode_places.Ticket, move: stream_move.StreamMove
-    ) -> runners.Runner:
-        """Move the ticket to the runner with the copy; return that runner."""
+    def _switch_to_copy(self, move: stream_move.StreamMove) -> runners.Runner:
+        """Move the place to the runner with the copy; return that runner."""
         runner = move.target
         assert runner is not None
         move.end()
-        self._context.places.move(ticket, runner)
-        self._context.uses_changed()
+        self._place.move_to(runner)
         return runner
 
+    def _admission_reply(self, refused: admission.Refused) -> callers.Reply:
+        """Return 503 only if no earlier attempt may have run."""
+        if self._may_have_run:
+            return self._exchange.failure(refused.reason, 502)
+        return self._exchange.refusal(
+            refused.reason, refused.retry_after_s, refused.detail
+        )
+
     def _refusal(self, reason: states.RefusalReason) -> callers.Reply:
         """Return 503 only if no earlier attempt may have run."""
         if self._may_have_run:
@@ -253,7 +239,7 @@
         route = exchange.route
         now = self._context.clock()
         exchange.record_failed_attempt(Retry.STREAM_BROKEN, runner, detail)
-        self._excluded.add(runner.runner_id)
+        self._place.exclude(runner)
         may_retry = route.repeatable and exchange.attempts < route.max_attempts
         if not may_retry:
             raise RequestEnded(exchange.failure(Reason.UPSTREAM_FAILED, 502))
@@ -299,12 +285,9 @@
                 await response.connection.close()
 
     def _new_move(self, runner: runners.Runner) -> stream_move.StreamMove:
-        ticket = self._ticket
-        assert ticket is not None
-        ticket_at_target = dataclasses.replace(
-            ticket, runner=None, excluded={*self._excluded, runner.runner_id}
+        return stream_move.StreamMove(
+            self._exchange, runner, self._place.ticket_elsewhere(runner)
         )
-        return stream_move.StreamMove(self._exchange, runner, ticket_at_target)
 
     def _set_local_prefill_runner(self, runner: runners.Runner | None) -> None:
         """Count the prompt at the decode runner that prefills it, if any."""
@@ -357,7 +340,7 @@
             self._record_connect_failure(runner, str(error))
         except upstream.Rejected as error:
             self._may_have_run = may_have_run_before
-            self._handle_rejection(runner, handle is not None, str(error))
+            self._handle_rejection(runner, handle is not None, error)
         except http.BrokenResponse as error:
             exchange.attempts += attempts
             runner.observe_failure(self._context.clock())
@@ -369,30 +352,40 @@
         return None
 
     def _handle_rejection(
-        self, runner: runners.Runner, with_handle: bool, detail: str
+        self,
+        runner: runners.Runner,
+        with_handle: bool,
+        rejected: upstream.Rejected,
     ) -> None:
         exchange = self._exchange
         now = self._context.clock()
         self._rejections += 1
-        # A runner with free memory and no earlier rejection rejects a request
-        # because the handle has expired.
-        handle_gone = (
-            with_handle
-            and runner.rejections == 0
-            and self._context.places.is_within_capacity(runner, now)
-        )
-        reason = Retry.KV_CACHE_GONE if handle_gone else Retry.ENGINE_FULL
-        if handle_gone:
+        if rejected.head.status == upstream.MISDIRECTED:
+            reason = Retry.RUNNER_REPLACED
+            self._place.exclude(runner)
+        elif with_handle and self._handle_is_gone(runner):
+            reason = Retry.KV_CACHE_GONE
             self._prompt.invalidate_handle()
         else:
+            reason = Retry.ENGINE_FULL
             runner.observe_rejection(now)
-            self._excluded.add(runner.runner_id)
+            self._place.give_up()
             if not with_handle and runner.idle:
                 self._avoid_switching(runner, now)
-        exchange.record_failed_attempt(reason, runner, detail)
+        exchange.record_failed_attempt(reason, runner, str(rejected))
         if not self._context.budget.try_spend(exchange.service, now):
             raise RequestEnded(self._refusal(Reason.RETRY_BUDGET))
 
+    def _handle_is_gone(self, runner: runners.Runner) -> bool:
+        """Tell whether a runner rejected a handle and not the request.
+
+        A runner that has been full or is nearly full rejects the request; the
+        handle can still be used elsewhere.
+        """
+        return runner.rejections == 0 and self._place.has_room_for_another(
+            runner
+        )
+
     def _avoid_switching(self, runner: runners.Runner, now: float) -> None:
         """Avoid an idle runner that rejected a request without a handle."""
         engine = self._exchange.engine
--- /dev/null
+++ b/primrosereel/gateway/_held_place.py
@@ -0,0 +1,117 @@
+"""The place at a decode runner that one generation holds.
+
+Pattern: reservation with re-admission. A request that its decode runner
+rejects after the prefill does not try full runners one after another. It
+queues again, before all requests whose prompts were not prefilled, for as
+long as its KV cache handle lasts.
+"""
+
+import dataclasses
+
+from primrosereel import _ids as ids
+from primrosereel.gateway import _admission as admission
+from primrosereel.gateway import _context as context_module
+from primrosereel.routing import _decode_places as decode_places
+from primrosereel.routing import _runners as runners
+
+__all__ = ['HeldPlace']
+
+
+class HeldPlace:
+    """A generation's ticket, and the runners that it cannot use.
+
+    Example::
+
+        place = HeldPlace(exchange)
+        await place.acquire()
+        place.runner  # the runner that the prompt is prefilled for
+        place.release()
+    """
+
+    def __init__(self, exchange: context_module.Exchange) -> None:
+        self._exchange = exchange
+        self._context = exchange.context
+        self._excluded: set[ids.RunnerId] = set()
+        self._ticket: decode_places.Ticket | None = None
+        self._acquired_at = 0.0
+
+    @property
+    def runner(self) -> runners.Runner | None:
+        """The runner of the place; None without a place."""
+        return self._ticket.runner if self._ticket is not None else None
+
+    def exclude(self, runner: runners.Runner) -> None:
+        """Do not use a runner for this request any more."""
+        self._excluded.add(runner.runner_id)
+        if runner is self.runner:
+            self.give_up()
+
+    def give_up(self) -> None:
+        """Release the place at a runner that did not run the request."""
+        ticket = self._ticket
+        assert ticket is not None
+        self._context.places.release(ticket)
+        self._context.uses_changed()
+
+    async def acquire(self) -> runners.Runner:
+        """Wait for a place and return its runner.
+
+        Raises admission.Refused if none is available in time.
+        """
+        self._ticket = await admission.acquire_place(
+            self._exchange, self._excluded
+        )
+        return self._acquired(self._ticket)
+
+    async def acquire_another(self, limit_s: float) -> runners.Runner:
+        """Wait for a place after the first one was given up.
+
+        Raises admission.Refused if there is none within ``limit_s`` seconds.
+        """
+        ticket = self._ticket
+        assert ticket is not None
+        ticket.prefilled = True
+        await admission.acquire_another_place(self._exchange, ticket, limit_s)
+        return self._acquired(ticket)
+
+    def _acquired(self, ticket: decode_places.Ticket) -> runners.Runner:
+        self._acquired_at = self._context.clock()
+        assert ticket.runner is not None
+        return ticket.runner
+
+    def move_to(self, runner: runners.Runner) -> None:
+        """Replace the place by one at a runner that was reserved before."""
+        ticket = self._ticket
+        assert ticket is not None
+        self._context.places.move(ticket, runner)
+        self._context.uses_changed()
+
+    def ticket_elsewhere(self, source: runners.Runner) -> decode_places.Ticket:
+        """Return a ticket for a copy of the request at another runner."""
+        ticket = self._ticket
+        assert ticket is not None
+        excluded = {*self._excluded, source.runner_id}
+        return dataclasses.replace(ticket, runner=None, excluded=excluded)
+
+    def has_room_for_another(self, runner: runners.Runner) -> bool:
+        """Tell whether a runner has free memory for a second such request.
+
+        Streams grow beyond or end before what was reserved for them, so that
+        less free memory does not prove that the request fits.
+        """
+        ticket = self._ticket
+        assert ticket is not None
+        return self._context.places.has_room(
+            runner, ticket.tokens, self._context.clock()
+        )
+
+    def release(self) -> None:
+        """Release the place and let waiting requests use it."""
+        ticket = self._ticket
+        if ticket is None or ticket.runner is None:
+            return
+        now = self._context.clock()
+        self._context.places.observe_hold(now - self._acquired_at)
+        self._context.places.release(ticket)
+        self._context.places.admit(now)
+        self._context.uses_changed()
--- a/primrosereel/gateway/_prompt.py
+++ b/primrosereel/gateway/_prompt.py
@@ -141,6 +141,13 @@
             return None
         return handle.name
 
+    def handle_remaining_s(self) -> float | None:
+        """Return how long the handle can be used; None without one."""
+        handle = self._handle
+        if handle is None or self._handle_invalid:
+            return None
+        return max(0.0, handle.expires_at - self._context.clock())
+
     def invalidate_handle(self) -> None:
         """Record that a runner with free memory could not use the handle."""
         self._handle_invalid = True
--- a/primrosereel/routing/_decode_places.py
+++ b/primrosereel/routing/_decode_places.py
@@ -26,6 +26,10 @@
 
 __all__ = ['DecodePlaces', 'Ticket', 'tokens_needed']
 
+# Priority of a request whose prompt was prefilled and would be wasted; the
+# operators' priorities start at 0.
+PREFILLED_PRIORITY = -1
+
 # Share of an engine's KV cache memory that is reserved at most.
 USABLE_KV_SHARE = 0.97
 # Share of the output tokens that is reserved: a stream holds less than its
@@ -75,10 +79,15 @@
     latest_start: Callable[[float], float]
     excluded: Collection[ids.RunnerId] = ()
     runner: runners.Runner | None = None
+    # The prompt was prefilled for a runner that then rejected the request.
+    # Its KV cache lasts for less than a second.
+    prefilled: bool = False
     on_admitted: Callable[[], None] = lambda: None
 
     def rank(self, now: float) -> tuple[bool, int, float]:
         """Return the sort key by which tickets get places, lowest first."""
+        if self.prefilled:
+            return False, PREFILLED_PRIORITY, self.arrived_at
         return self.is_late(now), self.priority, self.arrived_at
 
     def is_late(self, now: float) -> bool:
@@ -168,7 +177,7 @@
 
     def add(self, ticket: Ticket, now: float) -> None:
         """Queue a ticket and admit the waiting tickets that fit."""
-        if not ticket.is_late(now):
+        if not ticket.prefilled and not ticket.is_late(now):
             self._arrivals.add(ticket.tokens, now)
         self._waiting.append(ticket)
         self.admit(now)
@@ -319,14 +328,6 @@
             f'mean hold {self._hold_s:.2f} s; ' + ', '.join(parts)
         )
 
-    def least_used(self, ticket: Ticket, now: float) -> runners.Runner | None:
-        """Return the runner with the lowest cost, whether or not one fits."""
-        return min(
-            self._candidates(ticket, now),
-            key=lambda runner: self._cost(runner, ticket, now),
-            default=None,
-        )
-
     def expected_wait_s(self, ticket: Ticket, now: float) -> float:
         """Return the expected time until a ticket gets a place.
 
@@ -357,9 +358,11 @@
             return 0.0
         return (tokens_ahead - free) / rate if rate > 0 else float('inf')
 
-    def is_within_capacity(self, runner: runners.Runner, now: float) -> bool:
-        """Tell whether the known use of a runner is within its capacity."""
-        return self._use(runner, now).tokens <= self._capacity(runner)
+    def has_room(
+        self, runner: runners.Runner, tokens: int, now: float
+    ) -> bool:
+        """Tell whether a runner has memory for more tokens than are in use."""
+        return self._use(runner, now).tokens + tokens <= self._capacity(runner)
 
     def _candidates(self, ticket: Ticket, now: float) -> list[runners.Runner]:
         """Return the ready runners; only available ones if there are any."""
