Balance engine roles by the demand of callers

Cause: the demand for prefill was taken from the tokens in use at decode runners divided by the mean hold. A full decode pool therefore looked like a lack of prefill (prompts are about 0.6 of what is reserved), and what waits or is refused was not counted.

Change: each instance counts the prompt tokens and the memory that arriving requests ask for, tells its peers, and the leader weighs these sums.

--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -15,6 +15,7 @@
 from primrosereel.gateway import _ports as ports
 from primrosereel.gateway import _settings as settings
 from primrosereel.routing import _decode_places as decode_places
+from primrosereel.routing import _demand as demand_module
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _members as members_module
 from primrosereel.routing import _model as model
@@ -55,6 +56,9 @@
     leave_callbacks: leave_callbacks_module.LeaveCallbacks
     pool: pool_module.ConnectionPool
     log: Any
+    demand: demand_module.DemandMeter = dataclasses.field(
+        default_factory=demand_module.DemandMeter
+    )
     table: table_module.RoutingTable | None = None
     # A stop first sets ``draining`` (not ready, requests are still served),
     # then ``refusing`` (new requests are refused).
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -13,6 +13,7 @@
 from primrosereel.gateway import _prompt as prompt_module
 from primrosereel.gateway import _stream_move as stream_move
 from primrosereel.gateway import _upstream as upstream
+from primrosereel.routing import _decode_places as decode_places
 from primrosereel.routing import _events as events
 from primrosereel.routing import _model as model
 from primrosereel.routing import _runners as runners
@@ -79,9 +80,7 @@
     async def serve(self) -> bool:
         """Respond to the caller; False if the response was cut off."""
         exchange = self._exchange
-        self._context.budget.count_request(
-            exchange.service, self._context.clock()
-        )
+        self._count_request()
         try:
             with anyio.fail_after(exchange.remaining_s):
                 await self._acquire_place()
@@ -104,6 +103,17 @@
                 with anyio.CancelScope(shield=True):
                     await self._connection.close()
 
+    def _count_request(self) -> None:
+        exchange = self._exchange
+        now = self._context.clock()
+        self._context.budget.count_request(exchange.service, now)
+        self._context.demand.count_request(
+            exchange.service,
+            exchange.facts.prompt_tokens,
+            decode_places.tokens_needed(exchange.facts),
+            now,
+        )
+
     async def _acquire_place(self) -> None:
         """Acquire a place at a reachable decode runner.
 
@@ -168,6 +178,7 @@
         runner = self._place.runner
         assert runner is not None
         await self._prompt.prefill(runner)
+        self._place.prefilled()
 
     async def _stream_until_complete(self) -> bool:
         """Stream from decode runners until the stream is complete."""
--- a/primrosereel/gateway/_held_place.py
+++ b/primrosereel/gateway/_held_place.py
@@ -34,6 +34,7 @@
         self._excluded: set[ids.RunnerId] = set()
         self._ticket: decode_places.Ticket | None = None
         self._acquired_at = 0.0
+        self._prefilled_at: float | None = None
 
     @property
     def runner(self) -> runners.Runner | None:
@@ -79,6 +80,10 @@
         assert ticket.runner is not None
         return ticket.runner
 
+    def prefilled(self) -> None:
+        """Record that the prefill has ended."""
+        self._prefilled_at = self._context.clock()
+
     def move_to(self, runner: runners.Runner) -> None:
         """Replace the place by one at a runner that was reserved before."""
         ticket = self._ticket
@@ -111,7 +116,10 @@
         if ticket is None or ticket.runner is None:
             return
         now = self._context.clock()
-        self._context.places.observe_hold(now - self._acquired_at)
+        stream_s = None
+        if self._prefilled_at is not None:
+            stream_s = now - self._prefilled_at
+        self._context.places.observe_hold(now - self._acquired_at, stream_s)
         self._context.places.release(ticket)
         self._context.places.admit(now)
         self._context.uses_changed()
--- a/primrosereel/gateway/_orders.py
+++ b/primrosereel/gateway/_orders.py
@@ -4,8 +4,10 @@
 
 import anyio
 
+from primrosereel import _ids as ids
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _http as http
+from primrosereel.routing import _demand as demand
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _model as model
 from primrosereel.routing import _roles as roles
@@ -51,7 +53,7 @@
                 switch = self._balance.sample(
                     service.name,
                     service.engine,
-                    context.places.hold_s,
+                    self._demand(service.name, now),
                     now,
                 )
                 if switch is not None and self._leads:
@@ -61,6 +63,12 @@
                             service.name, switch.runner, context.clock()
                         )
 
+    def _demand(self, service: ids.ServiceId, now: float) -> demand.Demand:
+        """Return the demand for a service at all instances of the shard."""
+        context = self._context
+        own = context.demand.demand(service, context.places.stream_s, now)
+        return own.plus(context.ledger.demand(service, now))
+
     def _update_leadership(self, now: float) -> None:
         context = self._context
         candidates = context.ledger.active_processes(now)
--- a/primrosereel/gateway/_peers.py
+++ b/primrosereel/gateway/_peers.py
@@ -17,6 +17,7 @@
 from primrosereel import _ids as ids
 from primrosereel import _states as states
 from primrosereel.gateway import _context as context_module
+from primrosereel.routing import _demand as demand
 from primrosereel.routing import _ledger as ledger_module
 
 __all__ = ['Peers']
@@ -61,6 +62,9 @@
     members: dict[str, list[tuple[str, int]]] = {}
     # Runners of the sender's shard and their free memory in tokens.
     rooms: list[tuple[str, int]] = []
+    # Service, prompt tokens that arrive each second, and KV cache tokens that
+    # its streams would take.
+    demands: list[tuple[str, int, int]] = []
 
 
 class Peers:
@@ -246,6 +250,7 @@
                 context.draining,
                 members or {},
                 list(free_memory),
+                self._demands(),
             )
         )
         for host in sorted(set(targets) - {own_address.host}):
@@ -258,6 +263,16 @@
                     'datagram not sent', host=host, detail=repr(error)
                 )
 
+    def _demands(self) -> list[tuple[str, int, int]]:
+        context = self._context
+        demands = context.demand.demands(
+            context.places.stream_s, context.clock()
+        )
+        return [
+            (service, round(d.prompt_tokens_per_s), round(d.kv_tokens))
+            for service, d in demands.items()
+        ]
+
     async def _receive(self, socket: anyio.abc.UDPSocket) -> None:
         async for data, (host, _) in socket:
             try:
@@ -323,4 +338,8 @@
         queue_heads,
         datagram.leaving,
         ids.AvailabilityZone(datagram.availability_zone),
+        {
+            ids.ServiceId(service): demand.Demand(prompt_tokens, kv_tokens)
+            for service, prompt_tokens, kv_tokens in datagram.demands
+        },
     )
--- a/primrosereel/routing/_decode_places.py
+++ b/primrosereel/routing/_decode_places.py
@@ -19,6 +19,7 @@
 
 from primrosereel import _ids as ids
 from primrosereel import _states as states
+from primrosereel.routing import _demand as demand
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _model as model
 from primrosereel.routing import _prefill_plan as prefill_plan
@@ -95,21 +96,17 @@
         return now > self.latest_start(now)
 
 
-class _ArrivalRate:
-    """Exponentially decaying rate of requested tokens."""
+class _MeanDuration:
+    """Moving average of a duration; plain average of the first samples."""
 
-    def __init__(self) -> None:
-        self._tokens_per_s = 0.0
-        self._updated_at = 0.0
+    def __init__(self, default_s: float) -> None:
+        self.seconds = default_s
+        self._samples = 0
 
-    def add(self, tokens: int, now: float) -> None:
-        self._tokens_per_s = self.tokens_per_s(now) + tokens / ARRIVAL_DECAY_S
-        self._updated_at = now
-
-    def tokens_per_s(self, now: float) -> float:
-        return self._tokens_per_s * math.exp(
-            (self._updated_at - now) / ARRIVAL_DECAY_S
-        )
+    def observe(self, seconds: float) -> None:
+        self._samples += 1
+        weight = max(HOLD_SAMPLE_WEIGHT, 1 / self._samples)
+        self.seconds += weight * (seconds - self.seconds)
 
 
 class DecodePlaces:
@@ -128,9 +125,10 @@
         self._random = random
         self._waiting: list[Ticket] = []
         self._engines: dict[ids.ServiceId, model.Engine] = {}
-        self._hold_s = DEFAULT_HOLD_S
+        self._hold = _MeanDuration(DEFAULT_HOLD_S)
+        self._stream = _MeanDuration(DEFAULT_HOLD_S)
         self._suspended_until = 0.0
-        self._arrivals = _ArrivalRate()
+        self._arrivals = demand.DecayingRate(ARRIVAL_DECAY_S)
         # Free tokens of runners of other shards, and when they were reported.
         self._foreign_free_memory: dict[ids.RunnerId, tuple[int, float]] = {}
 
@@ -142,7 +140,12 @@
     @property
     def hold_s(self) -> float:
         """Mean time that a stream holds its place, in seconds."""
-        return self._hold_s
+        return self._hold.seconds
+
+    @property
+    def stream_s(self) -> float:
+        """Mean time from a request's prefill to the end of its stream."""
+        return self._stream.seconds
 
     @property
     def known_foreign_runners(self) -> int:
@@ -171,9 +174,14 @@
             first.setdefault(ticket.service, ticket)
         return tuple(_queue_head(ticket, now) for ticket in first.values())
 
-    def observe_hold(self, seconds: float) -> None:
-        """Update the mean holding time with that of an ended stream."""
-        self._hold_s += HOLD_SAMPLE_WEIGHT * (seconds - self._hold_s)
+    def observe_hold(self, hold_s: float, stream_s: float | None) -> None:
+        """Update the mean times with those of a request that has ended.
+
+        ``stream_s`` is None if it ended before its prompt was prefilled.
+        """
+        self._hold.observe(hold_s)
+        if stream_s is not None:
+            self._stream.observe(stream_s)
 
     def add(self, ticket: Ticket, now: float) -> None:
         """Queue a ticket and admit the waiting tickets that fit."""
@@ -325,7 +333,7 @@
             f'{self._ledger.waiting_tokens(now)} tokens waiting at '
             f'{self._ledger.peer_count(now)} peers, '
             f'{self._ledger.missing_count(now)} peers missing, '
-            f'mean hold {self._hold_s:.2f} s; ' + ', '.join(parts)
+            f'mean hold {self.hold_s:.2f} s; ' + ', '.join(parts)
         )
 
     def expected_wait_s(self, ticket: Ticket, now: float) -> float:
@@ -350,10 +358,10 @@
             and other.service == ticket.service
             and other.rank(now) < ticket.rank(now)
         )
-        rate = used / max(self._hold_s, 0.1)
+        rate = used / max(self.hold_s, 0.1)
         if ticket.is_late(now):
             # Requests that arrive meanwhile rank before a late one.
-            rate -= self._arrivals.tokens_per_s(now)
+            rate -= self._arrivals.per_s(now)
         if tokens_ahead <= free:
             return 0.0
         return (tokens_ahead - free) / rate if rate > 0 else float('inf')
--- a/primrosereel/routing/_ledger.py
+++ b/primrosereel/routing/_ledger.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from primrosereel import _ids as ids
+from primrosereel.routing import _demand as demand_module
 
 __all__ = ['Ledger', 'PeerReport', 'Process', 'QueueHead', 'Use']
 
@@ -79,6 +80,9 @@
     # not count as missing.
     leaving: bool = False
     availability_zone: ids.AvailabilityZone = ids.AvailabilityZone('')
+    demands: dict[ids.ServiceId, demand_module.Demand] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -156,6 +160,18 @@
         self._expire(now)
         return sum(p.report.waiting_tokens for p in self._shard_peers())
 
+    def demand(
+        self, service: ids.ServiceId, now: float
+    ) -> demand_module.Demand:
+        """Return the demand for a service at the visible peers."""
+        self._expire(now)
+        total = demand_module.Demand()
+        for peer in self._shard_peers():
+            total = total.plus(
+                peer.report.demands.get(service, demand_module.Demand())
+            )
+        return total
+
     def is_first(self, head: QueueHead, now: float) -> bool:
         """Tell whether no peer has a request that ranks before this one.
 
--- a/primrosereel/routing/_roles.py
+++ b/primrosereel/routing/_roles.py
@@ -13,6 +13,7 @@
 
 from primrosereel import _ids as ids
 from primrosereel import _states as states
+from primrosereel.routing import _demand as demand_module
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _model as model
 from primrosereel.routing import _prefill_plan as prefill_plan
@@ -20,9 +21,6 @@
 
 __all__ = ['Leadership', 'RoleBalance', 'RoleSwitch']
 
-# Weight of a sample in the moving average of the tokens in use; samples are
-# taken twice a second.
-TOKENS_SAMPLE_WEIGHT = 0.2
 # Samples before the first order.
 MIN_SAMPLES = 6
 # A switch must lower the higher utilization to at most this ratio of it.
@@ -52,9 +50,8 @@
 
 @dataclasses.dataclass(slots=True)
 class _BalanceState:
-    """State of one service; ``tokens`` is the average number in use."""
+    """State of one service."""
 
-    tokens: float = 0.0
     samples: int = 0
     imbalanced_since: float | None = None
     next_order_at: float = 0.0
@@ -81,7 +78,7 @@
         self,
         service: ids.ServiceId,
         engine: model.Engine,
-        hold_s: float,
+        demand: demand_module.Demand,
         now: float,
     ) -> RoleSwitch | None:
         """Sample a service's load; return a switch if one is due."""
@@ -90,14 +87,9 @@
         decode = self._responsive(service, states.Role.DECODE, now)
         if not decode or engine.kv_tokens <= 0:
             return None
-        in_use = sum(
-            runner.tokens + self._ledger.peer_use(runner.runner_id, now).tokens
-            for runner in decode
-        )
-        state.tokens += TOKENS_SAMPLE_WEIGHT * (in_use - state.tokens)
         state.samples += 1
         self._expire_pending(state, now)
-        deficit = self._decode_deficit(state, engine, hold_s, prefill, decode)
+        deficit = self._decode_deficit(state, engine, demand, prefill, decode)
         role = states.Role.DECODE if deficit > 0 else states.Role.PREFILL
         if not deficit or state.samples < MIN_SAMPLES:
             state.imbalanced_since = None
@@ -172,7 +164,7 @@
         self,
         state: _BalanceState,
         engine: model.Engine,
-        hold_s: float,
+        demand: demand_module.Demand,
         prefill: list[runners.Runner],
         decode: list[runners.Runner],
     ) -> int:
@@ -193,11 +185,12 @@
         slowness = sum(runner.slowness for runner in prefill) / max(
             1, len(prefill)
         )
-        tokens_per_s = state.tokens / max(hold_s, 0.1)
         prefill_demand = (
-            tokens_per_s * prefill_plan.PREFILL_TOKEN_S * (slowness or 1.0)
+            demand.prompt_tokens_per_s
+            * prefill_plan.PREFILL_TOKEN_S
+            * (slowness or 1.0)
         )
-        decode_demand = state.tokens / engine.kv_tokens
+        decode_demand = demand.kv_tokens / engine.kv_tokens
 
         def max_utilization(prefill_runners: int) -> float:
             return max(
--- a/tests/property/test_routing_roles.py
+++ b/tests/property/test_routing_roles.py
@@ -4,6 +4,7 @@
 
 from primrosereel import _ids as ids
 from primrosereel import _states as states
+from primrosereel.routing import _demand as demand_module
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _model as model
 from primrosereel.routing import _prefill_plan as prefill_plan
@@ -29,10 +30,21 @@
     return roles.RoleBalance(table, ledger_module.Ledger()), table
 
 
-def switches(balance, seconds, hold_s=3.0, start=0.0):
+def offered_demand(balance, hold_s=3.0):
+    """Return the demand of callers whose requests are all at the runners."""
+    in_use = sum(
+        runner.tokens
+        for runner in balance._table
+        if runner.listing.role is states.Role.DECODE
+    )
+    return demand_module.Demand(in_use / hold_s, in_use)
+
+
+def switches(balance, seconds, demand=None, start=0.0):
     found = []
     for step in range(int(2 * seconds)):
-        switch = balance.sample(SERVICE, ENGINE, hold_s, start + step / 2)
+        offered = demand or offered_demand(balance)
+        switch = balance.sample(SERVICE, ENGINE, offered, start + step / 2)
         if switch is not None:
             found.append((start + step / 2, switch))
     return found
@@ -225,3 +237,58 @@
         runner.observe_failure(5.0)
     ((when, switch),) = switches(balance, 1, start=5.0)
     assert (when, switch.role) == (5.0, states.Role.PREFILL)
+
+
+def test_full_decode_memory_takes_no_runner_from_decode():
+    """Guards against a switch that halves what already limits the service.
+
+    The prompts were taken to be as large as the memory that is reserved, and
+    the time in which they arrive as short as a stream: with three full decode
+    runners the single prefill runner seemed to lack 1.2 others.
+    """
+    balance, _ = fleet(1, 3, 45_000)
+    requests_per_s = 8.0
+    demand = demand_module.Demand(
+        prompt_tokens_per_s=5_000 * requests_per_s,
+        kv_tokens=7_700 * requests_per_s * 2.9,
+    )
+    assert not switches(balance, 30, demand)
+
+
+def test_demand_that_is_refused_counts():
+    """Guards against a pool that stays small because it is full.
+
+    Refused requests leave no trace in the use of the runners.
+    """
+    balance, _ = fleet(3, 3, 1_000)
+    demand = demand_module.Demand(20_000.0, 250_000.0)
+    [(_, switch), *_] = switches(balance, 10, demand)
+    assert switch.role is states.Role.DECODE
+
+
+def test_demand_of_peers_of_the_shard_is_added():
+    """Guards against a leader that only knows its own requests."""
+    ledger = ledger_module.Ledger(lambda zone: zone != 'other')
+    for number, zone in enumerate(('a', 'a', 'other')):
+        report = ledger_module.PeerReport(
+            ids.InstanceId(f'i{number}'),
+            1,
+            1,
+            {},
+            availability_zone=ids.AvailabilityZone(zone),
+            demands={SERVICE: demand_module.Demand(1_000.0, 5_000.0)},
+        )
+        ledger.apply(report, 0.0)
+    assert ledger.demand(SERVICE, 1.0) == (2_000.0, 10_000.0)
+    assert ledger.demand(SERVICE, 10.0) == (0.0, 0.0)
+
+
+def test_rate_of_demand_follows_the_arrivals():
+    """Guards against demand that is forgotten at once or never."""
+    meter = demand_module.DemandMeter()
+    for step in range(300):
+        meter.count_request(SERVICE, 5_000, 8_000, step / 10)
+    demand = meter.demand(SERVICE, 3.0, 30.0)
+    assert demand.prompt_tokens_per_s == pytest.approx(50_000, rel=0.05)
+    assert demand.kv_tokens == pytest.approx(240_000, rel=0.05)
+    assert meter.demand(SERVICE, 3.0, 60.0).kv_tokens < 10_000
