Give a runner that does not answer time to restart before a switch

Cause: an order right after a crash.

Change: a listed runner that does not answer counts for half of the time that a switch takes; one that left the list is replaced at once, as before.

--- a/primrosereel/routing/_roles.py
+++ b/primrosereel/routing/_roles.py
@@ -30,6 +30,10 @@
 
 # How long an imbalance must last before an order.
 MIN_IMBALANCE_S = 1.5
+# How long a listed runner that does not answer still counts, as a share of the
+# time that a switch takes. A runner that crashed is often back within seconds,
+# and a switch that was not needed has to be undone by a second one.
+RESTART_PATIENCE_SHARE = 0.5
 # The time between two orders for a service is the duration of a switch plus
 # this, divided by the number of runners that a pool lacks.
 SETTLE_S = 8.0
@@ -83,8 +87,11 @@
     ) -> RoleSwitch | None:
         """Sample a service's load; return a switch if one is due."""
         state = self._services.setdefault(service, _BalanceState())
-        prefill = self._responsive(service, states.Role.PREFILL, now)
-        decode = self._responsive(service, states.Role.DECODE, now)
+        patience_s = RESTART_PATIENCE_SHARE * engine.switch_s
+        prefill, decode = (
+            self._responsive(service, role, patience_s, now)
+            for role in (states.Role.PREFILL, states.Role.DECODE)
+        )
         if not decode or engine.kv_tokens <= 0:
             return None
         state.samples += 1
@@ -125,17 +132,26 @@
         return RoleSwitch(runner.runner_id, runner.listing.address, role)
 
     def _responsive(
-        self, service: ids.ServiceId, role: states.Role, now: float
+        self,
+        service: ids.ServiceId,
+        role: states.Role,
+        patience_s: float,
+        now: float,
     ) -> list[runners.Runner]:
-        """Return the runners of a role in the own shard that are not down.
+        """Return the runners of a role in the own shard that are not lost.
 
         A runner that ended stays listed for some heartbeats, and longer while
-        the store is unavailable.
+        the store is unavailable. It is lost once it has been down for
+        ``patience_s`` seconds.
         """
         return [
             runner
             for runner in self._table.ready(service, role)
-            if self._table.owned(runner) and not runner.is_down(now)
+            if self._table.owned(runner)
+            and not (
+                runner.is_down(now)
+                and now - runner.failing_since >= patience_s
+            )
         ]
 
     def order_failed(
--- a/primrosereel/routing/_runners.py
+++ b/primrosereel/routing/_runners.py
@@ -53,6 +53,8 @@
     slowness: float = 1.0
     failure_rate: float = 0.0
     failures: int = 0
+    # When the first of these consecutive failures was observed.
+    failing_since: float = math.inf
     rejections: int = 0
     suspect_until: float = -math.inf
     full_until: float = -math.inf
@@ -106,6 +108,7 @@
     def observe_success(self, seconds: float, now: float) -> None:
         """Record a complete response and its duration."""
         self.failures = 0
+        self.failing_since = math.inf
         self.rejections = 0
         self.suspect_until = -math.inf
         self.failure_rate *= 1 - FAILURE_SAMPLE_WEIGHT
@@ -119,6 +122,8 @@
     def observe_failure(self, now: float) -> None:
         """Record a failure that the runner caused."""
         self.failure_rate += FAILURE_SAMPLE_WEIGHT * (1 - self.failure_rate)
+        if not self.failures:
+            self.failing_since = now
         wait = min(MIN_SUSPECT_S * 2**self.failures, MAX_SUSPECT_S)
         self.failures = min(self.failures + 1, 8)
         self.suspect_until = now + wait
