Let a shard of a divided fleet have a leader

Cause: leadership needs a majority of the largest fleet that was ever visible.

Change: the majority is that of the own shard; it is counted anew when the shard's zones change. The test fails before.

--- a/primrosereel/gateway/_orders.py
+++ b/primrosereel/gateway/_orders.py
@@ -74,7 +74,10 @@
         candidates = context.ledger.active_processes(now)
         peers = context.ledger.peer_count(now)
         leads = not context.draining and self._leadership.update(
-            candidates, peers, now
+            candidates,
+            peers,
+            now,
+            context.shards.zones(context.settings.availability_zone),
         )
         if leads != self._leads:
             self._leads = leads
--- a/primrosereel/routing/_roles.py
+++ b/primrosereel/routing/_roles.py
@@ -244,23 +244,30 @@
         self._own = own
         self._lease_s = lease_s
         self._leads_since: float | None = None
-        self._largest_fleet = 0
+        self._largest_shard = 0
+        self._shard_zones: frozenset[ids.AvailabilityZone] = frozenset()
 
     def update(
         self,
         candidates: Collection[ledger_module.Process],
         visible_peers: int,
         now: float,
+        shard_zones: frozenset[ids.AvailabilityZone] = frozenset(),
     ) -> bool:
         """Return whether this instance may give orders now.
 
-        ``candidates`` are the other processes that may lead, and
-        ``visible_peers`` counts all other visible instances, including those
-        in an orderly shutdown.
+        ``candidates`` are the other processes of the shard that may lead, and
+        ``visible_peers`` counts all its other visible instances, including
+        those in an orderly shutdown. ``shard_zones`` are its zones.
         """
-        self._largest_fleet = max(self._largest_fleet, visible_peers + 1)
+        if shard_zones != self._shard_zones:
+            # The majority of a divided fleet is that of the own shard.
+            self._shard_zones = shard_zones
+            self._largest_shard = 0
+            self._leads_since = None
+        self._largest_shard = max(self._largest_shard, visible_peers + 1)
         leads = all(self._own < other for other in candidates)
-        sees_majority = 2 * (visible_peers + 1) > self._largest_fleet
+        sees_majority = 2 * (visible_peers + 1) > self._largest_shard
         if not leads or not sees_majority:
             self._leads_since = None
             return False
--- a/tests/property/test_routing_roles.py
+++ b/tests/property/test_routing_roles.py
@@ -183,6 +183,20 @@
     assert leader.update(peers, 6, 14.0)
 
 
+def test_a_shard_of_a_divided_fleet_has_a_leader():
+    """Guards against a divided fleet in which no instance gives orders.
+
+    All instances are visible until the fleet is divided, and a shard of three
+    was never a majority of them.
+    """
+    leader = roles.Leadership(process(1, 'i1'), 3.0)
+    own_zone = frozenset({ids.AvailabilityZone('a')})
+    leader.update([process(2, 'i2')], 86, 0.0)
+    assert not leader.update([process(2, 'i2')], 28, 1.0, own_zone)
+    assert leader.update([process(2, 'i2')], 28, 7.0, own_zone)
+    assert not leader.update([process(2, 'i2')], 13, 8.0, own_zone)
+
+
 def test_prompts_go_to_the_prefill_runner_that_ends_first():
     """Guards against instances that queue prompts at the same runner."""
     _, table = fleet(2, 1, 0)
