Try another prefill runner, and count the majority of a shard from its start

(2) No instance led: the zones of an undivided fleet were taken for those of the own shard, so nothing was counted anew when it was divided.

Change: a prompt that a prefill runner did not take goes to the next one, up to three; each such rejection takes one from the retry budget. Tests for both failed before.

--- a/primrosereel/gateway/_orders.py
+++ b/primrosereel/gateway/_orders.py
@@ -77,7 +77,7 @@
             candidates,
             peers,
             now,
-            context.shards.zones(context.settings.availability_zone),
+            context.shards.own_zones,
         )
         if leads != self._leads:
             self._leads = leads
--- a/primrosereel/gateway/_prompt.py
+++ b/primrosereel/gateway/_prompt.py
@@ -18,6 +18,8 @@
 Retry = states.RetryReason
 
 MAX_RESPONSE_BYTES = 1024 * 1024
+# Prefill runners that are tried for a prompt if some do not take it.
+MAX_PREFILL_RUNNERS = 3
 # A handle is only passed to a decode runner within this share of its lifetime,
 # so that it does not expire before the runner fetches the KV cache.
 HANDLE_USABLE_SHARE = 0.7
@@ -48,13 +50,24 @@
         The decode runner prefills the prompt itself if no prefill runner is
         expected to be faster, or if the prefill fails.
         """
+        for _ in range(MAX_PREFILL_RUNNERS):
+            now = self._context.clock()
+            tokens = self._exchange.facts.prompt_tokens
+            runner = self._context.prefills.choose(decode, tokens, now)
+            if runner is None:
+                break
+            if await self._prefill_at(runner, now):
+                return
+        self._context.count('prefill.at_decode')
+
+    async def _prefill_at(self, runner: runners.Runner, now: float) -> bool:
+        """Return whether no other prefill runner is to be tried.
+
+        One that did not take the prompt is not chosen again for some time. A
+        prefill that failed later may have been in vain, and is not repeated.
+        """
         exchange = self._exchange
-        now = self._context.clock()
         tokens = exchange.facts.prompt_tokens
-        runner = self._context.prefills.choose(decode, tokens, now)
-        if runner is None:
-            self._context.count('prefill.at_decode')
-            return
         tokens_ahead = self._context.prefills.tokens_ahead(runner, now)
         expected_s = prefill_plan.expected_prefill_s(
             runner, tokens, tokens_ahead
@@ -67,27 +80,41 @@
             ):
                 self._context.uses_changed()
                 await self._request_prefill(runner, now, tokens_ahead)
+            return True
         except upstream.NotSent as error:
-            runner.observe_failure(self._context.clock())
-            exchange.record_failed_attempt(
-                Retry.CONNECT_FAILED, runner, str(error)
-            )
+            self._record_failure(runner, Retry.CONNECT_FAILED, str(error))
+            return False
         except upstream.Rejected as error:
-            runner.observe_rejection(self._context.clock())
-            self._context.budget.try_spend(exchange.service, now)
-            exchange.record_failed_attempt(
-                Retry.ENGINE_FULL, runner, str(error)
-            )
+            return self._handle_rejection(runner, error)
         except http.BrokenResponse as error:
-            runner.observe_failure(self._context.clock())
-            exchange.record_failed_attempt(
-                Retry.PREFILL_FAILED, runner, str(error)
-            )
+            self._record_failure(runner, Retry.PREFILL_FAILED, str(error))
         except TimeoutError:
-            runner.observe_failure(self._context.clock())
-            exchange.record_failed_attempt(
-                Retry.PREFILL_FAILED, runner, 'timeout'
-            )
+            self._record_failure(runner, Retry.PREFILL_FAILED, 'timeout')
+        self._context.count('prefill.at_decode')
+        return True
+
+    def _record_failure(
+        self, runner: runners.Runner, reason: states.RetryReason, detail: str
+    ) -> None:
+        runner.observe_failure(self._context.clock())
+        self._exchange.record_failed_attempt(reason, runner, detail)
+
+    def _handle_rejection(
+        self, runner: runners.Runner, rejected: upstream.Rejected
+    ) -> bool:
+        """Return whether no other prefill runner is to be tried."""
+        exchange = self._exchange
+        now = self._context.clock()
+        reason = Retry.RUNNER_REPLACED
+        if rejected.head.status != upstream.MISDIRECTED:
+            reason = Retry.ENGINE_FULL
+            runner.observe_rejection(now)
+        exchange.record_failed_attempt(reason, runner, str(rejected))
+        # The rejected call counts against the budget, and so does the next.
+        if self._context.budget.try_spend(exchange.service, now):
+            return False
+        self._context.count('prefill.at_decode')
+        return True
 
     async def _request_prefill(
         self, runner: runners.Runner, started_at: float, tokens_ahead: int
--- a/primrosereel/routing/_roles.py
+++ b/primrosereel/routing/_roles.py
@@ -258,7 +258,8 @@
 
         ``candidates`` are the other processes of the shard that may lead, and
         ``visible_peers`` counts all its other visible instances, including
-        those in an orderly shutdown. ``shard_zones`` are its zones.
+        those in an orderly shutdown. ``shard_zones`` are its zones, empty
+        while the fleet is one shard.
         """
         if shard_zones != self._shard_zones:
             # The majority of a divided fleet is that of the own shard.
--- a/primrosereel/routing/_shards.py
+++ b/primrosereel/routing/_shards.py
@@ -74,6 +74,11 @@
         own_shard = self._shard_by_zone.get(self._zone, self._zone)
         return self._shard_by_zone.get(zone, zone) == own_shard
 
+    @property
+    def own_zones(self) -> frozenset[Zone]:
+        """The zones of the own shard; empty while the fleet is one shard."""
+        return self.zones(self._zone) if self._divided else frozenset()
+
     def zones(self, zone: Zone) -> frozenset[Zone]:
         """Return all zones of the shard to which a zone belongs."""
         shard = self._shard_by_zone.get(zone, zone)
--- a/tests/property/test_gateway_rejections.py
+++ b/tests/property/test_gateway_rejections.py
@@ -1,7 +1,12 @@
 """Decode runners that reject a request whose prompt was prefilled."""
 
+import dataclasses
+
 import anyio
+import pytest
 
+from primrosereel.bench import _fleet as fleet_module
+from primrosereel.routing import _model as model
 from primrosereel.standin import _listed_runner as listed_runner
 from tests import gateway_fleet
 
@@ -123,3 +128,38 @@
         assert reasons == {'runner_replaced'}
 
     run(scenario)
+
+
+@pytest.mark.parametrize('fault', ['gone', 'replaced', 'full'])
+def test_prompt_goes_to_another_prefill_runner(fault):
+    """Guards against prompts that decode runners prefill after a crash.
+
+    They did so although other prefill runners were idle, which slowed all
+    their streams.
+    """
+
+    async def scenario(fleet):
+        await fleet.add_runner('p2', 'llm', 'prefill')
+        table = fleet.gateway._context.runners
+        await fleet.wait_for(lambda: table.get('p2') is not None)
+        # The second prefill runner seems to take longer.
+        table.get('p2').slowness = 1.5
+        if fault == 'gone':
+            row = table.get('p1')
+            port = fleet_module.free_port()
+            row.listing = dataclasses.replace(
+                row.listing, address=model.Address('127.0.0.1', port)
+            )
+        elif fault == 'replaced':
+            fleet.runners['p1'].options.runner = 'another'
+        else:
+            fleet.runners['p1'].faults.append(Fault.SHED)
+        reply = await fleet.ask('/once/1', 'r1', method='POST', **STREAM)
+        assert (reply.status, reply.complete) == (200, True)
+        assert fleet.runners['p2'].prefills['r1'] == 1
+        [request] = [
+            q for name in ('d1', 'd2') for q in decode_requests(fleet, name)
+        ]
+        assert 'kv-source' in request.headers
+
+    run(scenario)
--- a/tests/property/test_routing_shards.py
+++ b/tests/property/test_routing_shards.py
@@ -10,6 +10,7 @@
 from primrosereel import _states as states
 from primrosereel.gateway import _peers as peers
 from primrosereel.routing import _decode_places as decode_places
+from primrosereel.routing import _demand as demand
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _members as members_module
 from primrosereel.routing import _model as model
@@ -44,6 +45,25 @@
     assert [zone for zone in ZONES if view.owns(zone)] == ['a']
 
 
+def test_a_shard_has_a_leader_after_the_fleet_was_divided():
+    """Guards against shards whose instances never see a majority.
+
+    An instance sees the whole fleet until the shards form, and the zones of
+    an undivided fleet were taken for those of its shard.
+    """
+    zone = ids.AvailabilityZone('a')
+    view = shards_module.Shards(zone)
+    leader = roles.Leadership(
+        ledger_module.Process(1, ids.InstanceId('i1')), 3.0
+    )
+    assert not view.own_zones
+    leader.update([], 66, 0.0, view.own_zones)
+    view.update(67, ZONES, ZONES)
+    assert view.own_zones == {zone}
+    assert not leader.update([], 12, 1.0, view.own_zones)
+    assert leader.update([], 12, 7.0, view.own_zones)
+
+
 def test_restarts_do_not_divide_and_join_a_fleet_again():
     """Guards against restarts that divide and join a fleet repeatedly."""
     view = shards('a', instances=25)
@@ -235,8 +255,12 @@
         runner.tokens = 45_000 if role is states.Role.DECODE else 0
     balance = roles.RoleBalance(table, ledger_module.Ledger(view.owns))
     engine = places_tests.ENGINE
+    # The two decode runners of the shard have 45,000 tokens each in use, for
+    # 3 s a stream.
+    offered = demand.Demand(90_000 / 3.0, 90_000)
     found = [
-        balance.sample(SERVICE, engine, 3.0, step / 2) for step in range(40)
+        balance.sample(SERVICE, engine, offered, step / 2)
+        for step in range(40)
     ]
     switched = {switch.runner for switch in found if switch is not None}
     assert switched
