Bound responses that never end

Found by tests with such a runner: a late response to another request was skipped without a limit, informational responses were counted by nobody, an unfinished event was buffered up to 4 MB for each stream, and bodies of plain calls up to 16 MB each, although a process has 128 MB.

Change: all bodies of plain calls together take at most an eighth of the memory of the settings; skipped responses, informational responses and events have bounds. On the code before, the stream tests 'other request' and 'body' fail by the bytes that are taken in; the tests of calls need the counter that is new. A peer's notice of the store with a negative age counts as new.

--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -21,6 +21,7 @@
 from primrosereel.gateway import _peers as peers
 from primrosereel.gateway import _pool as pool_module
 from primrosereel.gateway import _ports as ports
+from primrosereel.gateway import _response_memory as response_memory
 from primrosereel.gateway import _server as server_module
 from primrosereel.gateway import _settings as settings_module
 from primrosereel.gateway import _status as status
@@ -124,6 +125,9 @@
             shards=shards,
             leave_callbacks=leave_callbacks.LeaveCallbacks(self._part_failed),
             pool=pool_module.ConnectionPool(),
+            response_memory=response_memory.ResponseMemory(
+                settings.memory_bytes
+            ),
             log=log,
         )
         self._reader = store_reader.StoreReader(
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -13,6 +13,7 @@
 from primrosereel.gateway import _metrics as metrics_module
 from primrosereel.gateway import _pool as pool_module
 from primrosereel.gateway import _ports as ports
+from primrosereel.gateway import _response_memory as response_memory_module
 from primrosereel.gateway import _settings as settings
 from primrosereel.routing import _decode_places as decode_places
 from primrosereel.routing import _demand as demand_module
@@ -56,6 +57,7 @@
     shards: shards_module.Shards
     leave_callbacks: leave_callbacks_module.LeaveCallbacks
     pool: pool_module.ConnectionPool
+    response_memory: response_memory_module.ResponseMemory
     log: Any
     demand: demand_module.DemandMeter = dataclasses.field(
         default_factory=demand_module.DemandMeter
--- a/primrosereel/gateway/_http.py
+++ b/primrosereel/gateway/_http.py
@@ -13,6 +13,7 @@
 import anyio.abc
 import h11
 
+from primrosereel.gateway import _response_memory as response_memory
 from primrosereel.routing import _model as model
 
 __all__ = [
@@ -35,6 +36,8 @@
 MAX_HEAD_BYTES = 65536
 # Responses to other requests that are skipped before a connection is dropped.
 MAX_UNRELATED_RESPONSES = 3
+MAX_SKIPPED_BYTES = 1024 * 1024
+MAX_INFORMATIONAL_RESPONSES = 16
 
 HOP_BY_HOP = frozenset(
     {
@@ -197,21 +200,35 @@
         except h11.RemoteProtocolError as error:
             raise self._broken_response(str(error)) from error
 
-    async def read_body(self, limit: int) -> bytes:
-        """Return the complete body.
+    async def read_body(
+        self,
+        limit: int,
+        memory: response_memory.ResponseMemory | None = None,
+    ) -> bytes:
+        """Return the complete body, counted in ``memory`` until then.
 
         Raises BrokenResponse if it is incomplete or too large.
         """
         parts = []
-        size = 0
-        async for part in self.body():
-            size += len(part)
-            if size > limit:
-                raise self._broken_response(
-                    'the response is larger than the limit'
-                )
-            parts.append(part)
-        return b''.join(parts)
+        size = reserved = 0
+        try:
+            async for part in self.body():
+                size += len(part)
+                if size > limit:
+                    raise self._broken_response(
+                        'the response is larger than the limit'
+                    )
+                if memory is not None:
+                    if not memory.reserve(len(part)):
+                        raise self._broken_response(
+                            'all responses are larger than the limit'
+                        )
+                    reserved += len(part)
+                parts.append(part)
+            return b''.join(parts)
+        finally:
+            if memory is not None:
+                memory.release(reserved)
 
     async def close(self) -> None:
         """Close at once, which makes a runner drop the request."""
@@ -255,12 +272,17 @@
         raise self._broken_response('only responses to other requests arrived')
 
     async def _next_head(self) -> ResponseHead:
+        informational_responses = 0
         while True:
             event = self._parser.next_event()
             if event is h11.NEED_DATA:
                 await self._receive()
             elif isinstance(event, h11.InformationalResponse):
-                continue
+                informational_responses += 1
+                if informational_responses > MAX_INFORMATIONAL_RESPONSES:
+                    raise self._broken_response(
+                        'too many informational responses'
+                    )
             elif isinstance(event, h11.Response):
                 return _head(event)
             else:
@@ -270,8 +292,7 @@
 
     async def _skip_response(self, request: OutgoingRequest) -> None:
         """Read a late response to an earlier request to its end."""
-        async for _ in self.body():
-            pass
+        await self.read_body(MAX_SKIPPED_BYTES)
         rest = self._parser.trailing_data[0]
         self._parser = self._new_parser()
         self._encode(request)
--- a/primrosereel/gateway/_peers.py
+++ b/primrosereel/gateway/_peers.py
@@ -372,7 +372,8 @@
     ended_age_ms = notice.outage_ended_age_ms
     return shared_watch.Notice(
         notice.revision,
-        now - notice.age_ms / 1000,
+        # A negative age would keep this instance from polling.
+        now - max(0, notice.age_ms) / 1000,
         notice.unchanged_since,
         notice.change_known,
         notice.since,
--- a/primrosereel/gateway/_plain.py
+++ b/primrosereel/gateway/_plain.py
@@ -120,7 +120,9 @@
             connection,
         )
         try:
-            body = await response.connection.read_body(MAX_RESPONSE_BYTES)
+            body = await response.connection.read_body(
+                MAX_RESPONSE_BYTES, self._context.response_memory
+            )
         except BaseException:
             with anyio.CancelScope(shield=True):
                 await response.connection.close()
--- a/primrosereel/gateway/_settings.py
+++ b/primrosereel/gateway/_settings.py
@@ -27,6 +27,7 @@
     peer: model.Address | None
     seeds: tuple[model.Address, ...]
     file_descriptors: int
+    memory_bytes: int
     drain_limit_s: float
     runner_drain_s: float
     configuration_s: float
--- a/primrosereel/platform/_settings.py
+++ b/primrosereel/platform/_settings.py
@@ -14,6 +14,7 @@
 __all__ = ['read_settings', 'settings_path']
 
 PATH_VARIABLE = 'PRIMROSEREEL_CONFIG'
+BYTES_PER_MB = 1024 * 1024
 DEFAULT_PATH = '/etc/primrosereel/settings.toml'
 
 
@@ -89,6 +90,7 @@
         peer=_peer_address(file),
         seeds=tuple(parse_address(seed) for seed in file.seeds),
         file_descriptors=file.limits.file_descriptors,
+        memory_bytes=int(file.limits.memory_mb * BYTES_PER_MB),
         drain_limit_s=bounds.grace_s,
         runner_drain_s=bounds.drain_ms / 1000,
         configuration_s=bounds.config_apply_ms / 1000,
--- a/primrosereel/routing/_events.py
+++ b/primrosereel/routing/_events.py
@@ -9,7 +9,7 @@
 __all__ = ['EventSplitter', 'StreamProgress', 'SequenceError']
 
 ID_FIELD = b'id:'
-MAX_EVENT_BYTES = 4 * 1024 * 1024
+MAX_EVENT_BYTES = 256 * 1024
 
 
 class SequenceError(Exception):
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -194,6 +194,7 @@
         'peer': None,
         'seeds': (),
         'file_descriptors': 1024,
+        'memory_bytes': 128_000_000,
         'drain_limit_s': 2.0,
         'runner_drain_s': 0.2,
         'configuration_s': 0.2,
--- /dev/null
+++ b/tests/property/test_gateway_endless.py
@@ -0,0 +1,179 @@
+"""Runners that send bytes without end, until the gateway closes."""
+
+import itertools
+
+import anyio
+import pytest
+
+from tests import gateway_fleet
+
+CHUNK = b'x' * 16384
+SIGNED_HEAD = (
+    b'HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nInstance-Signature: bad\r\n'
+    b'Transfer-Encoding: chunked\r\n\r\n'
+)
+# What a connection may take in before the gateway gives it up: the largest
+# body of a plain call that fits in the memory for responses, and what the
+# socket buffers of loopback hold.
+MAX_SENT_BYTES = 16_000_000 + 8_000_000
+STREAM = {'Token_Usage': '400,40', 'Model': 'm', 'Deadline_Ms': 4000}
+
+
+def chunked(data):
+    return b'%x\r\n%s\r\n' % (len(data), data)
+
+
+def endless_parts(kind, request_id):
+    """Return the beginning of a response, and the part that is repeated."""
+    if kind == 'head':
+        return b'HTTP/1.1 200 OK\r\nX-Long: ', CHUNK
+    if kind == 'no answer':
+        return b'', CHUNK
+    if kind == 'informational':
+        return b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 100
+    if kind == 'other request':
+        return SIGNED_HEAD % b'other', chunked(CHUNK)
+    return SIGNED_HEAD % request_id, chunked(CHUNK)
+
+
+class EndlessRunner:
+    """Answers every request with bytes that never end."""
+
+    def __init__(self, kind):
+        self._kind = kind
+        self.sent_bytes = 0
+        self.open_connections = 0
+        self.port = 0
+
+    async def serve(self, *, task_status):
+        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+        self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        task_status.started()
+        async with listener:
+            await listener.serve(self._serve_connection)
+
+    async def _serve_connection(self, stream):
+        self.open_connections += 1
+        try:
+            async with stream:
+                request = await stream.receive()
+                lines = request.split(b'\r\n')
+                [request_id] = [
+                    line.partition(b': ')[2]
+                    for line in lines
+                    if line.lower().startswith(b'request-id:')
+                ]
+                start, repeated = endless_parts(self._kind, request_id)
+                for part in itertools.chain(
+                    [start], itertools.repeat(repeated)
+                ):
+                    if part:
+                        await stream.send(part)
+                    self.sent_bytes += len(part)
+        except (anyio.BrokenResourceError, anyio.EndOfStream, OSError):
+            pass
+        finally:
+            self.open_connections -= 1
+
+
+def run(scenario):
+    async def main():
+        with anyio.fail_after(20):
+            async with gateway_fleet.fleet() as fleet:
+                await scenario(fleet)
+
+    anyio.run(main)
+
+
+async def replace_runner(fleet, name, kind):
+    """Let an endless runner take the place of a listed one."""
+    endless = EndlessRunner(kind)
+    await fleet.tasks.start(endless.serve)
+    entry = fleet.runners[name].entry()
+    entry['address'] = f'127.0.0.1:{endless.port}'
+    entry['born'] += 1
+    fleet.store.put(f'servers/{name}', entry)
+    table = fleet.gateway._context.runners
+    await fleet.wait_for(
+        lambda: table.get(name).listing.address.port == endless.port
+    )
+    return endless
+
+
+KINDS = ['head', 'no answer', 'informational', 'other request', 'body']
+
+
+@pytest.mark.parametrize('kind', KINDS)
+def test_endless_response_to_a_call_is_given_up(kind):
+    """Guards against a runner that keeps a call until its deadline.
+
+    The bytes also took memory or processor time for as long.
+    """
+
+    async def scenario(fleet):
+        endless = await replace_runner(fleet, 's1', kind)
+        fleet.list_runner('s2', 'draining')
+        table = fleet.gateway._context.runners
+        await fleet.wait_for(lambda: table.get('s2').listing.leaving)
+        await fleet.ask('/file/1', 'r1', method='POST')
+        await fleet.wait_for(lambda: not endless.open_connections)
+        assert endless.sent_bytes <= MAX_SENT_BYTES
+        assert fleet.gateway._context.response_memory.reserved == 0
+
+    run(scenario)
+
+
+@pytest.mark.parametrize('kind', KINDS)
+def test_stream_continues_at_another_runner(kind):
+    """Guards against a caller that waits for a runner without an event."""
+
+    async def scenario(fleet):
+        endless = await replace_runner(fleet, 'd1', kind)
+        fleet.gateway._context.runners.get('d2').failure_rate = 0.5
+        reply = await fleet.ask('/ask/1', 'r1', method='POST', **STREAM)
+        assert endless.sent_bytes
+        assert (reply.status, reply.complete) == (200, True)
+        assert b'xxxx' not in reply.body
+        await fleet.wait_for(lambda: not endless.open_connections)
+        assert endless.sent_bytes <= MAX_SENT_BYTES
+
+    run(scenario)
+
+
+def test_many_endless_bodies_do_not_exceed_the_memory():
+    """Guards against a process that is killed for its memory."""
+
+    async def scenario(fleet):
+        for name in ('s1', 's2'):
+            await replace_runner(fleet, name, 'body')
+        memory = fleet.gateway._context.response_memory
+        largest = 0
+
+        async def watch():
+            nonlocal largest
+            while True:
+                largest = max(largest, memory.reserved)
+                await anyio.sleep(0.001)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watch)
+            async with anyio.create_task_group() as callers:
+                for number in range(12):
+                    callers.start_soon(fleet.ask, '/file/1', f'r{number}')
+            tasks.cancel_scope.cancel()
+        assert 0 < largest <= 128_000_000 / 8
+        assert memory.reserved == 0
+
+    run(scenario)
+
+
+def test_sound_runner_is_used_beside_an_endless_one():
+    """Guards against a fault that spreads to other runners' calls."""
+
+    async def scenario(fleet):
+        await replace_runner(fleet, 's1', 'head')
+        for number in range(6):
+            reply = await fleet.ask(f'/read/{number}', f'r{number}')
+            assert reply.status == 200
+
+    run(scenario)
