Count a stream's timeout from its last event

Found by a test with a runner that sends a byte of an unfinished event now and then: each byte extended the timeout of a resumable stream, so a stalled stream was only ended by the request's deadline. A Retry-After is now at most a third of the time that its caller has, which is as long as callers honour; with the jitter it could be longer.

--- a/primrosereel/gateway/_admission.py
+++ b/primrosereel/gateway/_admission.py
@@ -20,6 +20,8 @@
 # callers don't all return at once.
 RETRY_AFTER_JITTER = 0.3
 MIN_RETRY_AFTER_S = 0.2
+# Callers honour a Retry-After of up to this share of the time they have left.
+RETRY_AFTER_SHARE = 1 / 3
 
 
 class Refused(Exception):
@@ -165,13 +167,12 @@
 def _no_capacity(exchange: context_module.Exchange, wait_s: float) -> Refused:
     random = exchange.context.random
     jitter = 1 + RETRY_AFTER_JITTER * random.random()
-    retry_after_s = max(
-        MIN_RETRY_AFTER_S, min(wait_s, exchange.remaining_s / 3)
-    )
+    latest_s = RETRY_AFTER_SHARE * exchange.remaining_s
+    retry_after_s = min(max(MIN_RETRY_AFTER_S, wait_s) * jitter, latest_s)
     now = exchange.context.clock()
     detail = exchange.context.places.describe(exchange.service, now)
     return Refused(
         states.RefusalReason.NO_CAPACITY,
-        retry_after_s * jitter,
+        retry_after_s,
         f'wait {wait_s:.2f} s; {detail}',
     )
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -435,11 +435,13 @@
         splitter = events.EventSplitter()
         body = response.connection.body()
         first = True
+        event_at = self._context.clock()
         while True:
-            data = await self._next_part(body, first)
+            data = await self._next_part(body, first, event_at)
             if data is None:
                 break
-            await self._send_events(head, splitter.feed(data))
+            if await self._send_events(head, splitter.feed(data)):
+                event_at = self._context.clock()
             if first and self._progress.events:
                 first = False
                 self._set_local_prefill_runner(None)
@@ -465,8 +467,14 @@
         self._exchange.record_served(runner.runner_id, head.status)
         return None
 
-    async def _next_part(self, body, first: bool) -> bytes | None:
-        """Return the next bytes; None at the end of the stream."""
+    async def _next_part(
+        self, body, first: bool, event_at: float
+    ) -> bytes | None:
+        """Return the next bytes; None at the end of the stream.
+
+        The time limit counts from ``event_at``, when the last event arrived:
+        bytes that complete no event do not extend it.
+        """
         route = self._exchange.route
         may_repeat = (
             route.repeatable and self._exchange.attempts < route.max_attempts
@@ -476,23 +484,26 @@
             limit_s = timeouts.stream_gap_s(route)
             if first:
                 limit_s = timeouts.first_event_s(route)
+        left_s = max(0.0, event_at + limit_s - self._context.clock())
         try:
-            with anyio.fail_after(limit_s):
+            with anyio.fail_after(left_s):
                 return await anext(body, None)
         except TimeoutError:
-            if limit_s < self._exchange.remaining_s:
+            if left_s < self._exchange.remaining_s:
                 raise http.BrokenResponse('no event in time') from None
             raise
 
     async def _send_events(
         self, head: http.ResponseHead, received: list[bytes]
-    ) -> None:
+    ) -> bool:
+        """Forward events; return whether one of them was new."""
         new_events = [
             event for event in received if self._progress.accept(event)
         ]
         if new_events:
             await self._send_head(head)
             await self._caller.send_part(b''.join(new_events))
+        return bool(new_events)
 
     async def _send_head(self, head: http.ResponseHead) -> None:
         """Send the response head to the caller, once.
--- a/primrosereel/standin/_listed_runner.py
+++ b/primrosereel/standin/_listed_runner.py
@@ -36,6 +36,7 @@
     UNSIGNED = 'unsigned'
     BREAK_STREAM = 'break_stream'
     HANDLE_GONE = 'handle_gone'
+    TRICKLE = 'trickle'
 
 
 @dataclasses.dataclass(slots=True)
@@ -157,8 +158,7 @@
                 return raw_http.Answer(500, headers, b'error')
             headers.append((b'Content-Type', b'text/event-stream'))
             first = int(request.headers.get('last-event-id', '0')) + 1
-            broken = fault is Fault.BREAK_STREAM
-            parts = self._stream_events(request_id, first, broken)
+            parts = self._stream_events(request_id, first, fault)
             return raw_http.Answer(200, headers, parts=parts)
         await anyio.sleep(self.options.work_s)
         if fault is Fault.RESET_AFTER_RUN:
@@ -202,7 +202,7 @@
         return raw_http.Answer(200, close, msgspec.json.encode(body))
 
     async def _stream_events(
-        self, request_id: str, first: int, broken: bool
+        self, request_id: str, first: int, fault: Fault | None
     ) -> AsyncIterator[bytes]:
         self.running += 1
         self.last_event_ids[request_id] = first - 1
@@ -212,7 +212,12 @@
                 if request_id in self.stopped_streams:
                     raise raw_http.Reset
                 self.last_event_ids[request_id] = number
-                if broken and number == first + 2:
+                if fault is Fault.TRICKLE and number == first + 2:
+                    yield f'id: {number}\ndata: '.encode()
+                    while True:
+                        await anyio.sleep(self.options.event_s)
+                        yield b'.'
+                if fault is Fault.BREAK_STREAM and number == first + 2:
                     yield f'id: {number}\ndata: cut in the mid'.encode()
                     raise raw_http.Reset
                 yield f'id: {number}\ndata: token {number}\n\n'.encode()
--- a/tests/property/test_gateway.py
+++ b/tests/property/test_gateway.py
@@ -576,7 +576,10 @@
             for number in range(6):
                 tasks.start_soon(ask, number)
         assert {reply.status for reply in replies} == {503}
-        assert all(float(r.headers['retry-after']) > 0 for r in replies)
+        # Callers honour at most a third of their 4 s.
+        assert all(
+            0 < float(r.headers['retry-after']) <= 4 / 3 for r in replies
+        )
         assert anyio.current_time() - started_at < 3.2
         assert not fleet.runners['p1'].prefills
 
--- a/tests/property/test_gateway_endless.py
+++ b/tests/property/test_gateway_endless.py
@@ -5,8 +5,10 @@
 import anyio
 import pytest
 
+from primrosereel.standin import _listed_runner as listed_runner
 from tests import gateway_fleet
 
+Fault = listed_runner.Fault
 CHUNK = b'x' * 16384
 SIGNED_HEAD = (
     b'HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nInstance-Signature: bad\r\n'
@@ -140,6 +142,27 @@
     run(scenario)
 
 
+def test_stream_that_sends_a_byte_now_and_then_is_stalled():
+    """Guards against a stream that no timeout ends.
+
+    Each byte of an event that never ends extended the timeout.
+    """
+
+    async def scenario(fleet):
+        for name in ('d1', 'd2'):
+            fleet.runners[name].options.event_s = 0.05
+            fleet.runners[name].faults.append(Fault.TRICKLE)
+        started_at = anyio.current_time()
+        with anyio.move_on_after(3.0):
+            await fleet.ask('/ask/1', 'r1', method='POST', **STREAM)
+        [line] = fleet.log.named('attempt failed')[:1]
+        assert line['reason'] == 'stream_broken'
+        assert line['detail'].endswith('no event in time')
+        assert anyio.current_time() - started_at < 3.5
+
+    run(scenario)
+
+
 def test_many_endless_bodies_do_not_exceed_the_memory():
     """Guards against a process that is killed for its memory."""
 
