Observe the fixed time and the speed of prefills

PREFILL_FIXED_S (0.12 s) is a figure of other engines; here a whole prefill takes 0.10 s, so the slowness of every runner fell to its lower bound of 0.3 and the prefill pool seemed to have three times its speed.

Change: each instance fits the fixed time and the time for each token to its own prefills, by service; the estimates of waits, the choice of a runner and the balance of roles use them.

--- a/primrosereel/gateway/_orders.py
+++ b/primrosereel/gateway/_orders.py
@@ -55,6 +55,7 @@
                     service.engine,
                     self._demand(service.name, now),
                     now,
+                    context.prefills.speed(service.name).token_s,
                 )
                 if switch is not None and self._leads:
                     accepted = await self._give_order(switch, service.engine)
--- a/primrosereel/gateway/_prompt.py
+++ b/primrosereel/gateway/_prompt.py
@@ -9,7 +9,6 @@
 from primrosereel.gateway import _http as http
 from primrosereel.gateway import _upstream as upstream
 from primrosereel.routing import _model as model
-from primrosereel.routing import _prefill_plan as prefill_plan
 from primrosereel.routing import _runners as runners
 from primrosereel.routing import _timeouts as timeouts
 
@@ -69,7 +68,7 @@
         exchange = self._exchange
         tokens = exchange.facts.prompt_tokens
         tokens_ahead = self._context.prefills.tokens_ahead(runner, now)
-        expected_s = prefill_plan.expected_prefill_s(
+        expected_s = self._context.prefills.expected_prefill_s(
             runner, tokens, tokens_ahead
         )
         limit_s = timeouts.prefill_timeout_s(exchange.route, expected_s)
@@ -143,7 +142,7 @@
             raise
         now = self._context.clock()
         runner.observe_success(now - started_at, now)
-        prefill_plan.observe_prefill(
+        self._context.prefills.observe_prefill(
             runner,
             exchange.facts.prompt_tokens,
             tokens_ahead,
--- a/primrosereel/routing/_prefill_plan.py
+++ b/primrosereel/routing/_prefill_plan.py
@@ -8,14 +8,11 @@
 from primrosereel import _ids as ids
 from primrosereel import _states as states
 from primrosereel.routing import _ledger as ledger_module
+from primrosereel.routing import _prefill_speed as prefill_speed
 from primrosereel.routing import _runners as runners
 
-__all__ = ['PrefillPlan', 'expected_prefill_s', 'local_prefill_s']
+__all__ = ['PrefillPlan', 'local_prefill_s']
 
-# Fixed time of a prefill, and the time for each prompt token. A runner's
-# observed slowness, initially 1.0, scales the time for each token.
-PREFILL_FIXED_S = 0.12
-PREFILL_TOKEN_S = 2.0e-5
 # Prefill at a decode runner takes twice as long. The penalty is added to its
 # expected time because it delays all streams of that runner.
 LOCAL_PREFILL_FACTOR = 2.0
@@ -28,33 +25,11 @@
 MIN_SLOWNESS = 0.3
 
 
-def expected_prefill_s(
-    runner: runners.Runner, tokens: int, tokens_ahead: int
+def local_prefill_s(
+    tokens: int, token_s: float = prefill_speed.DEFAULT_TOKEN_S
 ) -> float:
-    """Return the expected time until a prefill runner ends a new prompt.
-
-    ``tokens_ahead`` is the number of prompt tokens that are queued before it.
-    """
-    return PREFILL_FIXED_S + runner.slowness * PREFILL_TOKEN_S * (
-        tokens + tokens_ahead
-    )
-
-
-def local_prefill_s(tokens: int) -> float:
     """Return how long prefill of the tokens takes at a decode runner."""
-    return LOCAL_PREFILL_FACTOR * PREFILL_TOKEN_S * tokens
-
-
-def observe_prefill(
-    runner: runners.Runner, tokens: int, tokens_ahead: int, seconds: float
-) -> None:
-    """Update a prefill runner's slowness from a completed prefill."""
-    typical_s = PREFILL_TOKEN_S * max(1, tokens + tokens_ahead)
-    slowness = min(
-        max((seconds - PREFILL_FIXED_S) / typical_s, MIN_SLOWNESS),
-        MAX_SLOWNESS,
-    )
-    runner.slowness += SLOWNESS_SAMPLE_WEIGHT * (slowness - runner.slowness)
+    return LOCAL_PREFILL_FACTOR * token_s * tokens
 
 
 class PrefillPlan:
@@ -69,6 +44,44 @@
         self._table = table
         self._ledger = ledger
         self._availability_zone = availability_zone
+        self._speeds: dict[ids.ServiceId, prefill_speed.PrefillSpeed] = {}
+
+    def speed(self, service: ids.ServiceId) -> prefill_speed.PrefillSpeed:
+        """Return the observed speed of a service's prefill runners."""
+        return self._speeds.setdefault(service, prefill_speed.PrefillSpeed())
+
+    def expected_prefill_s(
+        self, runner: runners.Runner, tokens: int, tokens_ahead: int
+    ) -> float:
+        """Return the expected time until a prefill runner ends a new prompt.
+
+        ``tokens_ahead`` is the number of prompt tokens queued before it.
+        """
+        return self.speed(runner.listing.service).expected_s(
+            tokens + tokens_ahead, runner.slowness
+        )
+
+    def observe_prefill(
+        self,
+        runner: runners.Runner,
+        tokens: int,
+        tokens_ahead: int,
+        seconds: float,
+    ) -> None:
+        """Update the speed and the runner's slowness from a prefill."""
+        speed = self.speed(runner.listing.service)
+        work = max(1, tokens + tokens_ahead)
+        slowness = min(
+            max(
+                (seconds - speed.fixed_s) / (speed.token_s * work),
+                MIN_SLOWNESS,
+            ),
+            MAX_SLOWNESS,
+        )
+        runner.slowness += SLOWNESS_SAMPLE_WEIGHT * (
+            slowness - runner.slowness
+        )
+        speed.observe(work, seconds)
 
     def tokens_ahead(self, runner: runners.Runner, now: float) -> int:
         """Return the prompt tokens that are queued at a prefill runner."""
@@ -83,7 +96,7 @@
         candidates = self._available_prefill(service, now)
         if candidates:
             return min(
-                expected_prefill_s(
+                self.expected_prefill_s(
                     runner, tokens, self.tokens_ahead(runner, now)
                 )
                 for runner in candidates
@@ -95,7 +108,10 @@
             ),
             default=0,
         )
-        return PREFILL_FIXED_S + local_prefill_s(least_tokens + tokens)
+        speed = self.speed(service)
+        return speed.fixed_s + local_prefill_s(
+            least_tokens + tokens, speed.token_s
+        )
 
     def _local_prefill_tokens(self, decode: runners.Runner, now: float) -> int:
         """Return the prompt tokens that a decode runner prefills itself."""
@@ -124,10 +140,11 @@
             candidates,
             key=lambda runner: self._cost(runner, decode, tokens, now),
         )
-        local_s = PREFILL_FIXED_S + local_prefill_s(
-            self._local_prefill_tokens(decode, now) + tokens
+        speed = self.speed(decode.listing.service)
+        local_s = speed.fixed_s + local_prefill_s(
+            self._local_prefill_tokens(decode, now) + tokens, speed.token_s
         )
-        expected_s = expected_prefill_s(
+        expected_s = self.expected_prefill_s(
             best, tokens, self.tokens_ahead(best, now)
         )
         return (
@@ -141,7 +158,7 @@
         tokens: int,
         now: float,
     ) -> float:
-        cost = expected_prefill_s(
+        cost = self.expected_prefill_s(
             runner, tokens, self.tokens_ahead(runner, now)
         )
         if (
--- a/primrosereel/routing/_roles.py
+++ b/primrosereel/routing/_roles.py
@@ -16,7 +16,7 @@
 from primrosereel.routing import _demand as demand_module
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _model as model
-from primrosereel.routing import _prefill_plan as prefill_plan
+from primrosereel.routing import _prefill_speed as prefill_speed
 from primrosereel.routing import _runners as runners
 
 __all__ = ['Leadership', 'RoleBalance', 'RoleSwitch']
@@ -84,8 +84,13 @@
         engine: model.Engine,
         demand: demand_module.Demand,
         now: float,
+        prefill_token_s: float = prefill_speed.DEFAULT_TOKEN_S,
     ) -> RoleSwitch | None:
-        """Sample a service's load; return a switch if one is due."""
+        """Sample a service's load; return a switch if one is due.
+
+        ``prefill_token_s`` is the time of a typical prefill runner for each
+        prompt token.
+        """
         state = self._services.setdefault(service, _BalanceState())
         patience_s = RESTART_PATIENCE_SHARE * engine.switch_s
         prefill, decode = (
@@ -96,7 +101,9 @@
             return None
         state.samples += 1
         self._expire_pending(state, now)
-        deficit = self._decode_deficit(state, engine, demand, prefill, decode)
+        deficit = self._decode_deficit(
+            state, engine, demand, prefill_token_s, prefill, decode
+        )
         role = states.Role.DECODE if deficit > 0 else states.Role.PREFILL
         if not deficit or state.samples < MIN_SAMPLES:
             state.imbalanced_since = None
@@ -181,6 +188,7 @@
         state: _BalanceState,
         engine: model.Engine,
         demand: demand_module.Demand,
+        prefill_token_s: float,
         prefill: list[runners.Runner],
         decode: list[runners.Runner],
     ) -> int:
@@ -202,9 +210,7 @@
             1, len(prefill)
         )
         prefill_demand = (
-            demand.prompt_tokens_per_s
-            * prefill_plan.PREFILL_TOKEN_S
-            * (slowness or 1.0)
+            demand.prompt_tokens_per_s * prefill_token_s * (slowness or 1.0)
         )
         decode_demand = demand.kv_tokens / engine.kv_tokens
 
