--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -16,11 +16,20 @@
 from primrosereel.standin import _metadata_store as metadata_store
 from primrosereel.standin import _operator_config as operator_config
 
-__all__ = ['Client', 'ListLog', 'Reply', 'configuration', 'fleet', 'free_port']
+__all__ = [
+    'Client',
+    'ListLog',
+    'Reply',
+    'configuration',
+    'fleet',
+    'free_port',
+    'run_scenario',
+]
 
 HOST = operator_config.HOST
 configuration = operator_config.configuration
 free_port = fleet_module.free_port
+SCENARIO_LIMIT_S = 20.0
 
 
 class ListLog:
@@ -207,6 +216,17 @@
     return settings.GatewaySettings(**(defaults | changes))
 
 
+def run_scenario(scenario, **changes):
+    """Run a scenario against a fleet; it must end within 20 s."""
+
+    async def main():
+        with anyio.fail_after(SCENARIO_LIMIT_S):
+            async with fleet(**changes) as running_fleet:
+                await scenario(running_fleet)
+
+    anyio.run(main)
+
+
 @contextlib.asynccontextmanager
 async def fleet(**changes):
     """Run a gateway with a prefill, a decode and two plain runners."""
--- a/tests/property/test_gateway.py
+++ b/tests/property/test_gateway.py
@@ -11,15 +11,7 @@
 STREAM = {'Token_Usage': '400,40', 'Model': 'm', 'Deadline_Ms': 4000}
 
 
-def run(scenario, **changes):
-    """Run a scenario against a fleet; it must end within 20 s."""
-
-    async def main():
-        with anyio.fail_after(20):
-            async with gateway_fleet.fleet(**changes) as fleet:
-                await scenario(fleet)
-
-    anyio.run(main)
+run = gateway_fleet.run_scenario
 
 
 def run_count(fleet, request_id):
--- a/tests/property/test_gateway_endless.py
+++ b/tests/property/test_gateway_endless.py
@@ -78,13 +78,7 @@
             self.open_connections -= 1
 
 
-def run(scenario):
-    async def main():
-        with anyio.fail_after(20):
-            async with gateway_fleet.fleet() as fleet:
-                await scenario(fleet)
-
-    anyio.run(main)
+run = gateway_fleet.run_scenario
 
 
 async def replace_runner(fleet, name, kind):
--- a/tests/property/test_gateway_orders.py
+++ b/tests/property/test_gateway_orders.py
@@ -1,6 +1,5 @@
 """Role orders that an instance sends to runners."""
 
-import anyio
 import pytest
 
 from primrosereel import _ids as ids
@@ -8,14 +7,7 @@
 from primrosereel.routing import _roles as roles
 from tests import gateway_fleet
 
-
-def run(scenario):
-    async def main():
-        with anyio.fail_after(20):
-            async with gateway_fleet.fleet() as fleet:
-                await scenario(fleet)
-
-    anyio.run(main)
+run = gateway_fleet.run_scenario
 
 
 def give_order(fleet, runner, address):
--- a/tests/property/test_gateway_peers.py
+++ b/tests/property/test_gateway_peers.py
@@ -17,13 +17,7 @@
 }
 
 
-def run(scenario, **changes):
-    async def main():
-        with anyio.fail_after(20):
-            async with gateway_fleet.fleet(**changes) as fleet:
-                await scenario(fleet)
-
-    anyio.run(main)
+run = gateway_fleet.run_scenario
 
 
 def found_hosts(log):
--- a/tests/property/test_gateway_rejections.py
+++ b/tests/property/test_gateway_rejections.py
@@ -14,13 +14,7 @@
 STREAM = {'Token_Usage': '400,40', 'Model': 'm', 'Deadline_Ms': 4000}
 
 
-def run(scenario):
-    async def main():
-        with anyio.fail_after(20):
-            async with gateway_fleet.fleet() as fleet:
-                await scenario(fleet)
-
-    anyio.run(main)
+run = gateway_fleet.run_scenario
 
 
 def fill(fleet, name, tokens):
