Poll the store as seldom together as an instance does alone

Cause: each poll sends a datagram to all instances of the shard.

Change: one pause, 0.35 of the bound, as it was.

--- a/primrosereel/gateway/_store_reader.py
+++ b/primrosereel/gateway/_store_reader.py
@@ -25,10 +25,9 @@
 
 __all__ = ['StoreReader']
 
-# The share of the shorter bound that the pause between two watches takes, for
-# an instance without peers and for all instances together.
+# The share of the shorter bound that the pause between two watches takes, of
+# one instance or of all that see each other.
 PAUSE_SHARE = 0.35
-SHARED_PAUSE_SHARE = 0.2
 # Changes of up to this size are sent to peers; larger ones, such as whole
 # configurations, each instance reads from the store.
 MAX_NOTICE_BYTES = 1000
@@ -63,8 +62,9 @@
     @property
     def _pause_s(self) -> float:
         settings = self._context.settings
-        share = SHARED_PAUSE_SHARE if self._has_peers else PAUSE_SHARE
-        return share * min(settings.runner_drain_s, settings.configuration_s)
+        return PAUSE_SHARE * min(
+            settings.runner_drain_s, settings.configuration_s
+        )
 
     @property
     def _has_peers(self) -> bool:
