Order no change of role while runners are replaced

Change: no order within half of a switch's time after the set of runners changed, unless the prefill pool is empty. The test fails before.

--- a/primrosereel/routing/_roles.py
+++ b/primrosereel/routing/_roles.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Collection
 import dataclasses
+import math
 from typing import NamedTuple
 
 from primrosereel import _ids as ids
@@ -57,6 +58,9 @@
     """State of one service."""
 
     samples: int = 0
+    # The runners of the last sample, and when they changed.
+    runner_ids: frozenset[ids.RunnerId] = frozenset()
+    runners_changed_at: float = -math.inf
     imbalanced_since: float | None = None
     next_order_at: float = 0.0
     last_order_role: states.Role | None = None
@@ -99,6 +103,7 @@
         )
         if not decode or engine.kv_tokens <= 0:
             return None
+        self._note_runners(state, [*prefill, *decode], now)
         state.samples += 1
         self._expire_pending(state, now)
         deficit = self._decode_deficit(
@@ -110,8 +115,9 @@
             return None
         if state.imbalanced_since is None:
             state.imbalanced_since = now
-        sustained = (
-            now - state.imbalanced_since >= MIN_IMBALANCE_S or not prefill
+        sustained = not prefill or (
+            now - state.imbalanced_since >= MIN_IMBALANCE_S
+            and now - state.runners_changed_at >= patience_s
         )
         if not sustained or now < state.next_order_at:
             return None
@@ -138,6 +144,22 @@
         state.pending[runner.runner_id] = now + engine.switch_s + SETTLE_S
         return RoleSwitch(runner.runner_id, runner.listing.address, role)
 
+    def _note_runners(
+        self,
+        state: _BalanceState,
+        present: list[runners.Runner],
+        now: float,
+    ) -> None:
+        """Record when runners came or went.
+
+        While runners are replaced one after the other, those of the moment
+        say little about those that will be left.
+        """
+        runner_ids = frozenset(runner.runner_id for runner in present)
+        if state.samples and runner_ids != state.runner_ids:
+            state.runners_changed_at = now
+        state.runner_ids = runner_ids
+
     def _responsive(
         self,
         service: ids.ServiceId,
--- a/tests/property/test_routing_roles.py
+++ b/tests/property/test_routing_roles.py
@@ -268,6 +268,26 @@
     assert (when, switch.role) == (5.0, states.Role.PREFILL)
 
 
+def test_no_runner_switches_while_runners_are_replaced():
+    """Guards against an order in the middle of a release.
+
+    A new prefill runner was listed before the old ones left, and became a
+    decode runner; no prefill runner was left for 14 s.
+    """
+    balance, table = fleet(2, 3, 30_000)
+    assert not switches(balance, 10)
+    table.remove(ids.RunnerId('decode2'))
+    table.put(places_tests.listing('new', states.Role.PREFILL, port=20))
+    demand = demand_module.Demand(20_000.0, 90_000.0)
+    assert not switches(balance, 2.5, demand, start=10.0)
+    table.remove(ids.RunnerId('prefill0'))
+    assert not switches(balance, 2.5, demand, start=12.5)
+    table.remove(ids.RunnerId('prefill1'))
+    assert not switches(balance, 2.5, demand, start=15.0)
+    # The prefill runner that is left is not taken away later either.
+    assert not switches(balance, 20, demand, start=17.5)
+
+
 def test_full_decode_memory_takes_no_runner_from_decode():
     """Guards against a switch that halves what already limits the service.
 
