Use no notice of the store that an older answer made

Cause: an answer of the store that was long under way was taken to be newer than a notice that had arrived before it. (1) An instance accepted a peer's notice of an older revision and then told others that nothing had changed since, though it knew a later change. (2) It sent the changes of its older answer together with the newer revision that it had from a notice; peers adopted the revision without the change between.

Change: a notice of an older revision is not used, a known change is not denied, and changes are only sent with the revision that they are complete for.

--- a/primrosereel/gateway/_store_reader.py
+++ b/primrosereel/gateway/_store_reader.py
@@ -171,7 +171,10 @@
     def _send_notice(self, since: int, state: ports.StoreState) -> None:
         """Tell peers what was read, with the changes if they are small."""
         notice = self.notice()
-        if notice is not None and len(state.content) <= MAX_NOTICE_BYTES:
+        # An answer that is older than a notice lacks its changes.
+        is_newest = state.revision == self._watch_state.revision
+        is_small = len(state.content) <= MAX_NOTICE_BYTES
+        if notice is not None and is_newest and is_small:
             notice = notice._replace(since=since, content=state.content)
         self._context.send_store_notice(notice)
 
--- a/primrosereel/routing/_shared_watch.py
+++ b/primrosereel/routing/_shared_watch.py
@@ -109,6 +109,9 @@
         """Return what a peer's notice is good for."""
         if not self._revision or notice.confirmed_at <= self._confirmed_at:
             return NoticeUse.NOTHING
+        if notice.revision < self._revision:
+            # It was long under way, and knows less than this instance.
+            return NoticeUse.NOTHING
         if notice.unchanged_since <= self._revision:
             return NoticeUse.CONFIRMS
         if not notice.change_known:
@@ -119,9 +122,9 @@
 
     def accept(self, notice: Notice) -> None:
         """Adopt a notice that confirms or completes the own knowledge."""
-        if (
-            notice.unchanged_since > self._revision
-            or notice.unchanged_since < self._unchanged_since
+        if notice.unchanged_since > self._revision or (
+            notice.unchanged_since < self._unchanged_since
+            and not self._change_known
         ):
             self._unchanged_since = notice.unchanged_since
             self._change_known = notice.change_known
