--- a/primrosereel/gateway/_store_reader.py
+++ b/primrosereel/gateway/_store_reader.py
@@ -28,6 +28,9 @@
 # The share of the shorter bound that the pause between two watches takes, of
 # one instance or of all that see each other.
 PAUSE_SHARE = 0.35
+# Whether instances share what they read. Off: an instance of a fleet of 87
+# missed a configuration with it, and the cause is not known.
+SHARES_WATCH = False
 # Changes of up to this size are sent to peers; larger ones, such as whole
 # configurations, each instance reads from the store.
 MAX_NOTICE_BYTES = 1000
@@ -78,7 +81,7 @@
         A watch that waits tells peers nothing, so each of them would start
         one as well.
         """
-        if self._has_peers:
+        if SHARES_WATCH and self._has_peers:
             return 0.0
         return WATCH_SHARE * self._context.settings.stable_window_s
 
@@ -171,15 +174,19 @@
     def _send_notice(self, since: int, state: ports.StoreState) -> None:
         """Tell peers what was read, with the changes if they are small."""
         notice = self.notice()
+        if notice is None:
+            return
         # An answer that is older than a notice lacks its changes.
         is_newest = state.revision == self._watch_state.revision
         is_small = len(state.content) <= MAX_NOTICE_BYTES
-        if notice is not None and is_newest and is_small:
+        if is_newest and is_small:
             notice = notice._replace(since=since, content=state.content)
         self._context.send_store_notice(notice)
 
     def notice(self) -> shared_watch.Notice | None:
         """Return what this instance knows of the store, for its peers."""
+        if not SHARES_WATCH:
+            return None
         notice = self._watch_state.notice()
         ended_at = self._runner_list.outage_ended_at
         if notice is None or not math.isfinite(ended_at):
@@ -188,6 +195,8 @@
 
     def receive_notice(self, notice: shared_watch.Notice) -> None:
         """Use what a peer knows of the store."""
+        if not SHARES_WATCH:
+            return
         use = self._watch_state.classify(notice)
         if use is shared_watch.NoticeUse.NOTHING:
             return
