--- a/primrosereel/gateway/_admission.py
+++ b/primrosereel/gateway/_admission.py
@@ -81,9 +81,6 @@
             raise _no_capacity(exchange, wait_s)
         context.uses_changed()
         await _wait(exchange, ticket, admitted, limit_s)
-        if ticket.runner is None:
-            wait_s = places.expected_wait_s(ticket, context.clock())
-            raise _no_capacity(exchange, wait_s)
         exchange.record_step('queued_s', now)
     context.uses_changed()
     return ticket
@@ -105,9 +102,6 @@
     if ticket.runner is None:
         context.uses_changed()
         await _wait(exchange, ticket, admitted, limit_s)
-    if ticket.runner is None:
-        wait_s = context.places.expected_wait_s(ticket, context.clock())
-        raise _no_capacity(exchange, wait_s)
     context.uses_changed()
 
 
@@ -117,7 +111,7 @@
     admitted: anyio.Event,
     limit_s: float,
 ) -> None:
-    """Wait for a place; withdraw the ticket if none became free."""
+    """Wait for a place; withdraw the ticket and refuse if none is free."""
     context = exchange.context
     started_at = context.clock()
     next_update_at = started_at + PEER_UPDATE_INTERVAL_S
@@ -138,6 +132,8 @@
         raise
     if ticket.runner is None:
         _withdraw(exchange, ticket)
+        wait_s = context.places.expected_wait_s(ticket, context.clock())
+        raise _no_capacity(exchange, wait_s)
 
 
 def _withdraw(
--- a/primrosereel/gateway/_prompt.py
+++ b/primrosereel/gateway/_prompt.py
@@ -55,12 +55,13 @@
             runner = self._context.prefills.choose(decode, tokens, now)
             if runner is None:
                 break
-            if await self._prefill_at(runner, now):
-                return
-        self._context.count('prefill.at_decode')
+            if not await self._prefill_at(runner, now):
+                break
+        if self._handle is None:
+            self._context.count('prefill.at_decode')
 
     async def _prefill_at(self, runner: runners.Runner, now: float) -> bool:
-        """Return whether no other prefill runner is to be tried.
+        """Return whether another prefill runner may be tried.
 
         One that did not take the prompt is not chosen again for some time. A
         prefill that failed later may have been in vain, and is not repeated.
@@ -79,18 +80,16 @@
             ):
                 self._context.uses_changed()
                 await self._request_prefill(runner, now, tokens_ahead)
-            return True
         except upstream.NotSent as error:
             self._record_failure(runner, Retry.CONNECT_FAILED, str(error))
-            return False
+            return True
         except upstream.Rejected as error:
             return self._handle_rejection(runner, error)
         except http.BrokenResponse as error:
             self._record_failure(runner, Retry.PREFILL_FAILED, str(error))
         except TimeoutError:
             self._record_failure(runner, Retry.PREFILL_FAILED, 'timeout')
-        self._context.count('prefill.at_decode')
-        return True
+        return False
 
     def _record_failure(
         self, runner: runners.Runner, reason: states.RetryReason, detail: str
@@ -101,7 +100,7 @@
     def _handle_rejection(
         self, runner: runners.Runner, rejected: upstream.Rejected
     ) -> bool:
-        """Return whether no other prefill runner is to be tried."""
+        """Return whether another prefill runner may be tried."""
         exchange = self._exchange
         now = self._context.clock()
         reason = Retry.RUNNER_REPLACED
@@ -110,10 +109,7 @@
             runner.observe_rejection(now)
         exchange.record_failed_attempt(reason, runner, str(rejected))
         # The rejected call counts against the budget, and so does the next.
-        if self._context.budget.try_spend(exchange.service, now):
-            return False
-        self._context.count('prefill.at_decode')
-        return True
+        return self._context.budget.try_spend(exchange.service, now)
 
     async def _request_prefill(
         self, runner: runners.Runner, started_at: float, tokens_ahead: int
