Log the shared prompt parts and the progress of failed attempts

The logs named the engine that broke a stream, but not what the request had in common with others, nor whether the engine had begun to answer. So they could not tell a request that crashes engines from the bystanders of a crash, nor a repeat from a first attempt.

'attempt failed' now has the prompt's shared parts (all but the last, which belongs to the request or its session), the number of new events that the engine had sent, and the start of the engine's run.

--- a/primrosereel/_ids.py
+++ b/primrosereel/_ids.py
@@ -20,6 +20,7 @@
     'Incarnation',
     'InstanceId',
     'ModelId',
+    'PromptPartId',
     'Region',
     'RequestId',
     'Revision',
@@ -38,6 +39,7 @@
 Incarnation = NewType('Incarnation', int)
 InstanceId = NewType('InstanceId', str)
 ModelId = NewType('ModelId', str)
+PromptPartId = NewType('PromptPartId', str)
 Region = NewType('Region', str)
 RequestId = NewType('RequestId', str)
 Revision = NewType('Revision', int)
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -245,9 +245,17 @@
         )
 
     def record_failed_attempt(
-        self, reason: states.RetryReason, runner: runners.Runner, detail: str
+        self,
+        reason: states.RetryReason,
+        runner: runners.Runner,
+        detail: str,
+        events_received: int | None = None,
     ) -> None:
-        """Log and count a failed attempt with its reason."""
+        """Log and count a failed attempt with its reason.
+
+        ``events_received`` is the number of new events that the runner sent;
+        None for attempts that are no stream.
+        """
         self.context.count(f'retry.{reason.value}')
         now = self.context.clock()
         self.context.log.info(
@@ -262,6 +270,9 @@
             report=runner.report,
             report_age_s=_report_age_s(now - runner.reported_at),
             left_s=round(self.remaining_s, 3),
+            shared_parts=self.facts.shared_parts,
+            events_received=events_received,
+            born_ms=runner.listing.born_ms,
         )
 
 
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -68,6 +68,8 @@
         self._rejections = 0
         self._may_have_run = False
         self._head_sent = False
+        # New events that the current decode runner has sent.
+        self._events_received = 0
         self._connection: http.HttpConnection | None = None
         # The decode runner that is currently prefilling the prompt itself.
         self._local_prefill_runner: runners.Runner | None = None
@@ -248,7 +250,9 @@
         exchange = self._exchange
         route = exchange.route
         now = self._context.clock()
-        exchange.record_failed_attempt(Retry.STREAM_BROKEN, runner, detail)
+        exchange.record_failed_attempt(
+            Retry.STREAM_BROKEN, runner, detail, self._events_received
+        )
         self._place.exclude(runner)
         may_retry = route.repeatable and exchange.attempts < route.max_attempts
         if not may_retry:
@@ -262,6 +266,7 @@
         Returns False if the runner did not run the request.
         """
         started_at = self._context.clock()
+        self._events_received = 0
         try:
             response = await self._open_response(runner)
             if response is None:
@@ -433,23 +438,18 @@
             )
         splitter = events.EventSplitter()
         body = response.connection.body()
-        first = True
         event_at = self._context.clock()
         while True:
-            data = await self._next_part(body, first, event_at)
+            data = await self._next_part(body, event_at)
             if data is None:
                 break
-            if await self._send_events(head, splitter.feed(data)):
-                event_at = self._context.clock()
-            if first and self._progress.events:
-                first = False
-                self._set_local_prefill_runner(None)
-                if self._move is not None:
-                    self._move.first_event_sent = True
-                self._exchange.record_step('first_event_s', started_at)
-                runner.observe_success(
-                    self._context.clock() - started_at, self._context.clock()
-                )
+            sent = await self._send_events(head, splitter.feed(data))
+            if not sent:
+                continue
+            event_at = self._context.clock()
+            if not self._events_received:
+                self._record_first_event(runner, started_at)
+            self._events_received += sent
         if self._move is not None and await self._move.wait_until_moved():
             raise http.BrokenResponse('the stream was stopped for a move')
         if splitter.incomplete:
@@ -466,9 +466,18 @@
         self._exchange.record_served(runner.runner_id, head.status)
         return None
 
-    async def _next_part(
-        self, body, first: bool, event_at: float
-    ) -> bytes | None:
+    def _record_first_event(
+        self, runner: runners.Runner, started_at: float
+    ) -> None:
+        """Record that a runner began to write its part of the stream."""
+        now = self._context.clock()
+        self._set_local_prefill_runner(None)
+        if self._move is not None:
+            self._move.first_event_sent = True
+        self._exchange.record_step('first_event_s', started_at)
+        runner.observe_success(now - started_at, now)
+
+    async def _next_part(self, body, event_at: float) -> bytes | None:
         """Return the next bytes; None at the end of the stream.
 
         The time limit counts from ``event_at``, when the last event arrived:
@@ -481,7 +490,7 @@
         limit_s = math.inf
         if may_repeat:
             limit_s = timeouts.stream_gap_s(route)
-            if first:
+            if not self._events_received:
                 limit_s = timeouts.first_event_s(route)
         left_s = max(0.0, event_at + limit_s - self._context.clock())
         try:
@@ -494,15 +503,15 @@
 
     async def _send_events(
         self, head: http.ResponseHead, received: list[bytes]
-    ) -> bool:
-        """Forward events; return whether one of them was new."""
+    ) -> int:
+        """Forward the events that are new; return their number."""
         new_events = [
             event for event in received if self._progress.accept(event)
         ]
         if new_events:
             await self._send_head(head)
             await self._caller.send_part(b''.join(new_events))
-        return bool(new_events)
+        return len(new_events)
 
     async def _send_head(self, head: http.ResponseHead) -> None:
         """Send the response head to the caller, once.
--- a/primrosereel/platform/_dialect.py
+++ b/primrosereel/platform/_dialect.py
@@ -18,6 +18,7 @@
 LAST_EVENT_ID = b'last-event-id'
 LENGTH_HINT = b'length-hint'
 TOKEN_USAGE = b'token-usage'
+PROMPT_PREFIX = b'prompt-prefix'
 SIGNATURE = b'instance-signature'
 # Present when the runner did not run the request; the value is ignored.
 NOT_RUN = b'not-executed'
@@ -46,6 +47,9 @@
     }
 )
 HIGHEST_PRIORITY = 9
+# Longer lists of parts, and longer ids, are not decoded.
+MAX_PROMPT_PARTS = 64
+MAX_PART_ID_LENGTH = 32
 
 
 class _PrefillBody(msgspec.Struct, rename='camel'):
@@ -79,6 +83,7 @@
             output_tokens=output,
             last_event_id=None if event_id is None else int(event_id),
             length_hint=None if hint is None else int(hint),
+            shared_parts=_parse_shared_parts(values.get(PROMPT_PREFIX, b'')),
         )
 
     def forwarded(self, headers: Headers) -> list[tuple[bytes, bytes]]:
@@ -234,6 +239,19 @@
     )
 
 
+def _parse_shared_parts(value: bytes) -> tuple[ids.PromptPartId, ...]:
+    """Return the ids of ``ID:TOKENS,...`` without the last entry.
+
+    The last part belongs to the request or its session only. A list that is
+    not valid has no parts.
+    """
+    entries = value.split(b',', MAX_PROMPT_PARTS)[:-1]
+    parts = [entry.strip().partition(b':')[0].lower() for entry in entries]
+    if any(not 0 < len(part) <= MAX_PART_ID_LENGTH for part in parts):
+        return ()
+    return tuple(ids.PromptPartId(_decode_latin1(part)) for part in parts)
+
+
 def _parse_load(value: bytes | None) -> model.LoadReport | None:
     """Decode ``running,waiting,slots[,percent]``.
 
--- a/primrosereel/routing/_model.py
+++ b/primrosereel/routing/_model.py
@@ -161,6 +161,8 @@
     last_event_id: int | None = None
     # The caller's estimate of the output tokens; often inaccurate.
     length_hint: int | None = None
+    # The parts of the prompt that other requests may share, in order.
+    shared_parts: tuple[ids.PromptPartId, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/property/test_fuzz_platform.py
+++ b/tests/property/test_fuzz_platform.py
@@ -172,6 +172,7 @@
                 b'Token-Usage',
                 b'Last-Event-Id',
                 b'Length-Hint',
+                b'Prompt-Prefix',
                 b'Instance-Load',
                 b'Not-Executed',
                 b'Content-Encoding',
@@ -186,11 +187,30 @@
     facts = dialect.request_facts(list(headers.items()))
     assert facts.deadline_s is None or facts.deadline_s >= 0
     assert facts.prompt_tokens >= 0
+    assert all(facts.shared_parts)
     answer = dialect.response_facts(200, list(headers.items()))
     assert answer.not_run == (b'Not-Executed' in headers)
     assert answer.load is None or answer.load.slots >= 0
 
 
+@pytest.mark.parametrize(
+    ('value', 'parts'),
+    [
+        (b'5c1e07a2:800,91bd3f06:410,e4402b7d:250', ('5c1e07a2', '91bd3f06')),
+        (b' 5C1E07A2:800 , e4402b7d:250', ('5c1e07a2',)),
+        (b'e4402b7d:250', ()),
+        (b'', ()),
+        (b',e4402b7d:250', ()),
+        (b'5c' * 40 + b':800,e4402b7d:250', ()),
+        (b'a:1,' * 1000 + b'b:1', ('a',) * 64),
+    ],
+)
+def test_the_last_prompt_part_is_not_shared(value, parts):
+    """Guards against a part of one request that counts as shared."""
+    facts = platform.Dialect().request_facts([(b'Prompt-Prefix', value)])
+    assert facts.shared_parts == parts
+
+
 @given(
     st.binary(max_size=60)
     | JSON_VALUES.map(lambda value: repr(value).encode())
