Reproduce requests that crash runner after runner

The stand-in of a runner can crash when it begins a stream whose prompt has a given shared part: its connections end, its port refuses for restart_s, and it starts again with another start time.

--- a/primrosereel/standin/_listed_runner.py
+++ b/primrosereel/standin/_listed_runner.py
@@ -8,6 +8,7 @@
 
 import collections
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import dataclasses
 import enum
 from typing import Any
@@ -44,7 +45,9 @@
     """Properties of a runner; ``stage`` is None for a plain one.
 
     A stream has ``events`` events, one every ``event_s``. ``work_s`` is the
-    duration of a prefill or a plain call, ``copy_s`` that of a copy.
+    duration of a prefill or a plain call, ``copy_s`` that of a copy. A decode
+    runner crashes when it begins a stream whose prompt has ``deadly_part``,
+    and is back ``restart_s`` later.
     """
 
     runner: str
@@ -55,6 +58,8 @@
     work_s: float = 0.01
     copy_s: float = 0.0
     slots: int = 8
+    deadly_part: str | None = None
+    restart_s: float = 0.3
 
 
 class ListedRunner:
@@ -82,6 +87,9 @@
         self.moves: list[dict[str, Any]] = []
         self.last_event_ids: dict[str, int] = {}
         self.stopped_streams: set[str] = set()
+        self.born_ms = 1_700_000_000_000
+        self.crashes = 0
+        self.on_crash: Callable[[], None] = lambda: None
 
     def entry(self, state: str = 'ready') -> dict[str, object]:
         """Return the runner's entry in the metadata store."""
@@ -95,7 +103,7 @@
             'state': state,
             'coldRemainingMs': 0,
             'sequence': 1,
-            'born': 1_700_000_000_000,
+            'born': self.born_ms,
         }
         if options.stage is not None:
             entry['stage'] = options.stage
@@ -159,6 +167,8 @@
             headers.append((b'Content-Type', b'text/event-stream'))
             first = int(request.headers.get('last-event-id', '0')) + 1
             parts = self._stream_events(request_id, first, fault)
+            if self._is_deadly(request):
+                parts = self._crash()
             return raw_http.Answer(200, headers, parts=parts)
         await anyio.sleep(self.options.work_s)
         if fault is Fault.RESET_AFTER_RUN:
@@ -173,6 +183,22 @@
             trailing = _second_answer(request_id)
         return raw_http.Answer(200, headers, body, trailing=trailing)
 
+    def _is_deadly(self, request: raw_http.Request) -> bool:
+        parts = request.headers.get('prompt-prefix', '').split(',')[:-1]
+        return any(
+            part.partition(':')[0] == self.options.deadly_part
+            for part in parts
+        )
+
+    async def _crash(self) -> AsyncIterator[bytes]:
+        """Crash instead of sending the first event."""
+        self.crashes += 1
+        self.born_ms += 1
+        self.on_crash()
+        self.server.crash(self.options.restart_s)
+        await anyio.sleep_forever()
+        yield b''
+
     def _response_headers(self, request_id: str) -> raw_http.Headers:
         return [
             (b'Request-Id', request_id.encode()),
--- a/primrosereel/standin/_raw_http.py
+++ b/primrosereel/standin/_raw_http.py
@@ -67,6 +67,9 @@
         self._on_disconnect: Callable[[Request], None] = lambda _: None
         self.port = 0
         self.connections = 0
+        self._run = anyio.CancelScope()
+        # The pause before the server listens again after a crash.
+        self._restart_s: float | None = None
 
     def on_disconnect(self, callback: Callable[[Request], None]) -> None:
         """Set a callback for a caller that leaves during its request."""
@@ -82,13 +85,23 @@
 
         Port 0 selects a free one.
         """
-        listener = await anyio.create_tcp_listener(
-            local_host='127.0.0.1', local_port=port
-        )
+        listener = await _listen(port)
         self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
         task_status.started(self.port)
-        async with listener:
-            await listener.serve(self._serve_connection)
+        while True:
+            with anyio.CancelScope() as self._run:
+                async with listener:
+                    await listener.serve(self._serve_connection)
+            if self._restart_s is None:
+                return
+            await anyio.sleep(self._restart_s)
+            self._restart_s = None
+            listener = await _listen(self.port)
+
+    def crash(self, restart_s: float) -> None:
+        """Close all connections and refuse new ones for some seconds."""
+        self._restart_s = restart_s
+        self._run.cancel()
 
     async def _serve_connection(self, stream: anyio.abc.SocketStream) -> None:
         self.connections += 1
@@ -153,6 +166,13 @@
         await stream.send(parser.send(h11.EndOfMessage()) + answer.trailing)
 
 
+async def _listen(port: int) -> anyio.abc.SocketListener:
+    multi = await anyio.create_tcp_listener(
+        local_host='127.0.0.1', local_port=port
+    )
+    return multi.listeners[0]
+
+
 async def _read_request(stream, parser) -> Request | None:
     head = None
     body = b''
