Quarantine prompt parts under which runners crash

What callers saw: requests of one kind crashed each decode runner that began to answer them, one after the other, for as long as they came.

Cause: the router kept what it learnt of a crash with the runner only. A runner that crashed is avoided, but the request that crashed it, and those that share its prompt, were sent to the next runner by whichever instance received them. It is the class of poison messages ("query of death").

The other hypotheses fall: the crashes have a request in common, and most follow a first attempt, not a repeat.

Change: crashes are counted for the shared parts of the prompts that a crashed runner had not answered (routing/_prompt_quarantine.py). An answer clears the parts of its prompt. After two independent crashes the part is quarantined at all instances: requests with it are refused with 503 before anything is sent, with the time that is left as Retry-After. Instances send each other the evidence at once and with gossip, so that a restarted one knows it. A stream counts as lost to a crash only if the runner's port then refuses connections. A stream that ends without any event is broken.

Why it works: the deadly part is in each crash and in no answer. A part that sound requests share is answered and cleared; until then it blocks no request that lacks another suspect to which all its crashes can be due.

--- a/primrosereel/_states.py
+++ b/primrosereel/_states.py
@@ -35,6 +35,7 @@
     BODY_TOO_LARGE = 'body_too_large'
     HEADERS_TOO_LARGE = 'headers_too_large'
     PROMPT_TOO_LARGE = 'prompt_too_large'
+    PROMPT_QUARANTINED = 'prompt_quarantined'
     TOO_MANY_CONNECTIONS = 'too_many_connections'
     UNAUTHENTICATED = 'unauthenticated'
     PRIORITY_NOT_ALLOWED = 'priority_not_allowed'
--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -16,6 +16,7 @@
 from primrosereel import _registry as registry
 from primrosereel.gateway import _callers as callers
 from primrosereel.gateway import _context as context_module
+from primrosereel.gateway import _crash_reports as crash_reports_module
 from primrosereel.gateway import _leave_callbacks as leave_callbacks
 from primrosereel.gateway import _orders as orders
 from primrosereel.gateway import _peers as peers
@@ -30,6 +31,7 @@
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _members as members_module
 from primrosereel.routing import _model as model
+from primrosereel.routing import _prompt_quarantine as prompt_quarantine
 from primrosereel.routing import _retry_budget as retry_budget
 from primrosereel.routing import _runners as runners
 from primrosereel.routing import _shards as shards_module
@@ -129,14 +131,17 @@
                 settings.memory_bytes
             ),
             log=log,
+            quarantine=prompt_quarantine.PromptQuarantine(random_source),
         )
+        crash_reports = crash_reports_module.CrashReports(self._context)
         self._reader = store_reader.StoreReader(
             self._context, make_store(store_client.StoreClient(settings.store))
         )
-        self._server = server_module.Server(self._context)
-        self._peers = peers.Peers(self._context, self._reader)
+        self._server = server_module.Server(self._context, crash_reports)
+        self._peers = peers.Peers(self._context, self._reader, crash_reports)
         self._orders = orders.Orders(self._context)
         self._context.uses_changed = self._peers.notify_uses_changed
+        self._context.crash_evidence_changed = self._peers.send_crash_evidence
         self._context.send_store_notice = self._peers.send_store_notice
         self._cut_at = math.inf
         self._max_instances_seen = INSTANCES_PER_SEED * max(
@@ -226,6 +231,10 @@
         metrics.gauge('runners', len(context.runners))
         metrics.gauge('peers', context.ledger.peer_count(now))
         metrics.gauge('members', len(context.members))
+        metrics.gauge(
+            'quarantined_prompt_parts',
+            len(context.quarantine.quarantined(now)),
+        )
         if context.table is not None:
             metrics.gauge('configuration_version', context.table.version)
         body, content_type = metrics.render()
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -22,6 +22,7 @@
 from primrosereel.routing import _model as model
 from primrosereel.routing import _placement as placement
 from primrosereel.routing import _prefill_plan as prefill_plan
+from primrosereel.routing import _prompt_quarantine as prompt_quarantine
 from primrosereel.routing import _retry_budget as retry_budget
 from primrosereel.routing import _runners as runners
 from primrosereel.routing import _shards as shards_module
@@ -59,6 +60,7 @@
     pool: pool_module.ConnectionPool
     response_memory: response_memory_module.ResponseMemory
     log: Any
+    quarantine: prompt_quarantine.PromptQuarantine
     demand: demand_module.DemandMeter = dataclasses.field(
         default_factory=demand_module.DemandMeter
     )
@@ -75,6 +77,8 @@
     )
     # Called when this instance's use of the engines changed.
     uses_changed: Callable[[], None] = lambda: None
+    # Called when peers should be told which prompts crash runners.
+    crash_evidence_changed: Callable[[], None] = lambda: None
     # Called with what this instance has read from the store.
     send_store_notice: Callable[[shared_watch.Notice | None], None] = (
         lambda _: None
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -8,6 +8,7 @@
 from primrosereel.gateway import _admission as admission
 from primrosereel.gateway import _callers as callers
 from primrosereel.gateway import _context as context_module
+from primrosereel.gateway import _crash_reports as crash_reports_module
 from primrosereel.gateway import _held_place as held_place
 from primrosereel.gateway import _http as http
 from primrosereel.gateway import _prompt as prompt_module
@@ -16,6 +17,7 @@
 from primrosereel.routing import _decode_places as decode_places
 from primrosereel.routing import _events as events
 from primrosereel.routing import _model as model
+from primrosereel.routing import _prompt_quarantine as prompt_quarantine
 from primrosereel.routing import _runners as runners
 from primrosereel.routing import _timeouts as timeouts
 
@@ -58,10 +60,12 @@
         self,
         exchange: context_module.Exchange,
         caller: callers.CallerConnection,
+        crash_reports: crash_reports_module.CrashReports,
     ) -> None:
         self._exchange = exchange
         self._context = exchange.context
         self._caller = caller
+        self._crash_reports = crash_reports
         self._progress = events.StreamProgress(exchange.facts.last_event_id)
         self._place = held_place.HeldPlace(exchange)
         self._prompt = prompt_module.Prompt(exchange)
@@ -70,6 +74,7 @@
         self._head_sent = False
         # New events that the current decode runner has sent.
         self._events_received = 0
+        self._answer_recorded = False
         self._connection: http.HttpConnection | None = None
         # The decode runner that is currently prefilling the prompt itself.
         self._local_prefill_runner: runners.Runner | None = None
@@ -84,7 +89,9 @@
         self._count_request()
         try:
             with anyio.fail_after(exchange.remaining_s):
+                self._check_quarantine()
                 await self._acquire_place()
+                self._check_quarantine()
                 await self._prefill()
                 return await self._stream_until_complete()
         except RequestEnded as ended:
@@ -115,6 +122,13 @@
             now,
         )
 
+    def _check_quarantine(self) -> None:
+        """End a request whose prompt is known to crash runners."""
+        try:
+            self._crash_reports.check(self._exchange)
+        except admission.Refused as refused:
+            raise RequestEnded(self._admission_reply(refused)) from refused
+
     async def _acquire_place(self) -> None:
         """Acquire a place at a reachable decode runner.
 
@@ -185,10 +199,15 @@
         """Stream from decode runners until the stream is complete."""
         while True:
             runner = await self._choose_decode_runner()
+            self._check_quarantine()
             try:
                 if await self._stream_from(runner):
                     return True
             except StreamBroken as error:
+                if isinstance(error.__cause__, http.BrokenResponse):
+                    await self._crash_reports.observe_lost_stream(
+                        self._exchange, runner, self._events_received
+                    )
                 self._handle_broken_stream(runner, str(error))
             except StreamMoved:
                 self._resume_from = self._move
@@ -436,6 +455,26 @@
             raise http.BrokenResponse(
                 'the response is unsigned or has a content encoding'
             )
+        await self._read_events(response, runner, started_at)
+        await self._send_head(head)
+        await self._caller.finish()
+        facts = self._exchange.facts
+        self._exchange.steps.update(
+            prompt_tokens=facts.prompt_tokens,
+            output_tokens=facts.output_tokens,
+            events=self._progress.events,
+            last_event=self._progress.last_id or 0,
+        )
+        self._exchange.record_served(runner.runner_id, head.status)
+        return None
+
+    async def _read_events(
+        self,
+        response: upstream.OpenResponse,
+        runner: runners.Runner,
+        started_at: float,
+    ) -> None:
+        """Forward events until the stream is complete."""
         splitter = events.EventSplitter()
         body = response.connection.body()
         event_at = self._context.clock()
@@ -443,28 +482,23 @@
             data = await self._next_part(body, event_at)
             if data is None:
                 break
-            sent = await self._send_events(head, splitter.feed(data))
+            sent = await self._send_events(response.head, splitter.feed(data))
             if not sent:
                 continue
             event_at = self._context.clock()
             if not self._events_received:
                 self._record_first_event(runner, started_at)
             self._events_received += sent
+            if self._events_received >= prompt_quarantine.PROVEN_EVENTS:
+                self._record_answer()
         if self._move is not None and await self._move.wait_until_moved():
             raise http.BrokenResponse('the stream was stopped for a move')
         if splitter.incomplete:
             raise http.BrokenResponse('the stream ended inside an event')
-        await self._send_head(head)
-        await self._caller.finish()
-        facts = self._exchange.facts
-        self._exchange.steps.update(
-            prompt_tokens=facts.prompt_tokens,
-            output_tokens=facts.output_tokens,
-            events=self._progress.events,
-            last_event=self._progress.last_id or 0,
-        )
-        self._exchange.record_served(runner.runner_id, head.status)
-        return None
+        if self._progress.last_id is None and not self._progress.events:
+            raise http.BrokenResponse('the stream ended without an event')
+        if self._events_received:
+            self._record_answer()
 
     def _record_first_event(
         self, runner: runners.Runner, started_at: float
@@ -477,6 +511,12 @@
         self._exchange.record_step('first_event_s', started_at)
         runner.observe_success(now - started_at, now)
 
+    def _record_answer(self) -> None:
+        """Record once that a runner can answer the prompt."""
+        if not self._answer_recorded:
+            self._answer_recorded = True
+            self._crash_reports.observe_answer(self._exchange)
+
     async def _next_part(self, body, event_at: float) -> bytes | None:
         """Return the next bytes; None at the end of the stream.
 
--- a/primrosereel/gateway/_http.py
+++ b/primrosereel/gateway/_http.py
@@ -19,6 +19,7 @@
 __all__ = [
     'BrokenResponse',
     'ConnectFailed',
+    'ConnectRefused',
     'HttpConnection',
     'HttpError',
     'OutgoingRequest',
@@ -64,6 +65,10 @@
     """No connection was established, so nothing was sent."""
 
 
+class ConnectRefused(ConnectFailed):
+    """No process listens at the address."""
+
+
 class BrokenResponse(HttpError):
     """The connection ended, or the response is invalid, after sending."""
 
@@ -105,7 +110,9 @@
         with anyio.fail_after(timeout_s):
             stream = await anyio.connect_tcp(address.host, address.port)
     except (OSError, TimeoutError) as error:
-        raise ConnectFailed(f'{address}: {error!r}') from error
+        refused = isinstance(error.__cause__, ConnectionRefusedError)
+        failure = ConnectRefused if refused else ConnectFailed
+        raise failure(f'{address}: {error!r}') from error
     set_socket_options(stream)
     return HttpConnection(stream, address)
 
--- a/primrosereel/gateway/_peers.py
+++ b/primrosereel/gateway/_peers.py
@@ -18,9 +18,11 @@
 from primrosereel import _ids as ids
 from primrosereel import _states as states
 from primrosereel.gateway import _context as context_module
+from primrosereel.gateway import _crash_reports as crash_reports_module
 from primrosereel.gateway import _store_reader as store_reader
 from primrosereel.routing import _demand as demand
 from primrosereel.routing import _ledger as ledger_module
+from primrosereel.routing import _prompt_quarantine as prompt_quarantine
 from primrosereel.routing import _shared_watch as shared_watch
 
 __all__ = ['Peers']
@@ -59,6 +61,15 @@
     outage_ended_age_ms: int | None = None
 
 
+class _Suspect(msgspec.Struct, array_like=True):
+    """A prompt part under which runners crashed."""
+
+    part: str
+    # Runner, start of its run in Unix ms, and age of the crash in ms.
+    crashes: list[tuple[str, int, int]]
+    answered_age_ms: int | None
+
+
 class _Datagram(msgspec.Struct, array_like=True):
     version: int
     instance: str
@@ -81,6 +92,7 @@
     # its streams would take.
     demands: list[tuple[str, int, int]] = []
     store: _StoreNotice | None = None
+    suspects: list[_Suspect] = []
 
 
 class Peers:
@@ -90,9 +102,14 @@
         self,
         context: context_module.Context,
         reader: store_reader.StoreReader,
+        crash_reports: crash_reports_module.CrashReports,
     ) -> None:
         self._context = context
         self._reader = reader
+        self._crash_reports = crash_reports
+        # Whether the next datagram goes to all members, with the evidence
+        # about prompts that crash runners.
+        self._crash_evidence_unsent = False
         # Content of the store that is sent with the next datagram.
         self._unsent_notice: shared_watch.Notice | None = None
         self._members = context.members
@@ -118,6 +135,11 @@
         self._unsent_notice = notice
         self._changed.set()
 
+    def send_crash_evidence(self) -> None:
+        """Schedule a datagram on prompts that crash runners."""
+        self._crash_evidence_unsent = True
+        self._changed.set()
+
     async def run(self) -> None:
         """Exchange datagrams until cancelled."""
         own_address = self._context.settings.peer
@@ -138,7 +160,18 @@
                 self._changed = anyio.Event()
                 targets = self._shard_hosts() | self._other_shard_hosts()
                 notice, self._unsent_notice = self._unsent_notice, None
-                await self._send(socket, targets, notice=notice)
+                tell_all, self._crash_evidence_unsent = (
+                    self._crash_evidence_unsent,
+                    False,
+                )
+                if tell_all:
+                    targets |= {member.host for member in self._members}
+                await self._send(
+                    socket,
+                    targets,
+                    notice=notice,
+                    with_crash_evidence=tell_all,
+                )
 
     async def _send_heartbeats(self, socket: anyio.abc.UDPSocket) -> None:
         context = self._context
@@ -175,6 +208,7 @@
             self._members.sample(GOSSIP_TARGETS, context.random),
             self._gossip_members(now),
             free_memory,
+            with_crash_evidence=True,
         )
 
     async def _update_new_members(self, socket: anyio.abc.UDPSocket) -> None:
@@ -186,7 +220,12 @@
             new_members, self._new_members = self._new_members, set()
             self._update_shards()
             now = self._context.clock()
-            await self._send(socket, new_members, self._gossip_members(now))
+            await self._send(
+                socket,
+                new_members,
+                self._gossip_members(now),
+                with_crash_evidence=True,
+            )
 
     def _update_shards(self) -> None:
         context = self._context
@@ -254,6 +293,7 @@
         members: dict[str, list[tuple[str, int]]] | None = None,
         free_memory: Iterable[tuple[str, int]] = (),
         notice: shared_watch.Notice | None = None,
+        with_crash_evidence: bool = False,
     ) -> None:
         context = self._context
         own_address = context.settings.peer
@@ -284,6 +324,7 @@
                 _encode_notice(
                     notice or self._reader.notice(), context.clock()
                 ),
+                self._suspects() if with_crash_evidence else [],
             )
         )
         for host in sorted(set(targets) - {own_address.host}):
@@ -296,6 +337,13 @@
                     'datagram not sent', host=host, detail=repr(error)
                 )
 
+    def _suspects(self) -> list[_Suspect]:
+        now = self._context.clock()
+        return [
+            _encode_evidence(evidence, now)
+            for evidence in self._context.quarantine.evidence(now)
+        ]
+
     def _demands(self) -> list[tuple[str, int, int]]:
         context = self._context
         demands = context.demand.demands(
@@ -341,6 +389,10 @@
         )
         if datagram.store is not None:
             self._reader.receive_notice(_decode_notice(datagram.store, now))
+        if datagram.suspects:
+            self._crash_reports.receive(
+                _decode_evidence(suspect, now) for suspect in datagram.suspects
+            )
         context.ledger.apply(_peer_report(datagram), now)
         if context.places.waiting_count:
             context.places.admit(now)
@@ -382,6 +434,37 @@
     )
 
 
+def _encode_evidence(
+    evidence: prompt_quarantine.PartEvidence, now: float
+) -> _Suspect:
+    crashes = [
+        (str(crash.runner), crash.born_ms, int(1000 * (now - at)))
+        for crash, at in evidence.crashed_at.items()
+    ]
+    answered_age_ms = None
+    if evidence.answered_at > -math.inf:
+        answered_age_ms = int(1000 * (now - evidence.answered_at))
+    return _Suspect(evidence.part, crashes, answered_age_ms)
+
+
+def _decode_evidence(
+    suspect: _Suspect, now: float
+) -> prompt_quarantine.PartEvidence:
+    answered_at = -math.inf
+    if suspect.answered_age_ms is not None:
+        answered_at = now - max(0, suspect.answered_age_ms) / 1000
+    return prompt_quarantine.PartEvidence(
+        ids.PromptPartId(suspect.part),
+        {
+            # A negative age would keep the part quarantined for too long.
+            prompt_quarantine.Crash(ids.RunnerId(runner), born_ms): now
+            - max(0, age_ms) / 1000
+            for runner, born_ms, age_ms in suspect.crashes
+        },
+        answered_at,
+    )
+
+
 def _peer_report(datagram: _Datagram) -> ledger_module.PeerReport:
     uses = {
         ids.RunnerId(runner): ledger_module.Use(
--- a/primrosereel/gateway/_server.py
+++ b/primrosereel/gateway/_server.py
@@ -6,6 +6,7 @@
 from primrosereel import _states as states
 from primrosereel.gateway import _callers as callers
 from primrosereel.gateway import _context as context_module
+from primrosereel.gateway import _crash_reports as crash_reports_module
 from primrosereel.gateway import _generation as generation
 from primrosereel.gateway import _http as http
 from primrosereel.gateway import _plain as plain
@@ -19,8 +20,13 @@
 class Server:
     """Serves callers' connections."""
 
-    def __init__(self, context: context_module.Context) -> None:
+    def __init__(
+        self,
+        context: context_module.Context,
+        crash_reports: crash_reports_module.CrashReports,
+    ) -> None:
         self._context = context
+        self._crash_reports = crash_reports
         self._started_at = context.clock()
         self._connections: set[callers.CallerConnection] = set()
 
@@ -110,7 +116,10 @@
             await connection.reply(routed)
             return True
         if routed.route.kind is model.RouteKind.STREAMING:
-            return await generation.Generation(routed, connection).serve()
+            handler = generation.Generation(
+                routed, connection, self._crash_reports
+            )
+            return await handler.serve()
         await connection.reply(await plain.PlainCall(routed).serve())
         return True
 
--- a/primrosereel/gateway/_upstream.py
+++ b/primrosereel/gateway/_upstream.py
@@ -21,6 +21,7 @@
     'connect_or_reuse',
     'count_in_flight',
     'open_response',
+    'refuses_connections',
 ]
 
 # The time limit of a TCP handshake. A reachable runner accepts within a few
@@ -91,6 +92,18 @@
         raise NotSent(str(error)) from error
 
 
+async def refuses_connections(runner: runners.Runner) -> bool:
+    """Tell whether no process listens at a runner's address."""
+    try:
+        connection = await http.connect(
+            runner.listing.address, CONNECT_TIMEOUT_S
+        )
+    except http.ConnectFailed as error:
+        return isinstance(error, http.ConnectRefused)
+    await connection.close()
+    return False
+
+
 async def connect_or_reuse(
     exchange: context_module.Exchange, runner: runners.Runner
 ) -> http.HttpConnection:
--- a/primrosereel/standin/_raw_http.py
+++ b/primrosereel/standin/_raw_http.py
@@ -166,7 +166,9 @@
         await stream.send(parser.send(h11.EndOfMessage()) + answer.trailing)
 
 
-async def _listen(port: int) -> anyio.abc.SocketListener:
+async def _listen(
+    port: int,
+) -> anyio.abc.Listener[anyio.abc.SocketStream]:
     multi = await anyio.create_tcp_listener(
         local_host='127.0.0.1', local_port=port
     )
--- /dev/null
+++ b/tests/property/test_prompt_quarantine.py
@@ -0,0 +1,210 @@
+"""Prompt parts under which runners crash are found and refused."""
+
+import itertools
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from primrosereel import _ids as ids
+from primrosereel.routing import _prompt_quarantine as prompt_quarantine
+
+SYSTEM, DEAD, OTHER, RARE = map(
+    ids.PromptPartId, ['system', 'dead', 'other', 'rare']
+)
+# The time between crashes, longer than what counts as one cause.
+STEP_S = 1.0
+DURATION_LIMIT_S = prompt_quarantine.QUARANTINE_S * (
+    1 + prompt_quarantine.DURATION_JITTER
+)
+
+
+def crash(number):
+    return prompt_quarantine.Crash(ids.RunnerId(f'r{number}'), number)
+
+
+def make_quarantine(seed=1):
+    return prompt_quarantine.PromptQuarantine(random.Random(seed))
+
+
+def crash_under(quarantine, crashes, *parts):
+    """Record crashes STEP_S apart; return the time of the last one."""
+    for number in range(crashes):
+        quarantine.observe_crash(parts, crash(number), number * STEP_S)
+    return (crashes - 1) * STEP_S
+
+
+def test_part_of_two_crashed_requests_is_refused():
+    """Guards against requests that are sent to runner after runner."""
+    quarantine = make_quarantine()
+    now = crash_under(quarantine, 1, SYSTEM, DEAD)
+    assert quarantine.blocking_part([SYSTEM, DEAD], now) is None
+    now = crash_under(quarantine, 2, SYSTEM, DEAD)
+    assert quarantine.blocking_part([SYSTEM, DEAD], now) is not None
+    assert quarantine.remaining_s(DEAD, now) >= prompt_quarantine.QUARANTINE_S
+
+
+def test_part_that_sound_requests_share_does_not_block_them():
+    """Guards against a caller that loses all service with one bad prompt.
+
+    The system prompt was in each crash, and no answer to it is known.
+    """
+    quarantine = make_quarantine()
+    now = crash_under(quarantine, 3, SYSTEM, DEAD)
+    assert quarantine.blocking_part([SYSTEM], now) is None
+    assert quarantine.blocking_part([SYSTEM, OTHER], now) is None
+    quarantine.observe_answer([SYSTEM, OTHER], now)
+    assert quarantine.quarantined(now) == {DEAD}
+    assert quarantine.blocking_part([DEAD, OTHER], now) == DEAD
+
+
+def test_part_that_crashes_without_the_other_suspect_is_refused():
+    """Guards against a deadly part that hides behind a harmless one.
+
+    All crashes had both parts at first, and the harmless one could be the
+    cause; a crash without it tells them apart.
+    """
+    quarantine = make_quarantine()
+    now = crash_under(quarantine, 2, SYSTEM, DEAD)
+    assert quarantine.blocking_part([DEAD, OTHER], now) is None
+    now += STEP_S
+    quarantine.observe_crash([DEAD, OTHER], crash(9), now)
+    assert quarantine.blocking_part([DEAD, OTHER], now) == DEAD
+    assert quarantine.blocking_part([DEAD, RARE], now) == DEAD
+
+
+def test_answers_between_crashes_clear_a_part():
+    """Guards against a common part that is blamed as a bystander.
+
+    Runners crash for another reason, and each time a request with the common
+    part was waiting there.
+    """
+    quarantine = make_quarantine()
+    for number in range(20):
+        now = number * STEP_S
+        quarantine.observe_crash([SYSTEM], crash(number), now)
+        assert quarantine.blocking_part([SYSTEM], now) is None
+        quarantine.observe_answer([SYSTEM], now + STEP_S / 2)
+
+
+def test_answered_part_is_refused_after_more_crashes():
+    """Guards against an answered part that is never found to be deadly."""
+    quarantine = make_quarantine()
+    quarantine.observe_answer([SYSTEM], -1.0)
+    crashes = prompt_quarantine.MIN_CRASHES_IF_PROVEN
+    now = crash_under(quarantine, crashes - 1, SYSTEM)
+    assert quarantine.blocking_part([SYSTEM], now) is None
+    now = crash_under(quarantine, crashes, SYSTEM)
+    assert quarantine.blocking_part([SYSTEM], now) == SYSTEM
+
+
+@pytest.mark.parametrize('runners', [2, 5, 40])
+def test_loss_of_several_runners_at_once_blames_no_part(runners):
+    """Guards against a power failure that is taken for a deadly prompt.
+
+    Requests with the common part waited at all lost runners.
+    """
+    quarantine = make_quarantine()
+    for number in range(runners):
+        quarantine.observe_crash([SYSTEM], crash(number), number * 0.001)
+    assert quarantine.blocking_part([SYSTEM], 1.0) is None
+
+
+def test_one_crash_that_several_instances_report_counts_once():
+    """Guards against a part that is refused after a single crash."""
+    quarantine = make_quarantine()
+    for number in range(5):
+        quarantine.merge(
+            [
+                prompt_quarantine.PartEvidence(
+                    DEAD, {crash(1): number * STEP_S}, -float('inf')
+                )
+            ]
+        )
+    assert quarantine.blocking_part([DEAD], 5 * STEP_S) is None
+
+
+def test_quarantine_ends_and_one_more_crash_renews_it_for_longer():
+    """Guards against a part that is refused for ever, or tried too often."""
+    quarantine = make_quarantine()
+    last_at = crash_under(quarantine, 2, DEAD)
+    first_s = quarantine.remaining_s(DEAD, last_at)
+    assert first_s <= DURATION_LIMIT_S
+    now = last_at + first_s + STEP_S
+    assert quarantine.blocking_part([DEAD], now) is None
+    quarantine.evidence(now)
+    quarantine.observe_crash([DEAD], crash(7), now)
+    assert quarantine.blocking_part([DEAD], now) == DEAD
+    assert quarantine.remaining_s(DEAD, now) == pytest.approx(2 * first_s)
+    later = now + 100 * DURATION_LIMIT_S
+    quarantine.evidence(later)
+    assert quarantine.crash_count(DEAD) == 0
+
+
+def test_a_new_instance_learns_the_quarantine_and_its_end():
+    """Guards against a restart that sends a deadly prompt to runners again."""
+    first, second = make_quarantine(1), make_quarantine(2)
+    now = crash_under(first, 2, SYSTEM, DEAD)
+    first.observe_answer([SYSTEM], now + STEP_S)
+    second.merge(first.evidence(now + STEP_S))
+    assert second.blocking_part([SYSTEM, DEAD], now + STEP_S) == DEAD
+    second.observe_answer([DEAD], now + 2 * STEP_S)
+    first.merge(second.evidence(now + 2 * STEP_S))
+    assert first.quarantined(now + 2 * STEP_S) == set()
+    # What another instance still believes does not bring it back.
+    third = make_quarantine(3)
+    crash_under(third, 2, SYSTEM, DEAD)
+    first.merge(third.evidence(now + 3 * STEP_S))
+    assert first.quarantined(now + 3 * STEP_S) == set()
+
+
+EVENTS = st.lists(
+    st.tuples(
+        st.integers(0, 2),
+        st.sampled_from(['crash', 'answer']),
+        st.sets(st.sampled_from([SYSTEM, DEAD, OTHER, RARE]), min_size=1),
+    ),
+    max_size=25,
+)
+
+
+@given(EVENTS)
+def test_instances_agree_whatever_order_evidence_arrives_in(observed):
+    """Guards against instances that disagree on what is quarantined."""
+    instances = [make_quarantine(1) for _ in range(3)]
+    for number, (instance, kind, parts) in enumerate(observed):
+        if kind == 'crash':
+            instances[instance].observe_crash(parts, crash(number), number)
+        else:
+            instances[instance].observe_answer(parts, number)
+    now = float(len(observed))
+    reports = [instance.evidence(now) for instance in instances]
+    for permutation, target in zip(
+        itertools.permutations(reports), instances, strict=False
+    ):
+        for report in permutation:
+            target.merge(report)
+    # Proof that only one instance has is passed on with its next report.
+    for source, target in itertools.permutations(instances, 2):
+        target.merge(source.evidence(now))
+    assert len({frozenset(i.quarantined(now)) for i in instances}) == 1
+
+
+@given(st.integers(0, 2000))
+def test_evidence_is_bounded(seed):
+    """Guards against memory and datagrams that grow with the prompts."""
+    source = random.Random(seed)
+    quarantine = make_quarantine()
+    for number in range(3 * prompt_quarantine.MAX_SUSPECTS // 100):
+        parts = [ids.PromptPartId(str(source.random())) for _ in range(64)]
+        quarantine.observe_crash(parts, crash(number), number * STEP_S)
+        quarantine.observe_crash([DEAD], crash(-number), number * STEP_S)
+    now = number * STEP_S
+    assert len(quarantine._suspects) <= prompt_quarantine.MAX_SUSPECTS
+    evidence = quarantine.evidence(now)
+    assert len(evidence) <= prompt_quarantine.MAX_REPORTED_PARTS
+    assert evidence[0].part == DEAD
+    assert max(len(e.crashed_at) for e in evidence) <= (
+        prompt_quarantine.MAX_CRASHES_PER_PART
+    )
