Trust a refusal on a kept connection only if it names the request

What callers would see: the repeated refusal was taken for the answer to the next request on the connection if it had no request id, or if the next request was the same one, refused before at that runner. The request was then sent to a second runner, or the caller was told that it had not run, while the first runner ran it. A refusal with the id of another request was skipped already.

Change: a refusal without a request id on a connection that carried other requests is a broken response: the request may have run. A request is not sent on a connection that carried it before, nor on a kept one if it has no id.

The stand-in can repeat a refusal, cut a head and send unframed answers.

--- a/primrosereel/gateway/_http.py
+++ b/primrosereel/gateway/_http.py
@@ -4,6 +4,7 @@
 decides whether it may be sent again.
 """
 
+import collections
 from collections.abc import AsyncIterator
 import dataclasses
 import select
@@ -39,6 +40,8 @@
 MAX_UNRELATED_RESPONSES = 3
 MAX_SKIPPED_BYTES = 1024 * 1024
 MAX_INFORMATIONAL_RESPONSES = 16
+# The last requests of a connection that are not sent on it again.
+MAX_REMEMBERED_REQUESTS = 64
 
 HOP_BY_HOP = frozenset(
     {
@@ -129,6 +132,22 @@
         self._usable = True
         self._head: ResponseHead | None = None
         self._unsent = b''
+        self._request_ids: collections.deque[str] = collections.deque(
+            maxlen=MAX_REMEMBERED_REQUESTS
+        )
+
+    @property
+    def reused(self) -> bool:
+        """Whether more than one request was sent on the connection."""
+        return len(self._request_ids) > 1
+
+    def may_carry(self, request_id: str) -> bool:
+        """Tell whether a response to the request could be recognized.
+
+        A runner may repeat an earlier response on a kept connection. The id
+        of the request tells it apart, if there is one and it is new here.
+        """
+        return bool(request_id) and request_id not in self._request_ids
 
     @property
     def reusable(self) -> bool:
@@ -148,6 +167,7 @@
         """
         if self._parser.our_state is h11.DONE:
             self._parser.start_next_cycle()
+        self._request_ids.append(request.request_id)
         data = self._encode(request)
         try:
             if len(request.body) <= INLINE_BODY_BYTES:
--- a/primrosereel/gateway/_pool.py
+++ b/primrosereel/gateway/_pool.py
@@ -29,12 +29,18 @@
         ] = {}
 
     async def get(
-        self, address: model.Address, now: float
+        self, address: model.Address, now: float, request_id: str
     ) -> http.HttpConnection | None:
-        """Return an idle connection that is believed to be open."""
+        """Return an idle connection that is believed to be open.
+
+        It has not carried the request before.
+        """
         idle = self._idle.get(address, [])
-        while idle:
-            until, connection = idle.pop()
+        for entry in reversed(list(idle)):
+            until, connection = entry
+            if now < until and not connection.may_carry(request_id):
+                continue
+            idle.remove(entry)
             if now < until and not connection.has_input():
                 return connection
             await connection.close()
--- a/primrosereel/gateway/_upstream.py
+++ b/primrosereel/gateway/_upstream.py
@@ -109,7 +109,9 @@
 ) -> http.HttpConnection:
     """Return an idle connection to a runner, or a new one."""
     context = exchange.context
-    idle = await context.pool.get(runner.listing.address, context.clock())
+    idle = await context.pool.get(
+        runner.listing.address, context.clock(), exchange.facts.request_id
+    )
     return idle or await connect(exchange, runner)
 
 
@@ -133,6 +135,9 @@
             runner.observe_replaced(context.clock())
         if not facts.not_run:
             return OpenResponse(connection, head, facts)
+        if connection.reused and facts.request_id is None:
+            # It may repeat the refusal of an earlier request.
+            raise http.BrokenResponse(f'{head.status} without a request id')
         await connection.read_body(http.READ_BYTES)
     except BaseException:
         with anyio.CancelScope(shield=True):
--- a/primrosereel/standin/_listed_runner.py
+++ b/primrosereel/standin/_listed_runner.py
@@ -38,6 +38,24 @@
     BREAK_STREAM = 'break_stream'
     HANDLE_GONE = 'handle_gone'
     TRICKLE = 'trickle'
+    # The refusal is sent once more before the next answer on the connection;
+    # in the second form without the request id.
+    REPEATED_REFUSAL = 'repeated_refusal'
+    UNNAMED_REFUSAL = 'unnamed_refusal'
+    CUT_HEAD = 'cut_head'
+    # An answer without a length that ends with its connection; in the second
+    # and third form before its end.
+    UNFRAMED = 'unframed'
+    UNFRAMED_RESET = 'unframed_reset'
+    UNFRAMED_EMPTY = 'unframed_empty'
+
+
+REFUSALS = frozenset(
+    {Fault.SHED, Fault.REPEATED_REFUSAL, Fault.UNNAMED_REFUSAL}
+)
+UNFRAMED_FAULTS = frozenset(
+    {Fault.UNFRAMED, Fault.UNFRAMED_RESET, Fault.UNFRAMED_EMPTY}
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -122,11 +140,15 @@
         if request.method == 'DELETE':
             self.handles.discard(request.path.rpartition('/')[2])
             return raw_http.Answer(200)
+        return await self._serve(request)
+
+    async def _serve(self, request: raw_http.Request) -> raw_http.Answer:
+        """Serve a caller's request."""
         fault = self.faults.popleft() if self.faults else None
-        if fault is Fault.SHED:
-            return raw_http.Answer(
-                503, [NOT_EXECUTED_HEADER, self._load_header()]
-            )
+        if fault in REFUSALS:
+            return self._refuse(request, fault)
+        if fault is Fault.CUT_HEAD:
+            return raw_http.Answer(200, raw=b'HTTP/1.1 200 OK\r\nInstance-Si')
         if fault is Fault.RESET_BEFORE_RUN:
             raise raw_http.Reset
         if fault is Fault.SILENT:
@@ -138,6 +160,24 @@
             return raw_http.Answer(503, [NOT_EXECUTED_HEADER])
         return await self._run(request, fault)
 
+    def _refuse(
+        self, request: raw_http.Request, fault: Fault
+    ) -> raw_http.Answer:
+        request_id = request.headers.get('request-id', '').encode()
+        headers = [
+            NOT_EXECUTED_HEADER,
+            self._load_header(),
+            (b'Request-Id', request_id),
+        ]
+        if fault is Fault.SHED:
+            return raw_http.Answer(503, headers)
+        repeated = headers if fault is Fault.REPEATED_REFUSAL else headers[:-1]
+        return raw_http.Answer(
+            503,
+            [*headers, (b'Keep-Alive', b'timeout=10')],
+            before_next=_raw_answer(b'503 Full', repeated, b'', length=0),
+        )
+
     async def _prefill(self, request: raw_http.Request) -> raw_http.Answer:
         if self.options.stage != 'prefill':
             return raw_http.Answer(421)
@@ -165,11 +205,7 @@
             if fault is Fault.ERROR:
                 return raw_http.Answer(500, headers, b'error')
             headers.append((b'Content-Type', b'text/event-stream'))
-            first = int(request.headers.get('last-event-id', '0')) + 1
-            parts = self._stream_events(request_id, first, fault)
-            if self._is_deadly(request):
-                parts = self._crash()
-            return raw_http.Answer(200, headers, parts=parts)
+            return await self._stream(request, headers, fault)
         await anyio.sleep(self.options.work_s)
         if fault is Fault.RESET_AFTER_RUN:
             raise raw_http.Reset
@@ -183,6 +219,21 @@
             trailing = _second_answer(request_id)
         return raw_http.Answer(200, headers, body, trailing=trailing)
 
+    async def _stream(
+        self,
+        request: raw_http.Request,
+        headers: raw_http.Headers,
+        fault: Fault | None,
+    ) -> raw_http.Answer:
+        if self._is_deadly(request):
+            return raw_http.Answer(200, headers, parts=self._crash())
+        first = int(request.headers.get('last-event-id', '0')) + 1
+        request_id = request.headers['request-id']
+        parts = self._stream_events(request_id, first, fault)
+        if fault in UNFRAMED_FAULTS:
+            return await _unframed_answer(headers, parts, fault)
+        return raw_http.Answer(200, headers, parts=parts)
+
     def _is_deadly(self, request: raw_http.Request) -> bool:
         parts = request.headers.get('prompt-prefix', '').split(',')[:-1]
         return any(
@@ -252,6 +303,32 @@
             del self.last_event_ids[request_id]
 
 
+async def _unframed_answer(
+    headers: raw_http.Headers, parts: AsyncIterator[bytes], fault: Fault
+) -> raw_http.Answer:
+    body = b''.join([part async for part in parts])
+    if fault is Fault.UNFRAMED_EMPTY:
+        body = b''
+    return raw_http.Answer(
+        200,
+        raw=_raw_answer(b'200 OK', headers, body),
+        reset=fault is Fault.UNFRAMED_RESET,
+    )
+
+
+def _raw_answer(
+    status: bytes,
+    headers: raw_http.Headers,
+    body: bytes,
+    length: int | None = None,
+) -> bytes:
+    lines = [b'HTTP/1.1 ' + status]
+    lines += [name + b': ' + value for name, value in headers]
+    if length is not None:
+        lines.append(b'Content-Length: %d' % length)
+    return b'\r\n'.join(lines) + b'\r\n\r\n' + body
+
+
 def _second_answer(request_id: str) -> bytes:
     body = b'a second, late answer'
     return (
--- a/primrosereel/standin/_raw_http.py
+++ b/primrosereel/standin/_raw_http.py
@@ -46,7 +46,9 @@
 class Answer:
     """An answer; ``parts`` are streamed after ``body``, as chunks.
 
-    ``trailing`` is sent after the complete answer, as a second answer is.
+    ``trailing`` is sent after the complete answer, as a second answer is, and
+    ``before_next`` before the next answer on the connection. ``raw`` replaces
+    the answer; the connection ends after it, by a reset if ``reset`` is set.
     """
 
     status: int
@@ -54,6 +56,9 @@
     body: bytes = b''
     parts: AsyncIterator[bytes] | None = None
     trailing: bytes = b''
+    before_next: bytes = b''
+    raw: bytes | None = None
+    reset: bool = False
 
 
 Handler = Callable[[Request], Awaitable[Answer]]
@@ -67,6 +72,8 @@
         self._on_disconnect: Callable[[Request], None] = lambda _: None
         self.port = 0
         self.connections = 0
+        # Bytes that precede the next answer on a connection.
+        self._before_next: dict[h11.Connection, bytes] = {}
         self._run = anyio.CancelScope()
         # The pause before the server listens again after a crash.
         self._restart_s: float | None = None
@@ -117,6 +124,7 @@
         ):
             _reset_on_close(stream)
         finally:
+            self._before_next.pop(parser, None)
             await anyio.aclose_forcefully(stream)
 
     async def _serve_request(self, stream, parser) -> bool:
@@ -150,6 +158,13 @@
 
     async def _send_answer(self, stream, parser, request: Request) -> None:
         answer = await self._handler(request)
+        await stream.send(self._before_next.pop(parser, b''))
+        if answer.raw is not None:
+            await stream.send(answer.raw)
+            if answer.reset:
+                raise Reset
+            return
+        self._before_next[parser] = answer.before_next
         headers = list(answer.headers)
         if answer.parts is None:
             headers.append((b'Content-Length', b'%d' % len(answer.body)))
