Let a shared part survive a crash of another cause

Found by reading the quarantine of prompt parts: a part that crashing and sound requests share blocked all of them if it had one crash that the deadly part had not, as when a sound request waited at a runner that crashed for another reason. Then no answer could clear it for the length of the quarantine. It now blocks a request only if enough of its crashes cannot be due to one other quarantined part that the request lacks.

An instance that was cut off when a part was answered kept refusing it, since proofs are reported for 10 s only. A peer that knows of the answer now reports it again when it hears of the crashes.

--- a/primrosereel/gateway/_crash_reports.py
+++ b/primrosereel/gateway/_crash_reports.py
@@ -98,8 +98,9 @@
         self, evidence: Iterable[prompt_quarantine.PartEvidence]
     ) -> None:
         """Add evidence that a peer sent."""
-        self._quarantine.merge(evidence)
-        self._log_changes(self._context.clock())
+        now = self._context.clock()
+        self._quarantine.merge(evidence, now)
+        self._log_changes(now)
 
     def _log_changes(self, now: float) -> None:
         quarantined = self._quarantine.quarantined(now)
--- a/primrosereel/routing/_prompt_quarantine.py
+++ b/primrosereel/routing/_prompt_quarantine.py
@@ -79,6 +79,8 @@
 
     answered_at: float
     crashed_at: dict[Crash, float] = dataclasses.field(default_factory=dict)
+    # When a peer last reported crashes that an answer had voided.
+    contradicted_at: float = -math.inf
 
     def add_crash(self, crash: Crash, at: float) -> bool:
         """Add a crash; return whether it was unknown."""
@@ -101,13 +103,18 @@
         }
         return len(self.crashed_at) < before
 
-    @property
-    def excess_crashes(self) -> int:
-        """Independent crashes beyond the minimum; negative below it."""
+    def excess_crashes(self, explained: Collection[Crash] = ()) -> int:
+        """Return the independent crashes beyond the minimum.
+
+        The result is negative below the minimum. Crashes that are explained by
+        another part do not count.
+        """
         count = 0
         counted_at = -math.inf
-        for at in sorted(self.crashed_at.values()):
-            if at - counted_at >= SAME_CAUSE_S:
+        for at, crash in sorted(
+            (at, crash) for crash, at in self.crashed_at.items()
+        ):
+            if crash not in explained and at - counted_at >= SAME_CAUSE_S:
                 count += 1
                 counted_at = at
         proven = self.answered_at > -math.inf
@@ -166,12 +173,18 @@
             del self._answered_at[next(iter(self._answered_at))]
         return cleared
 
-    def merge(self, evidence: Iterable[PartEvidence]) -> None:
-        """Add evidence that a peer sent."""
+    def merge(self, evidence: Iterable[PartEvidence], now: float) -> None:
+        """Add evidence that a peer sent.
+
+        A peer that does not know of a later answer is told with the next
+        report.
+        """
         for part, crashed_at, answered_at in evidence:
             suspect = self._suspect(part)
             for crash, at in crashed_at.items():
                 suspect.add_crash(crash, at)
+                if at <= suspect.answered_at:
+                    suspect.contradicted_at = now
             suspect.answer(answered_at)
         self._drop_excess()
 
@@ -201,9 +214,9 @@
     def remaining_s(self, part: ids.PromptPartId, now: float) -> float:
         """Return how long a part stays quarantined; 0.0 if it is not."""
         suspect = self._suspects.get(part)
-        if suspect is None or suspect.excess_crashes < 0:
+        if suspect is None or suspect.excess_crashes() < 0:
             return 0.0
-        doublings = min(suspect.excess_crashes, MAX_DOUBLINGS)
+        doublings = min(suspect.excess_crashes(), MAX_DOUBLINGS)
         until = suspect.last_at + self._duration_s * 2**doublings
         return max(0.0, until - now)
 
@@ -212,9 +225,9 @@
     ) -> ids.PromptPartId | None:
         """Return the part for which a request must be refused, if any.
 
-        A quarantined part does not block a request that lacks another
-        quarantined part to which all its crashes can be due: a part that
-        sound and crashing requests share is then answered, and cleared.
+        A part does not block a request that lacks another quarantined part to
+        which enough of the crashes can be due. A part that sound and crashing
+        requests share is then answered, and cleared.
         """
         if not self._suspects:
             return None
@@ -223,9 +236,9 @@
             return None
         others = self.quarantined(now).difference(parts)
         for part in suspected:
-            crashes = self._suspects[part].crashed_at.keys()
-            if not any(
-                crashes <= self._suspects[other].crashed_at.keys()
+            suspect = self._suspects[part]
+            if all(
+                suspect.excess_crashes(self._suspects[other].crashed_at) >= 0
                 for other in others
             ):
                 return part
@@ -247,9 +260,11 @@
         for part, suspect in list(self._suspects.items()):
             kept_s = PROOF_REPORTED_S
             if suspect.crashed_at:
-                doublings = min(max(0, suspect.excess_crashes), MAX_DOUBLINGS)
+                excess = max(0, suspect.excess_crashes())
+                doublings = min(excess, MAX_DOUBLINGS)
                 kept_s = 2 * self._duration_s * 2**doublings
-            if now - suspect.last_at > kept_s:
+            last_at = max(suspect.last_at, suspect.contradicted_at)
+            if now - last_at > kept_s:
                 del self._suspects[part]
 
     def _drop_excess(self) -> None:
