Crash runners by prompts in the fault soak

The soak sends some streams with a prompt part that crashes the decode runner that begins them. Two decode runners have no link before them, so that their port refuses connections while they are down, as a process's does. Which prompts are deadly is drawn from a random source of its own, so that the other draws of a seed do not change; the faults of runners are drawn from the longer list of the stand-in.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -2,7 +2,8 @@
 
 Three processes serve callers while processes are killed, paused and stopped,
 links to the runners and the metadata store are disturbed, runners fail and
-drain, and the configuration changes. Faults overlap. The responses to callers
+drain, some prompts crash the runner that answers them, and the configuration
+changes. Faults overlap. The responses to callers
 and the executions on runners are checked for these guarantees: a response is
 correct and in order, a non-idempotent request runs at most once and never
 after a refusal that says it did not run, and the gateway recovers. A seed
@@ -12,6 +13,7 @@
 """
 
 import collections
+import functools
 import json
 import os
 import pathlib
@@ -39,6 +41,12 @@
     *((f'd{n}', 'llm', 'decode') for n in range(3)),
     *((f's{n}', 'plain', None) for n in range(3)),
 )
+# Decode runners without a link: while one is down after a crash, its port
+# refuses connections, as a process's does.
+UNLINKED_RUNNERS = (('e0', 'llm', 'decode'), ('e1', 'llm', 'decode'))
+# The share of streams whose prompts crash the decode runner.
+DEADLY_SHARE = 0.04
+DEADLY_PART = 'dead'
 EVENTS_PER_STREAM = 12
 PATHS = ('/read/1', '/file/1', '/ask/1', '/once/1')
 AT_MOST_ONCE_PATHS = ('/file/1', '/once/1')
@@ -135,6 +143,7 @@
 
     def __init__(self, seed, seconds):
         self._random = random.Random(seed)
+        self._prompts_random = random.Random(seed + 1)
         self._seconds = seconds
         self._load_end = 0.0
         self._version = 1
@@ -165,15 +174,23 @@
         self._store_link = links.Link(self._store.server.port)
         await tasks.start(self._store_link.serve)
         self._runners, self._links = {}, {}
-        for name, service, stage in RUNNERS:
+        for name, service, stage in (*RUNNERS, *UNLINKED_RUNNERS):
             options = listed_runner.RunnerOptions(
-                name, service, stage, events=EVENTS_PER_STREAM, event_s=0.05
+                name,
+                service,
+                stage,
+                events=EVENTS_PER_STREAM,
+                event_s=0.05,
+                deadly_part=DEADLY_PART,
             )
-            runner = listed_runner.ListedRunner(options)
+            runner = self._runners[name] = listed_runner.ListedRunner(options)
+            runner.on_crash = functools.partial(self._record_crash, name)
             await tasks.start(runner.server.serve)
-            link = links.Link(runner.server.port)
+        for name, *_ in RUNNERS:
+            link = links.Link(self._runners[name].server.port)
             await tasks.start(link.serve)
-            self._runners[name], self._links[name] = runner, link
+            self._links[name] = link
+        for name in self._runners:
             self._publish_runner(name, 'ready')
         peer = gateway_fleet.free_port()
         self._processes = [
@@ -187,9 +204,14 @@
 
     def _publish_runner(self, name, state):
         entry = self._runners[name].entry(state)
-        entry['address'] = f'127.0.0.1:{self._links[name].port}'
+        if name in self._links:
+            entry['address'] = f'127.0.0.1:{self._links[name].port}'
         self._store.put(f'servers/{name}', entry)
 
+    def _record_crash(self, name):
+        self.faults['runner crashed'] += 1
+        self._publish_runner(name, 'ready')
+
     async def _run_load(self):
         self._load_end = anyio.current_time() + self._seconds
         async with anyio.create_task_group() as tasks:
@@ -213,7 +235,16 @@
         if self._random.random() < 0.1:
             cancel_after_s = self._random.uniform(0.05, 0.5)
         address = model.Address(process.host, process.callers)
-        headers = {'Deadline_Ms': 4000, 'Token_Usage': '2000,100'}
+        parts = ['system']
+        load_ends = anyio.current_time() >= self._load_end
+        if self._prompts_random.random() < DEADLY_SHARE and not load_ends:
+            parts.append(DEADLY_PART)
+        headers = {
+            'Deadline_Ms': 4000,
+            'Token_Usage': '2000,100',
+            'Prompt_Prefix': ''.join(f'{p}:100,' for p in parts)
+            + f'{request_id}:1800',
+        }
         reply = None
         with anyio.move_on_after(
             cancel_after_s if cancel_after_s else 8.0
