Split what engines send from the daemon's client, and the tests of moves

The tests that move streams have a file of their own with one set-up, which stood in them three times. No behaviour and no assertion changes; test_stream_is_not_moved... sets up both decode runners alike, as the other tests do.

--- a/primrosereel/daemon/_engine.py
+++ b/primrosereel/daemon/_engine.py
@@ -15,6 +15,7 @@
 from primrosereel import _ids as ids
 from primrosereel import _states as states
 from primrosereel.core import _messages as messages
+from primrosereel.daemon import _engine_wire as engine_wire
 from primrosereel.daemon import _protocols as protocols
 from primrosereel.daemon import _responses as responses
 from primrosereel.daemon import _sse as sse
@@ -36,82 +37,6 @@
 }
 
 
-class _StreamEvent(msgspec.Struct):
-    """One token of a stream."""
-
-    request_id: str
-    offset: int
-    token: str = ''
-    finish: str | None = None
-
-
-class _KvBody(msgspec.Struct):
-    """Transfer parameters of an exported KV cache."""
-
-    handle: str
-    runner: str
-    tokens: int
-    bytes: int
-
-
-class _PrefillResponse(msgspec.Struct):
-    """The response to a prefill."""
-
-    request_id: str
-    kv: _KvBody
-    cached_tokens: int = 0
-
-
-class _LoadResponse(msgspec.Struct):
-    """The response to a load poll."""
-
-    busy: int
-    queued: int
-    free_pieces: int
-    backlog_tokens: int = 0
-    leaving: bool = False
-    incarnation: int = 0
-    age_s: float = 0.0
-
-
-class _CacheEvents(msgspec.Struct):
-    """The response to a poll of cache events."""
-
-    first: int
-    next: int
-    stored: list[int] = []
-    evicted: list[int] = []
-
-
-class _HeldRequest(msgspec.Struct):
-    """One request at an engine."""
-
-    request_id: str
-
-
-class _RequestsResponse(msgspec.Struct):
-    """The response that lists the requests at an engine."""
-
-    requests: list[_HeldRequest]
-
-
-class _StateResponse(msgspec.Struct):
-    """The response to a read of an engine's state.
-
-    ``models`` and ``adapters`` are those that it has loaded, and
-    ``fencing_token`` is that of its last order.
-    """
-
-    role: str
-    models: list[str] = []
-    adapters: list[str] = []
-    fencing_token: int = 0
-
-
-class _ProtocolError(Exception):
-    """An engine sent an event that does not belong to the stream."""
-
-
 class HttpEngineClient:
     """Calls engines through httpx.
 
@@ -128,7 +53,7 @@
         self._client = client
         self._unpooled_client = unpooled_client
         self._clock = clock
-        self._event_decoder = msgspec.json.Decoder(_StreamEvent)
+        self._event_decoder = msgspec.json.Decoder(engine_wire.StreamEvent)
         self._cancel_scopes: dict[ids.EngineRequestId, anyio.CancelScope] = {}
         self._control_calls = {
             messages.PollLoad: self._poll_load,
@@ -279,7 +204,7 @@
 
     async def _post_prefill(
         self, url: str, body: dict, timeout_s: float
-    ) -> _PrefillResponse | states.UpstreamError:
+    ) -> engine_wire.PrefillResponse | states.UpstreamError:
         try:
             async with self._client.stream(
                 'POST',
@@ -291,7 +216,7 @@
             if response.status_code != 200:
                 return STATUS_ERRORS.get(response.status_code, Error.STATUS)
             result = msgspec.json.decode(
-                response.content, type=_PrefillResponse
+                response.content, type=engine_wire.PrefillResponse
             )
         except (httpx.HTTPError, msgspec.MsgspecError) as error:
             return _classify(error)
@@ -310,7 +235,11 @@
                 )
             except httpx.HTTPError as failure:
                 error = _classify(failure)
-            except (msgspec.MsgspecError, sse.LineTooLong, _ProtocolError):
+            except (
+                msgspec.MsgspecError,
+                sse.LineTooLong,
+                engine_wire.ProtocolError,
+            ):
                 error = Error.PROTOCOL
         if self._cancel_scopes.get(engine_id) is scope:
             del self._cancel_scopes[engine_id]
@@ -331,7 +260,9 @@
                 return STATUS_ERRORS.get(response.status_code, Error.STATUS)
             offset = effect.offset
             async for events in self._events(response):
-                tokens, finish = _validated_tokens(events, engine_id, offset)
+                tokens, finish = engine_wire.validated_tokens(
+                    events, engine_id, offset
+                )
                 deliver(
                     messages.TokensReceived(
                         effect.request_id,
@@ -352,7 +283,7 @@
 
     async def _events(
         self, response: httpx.Response
-    ) -> AsyncIterator[list[_StreamEvent]]:
+    ) -> AsyncIterator[list[engine_wire.StreamEvent]]:
         """Yield the events of each received chunk."""
         parser = sse.EventParser()
         async for chunk in response.aiter_raw():
@@ -387,7 +318,9 @@
             return None
 
     async def _poll_load(self, effect, address, deliver) -> None:
-        load = await self._get_json(f'http://{address}/v1/load', _LoadResponse)
+        load = await self._get_json(
+            f'http://{address}/v1/load', engine_wire.LoadResponse
+        )
         if load is None:
             deliver(messages.LoadFailed(effect.runner))
             return
@@ -396,7 +329,7 @@
 
     async def _poll_cache_events(self, effect, address, deliver) -> None:
         url = f'http://{address}/v1/cache-events?since={effect.since}'
-        events = await self._get_json(url, _CacheEvents)
+        events = await self._get_json(url, engine_wire.CacheEvents)
         if events is None:
             return
         deliver(
@@ -412,7 +345,7 @@
 
     async def _list_requests(self, effect, address, deliver) -> None:
         listing = await self._get_json(
-            f'http://{address}/v1/requests', _RequestsResponse
+            f'http://{address}/v1/requests', engine_wire.RequestsResponse
         )
         if listing is None:
             return
@@ -442,7 +375,7 @@
 
     async def _read_state(self, effect, address, deliver) -> None:
         state = await self._get_json(
-            f'http://{address}/v1/state', _StateResponse
+            f'http://{address}/v1/state', engine_wire.StateResponse
         )
         if state is None:
             return
@@ -480,28 +413,6 @@
         return response is not None and response.status_code in (200, 202)
 
 
-def _validated_tokens(
-    events: list[_StreamEvent], engine_id: ids.EngineRequestId, offset: int
-) -> tuple[tuple[str, ...], str | None]:
-    """Return the tokens and the finish reason of consecutive events.
-
-    Raises _ProtocolError for another request id or a gap in the offsets.
-    """
-    tokens: list[str] = []
-    for event in events:
-        if event.request_id != engine_id:
-            raise _ProtocolError('event has another request id')
-        if event.token:
-            if event.offset != offset + len(tokens):
-                raise _ProtocolError(
-                    'event offset does not follow the last token'
-                )
-            tokens.append(event.token)
-        if event.finish is not None:
-            return tuple(tokens), event.finish
-    return tuple(tokens), None
-
-
 def _classify(error: Exception) -> states.UpstreamError:
     """Return the UpstreamError for an exception of httpx or msgspec."""
     if isinstance(error, (httpx.ConnectError, httpx.ConnectTimeout)):
--- /dev/null
+++ b/tests/property/test_gateway_moves.py
@@ -0,0 +1,127 @@
+"""Streams are moved from decode runners that leave."""
+
+import anyio
+import pytest
+
+from primrosereel.standin import _listed_runner as listed_runner
+from tests import gateway_fleet
+from tests.property import test_gateway
+
+Fault = listed_runner.Fault
+STREAM = test_gateway.STREAM
+EVENTS = 40
+EVENT_S = 0.05
+
+run = gateway_fleet.run_scenario
+
+
+def make_streams_long(fleet):
+    """Let streams last for long enough to be moved."""
+    for runner in test_gateway.decode_runners(fleet):
+        runner.options.events = EVENTS
+        runner.options.event_s = EVENT_S
+
+
+async def start_stream(fleet, client, path):
+    """Start the stream r1; return its runner and the other one."""
+    await client.send(path, 'r1', method='POST', **STREAM)
+    runners = test_gateway.decode_runners(fleet)
+    await fleet.wait_for(
+        lambda: any(r.last_event_ids.get('r1', 0) > 2 for r in runners)
+    )
+    return sorted(runners, key=lambda r: not r.last_event_ids)
+
+
+@pytest.mark.parametrize('path', ['/ask/1', '/once/1'])
+def test_stream_is_moved_from_a_leaving_runner(path):
+    """Guards against streams that are cut when their runner leaves.
+
+    Non-resumable streams could not continue at another runner.
+    """
+
+    async def scenario(fleet):
+        make_streams_long(fleet)
+        async with fleet.client() as client:
+            source, target = await start_stream(fleet, client, path)
+            fleet.list_runner(source.options.runner, 'draining')
+            reply = await client.receive()
+        assert (reply.status, reply.complete) == (200, True)
+        numbers = [f'id: {n}\n'.encode() for n in range(1, EVENTS + 1)]
+        assert [reply.body.count(number) for number in numbers] == [1] * EVENTS
+        assert [move['last'] for move in source.moves] == [False, True]
+        resumed = target.requests[-1].headers
+        address = f'127.0.0.1:{source.server.port}/copy1'
+        assert resumed['kv-source'] == address
+        assert int(resumed['last-event-id']) >= 2
+        (line,) = fleet.log.named('stream moved')
+        assert line['target'] == target.options.runner
+        assert not fleet.gateway.engine_uses()
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    ('path', 'complete'), [('/ask/1', True), ('/once/1', False)]
+)
+def test_failed_move_does_not_rerun_a_non_resumable_stream(path, complete):
+    """Guards against a second run of a stream whose copy is gone."""
+
+    async def scenario(fleet):
+        make_streams_long(fleet)
+        async with fleet.client() as client:
+            source, target = await start_stream(fleet, client, path)
+            target.faults.append(Fault.HANDLE_GONE)
+            fleet.list_runner(source.options.runner, 'draining')
+            reply = await client.receive()
+        assert reply.complete == complete
+        assert test_gateway.run_count(fleet, 'r1') == (2 if complete else 1)
+
+    run(scenario)
+
+
+def test_copy_is_freed_when_its_caller_disconnects():
+    """Guards against a copy that holds engine memory without a caller."""
+
+    async def scenario(fleet):
+        make_streams_long(fleet)
+        for name in ('d1', 'd2'):
+            fleet.runners[name].options.copy_s = 0.2
+        async with fleet.client() as client:
+            source, _ = await start_stream(fleet, client, '/once/1')
+            fleet.list_runner(source.options.runner, 'draining')
+            # The first copy has been made and the stop call was sent.
+            await fleet.wait_for(lambda: len(source.moves) == 2)
+        await fleet.wait_for(
+            lambda: any(
+                (request.method, request.path)
+                == ('DELETE', '/v1/kv-handle/copy1')
+                for request in source.requests
+            ),
+            2.0,
+        )
+        await fleet.wait_for(lambda: not fleet.gateway.engine_uses(), 2.0)
+
+    run(scenario)
+
+
+def test_stream_is_not_moved_without_a_free_place():
+    """Guards against a stream that is stopped with nowhere to continue.
+
+    The only other runner is draining, so the stream has no place to move to.
+    """
+
+    async def scenario(fleet):
+        make_streams_long(fleet)
+        fleet.list_runner('d2', 'draining')
+        await anyio.sleep(0.4)
+        async with fleet.client() as client:
+            await client.send('/once/1', 'r1', method='POST', **STREAM)
+            await fleet.wait_for(
+                lambda: bool(fleet.runners['d1'].last_event_ids)
+            )
+            fleet.list_runner('d1', 'draining')
+            reply = await client.receive()
+        assert (reply.status, reply.complete) == (200, True)
+        assert not fleet.runners['d1'].moves
+
+    run(scenario)
