Test that prompts are quarantined at a restart and not for lost connections

Two more tests of the quarantine of prompt parts on loopback: an instance that starts refuses what its peers refuse, and streams that are reset by runners which go on accepting connections blame no prompt.

--- a/tests/property/test_gateway_crashing_prompts.py
+++ b/tests/property/test_gateway_crashing_prompts.py
@@ -6,7 +6,9 @@
 import anyio
 
 from primrosereel.routing import _model as model
+from primrosereel.standin import _listed_runner as listed_runner
 from tests import gateway_fleet
+from tests.property import test_gateway
 from tests.property import test_gateway_peers
 
 STABLE_WINDOW_S = 0.5
@@ -24,14 +26,19 @@
     def __init__(self, fleet, port):
         self._fleet = fleet
         self._sent = 0
-        peers = test_gateway_peers.OtherInstances(fleet, port)
-        other, _ = peers.start('127.0.0.2', stable_window_s=STABLE_WINDOW_S)
+        self._peers = test_gateway_peers.OtherInstances(fleet, port)
+        other = self.start_instance('127.0.0.2')
         self._other = other
         self._clients = (
             fleet.client(),
             gateway_fleet.Client(other._settings.callers),
         )
 
+    def start_instance(self, host):
+        """Start another instance of the fleet."""
+        gateway, _ = self._peers.start(host, stable_window_s=STABLE_WINDOW_S)
+        return gateway
+
     async def wait_until_ready(self):
         for number in range(DECODE_RUNNERS):
             name = f'e{number}'
@@ -66,11 +73,11 @@
             for request in runner.requests
         )
 
-    async def ask(self, *parts):
+    async def ask(self, *parts, client=None):
         """Send a request with shared parts; return its id and the reply."""
         self._sent += 1
         request_id = f'r{self._sent}'
-        client = self._clients[self._sent % 2]
+        client = client or self._clients[self._sent % 2]
         prefix = ','.join(f'{part}:100' for part in (*parts, request_id))
         async with client:
             return request_id, await client.ask(
@@ -119,3 +126,54 @@
     gateway_fleet.run_scenario(
         scenario, peer=own, seeds=(own,), stable_window_s=STABLE_WINDOW_S
     )
+
+
+def test_instance_that_starts_refuses_what_its_peers_refuse():
+    """Guards against a restart that sends a deadly prompt to runners again."""
+    port = gateway_fleet.free_port()
+    own = model.Address('127.0.0.1', port)
+
+    async def scenario(fleet):
+        site = Site(fleet, port)
+        await site.wait_until_ready()
+        while not fleet.log.named('prompt part quarantined'):
+            await site.ask('system', 'dead')
+            await anyio.sleep(PAUSE_S)
+        started = site.start_instance('127.0.0.3')
+        await fleet.wait_for(lambda: started.ready)
+        await fleet.wait_for(
+            lambda: bool(started._context.quarantine.crash_count('dead'))
+        )
+        client = gateway_fleet.Client(started._settings.callers)
+        request_id, reply = await site.ask('system', 'dead', client=client)
+        assert reply.status == 503
+        assert site.decode_arrivals(request_id) == 0
+
+    gateway_fleet.run_scenario(
+        scenario, peer=own, seeds=(own,), stable_window_s=STABLE_WINDOW_S
+    )
+
+
+def test_connections_that_live_runners_lose_blame_no_prompt():
+    """Guards against prompts that are refused because of a faulty network.
+
+    Each stream with the part is reset before its first event, by runners that
+    go on accepting connections.
+    """
+
+    async def scenario(fleet):
+        for _ in range(4):
+            for runner in test_gateway.decode_runners(fleet):
+                runner.faults.append(listed_runner.Fault.RESET_BEFORE_RUN)
+            await fleet.ask(
+                '/ask/1',
+                'r1',
+                method='POST',
+                Prompt_Prefix='system:100,r1:300',
+                **test_gateway.STREAM,
+            )
+            await anyio.sleep(PAUSE_S)
+        assert len(fleet.log.named('attempt failed')) >= 4
+        assert not fleet.log.named('prompt suspected of a crash')
+
+    gateway_fleet.run_scenario(scenario)
