--- a/primrosereel/gateway/_crash_reports.py
+++ b/primrosereel/gateway/_crash_reports.py
@@ -36,13 +36,15 @@
     def check(self, exchange: context_module.Exchange) -> None:
         """Raise admission.Refused for a prompt with a quarantined part."""
         now = self._context.clock()
-        part = self._quarantine.blocking_part(exchange.facts.shared_parts, now)
+        parts = exchange.facts.shared_parts
+        part = self._quarantine.blocking_part(parts, now)
         if part is None:
             return
+        crashes = self._quarantine.crash_count(part)
         raise admission.Refused(
             states.RefusalReason.PROMPT_QUARANTINED,
             self._quarantine.remaining_s(part, now),
-            f'part {part}: {self._quarantine.crash_count(part)} crashes',
+            f'part {part} of {", ".join(parts)}: {crashes} crashes',
         )
 
     async def observe_lost_stream(
--- a/primrosereel/routing/_prompt_quarantine.py
+++ b/primrosereel/routing/_prompt_quarantine.py
@@ -92,7 +92,7 @@
             del self.crashed_at[oldest]
         return True
 
-    def answer(self, at: float) -> bool:
+    def record_answer(self, at: float) -> bool:
         """Record an answer; return whether it voids known crashes."""
         self.answered_at = max(self.answered_at, at)
         before = len(self.crashed_at)
@@ -167,7 +167,7 @@
             self._answered_at.pop(part, None)
             self._answered_at[part] = now
             suspect = self._suspects.get(part)
-            if suspect is not None and suspect.answer(now):
+            if suspect is not None and suspect.record_answer(now):
                 cleared.append(part)
         while len(self._answered_at) > MAX_ANSWERED_PARTS:
             del self._answered_at[next(iter(self._answered_at))]
@@ -185,7 +185,7 @@
                 suspect.add_crash(crash, at)
                 if at <= suspect.answered_at:
                     suspect.contradicted_at = now
-            suspect.answer(answered_at)
+            suspect.record_answer(answered_at)
         self._drop_excess()
 
     def evidence(self, now: float) -> list[PartEvidence]:
