Send each plain call of the daemon on a new connection

What callers would see: the answer to another caller's GET. GET calls used pooled connections, and httpx takes the next bytes for the answer to the next call. Answers of plain services have no request id that could tell them apart.

A connection for each GET costs processor time; it was not measured.

--- a/primrosereel/daemon/_composition.py
+++ b/primrosereel/daemon/_composition.py
@@ -34,6 +34,7 @@
 METRICS_FLUSH_INTERVAL_S = 1.0
 # How long the servers wait for connections to close after the drain.
 SERVER_CLOSE_TIMEOUT_S = 2.0
+NO_KEEPALIVE = httpx.Limits(max_connections=None, max_keepalive_connections=0)
 # Without 'identity' upstreams could compress responses: the headers of a plain
 # response would not describe the decoded body, and streams are read undecoded.
 CLIENT_HEADERS = {'accept-encoding': 'identity', 'user-agent': 'primrosereel'}
@@ -64,16 +65,13 @@
     async def run(self) -> None:
         """Serve until a stop is requested and the drain has ended."""
         limits = httpx.Limits(max_connections=None)
-        no_keepalive = httpx.Limits(
-            max_connections=None, max_keepalive_connections=0
-        )
         tls = _client_tls(self._settings.platform)
         async with (
             httpx.AsyncClient(
                 limits=limits, headers=CLIENT_HEADERS, verify=tls
             ) as pooled_client,
             httpx.AsyncClient(
-                limits=no_keepalive, headers=CLIENT_HEADERS, verify=tls
+                limits=NO_KEEPALIVE, headers=CLIENT_HEADERS, verify=tls
             ) as unpooled_client,
             anyio.create_task_group() as tasks,
         ):
@@ -83,9 +81,7 @@
                 engine.HttpEngineClient(
                     pooled_client, unpooled_client, self._clock
                 ),
-                plain_upstream.HttpPlainClient(
-                    pooled_client, unpooled_client, self._clock
-                ),
+                plain_upstream.HttpPlainClient(unpooled_client, self._clock),
                 platform.HttpConfigurationService(
                     pooled_client, self._settings.platform.configuration
                 ),
--- a/primrosereel/daemon/_plain_upstream.py
+++ b/primrosereel/daemon/_plain_upstream.py
@@ -34,21 +34,17 @@
 
 
 class HttpPlainClient:
-    """Calls plain services through httpx.
+    """Calls plain services through httpx, each on a new connection.
 
-    Only GET calls use pooled connections. If a service closes a pooled
-    connection while a call is being sent, it is unknown whether the call
-    arrived; other calls therefore each open a new connection.
+    Answers of plain services do not name the call. On a kept connection, a
+    service could close it while a call is being sent, or send a second copy
+    of an earlier answer; ``client`` therefore keeps no connections.
     """
 
     def __init__(
-        self,
-        client: httpx.AsyncClient,
-        unpooled_client: httpx.AsyncClient,
-        clock: protocols.Clock,
+        self, client: httpx.AsyncClient, clock: protocols.Clock
     ) -> None:
         self._client = client
-        self._unpooled_client = unpooled_client
         self._clock = clock
 
     async def call(
@@ -58,12 +54,9 @@
         deliver: protocols.Deliver,
     ) -> None:
         """Send a call; deliver PlainAnswered or PlainFailed."""
-        client = (
-            self._client if effect.method == 'GET' else self._unpooled_client
-        )
         started = self._clock.monotonic()
         try:
-            async with client.stream(
+            async with self._client.stream(
                 effect.method,
                 f'http://{address}{effect.path}',
                 headers=[
--- a/tests/property/test_fuzz_engine.py
+++ b/tests/property/test_fuzz_engine.py
@@ -96,6 +96,10 @@
 )
 
 
+def make_engine_client(client, clock):
+    return engine.HttpEngineClient(client, client, clock)
+
+
 def _execute(make_client, method, effect, extra, answer):
     """Execute an effect against an upstream; return what is delivered."""
     delivered = []
@@ -103,7 +107,7 @@
     async def run():
         transport = httpx.MockTransport(answer)
         async with httpx.AsyncClient(transport=transport) as client:
-            adapter = make_client(client, client, fuzzing.FastClock())
+            adapter = make_client(client, fuzzing.FastClock())
             call = getattr(adapter, method)
             await call(effect, ADDRESS, *extra, delivered.append)
 
@@ -139,7 +143,7 @@
     method, effect = kind
     answer = _responder(status, chunks, broken)
     delivered = _execute(
-        engine.HttpEngineClient,
+        make_engine_client,
         method,
         effect,
         _extra_arguments(method),
@@ -172,7 +176,7 @@
             yield chunk * 10_000
 
     delivered = _execute(
-        engine.HttpEngineClient,
+        make_engine_client,
         method,
         effect,
         _extra_arguments(method),
@@ -251,7 +255,7 @@
     effect = messages.ReattachStream(REQUEST, 1, 'd', 0)
     chunks = [line.encode() for line in lines]
     delivered = _execute(
-        engine.HttpEngineClient,
+        make_engine_client,
         'reattach',
         effect,
         (),
