Deliver no bytes after lost ones in the soak's links

Cause: a link in the mode ONE_WAY dropped the bytes of some events after the head had passed, and passed later bytes of the same connection when the mode ended. TCP never skips a part of a stream: bytes are late, or the connection ends. A run with a gateway before such a link, 0.45 s of ONE_WAY after the head, gave the same answer, byte for byte.

A connection that lost bytes now delivers none of the later ones, so that it is silent from then on. That is stricter for the gateway: the same run ends with 504. The new test of the link failed before (byte runs 0, then 10).

What stays: a runner that itself begins a stream with a later event than asked for is not noticed, as the first id of a stream is not fixed by the platform.

--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -20,7 +20,8 @@
     RESET = 'reset'
     # Connections stay open; no data is forwarded in either direction.
     SILENT = 'silent'
-    # Requests are forwarded and responses are dropped.
+    # Requests are forwarded and responses are dropped. A connection that lost
+    # bytes delivers no later ones, as TCP never skips a part of a stream.
     ONE_WAY = 'one_way'
 
 
@@ -73,6 +74,7 @@
         with contextlib.suppress(
             anyio.EndOfStream, anyio.BrokenResourceError, OSError
         ):
+            bytes_lost = False
             while True:
                 data = await source.receive(READ_BYTES)
                 while self.mode is Mode.SILENT:
@@ -80,6 +82,8 @@
                 if self.mode is Mode.DELAY:
                     await anyio.sleep(DELAY_PER_READ_S)
                 if self.mode is Mode.ONE_WAY and not is_request:
+                    bytes_lost = True
+                if bytes_lost:
                     continue
                 await sink.send(data)
         tasks.cancel_scope.cancel()
