Let the runner stand-in leave, back off and fall silent

Runners say Server-Leaving in all answers, add Retry-After to a 503, and may be silent for a second before they go on. The stand-in had none of these, so neither tests nor the soak could draw them.

ListedRunner.leaving adds Server-Leaving to each answer: heads of streams, refusals, orders, moves, frees, health checks and heads that are cut off. Fault.BACK_OFF refuses with Retry-After (RunnerOptions.retry_after, any text); backed_off_at and arrived_at let a check find what arrives within that time. Fault.PAUSE, Fault.PAUSE_STREAM and ListedRunner.pause() send nothing for a time and go on.

--- a/primrosereel/standin/_listed_runner.py
+++ b/primrosereel/standin/_listed_runner.py
@@ -2,8 +2,8 @@
 
 It counts executions by request id, so that a test can detect a request that
 ran twice. It has the faults that the platform's documentation describes:
-refusals, connection resets, late second answers, expired KV cache handles and
-streams that break off.
+refusals, connection resets, late second answers, expired KV cache handles,
+streams that break off, and a silence after which the runner goes on.
 """
 
 import collections
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 import dataclasses
 import enum
+import math
 from typing import Any
 
 import anyio
@@ -21,6 +22,8 @@
 __all__ = ['Fault', 'ListedRunner', 'RunnerOptions']
 
 NOT_EXECUTED_HEADER = (b'Not-Executed', b'1')
+LEAVING_HEADER = (b'Server-Leaving', b'1')
+HEALTH_PATH = '/health'
 # Handle of the KV cache copy of a running request.
 COPY_HANDLE = 'copy1'
 
@@ -48,10 +51,21 @@
     UNFRAMED = 'unframed'
     UNFRAMED_RESET = 'unframed_reset'
     UNFRAMED_EMPTY = 'unframed_empty'
+    # A refusal with ``Retry-After``; the runner wants nothing for that time.
+    BACK_OFF = 'back_off'
+    # The runner is silent for ``pause_s`` seconds and goes on: before it runs
+    # the request, or after the second event of its stream.
+    PAUSE = 'pause'
+    PAUSE_STREAM = 'pause_stream'
 
 
 REFUSALS = frozenset(
-    {Fault.SHED, Fault.REPEATED_REFUSAL, Fault.UNNAMED_REFUSAL}
+    {
+        Fault.SHED,
+        Fault.REPEATED_REFUSAL,
+        Fault.UNNAMED_REFUSAL,
+        Fault.BACK_OFF,
+    }
 )
 UNFRAMED_FAULTS = frozenset(
     {Fault.UNFRAMED, Fault.UNFRAMED_RESET, Fault.UNFRAMED_EMPTY}
@@ -65,7 +79,8 @@
     A stream has ``events`` events, one every ``event_s``. ``work_s`` is the
     duration of a prefill or a plain call, ``copy_s`` that of a copy. A decode
     runner crashes when it begins a stream whose prompt has ``deadly_part``,
-    and is back ``restart_s`` later.
+    and is back ``restart_s`` later. ``retry_after`` is the text of the header
+    ``Retry-After`` in refusals of the fault ``BACK_OFF``.
     """
 
     runner: str
@@ -78,6 +93,8 @@
     slots: int = 8
     deadly_part: str | None = None
     restart_s: float = 0.3
+    retry_after: str = '1'
+    pause_s: float = 1.2
 
 
 class ListedRunner:
@@ -107,6 +124,13 @@
         self.stopped_streams: set[str] = set()
         self.born_ms = 1_700_000_000_000
         self.crashes = 0
+        # While it is set, all answers say that the runner is leaving.
+        self.leaving = False
+        # When each request arrived, and when each refusal with Retry-After
+        # was sent, by the event loop's clock.
+        self.arrived_at: list[float] = []
+        self.backed_off_at: list[float] = []
+        self._paused_until = -math.inf
         self.on_crash: Callable[[], None] = lambda: None
 
     def entry(self, state: str = 'ready') -> dict[str, object]:
@@ -127,11 +151,30 @@
             entry['stage'] = options.stage
         return entry
 
+    def pause(self, seconds: float) -> None:
+        """Send nothing for some seconds, then go on."""
+        self._paused_until = anyio.current_time() + seconds
+
+    async def _wait_while_paused(self) -> None:
+        while anyio.current_time() < self._paused_until:
+            await anyio.sleep_until(self._paused_until)
+
     async def _handle(self, request: raw_http.Request) -> raw_http.Answer:
         self.requests.append(request)
+        self.arrived_at.append(anyio.current_time())
+        await self._wait_while_paused()
+        answer = await self._answer(request)
+        await self._wait_while_paused()
+        if self.leaving and answer.raw is None:
+            answer.headers.append(LEAVING_HEADER)
+        return answer
+
+    async def _answer(self, request: raw_http.Request) -> raw_http.Answer:
         expected = request.headers.get('expect-instance')
         if expected not in (None, self.options.runner):
             return raw_http.Answer(421)
+        if request.path == HEALTH_PATH:
+            return self._answer_health()
         if request.path == '/v1/order':
             self.orders.append(msgspec.json.decode(request.body))
             return raw_http.Answer(202)
@@ -142,13 +185,23 @@
             return raw_http.Answer(200)
         return await self._serve(request)
 
+    def _answer_health(self) -> raw_http.Answer:
+        headers = [
+            (b'Instance-Id', self.options.runner.encode()),
+            self._load_header(),
+        ]
+        return raw_http.Answer(503 if self.leaving else 200, headers)
+
     async def _serve(self, request: raw_http.Request) -> raw_http.Answer:
         """Serve a caller's request."""
         fault = self.faults.popleft() if self.faults else None
+        if fault is Fault.PAUSE:
+            self.pause(self.options.pause_s)
+            await self._wait_while_paused()
         if fault in REFUSALS:
             return self._refuse(request, fault)
         if fault is Fault.CUT_HEAD:
-            return raw_http.Answer(200, raw=b'HTTP/1.1 200 OK\r\nInstance-Si')
+            return raw_http.Answer(200, raw=self._cut_head())
         if fault is Fault.RESET_BEFORE_RUN:
             raise raw_http.Reset
         if fault is Fault.SILENT:
@@ -160,6 +213,11 @@
             return raw_http.Answer(503, [NOT_EXECUTED_HEADER])
         return await self._run(request, fault)
 
+    def _cut_head(self) -> bytes:
+        """Return the first bytes of an answer's head."""
+        headers = [LEAVING_HEADER] if self.leaving else []
+        return _raw_answer(b'200 OK', headers, b'')[:-2] + b'Instance-Si'
+
     def _refuse(
         self, request: raw_http.Request, fault: Fault
     ) -> raw_http.Answer:
@@ -169,7 +227,11 @@
             self._load_header(),
             (b'Request-Id', request_id),
         ]
-        if fault is Fault.SHED:
+        if fault is Fault.BACK_OFF:
+            self.backed_off_at.append(anyio.current_time())
+            retry_after = self.options.retry_after.encode()
+            headers.append((b'Retry-After', retry_after))
+        if fault in (Fault.SHED, Fault.BACK_OFF):
             return raw_http.Answer(503, headers)
         repeated = headers if fault is Fault.REPEATED_REFUSAL else headers[:-1]
         return raw_http.Answer(
@@ -231,6 +293,8 @@
         request_id = request.headers['request-id']
         parts = self._stream_events(request_id, first, fault)
         if fault in UNFRAMED_FAULTS:
+            if self.leaving:
+                headers.append(LEAVING_HEADER)
             return await _unframed_answer(headers, parts, fault)
         return raw_http.Answer(200, headers, parts=parts)
 
@@ -286,6 +350,9 @@
         try:
             for number in range(first, self.options.events + 1):
                 await anyio.sleep(self.options.event_s)
+                if fault is Fault.PAUSE_STREAM and number == first + 2:
+                    self.pause(self.options.pause_s)
+                await self._wait_while_paused()
                 if request_id in self.stopped_streams:
                     raise raw_http.Reset
                 self.last_event_ids[request_id] = number
