Read Server-Leaving and Retry-After in runners' answers

A runner that leaves says so in all its answers, and one that refuses a request with 503 may say for how long it wants nothing. Neither header was read.

ResponseFacts has both now. Retry-After counts with status 503 only, in seconds with fractions. Server-Leaving of a caller's request is removed; that of a runner's answer is passed on like its other end-to-end headers. A runner's 503 is not passed on, so neither is its Retry-After.

--- a/primrosereel/platform/_dialect.py
+++ b/primrosereel/platform/_dialect.py
@@ -1,6 +1,7 @@
 """Headers of requests and responses, and HTTP calls to runners."""
 
 from collections.abc import Sequence
+import re
 from typing import TypeVar
 
 import msgspec
@@ -23,6 +24,9 @@
 # Present when the runner did not run the request; the value is ignored.
 NOT_RUN = b'not-executed'
 LOAD = b'instance-load'
+LEAVING = b'server-leaving'
+LEAVING_VALUE = b'1'
+RETRY_AFTER = b'retry-after'
 
 # Headers that only the router sets, or that only a runner's response has;
 # they are removed from a caller's request.
@@ -33,6 +37,7 @@
         NOT_RUN,
         SIGNATURE,
         LOAD,
+        LEAVING,
         b'expect-instance',
         b'expect-version',
         b'instance-id',
@@ -50,6 +55,10 @@
 # Longer lists of parts, and longer ids, are not decoded.
 MAX_PROMPT_PARTS = 64
 MAX_PART_ID_LENGTH = 32
+# Seconds as decimal digits; dates are not accepted. A longer value is not
+# decoded, and a large one is bounded where it is used.
+RETRY_AFTER_SECONDS = re.compile(rb'[0-9]{1,40}(\.[0-9]{1,40})?')
+UNAVAILABLE = 503
 
 
 class _PrefillBody(msgspec.Struct, rename='camel'):
@@ -121,6 +130,7 @@
         """Decode the headers of a runner's response."""
         values = {name.lower(): value for name, value in headers}
         request_id = values.get(REQUEST_ID)
+        signs = _RunnerSigns(status, headers)
         return model.ResponseFacts(
             request_id=None
             if request_id is None
@@ -129,6 +139,9 @@
             not_run=NOT_RUN in values or status == 421,
             encoded=b'content-encoding' in values,
             load=_parse_load(values.get(LOAD)),
+            leaving=signs.leaving,
+            retry_after_s=signs.retry_after_s,
+            invalid_headers=tuple(signs.invalid_headers),
         )
 
     def prefill_result(
@@ -191,6 +204,46 @@
         return b'DELETE', b'/v1/kv-handle/' + name.encode()
 
 
+class _RunnerSigns:
+    """What the headers of a response say of the runner's availability.
+
+    ``Retry-After`` counts only in a refusal with status 503. A value that
+    cannot be decoded and a header that is repeated are ignored, and their
+    names are kept in ``invalid_headers``.
+    """
+
+    def __init__(self, status: int, headers: Headers) -> None:
+        self.leaving = False
+        self.retry_after_s: float | None = None
+        self.invalid_headers: list[str] = []
+        leaving = self._only_value(LEAVING, headers)
+        if leaving == LEAVING_VALUE:
+            self.leaving = True
+        elif leaving is not None:
+            self.invalid_headers.append(LEAVING.decode())
+        if status == UNAVAILABLE:
+            self.retry_after_s = self._seconds(headers)
+
+    def _seconds(self, headers: Headers) -> float | None:
+        value = self._only_value(RETRY_AFTER, headers)
+        if value is None:
+            return None
+        if RETRY_AFTER_SECONDS.fullmatch(value) is None:
+            self.invalid_headers.append(RETRY_AFTER.decode())
+            return None
+        return float(value)
+
+    def _only_value(self, name: bytes, headers: Headers) -> bytes | None:
+        """Return the value of a header; None if it is absent or repeated."""
+        values = [
+            value.strip() for key, value in headers if key.lower() == name
+        ]
+        if len(values) > 1:
+            self.invalid_headers.append(name.decode())
+            return None
+        return values[0] if values else None
+
+
 def _json_headers(runner: ids.RunnerId) -> list[tuple[bytes, bytes]]:
     return [
         (b'Content-Type', b'application/json'),
--- a/primrosereel/routing/_model.py
+++ b/primrosereel/routing/_model.py
@@ -181,8 +181,11 @@
 class ResponseFacts:
     """Values from the headers of a runner's response.
 
-    ``not_run`` is set if the runner states that the request did not run, and
-    ``signed`` if the response has the runner's signature.
+    ``not_run`` is set if the runner states that the request did not run,
+    ``signed`` if the response has the runner's signature, and ``leaving`` if
+    the runner states that it leaves. For ``retry_after_s`` seconds after a
+    refusal the runner wants no requests. ``invalid_headers`` names headers on
+    the runner's availability whose values were ignored.
     """
 
     request_id: str | None = None
@@ -190,6 +193,9 @@
     not_run: bool = False
     encoded: bool = False
     load: LoadReport | None = None
+    leaving: bool = False
+    retry_after_s: float | None = None
+    invalid_headers: tuple[str, ...] = ()
 
 
 class PrefillResult(NamedTuple):
--- a/tests/property/test_fuzz_platform.py
+++ b/tests/property/test_fuzz_platform.py
@@ -176,6 +176,8 @@
                 b'Instance-Load',
                 b'Not-Executed',
                 b'Content-Encoding',
+                b'Server-Leaving',
+                b'Retry-After',
             ]
         ),
         HEADER_VALUES,
@@ -191,6 +193,8 @@
     answer = dialect.response_facts(200, list(headers.items()))
     assert answer.not_run == (b'Not-Executed' in headers)
     assert answer.load is None or answer.load.slots >= 0
+    refusal = dialect.response_facts(503, list(headers.items()))
+    assert refusal.retry_after_s is None or refusal.retry_after_s >= 0
 
 
 @pytest.mark.parametrize(
