Let the metadata store stand-in come back from a copy

The users' store may be away and come back from a copy some seconds old. The stand-in could only lose its history, so no test could play a return in which the revisions are given out again. It now copies its state and comes back from a copy: entries and revision are the copy's, Store-Era rises by one in all answers, and a watch from a revision that it does not have gets 410, also one that was waiting.

--- a/primrosereel/_ids.py
+++ b/primrosereel/_ids.py
@@ -26,6 +26,7 @@
     'Revision',
     'RunnerId',
     'ServiceId',
+    'StoreEra',
     'engine_request_id',
     'holder_of',
     'request_id',
@@ -45,6 +46,7 @@
 Revision = NewType('Revision', int)
 RunnerId = NewType('RunnerId', str)
 ServiceId = NewType('ServiceId', str)
+StoreEra = NewType('StoreEra', int)
 
 
 class Holder(NamedTuple):
--- a/primrosereel/standin/_metadata_store.py
+++ b/primrosereel/standin/_metadata_store.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 from typing import Any
+from typing import NamedTuple
 import urllib.parse
 
 import anyio
@@ -11,7 +12,7 @@
 
 from primrosereel.standin import _raw_http as raw_http
 
-__all__ = ['MetadataStore', 'StoreMode']
+__all__ = ['MetadataStore', 'StoreCopy', 'StoreMode']
 
 PAGE_ITEMS = 50
 MAX_WAIT_MS = 30_000
@@ -48,12 +49,26 @@
         }
 
 
+class StoreCopy(NamedTuple):
+    """The items, the history and the revision of one moment."""
+
+    items: dict[str, _Event]
+    history: list[_Event]
+    history_start: int
+    revision: int
+
+
 class MetadataStore:
-    """Items under one revision number, which every write increments."""
+    """Items under one revision number, which every write increments.
+
+    ``era`` is sent with every answer and counts the returns from a copy; None
+    stands for a store without the header.
+    """
 
     def __init__(self) -> None:
         self.server = raw_http.RawServer(self._handle)
         self.mode = StoreMode.UP
+        self.era: int | None = 1
         self.calls = 0
         # Range calls get 503 while watches are still answered.
         self.ranges_refused = False
@@ -73,6 +88,28 @@
         """Remove an item."""
         self._write(key, None)
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the present state."""
+        return StoreCopy(
+            dict(self._items),
+            list(self._history),
+            self._history_start,
+            self._revision,
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy: what was written since is lost.
+
+        The revisions after the copy's are given out again.
+        """
+        self._items = dict(copy.items)
+        self._history = list(copy.history)
+        self._history_start = copy.history_start
+        self._revision = copy.revision
+        if self.era is not None:
+            self.era += 1
+        self._notify()
+
     def forget_history(self) -> None:
         """Drop the history, so that waiting watches are answered with 410."""
         self._history.clear()
@@ -95,6 +132,12 @@
         self._changed = anyio.Event()
 
     async def _handle(self, request: raw_http.Request) -> raw_http.Answer:
+        answer = await self._answer(request)
+        if self.era is not None:
+            answer.headers.append((b'Store-Era', b'%d' % self.era))
+        return answer
+
+    async def _answer(self, request: raw_http.Request) -> raw_http.Answer:
         self.calls += 1
         if self.mode is StoreMode.BUSY:
             return raw_http.Answer(503)
@@ -139,7 +182,7 @@
         wait_s = min(int(query['waitMs']), MAX_WAIT_MS) / 1000
         with anyio.move_on_after(wait_s):
             while True:
-                if after + 1 < self._history_start:
+                if not self._history_start <= after + 1 <= self._revision + 1:
                     return raw_http.Answer(410)
                 events = [
                     event.as_item()
