Let the soak keep connections, change limits and routes, and restore the store

The soak had one link to the store for all processes, new connections only, changes of the version alone, and no check that a request which was read gets an answer. It is split into modules (processes, stand-ins, operator, callers, faults, checks) and has now:

- callers that keep connections until the process is gone, idle for up to four fifths of the idle limit in force, and bodies that follow their head later;
- changes of the configuration in series: idle limit, timeouts, routes that are added and removed; signals during a stop, stops of all processes in turn;
- a link to the store for each process, a store whose entries lapse or that comes back from a copy, runners that leave with Server-Leaving, refuse with Retry-After or are silent for a second;
- checks on requests without an answer, on added and removed routes, and on requests that reach a runner that left or wants nothing;

--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -79,9 +79,18 @@
         await anyio.aclose_forcefully(self._stream)
 
     async def send(
-        self, target, request_id, method='GET', body=b'', **headers
+        self,
+        target,
+        request_id,
+        method='GET',
+        body=b'',
+        body_delay_s=0.0,
+        **headers,
     ):
-        """Send a request; dashes in header names are given as underscores."""
+        """Send a request; dashes in header names are given as underscores.
+
+        The body follows the head after ``body_delay_s``.
+        """
         if self._parser.our_state is h11.DONE:
             self._parser.start_next_cycle()
         fields = [('Host', HOST), ('Request-Id', request_id)]
@@ -94,6 +103,10 @@
         data = self._parser.send(
             h11.Request(method=method, target=target, headers=fields)
         )
+        if body_delay_s:
+            await self._stream.send(data)
+            await anyio.sleep(body_delay_s)
+            data = b''
         if body:
             data += self._parser.send(h11.Data(data=body))
         data += self._parser.send(h11.EndOfMessage())
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -5,6 +5,8 @@
 
 from tests.soak import soak
 
+MAX_PROCESSES = 12
+
 
 def main():
     """Run every seed; return 1 if any of them caused a violation."""
@@ -12,14 +14,27 @@
     parser.add_argument('--first', type=int, default=1)
     parser.add_argument('--seeds', type=int, default=5)
     parser.add_argument('--seconds', type=float, default=10.0)
+    parser.add_argument(
+        '--processes',
+        type=int,
+        default=soak.DEFAULT_PROCESSES,
+        choices=range(1, MAX_PROCESSES + 1),
+        metavar='N',
+    )
+    parser.add_argument(
+        '--logs', metavar='FOLDER', help='keep the logs of each seed there'
+    )
     options = parser.parse_args()
     failed = 0
     for seed in range(options.first, options.first + options.seeds):
-        result = soak.run(seed, options.seconds)
+        result = soak.run(
+            seed, options.seconds, options.processes, options.logs
+        )
         failed += bool(result.violations)
-        print(seed, dict(result.outcomes), sum(result.faults.values()))
+        faults = sum(result.faults.values())
+        print(seed, dict(result.outcomes), faults, flush=True)
         for violation in result.violations:
-            print('  ', violation)
+            print('  ', violation, flush=True)
     print(f'{options.seeds - failed} passed, {failed} failed')
     return 1 if failed else 0
 
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,229 @@
+"""Callers of a soak run: on new connections, and on kept ones."""
+
+import contextlib
+import dataclasses
+import math
+import random as random_module
+from typing import Any
+
+import anyio
+
+from tests import gateway_fleet
+
+__all__ = [
+    'ANSWER_TIMEOUT_S',
+    'AT_MOST_ONCE_PATHS',
+    'DEADLY_PART',
+    'EVENTS_PER_STREAM',
+    'PATHS',
+    'STREAM_PATHS',
+    'Attempt',
+    'Callers',
+]
+
+PATHS = ('/read/1', '/file/1', '/ask/1', '/once/1')
+AT_MOST_ONCE_PATHS = ('/file/1', '/once/1')
+STREAM_PATHS = ('/ask/1', '/once/1')
+EVENTS_PER_STREAM = 12
+DEADLINE_MS = 4000
+# Twice the deadline: a gateway that has not answered by then never does.
+ANSWER_TIMEOUT_S = 8.0
+# The share of requests whose prompts crash the decode runner.
+DEADLY_SHARE = 0.04
+DEADLY_PART = 'dead'
+ADDED_ROUTE_SHARE = 0.2
+LEAVE_SHARE = 0.1
+BODY_SHARE = 0.5
+SLOW_BODY_SHARE = 0.3
+MAX_BODY_BYTES = 30_000
+KEPT_CONNECTIONS_PER_PROCESS = 2
+# The share of the idle limit that callers keep a connection idle at most.
+IDLE_SHARE = 0.8
+SHORT_IDLE_S = 0.05
+REQUESTS_PER_PROCESS_S = 8.0
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """One request of a caller, sent once.
+
+    ``sent_at`` is when its last byte was written, ``ended_at`` when its answer
+    or its connection ended. ``left`` is set if the caller left before that.
+    """
+
+    request_id: str
+    path: str
+    process: Any
+    body: bytes = b''
+    deadly: bool = False
+    on_kept_connection: bool = False
+    sent_at: float = math.inf
+    ended_at: float = math.inf
+    reply: Any = None
+    left: bool = False
+
+    @property
+    def outcome(self):
+        if self.sent_at == math.inf:
+            return 'not sent'
+        if self.left:
+            return 'left'
+        if self.reply is None:
+            return 'no answer'
+        return f'{self.reply.status}' + ('' if self.reply.complete else ' cut')
+
+
+class _Client(gateway_fleet.Client):
+    """A caller's connection that may be kept open between requests."""
+
+    async def read_while_idle(self, seconds):
+        """Return what arrives without a request: None if nothing does.
+
+        The end of the connection is returned as no bytes.
+        """
+        with anyio.move_on_after(seconds):
+            try:
+                return await self._stream.receive()
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                return b''
+        return None
+
+
+class Callers:
+    """Sends requests to the processes and records the attempts."""
+
+    def __init__(self, seed, processes, operator, outcomes):
+        self.attempts = []
+        # Bytes that arrived on connections on which no request was open.
+        self.unasked = []
+        self._seed = seed
+        self._random = random_module.Random(f'{seed} callers')
+        self._processes = processes
+        self._operator = operator
+        self._outcomes = outcomes
+        self._stopped = False
+
+    async def run(self, seconds):
+        """Send requests for some seconds and wait for their answers."""
+        end = anyio.current_time() + seconds
+        rate = REQUESTS_PER_PROCESS_S * len(self._processes)
+        async with anyio.create_task_group() as tasks:
+            for process in self._processes:
+                for number in range(KEPT_CONNECTIONS_PER_PROCESS):
+                    tasks.start_soon(self._keep_connection, process, number)
+            while anyio.current_time() < end:
+                process = self._random.choice(self._processes)
+                tasks.start_soon(self.ask_once, self._draw(process), True)
+                await anyio.sleep(self._random.expovariate(rate))
+            self._stopped = True
+
+    async def ask_routes(self, prefixes):
+        """Ask each process for routes."""
+        async with anyio.create_task_group() as tasks:
+            for process in self._processes:
+                for prefix in prefixes:
+                    attempt = self._new_attempt(process, f'{prefix}1')
+                    tasks.start_soon(self.ask_once, attempt)
+
+    async def ask_patiently(self, path):
+        """Send a sound request to some process; return whether it succeeds."""
+        process = self._random.choice(self._processes)
+        attempt = self._new_attempt(process, path)
+        await self.ask_once(attempt)
+        return attempt.outcome == '200'
+
+    async def ask_once(self, attempt, may_leave=False):
+        """Send a request on a new connection."""
+        try:
+            async with _Client(attempt.process.callers) as client:
+                await self._ask(client, attempt, may_leave)
+        except (OSError, anyio.BrokenResourceError):
+            self._outcomes['connection lost'] += 1
+
+    async def _keep_connection(self, process, number):
+        """Use a connection until the process is gone, then a new one."""
+        random = random_module.Random(f'{self._seed} {process.host} {number}')
+        while not self._stopped:
+            with contextlib.suppress(OSError, anyio.BrokenResourceError):
+                async with _Client(process.callers) as client:
+                    await self._use_connection(client, process, random)
+            await anyio.sleep(0.1)
+
+    async def _use_connection(self, client, process, random):
+        first = True
+        while not self._stopped:
+            attempt = self._draw(process, random)
+            attempt.on_kept_connection = not first
+            first = False
+            await self._ask(client, attempt, may_leave=True)
+            if not _may_reuse(attempt):
+                return
+            idle_s = SHORT_IDLE_S
+            if random.random() < 0.5:
+                limit_s = IDLE_SHARE * self._operator.idle_limit_s()
+                idle_s = random.uniform(0.5 * limit_s, limit_s)
+            received = await client.read_while_idle(idle_s)
+            if received is not None:
+                self._outcomes['closed while idle'] += 1
+                if received:
+                    self.unasked.append((attempt.request_id, received))
+                return
+
+    def _draw(self, process, random=None):
+        """Return a random request to a process."""
+        random = random or self._random
+        path = random.choice(PATHS)
+        if random.random() < ADDED_ROUTE_SHARE and self._operator.routes:
+            path = f'{random.choice(self._operator.routes).prefix}1'
+        attempt = self._new_attempt(process, path)
+        attempt.deadly = random.random() < DEADLY_SHARE
+        if path == '/file/1' and random.random() < BODY_SHARE:
+            attempt.body = random.randbytes(random.randint(1, MAX_BODY_BYTES))
+        return attempt
+
+    def _new_attempt(self, process, path):
+        attempt = Attempt(f'r{len(self.attempts) + 1}', path, process)
+        self.attempts.append(attempt)
+        return attempt
+
+    async def _ask(self, client, attempt, may_leave):
+        leave_s = ANSWER_TIMEOUT_S
+        if may_leave and self._random.random() < LEAVE_SHARE:
+            leave_s = self._random.uniform(0.05, 0.5)
+        try:
+            with anyio.move_on_after(leave_s) as scope:
+                await self._send(client, attempt)
+                attempt.reply = await client.receive()
+                attempt.ended_at = anyio.current_time()
+        finally:
+            attempt.left = (
+                scope.cancelled_caught and leave_s < ANSWER_TIMEOUT_S
+            )
+            self._outcomes[attempt.outcome] += 1
+
+    async def _send(self, client, attempt):
+        delay_s = 0.0
+        if attempt.body and self._random.random() < SLOW_BODY_SHARE:
+            delay_s = self._random.uniform(0.05, 0.4)
+        parts = ['system'] + [DEADLY_PART] * attempt.deadly
+        prefix = ''.join(f'{part}:100,' for part in parts)
+        await client.send(
+            attempt.path,
+            attempt.request_id,
+            'POST',
+            attempt.body,
+            delay_s,
+            Deadline_Ms=DEADLINE_MS,
+            Token_Usage='2000,100',
+            Prompt_Prefix=f'{prefix}{attempt.request_id}:1800',
+        )
+        attempt.sent_at = anyio.current_time()
+
+
+def _may_reuse(attempt):
+    reply = attempt.reply
+    return (
+        reply is not None
+        and reply.complete
+        and reply.headers.get('connection', '').lower() != 'close'
+    )
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,274 @@
+"""Random faults of a soak run, several of them at once."""
+
+import random as random_module
+import signal
+
+import anyio
+
+from primrosereel.standin import _metadata_store as metadata_store
+from tests.soak import links
+from tests.soak import operator as operator_module
+from tests.soak import processes as processes_module
+from tests.soak import runners as runners_module
+
+__all__ = ['FaultInjector']
+
+Fault = runners_module.Fault
+LINK_FAULTS = list(links.Mode)[1:]
+STORE_FAULTS = list(metadata_store.StoreMode)[1:]
+RETRY_AFTER = ('0.8', '1', '2.5', '3')
+MAX_FAULT_GAP_S = 0.8
+READY_TIMEOUT_S = 3.0
+# How long and how often the store is copied.
+COPY_INTERVAL_S = 0.5
+MAX_COPIES = 12
+
+
+class FaultInjector:
+    """Disturbs processes, links, runners and the store at random.
+
+    ``violations`` has what the faults themselves found out.
+    """
+
+    def __init__(self, seed, stand_ins, processes, callers, counts):
+        self.violations = []
+        self._random = random_module.Random(f'{seed} faults')
+        self._stand_ins = stand_ins
+        self._store = stand_ins.store
+        self._operator = stand_ins.operator
+        self._processes = processes
+        self._callers = callers
+        self._counts = counts
+        self._copies = []
+        # Held while the store is away or comes back from a copy.
+        self._store_lock = anyio.Lock()
+
+    async def run(self, seconds):
+        """Cause faults for some seconds and wait for the end of the last."""
+        end = anyio.current_time() + seconds
+        faults = (
+            self._kill_process,
+            self._pause_process,
+            self._stop_process,
+            self._stop_processes_in_turn,
+            self._signal_processes,
+            self._disturb_runner,
+            self._disturb_store,
+            self._disturb_store_links,
+            self._restore_store,
+            self._fail_runners,
+            self._pause_runner,
+            self._remove_runner,
+            self._remove_runner_unseen,
+            self._change_configuration,
+            self._change_configuration_in_series,
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._copy_store, end)
+            while anyio.current_time() < end:
+                fault = self._random.choice(faults)
+                self._counts[fault.__name__.strip('_')] += 1
+                tasks.start_soon(fault)
+                await anyio.sleep(self._random.uniform(0.1, MAX_FAULT_GAP_S))
+
+    # Processes.
+
+    async def _kill_process(self):
+        process = self._random.choice(self._processes)
+        down_s = self._random.uniform(0.1, 1.0)
+        async with process.replacement_lock:
+            halted = await process.kill()
+            await anyio.sleep(down_s)
+            process.start()
+            process.halted.end(halted)
+
+    async def _pause_process(self):
+        process = self._random.choice(self._processes)
+        await process.pause(self._random.uniform(0.3, 2.0))
+
+    async def _stop_process(self):
+        await self._replace(self._random.choice(self._processes))
+
+    async def _stop_processes_in_turn(self):
+        """Stop all processes, the next one perhaps before the last is back."""
+        order = self._random.sample(self._processes, len(self._processes))
+        gap_s = self._random.uniform(0.3, 2.0)
+        async with anyio.create_task_group() as tasks:
+            for process in order:
+                tasks.start_soon(self._replace, process)
+                await anyio.sleep(gap_s)
+
+    async def _replace(self, process):
+        """Stop a process, with more signals during its grace, and start it."""
+        signals = self._random.choices(
+            (signal.SIGHUP, signal.SIGTERM), k=self._random.randint(0, 3)
+        )
+        gap_s = self._random.uniform(0.05, 1.0)
+        async with process.replacement_lock:
+            # SIGTERM kills a process that has not installed its handlers yet.
+            if not await process.is_ready_within(READY_TIMEOUT_S):
+                return
+            stopped_at = process.ask_to_stop()
+            for number in signals:
+                await anyio.sleep(gap_s)
+                process.touch_settings()
+                process.signal(number)
+            await self._wait_stopped(process, stopped_at)
+            process.start()
+
+    async def _wait_stopped(self, process, stopped_at):
+        left_s = stopped_at + processes_module.GRACE_S - anyio.current_time()
+        status = await process.wait_exit(left_s)
+        now = anyio.current_time()
+        if status != 0 and not process.halted.overlap(stopped_at, now):
+            self.violations.append(
+                f'{process.host}: exit status {status} {now - stopped_at:.3f} '
+                's after SIGTERM'
+            )
+        if status is None:
+            process.halted.end(await process.kill())
+
+    async def _signal_processes(self):
+        """Send SIGHUP to some processes, several times."""
+        chosen = self._random.sample(
+            self._processes, self._random.randint(1, len(self._processes))
+        )
+        gaps = [
+            self._random.uniform(0.0, 0.5)
+            for _ in range(self._random.randint(1, 3))
+        ]
+        for process in chosen:
+            if not await process.is_ready_within(READY_TIMEOUT_S):
+                return
+            for gap_s in gaps:
+                process.touch_settings()
+                process.signal(signal.SIGHUP)
+                await anyio.sleep(gap_s)
+
+    # Links and store.
+
+    async def _disturb_runner(self):
+        link = self._random.choice(list(self._stand_ins.links.values()))
+        await self._disturb_links([link], self._random.uniform(0.2, 2.0))
+
+    async def _disturb_store_links(self):
+        """Cut some processes off from the store, which serves the others."""
+        count = self._random.randint(1, max(1, len(self._processes) - 1))
+        chosen = self._random.sample(self._processes, count)
+        store_links = [process.store_link for process in chosen]
+        await self._disturb_links(store_links, self._random.uniform(0.3, 3.0))
+
+    async def _disturb_links(self, chosen, seconds):
+        mode = self._random.choice(LINK_FAULTS)
+        for link in chosen:
+            link.set_mode(mode)
+        await anyio.sleep(seconds)
+        for link in chosen:
+            link.set_mode(links.Mode.PASS)
+
+    async def _disturb_store(self):
+        if self._random.random() < 0.3:
+            self._store.forget_history()
+            self._operator.disturbed.mark()
+            return
+        mode = self._random.choice(STORE_FAULTS)
+        away_s = self._random.uniform(0.3, 3.0)
+        lapsed = []
+        if self._random.random() < 0.4:
+            lapsed = self._random.sample(list(self._stand_ins.runners), 3)
+        back_s = self._random.uniform(0.0, 1.9)
+        async with self._store_lock:
+            disturbance = self._operator.disturbed.begin()
+            self._store.mode = mode
+            for name in lapsed:
+                self._store.delete(f'servers/{name}')
+            await anyio.sleep(away_s)
+            self._store.mode = metadata_store.StoreMode.UP
+            self._operator.disturbed.end(disturbance)
+            await anyio.sleep(back_s)
+            for name in lapsed:
+                self._operator.write_runner(name)
+
+    async def _copy_store(self, end):
+        while anyio.current_time() < end:
+            self._copies.append(self._store.copy())
+            del self._copies[:-MAX_COPIES]
+            await anyio.sleep(COPY_INTERVAL_S)
+
+    async def _restore_store(self):
+        """Let the store be away, and come back from a copy."""
+        mode = self._random.choice(STORE_FAULTS)
+        away_s = self._random.uniform(0.2, 2.0)
+        age = self._random.randint(1, MAX_COPIES)
+        change_first = self._random.random() < 0.7
+        async with self._store_lock:
+            copy = self._copies[-min(age, len(self._copies))]
+            if change_first:
+                self._operator.change_configuration(self._random)
+                await anyio.sleep(self._random.uniform(0.0, 0.5))
+            disturbance = self._operator.disturbed.begin()
+            self._store.mode = mode
+            await anyio.sleep(away_s)
+            self._store.restore(copy)
+            self._store.mode = metadata_store.StoreMode.UP
+            await self._operator.write_again(self._random)
+            self._operator.disturbed.end(disturbance)
+
+    # Runners.
+
+    async def _fail_runners(self):
+        """Queue four random faults on each of half of the runners."""
+        names = list(self._stand_ins.links)
+        for name in self._random.sample(names, len(names) // 2):
+            runner = self._stand_ins.runners[name]
+            runner.options.retry_after = self._random.choice(RETRY_AFTER)
+            runner.faults.extend(self._random.choices(list(Fault), k=4))
+
+    async def _pause_runner(self):
+        name = self._random.choice(list(self._stand_ins.runners))
+        seconds = self._random.uniform(0.8, 1.2)
+        self._stand_ins.runners[name].pause(seconds)
+
+    async def _remove_runner(self):
+        """Let a runner leave, and come back."""
+        name = self._random.choice(list(self._stand_ins.links))
+        if self._operator.is_leaving(name):
+            return
+        runner = self._stand_ins.runners[name]
+        says_so = self._random.random() < 0.6
+        ahead_s = self._random.uniform(0.0, 0.5)
+        first_state = self._random.choice(('draining', None))
+        wait_s = self._random.uniform(0.5, 2.5)
+        if says_so:
+            runner.leaving = True
+            await anyio.sleep(ahead_s)
+        self._operator.publish_runner(name, first_state)
+        await anyio.sleep(wait_s)
+        if self._random.random() < 0.5:
+            self._operator.publish_runner(name, None)
+            await anyio.sleep(wait_s)
+        runner.restart()
+        self._operator.publish_runner(name, 'ready')
+
+    async def _remove_runner_unseen(self):
+        """Let a runner leave while some processes are without the store."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._disturb_store_links)
+            await anyio.sleep(self._random.uniform(0.1, 1.0))
+            await self._remove_runner()
+
+    # Configuration.
+
+    async def _change_configuration(self):
+        known = len(self._operator.routes)
+        self._operator.change_configuration(self._random)
+        added = [r.prefix for r in self._operator.routes[known:]]
+        if added:
+            await anyio.sleep(operator_module.IN_FORCE_S)
+            await self._callers.ask_routes(added)
+
+    async def _change_configuration_in_series(self):
+        async with anyio.create_task_group() as tasks:
+            for _ in range(self._random.randint(2, 6)):
+                tasks.start_soon(self._change_configuration)
+                await anyio.sleep(self._random.uniform(0.0, 0.4))
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -6,6 +6,8 @@
 import anyio
 import anyio.abc
 
+from tests.soak import spans
+
 __all__ = ['Link', 'Mode']
 
 READ_BYTES = 65536
@@ -26,17 +28,27 @@
 
 
 class Link:
-    """Proxy for one port of 127.0.0.1 whose mode may change at any time."""
+    """Proxy for one port of 127.0.0.1 whose mode may change at any time.
+
+    ``disturbed`` has the periods in which the mode was another than PASS.
+    """
 
     def __init__(self, target):
-        self._target = target
-        self._scopes = set()
         self.mode = Mode.PASS
         self.port = 0
+        self.disturbed = spans.Spans()
+        self._target = target
+        self._scopes = set()
+        self._disturbance = None
 
     def set_mode(self, mode):
         """Change the mode; a reset also closes the open connections."""
         self.mode = mode
+        if self._disturbance is not None:
+            self.disturbed.end(self._disturbance)
+            self._disturbance = None
+        if mode is not Mode.PASS:
+            self._disturbance = self.disturbed.begin()
         if mode is Mode.RESET:
             for scope in list(self._scopes):
                 scope.cancel()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,494 +1,158 @@
 """A soak test of gateway processes with stand-ins and random faults.
 
-Three processes serve callers while processes are killed, paused and stopped,
-links to the runners and the metadata store are disturbed, runners fail and
-drain, some prompts crash the runner that answers them, and the configuration
-changes. Faults overlap. The responses to callers
-and the executions on runners are checked for these guarantees: a response is
-correct and in order, a non-idempotent request runs at most once and never
-after a refusal that says it did not run, and the gateway recovers. A seed
-fixes the faults and requests, but not their exact timing.
-
-Run it directly: ``python -m tests.soak --seeds 50 --first 1000 --seconds 10``.
+Some processes serve callers while processes are killed, paused and stopped,
+links to the runners and the metadata store are disturbed, runners fail, leave
+and refuse, some prompts crash the runner that answers them, the store is away
+or comes back from a copy, and the configuration changes. Faults come in series
+and overlap. Callers use new connections, and connections that they keep open
+until the process is gone. A seed fixes the faults and requests, but not their
+exact timing.
+
+The module ``checks`` has the guarantees that are checked on the records of a
+run. Run it directly::
+
+    python -m tests.soak --seeds 50 --first 1000 --seconds 10
 """
 
 import collections
-import functools
-import json
-import os
 import pathlib
-import random
 import signal
-import subprocess
-import sys
 import tempfile
+import time
 
 import anyio
 
-from primrosereel.routing import _model as model
-from primrosereel.standin import _listed_runner as listed_runner
-from primrosereel.standin import _metadata_store as metadata_store
-from primrosereel.standin import _operator_config as operator_config
 from tests import gateway_fleet
-from tests.soak import links
+from tests.soak import callers as callers_module
+from tests.soak import checks
+from tests.soak import faults as faults_module
+from tests.soak import processes as processes_module
+from tests.soak import record as record_module
+from tests.soak import stand_ins as stand_ins_module
 
-__all__ = ['Soak', 'run']
+__all__ = ['DEFAULT_PROCESSES', 'Soak', 'run']
 
-Fault = listed_runner.Fault
-HOSTS = ('127.0.0.1', '127.0.0.2', '127.0.0.3')
-RUNNERS = (
-    *((f'p{n}', 'llm', 'prefill') for n in range(2)),
-    *((f'd{n}', 'llm', 'decode') for n in range(3)),
-    *((f's{n}', 'plain', None) for n in range(3)),
-)
-# Decode runners without a link: while one is down after a crash, its port
-# refuses connections, as a process's does.
-UNLINKED_RUNNERS = (('e0', 'llm', 'decode'), ('e1', 'llm', 'decode'))
-# The share of streams whose prompts crash the decode runner.
-DEADLY_SHARE = 0.04
-DEADLY_PART = 'dead'
-EVENTS_PER_STREAM = 12
-PATHS = ('/read/1', '/file/1', '/ask/1', '/once/1')
-AT_MOST_ONCE_PATHS = ('/file/1', '/once/1')
-# Refusals that state that no runner has executed the request.
-NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
-REQUESTS_PER_S = 25.0
+DEFAULT_PROCESSES = 3
 START_TIMEOUT_S = 20.0
 RECOVERY_TIMEOUT_S = 12.0
-SETTINGS_TEMPLATE = """
-nodeName = "soak-{number}"
-zone = "zone-a"
-ip = "{host}"
-internalPortRange = [{peer}, {peer}]
-seeds = ["127.0.0.1:1"]
-[listen]
-frontend = "{host}:{callers}"
-ready = "{host}:{readiness}"
-[bounds]
-drainMs = 1000
-configApplyMs = 1000
-stableWindowMs = 1000
-graceS = 6
-retryBudgetRatio = 0.2
-budgetWindowS = 10
-retryBudgetSlack = 50
-[platform]
-address = "127.0.0.1:{store}"
-"""
-
-
-class GatewayProcess:
-    """One gateway process and its log."""
-
-    def __init__(self, number, folder, store, peer):
-        self.host = HOSTS[number]
-        self.callers = gateway_fleet.free_port()
-        self.readiness = gateway_fleet.free_port()
-        self._settings = folder / f'{number}.toml'
-        self.log = folder / f'{number}.log'
-        self._settings.write_text(
-            SETTINGS_TEMPLATE.format(
-                number=number,
-                host=self.host,
-                peer=peer,
-                callers=self.callers,
-                readiness=self.readiness,
-                store=store,
-            )
-        )
-        self.popen = None
-        # Held while a fault is being injected into this process.
-        self.fault_lock = anyio.Lock()
-
-    def start(self):
-        with self.log.open('ab') as log:
-            self.popen = subprocess.Popen(
-                [sys.executable, '-m', 'primrosereel.cmd.gateway'],
-                env=os.environ | {'PRIMROSEREEL_CONFIG': str(self._settings)},
-                stdout=log,
-                stderr=log,
-            )
-
-    def signal(self, number):
-        if self.popen.poll() is None:
-            self.popen.send_signal(number)
-
-    def touch_settings(self):
-        """Append an empty line, which changes the file but no setting."""
-        self._settings.write_text(self._settings.read_text() + '\n')
-
-    async def wait_exit(self, timeout_s):
-        """Return the exit status, or None if it still runs at the timeout."""
-        with anyio.move_on_after(timeout_s):
-            while self.popen.poll() is None:
-                await anyio.sleep(0.05)
-        return self.popen.poll()
-
-    async def wait_ready(self, timeout_s):
-        address = model.Address(self.host, self.readiness)
-        with anyio.fail_after(timeout_s):
-            while True:
-                try:
-                    async with gateway_fleet.Client(address) as client:
-                        reply = await client.ask('/v1/readiness', 'ready')
-                    if reply.status == 200:
-                        return
-                except OSError:
-                    pass
-                await anyio.sleep(0.05)
+# The gateway avoids runners that failed for a few seconds.
+CALM_S = 5.0
+RECOVERY_REQUESTS_PER_PATH = 5
+MIN_SERVED_SHARE = 0.9
 
 
 class Soak:
     """One soak run; ``violations`` lists the guarantees that did not hold."""
 
-    def __init__(self, seed, seconds):
-        self._random = random.Random(seed)
-        self._prompts_random = random.Random(seed + 1)
-        self._seconds = seconds
-        self._load_end = 0.0
-        self._version = 1
-        self._request_count = 0
-        self._refused_ids = set()
+    def __init__(self, seed, seconds, process_count=DEFAULT_PROCESSES):
         self.violations = []
         self.outcomes = collections.Counter()
         self.faults = collections.Counter()
-
-    async def run(self):
-        with tempfile.TemporaryDirectory() as folder:
-            async with anyio.create_task_group() as tasks:
-                await self._start(tasks, pathlib.Path(folder))
-                try:
-                    await self._run_load()
-                finally:
-                    for process in self._processes:
-                        process.signal(signal.SIGCONT)
-                        process.signal(signal.SIGKILL)
-                        process.popen.wait()
-                self._check_logs()
-                tasks.cancel_scope.cancel()
-
-    async def _start(self, tasks, folder):
-        self._store = metadata_store.MetadataStore()
-        await tasks.start(self._store.server.serve)
-        self._store.put('op/config', operator_config.configuration())
-        self._store_link = links.Link(self._store.server.port)
-        await tasks.start(self._store_link.serve)
-        self._runners, self._links = {}, {}
-        for name, service, stage in (*RUNNERS, *UNLINKED_RUNNERS):
-            options = listed_runner.RunnerOptions(
-                name,
-                service,
-                stage,
-                events=EVENTS_PER_STREAM,
-                event_s=0.05,
-                deadly_part=DEADLY_PART,
-            )
-            runner = self._runners[name] = listed_runner.ListedRunner(options)
-            runner.on_crash = functools.partial(self._record_crash, name)
-            await tasks.start(runner.server.serve)
-        for name, *_ in RUNNERS:
-            link = links.Link(self._runners[name].server.port)
-            await tasks.start(link.serve)
-            self._links[name] = link
-        for name in self._runners:
-            self._publish_runner(name, 'ready')
-        peer = gateway_fleet.free_port()
-        self._processes = [
-            GatewayProcess(number, folder, self._store_link.port, peer)
-            for number in range(len(HOSTS))
-        ]
-        for process in self._processes:
-            process.start()
-        for process in self._processes:
-            await process.wait_ready(START_TIMEOUT_S)
-
-    def _publish_runner(self, name, state):
-        entry = self._runners[name].entry(state)
-        if name in self._links:
-            entry['address'] = f'127.0.0.1:{self._links[name].port}'
-        self._store.put(f'servers/{name}', entry)
-
-    def _record_crash(self, name):
-        self.faults['runner crashed'] += 1
-        self._publish_runner(name, 'ready')
-
-    async def _run_load(self):
-        self._load_end = anyio.current_time() + self._seconds
+        self._seed = seed
+        self._seconds = seconds
+        self._process_count = process_count
+        self._stand_ins = None
+        self._processes = []
+        self._callers = None
+
+    async def run(self, folder):
+        """Run load and faults, then the checks; logs go to the folder."""
+        self._stand_ins = stand_ins_module.StandIns(self.faults)
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._cause_faults, tasks)
-            while anyio.current_time() < self._load_end:
-                tasks.start_soon(
-                    self._send_request, self._random.choice(PATHS)
-                )
-                wait_s = self._random.expovariate(REQUESTS_PER_S)
-                await anyio.sleep(wait_s)
-        await self._check_recovery()
-        self._check_runs()
-
-    # Requests.
-
-    async def _send_request(self, path):
-        self._request_count += 1
-        request_id = f'r{self._request_count}'
-        process = self._random.choice(self._processes)
-        cancel_after_s = None
-        if self._random.random() < 0.1:
-            cancel_after_s = self._random.uniform(0.05, 0.5)
-        address = model.Address(process.host, process.callers)
-        parts = ['system']
-        load_ends = anyio.current_time() >= self._load_end
-        if self._prompts_random.random() < DEADLY_SHARE and not load_ends:
-            parts.append(DEADLY_PART)
-        headers = {
-            'Deadline_Ms': 4000,
-            'Token_Usage': '2000,100',
-            'Prompt_Prefix': ''.join(f'{p}:100,' for p in parts)
-            + f'{request_id}:1800',
-        }
-        reply = None
-        with anyio.move_on_after(
-            cancel_after_s if cancel_after_s else 8.0
-        ) as scope:
+            await self._stand_ins.start(tasks)
             try:
-                async with gateway_fleet.Client(address) as client:
-                    reply = await client.ask(
-                        path, request_id, method='POST', **headers
-                    )
-            except (OSError, anyio.BrokenResourceError):
-                self.outcomes['connection lost'] += 1
-                return
-        if scope.cancelled_caught and cancel_after_s is None:
-            self.outcomes['no answer'] += 1
-        if reply is not None:
-            self._check_reply(path, request_id, reply)
-
-    def _check_reply(self, path, request_id, reply):
-        outcome = f'{reply.status}' + ('' if reply.complete else ' cut')
-        self.outcomes[outcome] += 1
-        if (
-            reply.status in NOT_EXECUTED_STATUSES
-            and path in AT_MOST_ONCE_PATHS
-        ):
-            self._refused_ids.add(request_id)
-        if reply.status != 200:
-            return
-        expected = f'answer to {request_id}'.encode()
-        if path in ('/ask/1', '/once/1'):
-            parts = reply.body.split(b'\n\n')
-            expected = _stream_body(EVENTS_PER_STREAM)
-            if not reply.complete:
-                # The received part of an interrupted stream must be in order
-                # and without duplicates.
-                expected = _stream_body(len(parts) - 1)
-        elif not reply.complete:
-            return
-        if reply.body != expected:
-            self.violations.append(
-                f'{path} {request_id}: {reply.body[:80]!r} instead of '
-                f'{expected[:80]!r}, complete {reply.complete}'
+                await self._start_processes(tasks, folder)
+                await self._run_load()
+                await self._check_recovery()
+            finally:
+                self._kill_processes()
+            self._check_records()
+            tasks.cancel_scope.cancel()
+
+    async def _start_processes(self, tasks, folder):
+        peer_port = gateway_fleet.free_port()
+        store_port = self._stand_ins.store.server.port
+        for number in range(self._process_count):
+            process = processes_module.GatewayProcess(
+                number, folder, store_port, peer_port
             )
-
-    # Faults.
-
-    async def _cause_faults(self, tasks):
-        fault_methods = (
-            self._kill_process,
-            self._pause_process,
-            self._stop_process,
-            self._reload_settings,
-            self._disturb_runner,
-            self._disturb_store,
-            self._fail_runner,
-            self._drain_runner,
-            self._publish_configuration,
-        )
-        while anyio.current_time() < self._load_end:
-            fault_method = self._random.choice(fault_methods)
-            self.faults[fault_method.__name__] += 1
-            tasks.start_soon(fault_method)
-            await anyio.sleep(self._random.uniform(0.1, 1.0))
-
-    async def _kill_process(self):
-        process = self._random.choice(self._processes)
-        wait_s = self._random.uniform(0.1, 1.0)
-        async with process.fault_lock:
-            process.signal(signal.SIGKILL)
-            await process.wait_exit(2.0)
-            await anyio.sleep(wait_s)
+            await tasks.start(process.store_link.serve)
+            process.write_settings()
             process.start()
+            self._processes.append(process)
+        for process in self._processes:
+            if not await process.is_ready_within(START_TIMEOUT_S):
+                raise TimeoutError(f'{process.host} did not become ready')
 
-    async def _pause_process(self):
-        process = self._random.choice(self._processes)
-        pause_s = self._random.uniform(0.3, 2.0)
-        async with process.fault_lock:
-            process.signal(signal.SIGSTOP)
-            await anyio.sleep(pause_s)
+    def _kill_processes(self):
+        for process in self._processes:
             process.signal(signal.SIGCONT)
-
-    async def _stop_process(self):
-        process = self._random.choice(self._processes)
-        async with process.fault_lock:
-            # SIGTERM kills a process that has not installed its handlers yet.
-            try:
-                await process.wait_ready(3.0)
-            except TimeoutError:
-                return
-            process.signal(signal.SIGTERM)
-            status = await process.wait_exit(8.0)
-            if status != 0:
-                self.violations.append(f'exit status {status} after SIGTERM')
             process.signal(signal.SIGKILL)
-            await process.wait_exit(2.0)
-            process.start()
-
-    async def _reload_settings(self):
-        process = self._random.choice(self._processes)
-        async with process.fault_lock:
-            try:
-                await process.wait_ready(3.0)
-            except TimeoutError:
-                return
-            process.touch_settings()
-            process.signal(signal.SIGHUP)
+            process.popen.wait()
 
-    async def _disturb_runner(self):
-        link = self._links[self._random.choice(RUNNERS)[0]]
-        mode = self._random.choice(list(links.Mode)[1:])
-        wait_s = self._random.uniform(0.2, 2.0)
-        link.set_mode(mode)
-        await anyio.sleep(wait_s)
-        link.set_mode(links.Mode.PASS)
-
-    async def _disturb_store(self):
-        choice = self._random.random()
-        wait_s = self._random.uniform(0.3, 3.0)
-        if choice < 0.3:
-            self._store.forget_history()
-        elif choice < 0.6:
-            modes = list(metadata_store.StoreMode)
-            self._store.mode = self._random.choice(modes)
-            await anyio.sleep(wait_s)
-            self._store.mode = modes[0]
-        else:
-            self._store_link.set_mode(
-                self._random.choice(list(links.Mode)[1:])
-            )
-            await anyio.sleep(wait_s)
-            self._store_link.set_mode(links.Mode.PASS)
-
-    async def _fail_runner(self):
-        """Queue four random faults on each of half of the runners."""
-        for name, *_ in self._random.sample(RUNNERS, len(RUNNERS) // 2):
-            faults = self._random.choices(list(Fault), k=4)
-            self._runners[name].faults.extend(faults)
-
-    async def _drain_runner(self):
-        name = self._random.choice(RUNNERS)[0]
-        wait_s = self._random.uniform(0.5, 2.0)
-        self._publish_runner(name, 'draining')
-        await anyio.sleep(wait_s)
-        if self._random.random() < 0.5:
-            self._store.delete(f'servers/{name}')
-            await anyio.sleep(wait_s)
-        self._publish_runner(name, 'ready')
-
-    async def _publish_configuration(self):
-        self._version += self._random.randint(1, 3)
-        self._store.put(
-            'op/config', operator_config.configuration(self._version)
+    async def _run_load(self):
+        self._callers = callers_module.Callers(
+            self._seed,
+            self._processes,
+            self._stand_ins.operator,
+            self.outcomes,
         )
-
-    # Checks after the faults.
+        injector = faults_module.FaultInjector(
+            self._seed,
+            self._stand_ins,
+            self._processes,
+            self._callers,
+            self.faults,
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(injector.run, self._seconds)
+            tasks.start_soon(self._callers.run, self._seconds)
+        self.violations += injector.violations
 
     async def _check_recovery(self):
-        for runner in self._runners.values():
-            runner.faults.clear()
-        for name, *_ in RUNNERS:
-            self._publish_runner(name, 'ready')
-        self._store.mode = next(iter(metadata_store.StoreMode))
+        """All processes are ready again, and sound requests are served."""
+        self._stand_ins.end_faults()
         for process in self._processes:
-            try:
-                await process.wait_ready(RECOVERY_TIMEOUT_S)
-            except TimeoutError:
+            if not await process.is_ready_within(RECOVERY_TIMEOUT_S):
                 self.violations.append(
                     f'{process.host} did not become ready after the faults'
                 )
                 return
-        # The gateway avoids runners that failed for a few seconds.
-        await anyio.sleep(5.0)
-        before = self.outcomes['200']
-        for path in PATHS * 5:
-            await self._send_patient_request(path)
-        served = self.outcomes['200'] - before
-        if served < 0.9 * len(PATHS) * 5:
+        await anyio.sleep(CALM_S)
+        paths = callers_module.PATHS * RECOVERY_REQUESTS_PER_PATH
+        served = 0
+        for path in paths:
+            served += await self._callers.ask_patiently(path)
+        if served < MIN_SERVED_SHARE * len(paths):
             self.violations.append(
-                f'{served} of 20 requests succeeded after the faults'
+                f'{served} of {len(paths)} requests succeeded after the faults'
             )
 
-    async def _send_patient_request(self, path):
-        # The random early disconnect of callers must not affect this check.
-        state, self._random = (
-            self._random,
-            _PatientRandom(self._random.random()),
+    def _check_records(self):
+        record = record_module.Record(
+            self._callers,
+            self._stand_ins.operator,
+            self._stand_ins.runners,
+            self._stand_ins.links,
+            self._processes,
+            time.time() - anyio.current_time(),
         )
-        try:
-            await self._send_request(path)
-        finally:
-            self._random = state
-
-    def _check_runs(self):
-        run_counts = collections.Counter()
-        for runner in self._runners.values():
-            run_counts.update(runner.runs)
-            if runner.running:
-                self.violations.append(
-                    f'{runner.options.runner} still runs {runner.running}'
-                )
-        for request_id in self._refused_ids:
-            if run_counts[request_id]:
-                self.violations.append(
-                    f'{request_id} ran although it was refused'
-                )
-        at_most_once_ids = {
-            request.headers['request-id']
-            for runner in self._runners.values()
-            for request in runner.requests
-            if request.path in AT_MOST_ONCE_PATHS
-        }
-        for request_id in at_most_once_ids:
-            if run_counts[request_id] > 1:
-                self.violations.append(
-                    f'{request_id} ran {run_counts[request_id]} times'
-                )
-
-    def _check_logs(self):
-        for process in self._processes:
-            for line in process.log.read_text().splitlines():
-                try:
-                    event = json.loads(line).get('event')
-                except json.JSONDecodeError:
-                    # A killed process may leave an incomplete last line.
-                    continue
-                if event == 'part failed':
-                    self.violations.append(line[:2000])
-
-
-class _PatientRandom(random.Random):
-    """Random choices of a caller that does not disconnect early."""
-
-    def random(self):
-        return 0.5 + super().random() / 2
-
-
-def _stream_body(events):
-    return b''.join(
-        f'id: {number}\ndata: token {number}\n\n'.encode()
-        for number in range(1, events + 1)
-    )
-
-
-def run(seed, seconds):
-    """Run the soak test with a seed and return the finished run."""
-    soak = Soak(seed, seconds)
-    anyio.run(soak.run)
+        for violation in checks.check_all(record):
+            lines = record.log_lines(violation.request_id)
+            self.violations.append('\n     '.join([violation.text, *lines]))
+
+
+def run(seed, seconds, process_count=DEFAULT_PROCESSES, logs=None):
+    """Run the soak test with a seed and return the finished run.
+
+    The logs of the processes are kept in the folder ``logs`` if it is given.
+    """
+    soak = Soak(seed, seconds, process_count)
+    if logs is not None:
+        folder = pathlib.Path(logs) / str(seed)
+        folder.mkdir(parents=True)
+        anyio.run(soak.run, folder)
+        return soak
+    with tempfile.TemporaryDirectory() as folder:
+        anyio.run(soak.run, pathlib.Path(folder))
     return soak
--- /dev/null
+++ b/tests/soak/spans.py
@@ -0,0 +1,47 @@
+"""Periods of time during which something was disturbed."""
+
+import math
+
+import anyio
+
+__all__ = ['Spans']
+
+
+class Spans:
+    """Periods on the event loop's clock; an open one lasts until its end.
+
+    Periods may overlap::
+
+        number = spans.begin()
+        spans.end(number)
+        spans.overlap(sent_at, ended_at)
+    """
+
+    def __init__(self):
+        self._spans = []
+
+    def begin(self):
+        """Begin a period and return its number."""
+        self._spans.append([anyio.current_time(), math.inf])
+        return len(self._spans) - 1
+
+    def end(self, number):
+        """End a period that has not ended yet."""
+        span = self._spans[number]
+        span[1] = min(span[1], anyio.current_time())
+
+    def mark(self):
+        """Add a period without duration."""
+        self.end(self.begin())
+
+    def overlap(self, start, end):
+        """Return whether a period overlaps the time from start to end."""
+        return any(s <= end and e >= start for s, e in self._spans)
+
+    def end_before(self, at):
+        """Return the last end of the periods that ended before a time."""
+        return max((e for _, e in self._spans if e <= at), default=-math.inf)
+
+    def begin_around(self, at):
+        """Return when the period around a time began, or None."""
+        return next((s for s, e in self._spans if s <= at <= e), None)
--- /dev/null
+++ b/tests/soak/stand_ins.py
@@ -0,0 +1,75 @@
+"""The store, the runners and the links of a soak run."""
+
+import functools
+
+from primrosereel.standin import _listed_runner as listed_runner
+from primrosereel.standin import _metadata_store as metadata_store
+from tests.soak import callers
+from tests.soak import links as links_module
+from tests.soak import operator as operator_module
+from tests.soak import runners as runners_module
+
+__all__ = ['StandIns']
+
+RUNNERS = (
+    *((f'p{n}', 'llm', 'prefill') for n in range(2)),
+    *((f'd{n}', 'llm', 'decode') for n in range(3)),
+    *((f's{n}', 'plain', None) for n in range(3)),
+)
+# Decode runners without a link: while one is down after a crash, its port
+# refuses connections, as a process's does.
+UNLINKED_RUNNERS = (('e0', 'llm', 'decode'), ('e1', 'llm', 'decode'))
+EVENT_S = 0.05
+
+
+class StandIns:
+    """A store, the operator who writes to it, runners and links to them."""
+
+    def __init__(self, counts):
+        self.store = metadata_store.MetadataStore()
+        self.runners = {}
+        self.links = {}
+        self.operator = operator_module.Operator(
+            self.store, self.runners, self.links
+        )
+        self._counts = counts
+
+    async def start(self, tasks):
+        """Start everything and list the runners."""
+        await tasks.start(self.store.server.serve)
+        for name, service, stage in (*RUNNERS, *UNLINKED_RUNNERS):
+            await self._start_runner(tasks, name, service, stage)
+        for name, *_ in RUNNERS:
+            link = links_module.Link(self.runners[name].server.port)
+            await tasks.start(link.serve)
+            self.links[name] = link
+        for name in self.runners:
+            self.operator.publish_runner(name, 'ready')
+
+    async def _start_runner(self, tasks, name, service, stage):
+        options = listed_runner.RunnerOptions(
+            name,
+            service,
+            stage,
+            events=callers.EVENTS_PER_STREAM,
+            event_s=EVENT_S,
+            deadly_part=callers.DEADLY_PART,
+        )
+        runner = runners_module.RecordingRunner(options)
+        runner.on_crash = functools.partial(self._note_crash, name)
+        self.runners[name] = runner
+        await tasks.start(runner.server.serve)
+
+    def _note_crash(self, name):
+        self._counts['runner crashed'] += 1
+        self.runners[name].note_crash()
+        self.operator.publish_runner(name, 'ready')
+
+    def end_faults(self):
+        """Let all runners and the store work without faults."""
+        for name, runner in self.runners.items():
+            runner.faults.clear()
+            if runner.leaving or self.operator.is_leaving(name):
+                runner.restart()
+                self.operator.publish_runner(name, 'ready')
+        self.store.mode = metadata_store.StoreMode.UP
