--- a/primrosereel/routing/_prompt_quarantine.py
+++ b/primrosereel/routing/_prompt_quarantine.py
@@ -120,6 +120,11 @@
         proven = self.answered_at > -math.inf
         return count - (MIN_CRASHES_IF_PROVEN if proven else MIN_CRASHES)
 
+    def quarantine_s(self, shortest_s: float) -> float:
+        """Return how long a quarantine lasts after the newest evidence."""
+        doublings = min(max(0, self.excess_crashes()), MAX_DOUBLINGS)
+        return shortest_s * 2**doublings
+
     @property
     def last_at(self) -> float:
         """When the newest evidence was observed."""
@@ -216,8 +221,7 @@
         suspect = self._suspects.get(part)
         if suspect is None or suspect.excess_crashes() < 0:
             return 0.0
-        doublings = min(suspect.excess_crashes(), MAX_DOUBLINGS)
-        until = suspect.last_at + self._duration_s * 2**doublings
+        until = suspect.last_at + suspect.quarantine_s(self._duration_s)
         return max(0.0, until - now)
 
     def blocking_part(
@@ -260,9 +264,7 @@
         for part, suspect in list(self._suspects.items()):
             kept_s = PROOF_REPORTED_S
             if suspect.crashed_at:
-                excess = max(0, suspect.excess_crashes())
-                doublings = min(excess, MAX_DOUBLINGS)
-                kept_s = 2 * self._duration_s * 2**doublings
+                kept_s = 2 * suspect.quarantine_s(self._duration_s)
             last_at = max(suspect.last_at, suspect.contradicted_at)
             if now - last_at > kept_s:
                 del self._suspects[part]
