--- a/primrosereel/standin/_raw_http.py
+++ b/primrosereel/standin/_raw_http.py
@@ -72,8 +72,6 @@
         self._on_disconnect: Callable[[Request], None] = lambda _: None
         self.port = 0
         self.connections = 0
-        # Bytes that precede the next answer on a connection.
-        self._before_next: dict[h11.Connection, bytes] = {}
         self._run = anyio.CancelScope()
         # The pause before the server listens again after a crash.
         self._restart_s: float | None = None
@@ -113,8 +111,12 @@
     async def _serve_connection(self, stream: anyio.abc.SocketStream) -> None:
         self.connections += 1
         parser = h11.Connection(h11.SERVER)
+        first_bytes = b''
         try:
-            while await self._serve_request(stream, parser):
+            while answer := await self._serve_request(
+                stream, parser, first_bytes
+            ):
+                first_bytes = answer.before_next
                 parser.start_next_cycle()
         except (
             Reset,
@@ -124,13 +126,19 @@
         ):
             _reset_on_close(stream)
         finally:
-            self._before_next.pop(parser, None)
             await anyio.aclose_forcefully(stream)
 
-    async def _serve_request(self, stream, parser) -> bool:
+    async def _serve_request(
+        self, stream, parser, first_bytes: bytes
+    ) -> Answer | None:
+        """Return the answer, or None if the connection must be closed.
+
+        ``first_bytes`` precede the answer.
+        """
         request = await _read_request(stream, parser)
         if request is None:
-            return False
+            return None
+        answer: Answer | None = None
         closed = False
 
         async def watch_disconnect() -> None:
@@ -146,7 +154,9 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(watch_disconnect)
             try:
-                await self._send_answer(stream, parser, request)
+                answer = await self._handler(request)
+                await stream.send(first_bytes)
+                await _send_answer(stream, parser, answer)
             except (Silence, Reset) as fault:
                 if isinstance(fault, Reset):
                     _reset_on_close(stream)
@@ -154,31 +164,31 @@
                 else:
                     await anyio.sleep_forever()
             tasks.cancel_scope.cancel()
-        return not closed and parser.our_state is h11.DONE
-
-    async def _send_answer(self, stream, parser, request: Request) -> None:
-        answer = await self._handler(request)
-        await stream.send(self._before_next.pop(parser, b''))
-        if answer.raw is not None:
-            await stream.send(answer.raw)
-            if answer.reset:
-                raise Reset
-            return
-        self._before_next[parser] = answer.before_next
-        headers = list(answer.headers)
-        if answer.parts is None:
-            headers.append((b'Content-Length', b'%d' % len(answer.body)))
-        else:
-            headers.append((b'Transfer-Encoding', b'chunked'))
-        head = h11.Response(status_code=answer.status, headers=headers)
-        data = parser.send(head)
-        if answer.body:
-            data += parser.send(h11.Data(data=answer.body))
-        await stream.send(data)
-        if answer.parts is not None:
-            async for part in answer.parts:
-                await stream.send(parser.send(h11.Data(data=part)))
-        await stream.send(parser.send(h11.EndOfMessage()) + answer.trailing)
+        if closed or parser.our_state is not h11.DONE:
+            return None
+        return answer
+
+
+async def _send_answer(stream, parser, answer: Answer) -> None:
+    if answer.raw is not None:
+        await stream.send(answer.raw)
+        if answer.reset:
+            raise Reset
+        return
+    headers = list(answer.headers)
+    if answer.parts is None:
+        headers.append((b'Content-Length', b'%d' % len(answer.body)))
+    else:
+        headers.append((b'Transfer-Encoding', b'chunked'))
+    head = h11.Response(status_code=answer.status, headers=headers)
+    data = parser.send(head)
+    if answer.body:
+        data += parser.send(h11.Data(data=answer.body))
+    await stream.send(data)
+    if answer.parts is not None:
+        async for part in answer.parts:
+            await stream.send(parser.send(h11.Data(data=part)))
+    await stream.send(parser.send(h11.EndOfMessage()) + answer.trailing)
 
 
 async def _listen(
