Load the soak's runners while they back off, and move streams to lost ones

The soak drew single requests while a runner backed off, so that the bound of two requests could hardly be passed. A burst is sent then. A stream that was moved to a runner that went down is told from one that the gateway cut.

--- a/tests/soak/answer_checks.py
+++ b/tests/soak/answer_checks.py
@@ -95,20 +95,19 @@
     process = attempt.process
     start = attempt.sent_at
     end = min(attempt.ended_at, start + callers_module.ANSWER_TIMEOUT_S)
+    used = {name for name, _ in taken}
+    used |= record.move_targets(attempt.request_id)
     if process.halted.overlap(start, end):
         return True
-    if any(record.link_disturbed(name, start, end) for name, _ in taken):
+    if any(record.link_disturbed(name, start, end) for name in used):
         return True
     if attempt.reply is None or not attempt.reply.status:
         # A runner's failure never excuses that no answer was begun.
         return False
     return (
         end - start >= _time_limit_s(attempt)
-        or any(
-            arrival.fault in runners_module.BREAKING_FAULTS
-            or any(start <= at <= end for at in record.runners[n].crashed_at)
-            for n, arrival in taken
-        )
+        or any(a.fault in runners_module.BREAKING_FAULTS for _, a in taken)
+        or any(record.runners[name].is_down(start, end) for name in used)
         or _cut_at_end_of_grace(attempt)
     )
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -125,6 +125,14 @@
                     attempt = self._new_attempt(process, f'{prefix}1')
                     tasks.start_soon(self.ask_once, attempt)
 
+    async def press(self, process, path, count, seconds):
+        """Send a number of requests to a process, evenly over some time."""
+        async with anyio.create_task_group() as tasks:
+            for _ in range(count):
+                attempt = self._new_attempt(process, path)
+                tasks.start_soon(self.ask_once, attempt, True)
+                await anyio.sleep(seconds / count)
+
     async def ask_patiently(self, path):
         """Send a sound request to some process; return whether it succeeds."""
         process = self._random.choice(self._processes)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -19,6 +19,8 @@
 RETRY_AFTER = ('0.8', '1', '2.5', '3')
 MAX_FAULT_GAP_S = 0.8
 READY_TIMEOUT_S = 3.0
+BURST_REQUESTS = 30
+BURST_S = 3.0
 # How long and how often the store is copied.
 COPY_INTERVAL_S = 0.5
 MAX_COPIES = 12
@@ -57,6 +59,7 @@
             self._disturb_store_links,
             self._restore_store,
             self._fail_runners,
+            self._back_off,
             self._pause_runner,
             self._remove_runner,
             self._remove_runner_unseen,
@@ -224,6 +227,18 @@
             runner.options.retry_after = self._random.choice(RETRY_AFTER)
             runner.faults.extend(self._random.choices(list(Fault), k=4))
 
+    async def _back_off(self):
+        """Let a service's runners refuse, in turn, while callers press."""
+        service = self._random.choice(('s', 'd'))
+        path = '/read/1' if service == 's' else '/ask/1'
+        process = self._random.choice(self._processes)
+        for name, runner in self._stand_ins.runners.items():
+            if name.startswith(service) and self._random.random() < 0.7:
+                runner.options.retry_after = self._random.choice(RETRY_AFTER)
+                count = self._random.randint(1, 3)
+                runner.faults.extend([Fault.BACK_OFF] * count)
+        await self._callers.press(process, path, BURST_REQUESTS, BURST_S)
+
     async def _pause_runner(self):
         name = self._random.choice(list(self._stand_ins.runners))
         seconds = self._random.uniform(0.8, 1.2)
@@ -236,7 +251,7 @@
             return
         runner = self._stand_ins.runners[name]
         says_so = self._random.random() < 0.6
-        ahead_s = self._random.uniform(0.0, 0.5)
+        ahead_s = self._random.uniform(0.0, 2.5)
         first_state = self._random.choice(('draining', None))
         wait_s = self._random.uniform(0.5, 2.5)
         if says_so:
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -41,6 +41,25 @@
             if arrival.request_id in self.attempts:
                 yield name, arrival, self.attempts[arrival.request_id]
 
+    def move_targets(self, request_id):
+        """Return the runners to which a stream was moved or copied."""
+        moves = [
+            move
+            for runner in self.runners.values()
+            for move in runner.moves
+            if move['id'] == request_id
+        ]
+        return {
+            name
+            for name, runner in self.runners.items()
+            for move in moves
+            if move['to'].endswith(f':{self._port(name)}')
+        }
+
+    def _port(self, name):
+        link = self.links.get(name)
+        return (link or self.runners[name].server).port
+
     def link_disturbed(self, runner, start, end):
         link = self.links.get(runner)
         return link is not None and link.disturbed.overlap(start, end)
--- a/tests/soak/runners.py
+++ b/tests/soak/runners.py
@@ -73,6 +73,13 @@
         self.born_ms += 1
         self.leaving = False
 
+    def is_down(self, start, end):
+        """Return whether the runner was down at some moment of a time."""
+        return any(
+            start - self.options.restart_s <= at <= end
+            for at in self.crashed_at
+        )
+
     def note_crash(self):
         """Record a crash; the runner that starts again is not leaving."""
         self.crashed_at.append(anyio.current_time())
--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -2,6 +2,8 @@
 
 import functools
 
+import anyio
+
 from primrosereel.standin import _listed_runner as listed_runner
 from primrosereel.standin import _metadata_store as metadata_store
 from tests.soak import callers
@@ -33,9 +35,11 @@
             self.store, self.runners, self.links
         )
         self._counts = counts
+        self._tasks = None
 
     async def start(self, tasks):
         """Start everything and list the runners."""
+        self._tasks = tasks
         await tasks.start(self.store.server.serve)
         for name, service, stage in (*RUNNERS, *UNLINKED_RUNNERS):
             await self._start_runner(tasks, name, service, stage)
@@ -63,6 +67,11 @@
     def _note_crash(self, name):
         self._counts['runner crashed'] += 1
         self.runners[name].note_crash()
+        self._tasks.start_soon(self._list_again, name)
+
+    async def _list_again(self, name):
+        """Write the entry of a runner once it has started again."""
+        await anyio.sleep(self.runners[name].options.restart_s)
         self.operator.publish_runner(name, 'ready')
 
     def end_faults(self):
