Log and count requests that get no complete answer

What callers saw: connections that ended after a whole request was read, without an answer. The log named no request: `internal error` has no id, and a stop closed connections without a line.

One line (`request unanswered`: request, reason, path, seconds) and one counter (`unanswered.<reason>`) now cover every way in which a request that was read ends without a complete answer. No logic is changed.

--- a/primrosereel/_states.py
+++ b/primrosereel/_states.py
@@ -9,6 +9,7 @@
 __all__ = [
     'CallKind',
     'ClaimAnswer',
+    'EndReason',
     'PeerState',
     'Ran',
     'RefusalReason',
@@ -65,6 +66,15 @@
     INTERNAL = 'internal'
 
 
+class EndReason(enum.Enum):
+    """Why a connection ended without a complete answer to its request."""
+
+    CALLER_GONE = 'caller_gone'
+    STREAM_CUT = 'stream_cut'
+    INTERNAL_ERROR = 'internal_error'
+    PROCESS_STOPPED = 'process_stopped'
+
+
 class RetryReason(enum.Enum):
     """Why a request was attempted again."""
 
--- a/primrosereel/gateway/_server.py
+++ b/primrosereel/gateway/_server.py
@@ -67,20 +67,26 @@
             if request is None:
                 return
             self._context.active += 1
+            reason: states.EndReason | None = states.EndReason.PROCESS_STOPPED
             try:
-                complete = await self._serve_watched(connection, request)
+                reason = await self._serve_watched(connection, request)
             finally:
                 self._context.active -= 1
-            if not complete or not connection.start_next_cycle():
+                if reason is not None:
+                    self._record_unanswered(request, reason)
+            if reason is not None or not connection.start_next_cycle():
                 return
 
     async def _serve_watched(
         self,
         connection: callers.CallerConnection,
         request: callers.CallerRequest,
-    ) -> bool:
-        """Serve a request; cancel its work if the caller disconnects."""
-        complete = False
+    ) -> states.EndReason | None:
+        """Serve a request; cancel its work if the caller disconnects.
+
+        Returns why the answer is not complete; None if it is.
+        """
+        reason: states.EndReason | None = states.EndReason.CALLER_GONE
         failure: Exception | None = None
 
         async def watch() -> None:
@@ -92,17 +98,34 @@
             tasks.start_soon(watch)
             try:
                 complete = await self._serve(connection, request)
+                reason = None if complete else states.EndReason.STREAM_CUT
             except callers.CallerDisconnected:
-                complete = False
+                reason = states.EndReason.CALLER_GONE
             except Exception as error:
                 failure = error
             tasks.cancel_scope.cancel()
         if failure is not None:
+            reason = states.EndReason.INTERNAL_ERROR
             self._context.count('internal_errors')
             self._context.log.error(
                 'internal error', detail=repr(failure), exc_info=failure
             )
-        return complete
+        return reason
+
+    def _record_unanswered(
+        self, request: callers.CallerRequest, reason: states.EndReason
+    ) -> None:
+        """Log and count a request whose answer is missing or incomplete."""
+        context = self._context
+        context.count(f'unanswered.{reason.value}')
+        facts = context.dialect.request_facts(request.headers)
+        context.log.info(
+            'request unanswered',
+            request=facts.request_id,
+            reason=reason.value,
+            path=request.path[:80],
+            seconds=round(context.clock() - request.received_at, 3),
+        )
 
     async def _serve(
         self,
