Let tasks use the pool of connections at the same time

What callers saw: a plain call or a prefill at a runner that had closed its idle connections (a crash, a restart, its idle timeout) ended without an answer, if another request looked for a connection at the same time.

Cause: get() and close_expired() yield to other tasks while they close a connection, and go on with a list that the others have changed. get() then removed an entry twice (ValueError, an internal error for the request), and close_expired() put a connection back that another request had taken, so two requests got the same connection.

Evidence: test_calls_that_use_the_pool_at_once_do_not_fail failed on with 'ValueError: list.remove(x): x not in list', and test_maintenance_and_calls_do_not_share_a_connection with a third request that got the connection of the first one ('At index 2 diff: <IdleConnection> != None').

Connections are now taken out of the pool without a yield and closed after that; the closing of a found connection's predecessors is shielded, so that a cancelled request leaks no socket.

--- a/primrosereel/gateway/_pool.py
+++ b/primrosereel/gateway/_pool.py
@@ -7,6 +7,8 @@
 
 import math
 
+import anyio
+
 from primrosereel.gateway import _http as http
 from primrosereel.routing import _model as model
 
@@ -35,6 +37,25 @@
 
         It has not carried the request before.
         """
+        closing: list[http.HttpConnection] = []
+        found = self._take(address, now, request_id, closing)
+        with anyio.CancelScope(shield=True):
+            for connection in closing:
+                await connection.close()
+        return found
+
+    def _take(
+        self,
+        address: model.Address,
+        now: float,
+        request_id: str,
+        closing: list[http.HttpConnection],
+    ) -> http.HttpConnection | None:
+        """Remove a connection that can be used from the pool.
+
+        Those that cannot be used any more are moved to ``closing``. It does
+        not yield to other tasks, which would use the same connections.
+        """
         idle = self._idle.get(address, [])
         for entry in reversed(list(idle)):
             until, connection = entry
@@ -43,7 +64,7 @@
             idle.remove(entry)
             if now < until and not connection.has_input():
                 return connection
-            await connection.close()
+            closing.append(connection)
         return None
 
     async def put(
@@ -64,15 +85,16 @@
         idle.append((now + idle_s, connection))
 
     async def close_expired(self, now: float) -> None:
-        """Close connections that have been idle for too long."""
+        """Close connections that have been idle for too long.
+
+        All are removed from the pool before the first one is closed, as other
+        tasks use the pool meanwhile.
+        """
+        closing: list[http.HttpConnection] = []
         for address, idle in list(self._idle.items()):
-            still_valid = []
-            for until, connection in idle:
-                if now < until:
-                    still_valid.append((until, connection))
-                else:
-                    await connection.close()
-            if still_valid:
-                self._idle[address] = still_valid
-            elif self._idle.get(address) is idle:
+            closing += [c for until, c in idle if until <= now]
+            idle[:] = [entry for entry in idle if now < entry[0]]
+            if not idle:
                 del self._idle[address]
+        for connection in closing:
+            await connection.close()
