Answer a request that an unexpected error ends

What callers saw: whatever went wrong inside the router, the connection ended with neither an answer nor a refusal, though no byte of an answer was sent.

Cause: exceptions of a request's handler were logged, and the connection was closed.

Such a request now gets 503 with Retry-After if it was not sent to a runner that may have run it, else 502. What is known of its execution moves from the two handlers to the exchange, so that the promise of 503 stays true. The log line names the request.

--- a/primrosereel/gateway/_callers.py
+++ b/primrosereel/gateway/_callers.py
@@ -89,6 +89,16 @@
             and not self._parser.trailing_data[0]
         )
 
+    @property
+    def answer_started(self) -> bool:
+        """Whether a byte of the response to the last request was sent."""
+        return self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
+
+    @property
+    def answered(self) -> bool:
+        """Whether the response to the last request is complete."""
+        return self._parser.our_state in (h11.DONE, h11.MUST_CLOSE)
+
     async def next_request(self) -> CallerRequest | None:
         """Read a complete request; None if the connection must be closed."""
         try:
@@ -242,7 +252,7 @@
         )
 
     async def _refuse(self, status: int) -> None:
-        if self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+        if self.answer_started:
             return
         self._close_after_reply = True
         try:
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -167,6 +167,8 @@
     deadline_at: float
     # The number of runners that were sent the request and may have run it.
     attempts: int = 0
+    # Whether a runner may have run the request, or may still do so.
+    may_have_run: bool = False
     # The duration in seconds of each finished step, for the log.
     steps: dict[str, float] = dataclasses.field(default_factory=dict)
 
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -72,7 +72,6 @@
         self._place = held_place.HeldPlace(exchange)
         self._prompt = prompt_module.Prompt(exchange)
         self._rejections = 0
-        self._may_have_run = False
         self._connection: http.HttpConnection | None = None
         # The decode runner that is currently prefilling the prompt itself.
         self._local_prefill_runner: runners.Runner | None = None
@@ -211,7 +210,7 @@
         """Return the runner of the place, or wait for another place."""
         if self._resume_from is not None:
             return self._switch_to_copy(self._resume_from)
-        if self._may_have_run and not self._exchange.route.repeatable:
+        if self._exchange.may_have_run and not self._exchange.route.repeatable:
             raise RequestEnded(self._refusal(Reason.UPSTREAM_FAILED))
         if self._place.runner is not None:
             return self._place.runner
@@ -241,7 +240,7 @@
 
     def _admission_reply(self, refused: admission.Refused) -> callers.Reply:
         """Return 503 only if no earlier attempt may have run."""
-        if self._may_have_run:
+        if self._exchange.may_have_run:
             return self._exchange.failure(refused.reason, 502)
         return self._exchange.refusal(
             refused.reason, refused.retry_after_s, refused.detail
@@ -249,7 +248,7 @@
 
     def _refusal(self, reason: states.RefusalReason) -> callers.Reply:
         """Return 503 only if no earlier attempt may have run."""
-        if self._may_have_run:
+        if self._exchange.may_have_run:
             return self._exchange.failure(reason, 502)
         return self._exchange.refusal(reason, RETRY_AFTER_S)
 
@@ -346,7 +345,8 @@
             handle=handle,
             last_event_id=self._stream.last_event_id,
         )
-        may_have_run_before, self._may_have_run = self._may_have_run, True
+        may_have_run_before = exchange.may_have_run
+        exchange.may_have_run = True
         if handle is None:
             self._set_local_prefill_runner(runner)
         try:
@@ -361,10 +361,10 @@
                 await self._prompt.handle_used()
                 return response
         except upstream.NotSent as error:
-            self._may_have_run = may_have_run_before
+            exchange.may_have_run = may_have_run_before
             self._record_connect_failure(runner, str(error))
         except upstream.Rejected as error:
-            self._may_have_run = may_have_run_before
+            exchange.may_have_run = may_have_run_before
             self._handle_rejection(runner, handle is not None, error)
         except http.BrokenResponse as error:
             exchange.attempts += attempts
--- a/primrosereel/gateway/_plain.py
+++ b/primrosereel/gateway/_plain.py
@@ -38,7 +38,6 @@
         self._context = exchange.context
         self._excluded: set[ids.RunnerId] = set()
         self._last_error_reply: callers.Reply | None = None
-        self._may_have_run = False
         # The reason given if the call is refused without having run.
         self._refusal_reason = Reason.NO_RUNNER
 
@@ -71,20 +70,21 @@
     async def _send(self, runner: runners.Runner) -> callers.Reply | None:
         exchange = self._exchange
         started_at = self._context.clock()
-        may_have_run_before, self._may_have_run = self._may_have_run, True
+        may_have_run_before = exchange.may_have_run
+        exchange.may_have_run = True
         scope = anyio.move_on_after(self._attempt_limit_s())
         try:
             with scope:
                 return await self._call(runner, started_at)
         except upstream.NotSent as error:
-            self._may_have_run = may_have_run_before
+            exchange.may_have_run = may_have_run_before
             runner.observe_failure(self._context.clock())
             exchange.record_failed_attempt(
                 Retry.CONNECT_FAILED, runner, str(error)
             )
             return None
         except upstream.Rejected as error:
-            self._may_have_run = may_have_run_before
+            exchange.may_have_run = may_have_run_before
             runner.observe_rejection(self._context.clock())
             exchange.record_failed_attempt(
                 Retry.PLAIN_NOT_RUN, runner, str(error)
@@ -176,7 +176,7 @@
         """Return None if all limits allow a retry, else the final reply."""
         exchange = self._exchange
         if exchange.attempts >= exchange.route.max_attempts and (
-            self._may_have_run
+            exchange.may_have_run
         ):
             return self._final_reply()
         now = self._context.clock()
@@ -190,7 +190,7 @@
         exchange = self._exchange
         if self._last_error_reply is not None:
             return self._last_error_reply
-        if self._may_have_run:
+        if exchange.may_have_run:
             late = exchange.remaining_s < MIN_REMAINING_S
             if late:
                 return exchange.failure(Reason.UPSTREAM_TIMEOUT, 504)
--- a/primrosereel/gateway/_server.py
+++ b/primrosereel/gateway/_server.py
@@ -16,6 +16,8 @@
 
 __all__ = ['Server']
 
+ERROR_RETRY_AFTER_S = 0.5
+
 
 class Server:
     """Serves callers' connections."""
@@ -87,7 +89,6 @@
         Returns why the answer is not complete; None if it is.
         """
         reason: states.EndReason | None = states.EndReason.CALLER_GONE
-        failure: Exception | None = None
 
         async def watch() -> None:
             await connection.wait_closed()
@@ -96,20 +97,8 @@
 
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(watch)
-            try:
-                complete = await self._serve(connection, request)
-                reason = None if complete else states.EndReason.STREAM_CUT
-            except callers.CallerDisconnected:
-                reason = states.EndReason.CALLER_GONE
-            except Exception as error:
-                failure = error
+            reason = await self._serve(connection, request)
             tasks.cancel_scope.cancel()
-        if failure is not None:
-            reason = states.EndReason.INTERNAL_ERROR
-            self._context.count('internal_errors')
-            self._context.log.error(
-                'internal error', detail=repr(failure), exc_info=failure
-            )
         return reason
 
     def _record_unanswered(
@@ -131,21 +120,77 @@
         self,
         connection: callers.CallerConnection,
         request: callers.CallerRequest,
-    ) -> bool:
+    ) -> states.EndReason | None:
         if self._context.draining:
             connection.close_after_reply()
-        routed = self._route_request(request)
-        if isinstance(routed, callers.Reply):
-            await connection.reply(routed)
-            return True
-        if routed.route.kind is model.RouteKind.STREAMING:
+        exchange: context_module.Exchange | None = None
+        try:
+            routed = self._route_request(request)
+            if isinstance(routed, callers.Reply):
+                await connection.reply(routed)
+                return None
+            exchange = routed
+            complete = await self._handle(connection, exchange)
+            return None if complete else states.EndReason.STREAM_CUT
+        except callers.CallerDisconnected:
+            return states.EndReason.CALLER_GONE
+        except Exception as error:
+            self._record_error(request, error)
+            return await self._answer_error(connection, exchange)
+
+    async def _handle(
+        self,
+        connection: callers.CallerConnection,
+        exchange: context_module.Exchange,
+    ) -> bool:
+        """Serve a routed request; False if its answer was cut off."""
+        if exchange.route.kind is model.RouteKind.STREAMING:
             handler = generation.Generation(
-                routed, connection, self._crash_reports
+                exchange, connection, self._crash_reports
             )
             return await handler.serve()
-        await connection.reply(await plain.PlainCall(routed).serve())
+        await connection.reply(await plain.PlainCall(exchange).serve())
         return True
 
+    def _record_error(
+        self, request: callers.CallerRequest, error: Exception
+    ) -> None:
+        facts = self._context.dialect.request_facts(request.headers)
+        self._context.count('internal_errors')
+        self._context.log.error(
+            'internal error',
+            request=facts.request_id,
+            detail=repr(error),
+            exc_info=error,
+        )
+
+    async def _answer_error(
+        self,
+        connection: callers.CallerConnection,
+        exchange: context_module.Exchange | None,
+    ) -> states.EndReason | None:
+        """Answer a request that an unexpected error ended.
+
+        Only a response that has begun cannot be answered any more. 503 states
+        that the request did not run.
+        """
+        if connection.answered:
+            return None
+        if connection.answer_started:
+            return states.EndReason.INTERNAL_ERROR
+        reason = states.RefusalReason.INTERNAL
+        if exchange is None:
+            reply = self._refuse(reason, ERROR_RETRY_AFTER_S)
+        elif exchange.may_have_run:
+            reply = exchange.failure(reason, 502)
+        else:
+            reply = exchange.refusal(reason, ERROR_RETRY_AFTER_S)
+        try:
+            await connection.reply(reply)
+        except callers.CallerDisconnected:
+            return states.EndReason.CALLER_GONE
+        return None
+
     def _refuse(
         self, reason: states.RefusalReason, retry_after_s: float
     ) -> callers.Reply:
--- a/tests/property/test_gateway_unanswered.py
+++ b/tests/property/test_gateway_unanswered.py
@@ -89,3 +89,38 @@
         assert (reply.status, reply.complete) == (expected, True)
 
     run(scenario)
+
+
+def test_unexpected_error_gives_an_answer(monkeypatch):
+    """Guards against a closed connection where the router itself fails.
+
+    Nothing was sent to a runner, so the answer states that nothing ran.
+    """
+
+    async def scenario(fleet):
+        def fail(*_):
+            raise KeyError('plain')
+
+        monkeypatch.setattr(
+            type(fleet.gateway._context.placement), 'choose', fail
+        )
+        reply = await fleet.ask('/file/1', 'r1', method='POST')
+        assert (reply.status, reply.complete) == (503, True)
+        assert float(reply.headers['retry-after']) > 0
+
+    run(scenario)
+
+
+def test_unexpected_error_after_a_send_promises_nothing(monkeypatch):
+    """Guards against a 503 for a call that ran before the router failed."""
+
+    async def scenario(fleet):
+        def fail(*_):
+            raise KeyError('plain')
+
+        monkeypatch.setattr(type(fleet.gateway._context.pool), 'put', fail)
+        reply = await fleet.ask('/file/1', 'r1', method='POST')
+        assert (reply.status, reply.complete) == (502, True)
+        assert run_count(fleet, 'r1') == 1
+
+    run(scenario)
