Forward the host that a Connection header names

What callers saw: a request with 'Connection: host' got no answer.

Cause: headers that Connection names are removed before the request is forwarded. Without Host no HTTP/1.1 request can be sent: h11 raised LocalProtocolError, which no handler expects.

Evidence: test_host_that_a_connection_header_names_is_answered failed on with 'assert (0, False) == (200, True)', and with an answer to unexpected errors with 'assert (502, True) == (200, True)'.

--- a/primrosereel/gateway/_callers.py
+++ b/primrosereel/gateway/_callers.py
@@ -290,6 +290,8 @@
     for name, value in headers:
         if name.lower() == b'connection':
             named.update(part.strip().lower() for part in value.split(b','))
+    # No request can be sent without it.
+    named.discard(b'host')
     return [
         (name, value)
         for name, value in headers
--- a/tests/property/test_gateway_unanswered.py
+++ b/tests/property/test_gateway_unanswered.py
@@ -124,3 +124,16 @@
         assert run_count(fleet, 'r1') == 1
 
     run(scenario)
+
+
+def test_host_that_a_connection_header_names_is_answered():
+    """Guards against a closed connection for ``Connection: host``.
+
+    The header was removed, and h11 sends no request without it.
+    """
+
+    async def scenario(fleet):
+        reply = await fleet.ask('/read/1', 'r1', Connection='host')
+        assert (reply.status, reply.complete) == (200, True)
+
+    run(scenario)
