Refuse requests of a route whose weights are all 0

What callers saw: a closed connection beside a change of the configuration that takes all weight from a route's services.

Cause: random.choices raises ValueError for a total weight of 0. The store accepts valid configurations only; whether such a one counts as valid is not stated.

No service may be given such a request, so it gets 503 with Retry-After.

--- a/primrosereel/gateway/_server.py
+++ b/primrosereel/gateway/_server.py
@@ -225,13 +225,18 @@
                 version=table.version,
             )
             return callers.Reply(404)
+        service = table_module.pick_service(route, context.random)
+        if service is None:
+            return self._refuse(
+                states.RefusalReason.NO_RUNNER, ERROR_RETRY_AFTER_S
+            )
         facts = context.dialect.request_facts(request.headers)
         limit_s = timeouts.time_limit_s(route, facts)
         return context_module.Exchange(
             context,
             request,
             route,
-            table_module.pick_service(route, context.random),
+            service,
             facts,
             request.received_at + limit_s,
         )
--- a/primrosereel/routing/_table.py
+++ b/primrosereel/routing/_table.py
@@ -63,9 +63,15 @@
 
 def pick_service(
     route: model.Route, random: random_module.Random
-) -> ids.ServiceId:
-    """Pick a service of a route at random by the weights."""
+) -> ids.ServiceId | None:
+    """Pick a service of a route at random by the weights.
+
+    Returns None if no service has a weight above 0.
+    """
     if len(route.services) == 1:
         return route.services[0].service
-    weights = [target.weight for target in route.services]
-    return random.choices(route.services, weights)[0].service
+    targets = [target for target in route.services if target.weight > 0]
+    if not targets:
+        return None
+    weights = [target.weight for target in targets]
+    return random.choices(targets, weights)[0].service
--- a/tests/property/test_gateway_unanswered.py
+++ b/tests/property/test_gateway_unanswered.py
@@ -137,3 +137,25 @@
         assert (reply.status, reply.complete) == (200, True)
 
     run(scenario)
+
+
+def test_weights_that_are_all_zero_are_answered():
+    """Guards against a closed connection for a route without a weight."""
+
+    async def scenario(fleet):
+        config = gateway_fleet.configuration(version=2)
+        config['routes'][0] |= {
+            'service': None,
+            'trafficSplit': [
+                {'service': 'plain', 'weight': 0},
+                {'service': 'llm', 'weight': 0},
+            ],
+        }
+        fleet.store.put('op/config', config)
+        context = fleet.gateway._context
+        await fleet.wait_for(lambda: context.table.version == 2)
+        reply = await fleet.ask('/read/1', 'r1')
+        assert (reply.status, reply.complete) == (503, True)
+        assert not fleet.log.named('internal error')
+
+    run(scenario)
