Treat a runner's address that is no host as unreachable

What callers saw: with an entry of another writer in the list of runners, whose address is no name that can be encoded, a request that was placed there got no answer.

Cause: the name is encoded with idna, whose UnicodeError is no OSError, so that connect() did not raise ConnectFailed.

Evidence: test_runner_whose_address_is_no_host_ends_no_request failed before this change with 'assert (502, True) == (200, True)' (an internal error; a closed connection before errors were answered).

--- a/primrosereel/gateway/_http.py
+++ b/primrosereel/gateway/_http.py
@@ -112,7 +112,8 @@
     try:
         with anyio.fail_after(timeout_s):
             stream = await anyio.connect_tcp(address.host, address.port)
-    except (OSError, TimeoutError) as error:
+    except (OSError, TimeoutError, ValueError) as error:
+        # A host that is no valid name leads to a ValueError.
         refused = isinstance(error.__cause__, ConnectionRefusedError)
         failure = ConnectRefused if refused else ConnectFailed
         raise failure(f'{address}: {error!r}') from error
--- a/tests/property/test_gateway_unanswered.py
+++ b/tests/property/test_gateway_unanswered.py
@@ -159,3 +159,24 @@
         assert not fleet.log.named('internal error')
 
     run(scenario)
+
+
+def test_runner_whose_address_is_no_host_ends_no_request():
+    """Guards against a closed connection for an entry of another writer.
+
+    The name could not be encoded, which was not recognized as a failed
+    connection.
+    """
+
+    async def scenario(fleet):
+        entry = fleet.runners['s1'].entry() | {'address': '\u00fc..b:80'}
+        fleet.store.put('servers/s3', entry)
+        table = fleet.gateway._context.runners
+        await fleet.wait_for(lambda: table.get('s3') is not None)
+        for name in ('s1', 's2'):
+            table.get(name).in_flight = 3
+        reply = await fleet.ask('/file/1', 'r1', method='POST')
+        assert (reply.status, reply.complete) == (200, True)
+        assert not fleet.log.named('internal error')
+
+    run(scenario)
