Apply the callers' limits in force to open connections

What callers saw: after a change of the configuration that lengthens the idle limit, kept connections were closed in front of requests: callers reuse connections that were idle for up to four fifths of the current limit. Requests within new size limits were refused with 413 or 431.

Cause: the limits were taken once, when the connection was accepted. A connection that is older than a change, or than the first configuration, lived by the old ones.

The limits are looked up at each request's head, and the end of an idle wait is computed again from the limit in force when it is reached. The parser gets a changed limit of the head when the first bytes of a request have arrived.

--- a/primrosereel/gateway/_callers.py
+++ b/primrosereel/gateway/_callers.py
@@ -63,20 +63,23 @@
 
 
 class CallerConnection:
-    """One caller's connection, which carries one request at a time."""
+    """One caller's connection, which carries one request at a time.
+
+    ``limits`` returns the limits in force, which may change between requests
+    and while the connection is idle.
+    """
 
     def __init__(
         self,
         stream: anyio.abc.SocketStream,
-        limits: model.CallerLimits,
+        limits: Callable[[], model.CallerLimits],
         clock: Callable[[], float],
     ) -> None:
         self._stream = stream
         self._limits = limits
         self._clock = clock
-        self._parser = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
-        )
+        self._max_header_bytes = limits().max_header_bytes
+        self._parser = self._new_parser()
         self._read_ahead_bytes = 0
         self._close_after_reply = False
         self._closed = False
@@ -112,11 +115,11 @@
         return None
 
     async def _read_request(self) -> CallerRequest | None:
-        with anyio.move_on_after(self._limits.idle_timeout_s) as waiting:
-            await self._wait_for_data()
-        if waiting.cancelled_caught:
+        if not await self._wait_for_data():
             return None
-        with anyio.move_on_after(self._limits.header_timeout_s) as reading:
+        limits = self._limits()
+        self._limit_head(limits.max_header_bytes)
+        with anyio.move_on_after(limits.header_timeout_s) as reading:
             head = await self._next_event()
         if reading.cancelled_caught:
             raise _UnreadableRequest(408)
@@ -128,8 +131,8 @@
             await self._send(
                 h11.InformationalResponse(status_code=100, headers=[])
             )
-        with anyio.move_on_after(self._limits.idle_timeout_s) as reading:
-            body = await self._read_body()
+        with anyio.move_on_after(limits.idle_timeout_s) as reading:
+            body = await self._read_body(limits.max_body_bytes)
         if reading.cancelled_caught:
             raise _UnreadableRequest(408)
         return CallerRequest(
@@ -140,11 +143,41 @@
             self._clock(),
         )
 
-    async def _wait_for_data(self) -> None:
-        if not self._parser.trailing_data[0]:
-            await self._receive()
+    async def _wait_for_data(self) -> bool:
+        """Wait for a request; False if the connection was idle for too long.
+
+        The limit in force counts, not the one at the start of the wait.
+        """
+        if self._parser.trailing_data[0]:
+            return True
+        idle_since = anyio.current_time()
+        while True:
+            idle_until = idle_since + self._limits().idle_timeout_s
+            left_s = idle_until - anyio.current_time()
+            if left_s <= 0:
+                return False
+            with anyio.move_on_after(left_s):
+                await self._receive()
+                return True
+
+    def _limit_head(self, max_bytes: int) -> None:
+        """Apply the limit of a request's head to the next request."""
+        if max_bytes == self._max_header_bytes:
+            return
+        self._max_header_bytes = max_bytes
+        received, ended = self._parser.trailing_data
+        self._parser = self._new_parser()
+        if received:
+            self._parser.receive_data(received)
+        if ended:
+            self._parser.receive_data(b'')
+
+    def _new_parser(self) -> h11.Connection:
+        return h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._max_header_bytes
+        )
 
-    async def _read_body(self) -> bytes:
+    async def _read_body(self, max_bytes: int) -> bytes:
         parts: list[bytes] = []
         size = 0
         while True:
@@ -154,7 +187,7 @@
             if not isinstance(event, h11.Data):
                 raise CallerDisconnected
             size += len(event.data)
-            if size > self._limits.max_body_bytes:
+            if size > max_bytes:
                 raise _UnreadableRequest(413)
             parts.append(bytes(event.data))
 
--- a/primrosereel/gateway/_server.py
+++ b/primrosereel/gateway/_server.py
@@ -35,10 +35,8 @@
     async def serve_connection(self, stream: anyio.abc.SocketStream) -> None:
         """Serve one connection until it closes."""
         http.set_socket_options(stream)
-        table = self._context.table
-        limits = table.limits if table else model.CallerLimits()
         connection = callers.CallerConnection(
-            stream, limits, self._context.clock
+            stream, self._limits, self._context.clock
         )
         self._connections.add(connection)
         try:
@@ -55,6 +53,11 @@
             self._connections.discard(connection)
             await connection.close()
 
+    def _limits(self) -> model.CallerLimits:
+        """Return the limits in force."""
+        table = self._context.table
+        return table.limits if table else model.CallerLimits()
+
     async def close_idle(self) -> None:
         """Close the connections on which no request is in progress."""
         for connection in list(self._connections):
--- a/primrosereel/gateway/_status.py
+++ b/primrosereel/gateway/_status.py
@@ -26,7 +26,7 @@
     async def serve_connection(self, stream: anyio.abc.SocketStream) -> None:
         """Serve requests until the connection closes."""
         connection = callers.CallerConnection(
-            stream, model.CallerLimits(), self._clock
+            stream, model.CallerLimits, self._clock
         )
         try:
             while True:
