Answer requests that are read while a stop closes connections

What callers saw: at the end of a planned stop, requests whose bytes had arrived got no answer: those that were being read, and those on connections that were closed as idle at that moment.

Cause: a request counted as active only once its body was read, and the process ended as soon as none was active. A connection counted as idle until its bytes were parsed, though they had been received; connections are closed one after another, and others receive requests meanwhile.

A stop now ends only the wait for a request. The connection's own task reads once more, serves or refuses what has arrived, and closes. The process ends when no connection is left, or when the time is over as before. The idle timeout takes the same path.

--- a/primrosereel/gateway/_callers.py
+++ b/primrosereel/gateway/_callers.py
@@ -14,6 +14,9 @@
 
 # The bytes that a caller may send before the response to its request.
 MAX_PIPELINED_BYTES = 65536
+# How long a connection that is to be closed as idle is read once more, for
+# bytes that have arrived and are not parsed yet.
+LAST_READ_S = 0.01
 
 
 class CallerDisconnected(Exception):
@@ -82,16 +85,11 @@
         self._parser = self._new_parser()
         self._read_ahead_bytes = 0
         self._close_after_reply = False
+        self._close_when_idle = False
+        # The current wait for a request.
+        self._waiting: anyio.CancelScope | None = None
         self._closed = False
 
-    @property
-    def idle(self) -> bool:
-        """Whether no byte of the next request has arrived."""
-        return (
-            self._parser.their_state is h11.IDLE
-            and not self._parser.trailing_data[0]
-        )
-
     @property
     def answer_started(self) -> bool:
         """Whether a byte of the response to the last request was sent."""
@@ -151,14 +149,17 @@
         if self._parser.trailing_data[0]:
             return True
         idle_since = anyio.current_time()
-        while True:
-            idle_until = idle_since + self._limits().idle_timeout_s
-            left_s = idle_until - anyio.current_time()
-            if left_s <= 0:
-                return False
-            with anyio.move_on_after(left_s):
+        left_s = self._limits().idle_timeout_s
+        while left_s > 0 and not self._close_when_idle:
+            with anyio.move_on_after(left_s) as self._waiting:
                 await self._receive()
                 return True
+            idle_until = idle_since + self._limits().idle_timeout_s
+            left_s = idle_until - anyio.current_time()
+        with anyio.move_on_after(LAST_READ_S):
+            await self._receive()
+            return True
+        return False
 
     def _limit_head(self, max_bytes: int) -> None:
         """Apply the limit of a request's head to the next request."""
@@ -229,6 +230,13 @@
         """Send ``Connection: close`` with the next response."""
         self._close_after_reply = True
 
+    def close_when_idle(self) -> None:
+        """Close once no request is read or served; end a wait for one."""
+        self._close_after_reply = True
+        self._close_when_idle = True
+        if self._waiting is not None:
+            self._waiting.cancel()
+
     async def reply(self, reply: Reply) -> None:
         """Send a complete response."""
         headers = end_to_end(reply.headers)
--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -339,13 +339,13 @@
         self._context.refusing = True
 
     async def _finish_requests(self) -> None:
-        """Close idle connections until no request is in progress.
+        """Close connections until none is left on which a request is read.
 
         Requests that are still in progress at ``_cut_at`` are cut.
         """
         while anyio.current_time() < self._cut_at:
-            await self._server.close_idle()
-            if not self._context.active:
-                return
+            self._server.close_idle()
             await anyio.sleep(0.1)
+            if not self._server.open_connections:
+                return
         self._log.error('requests cut', active=self._context.active)
--- a/primrosereel/gateway/_server.py
+++ b/primrosereel/gateway/_server.py
@@ -58,11 +58,15 @@
         table = self._context.table
         return table.limits if table else model.CallerLimits()
 
-    async def close_idle(self) -> None:
-        """Close the connections on which no request is in progress."""
-        for connection in list(self._connections):
-            if connection.idle:
-                await connection.close()
+    @property
+    def open_connections(self) -> int:
+        """The callers' connections that are not closed."""
+        return len(self._connections)
+
+    def close_idle(self) -> None:
+        """Have each connection closed once no request is read or served."""
+        for connection in self._connections:
+            connection.close_when_idle()
 
     async def _serve_requests(
         self, connection: callers.CallerConnection
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -1,6 +1,7 @@
 """A gateway on loopback, with stand-ins for the store and the runners."""
 
 import contextlib
+import os
 
 import anyio
 import anyio.abc
@@ -78,10 +79,8 @@
     async def __aexit__(self, *_):
         await anyio.aclose_forcefully(self._stream)
 
-    async def send(
-        self, target, request_id, method='GET', body=b'', **headers
-    ):
-        """Send a request; dashes in header names are given as underscores."""
+    def encode(self, target, request_id, method='GET', body=b'', **headers):
+        """Return a request; dashes in header names are underscores."""
         if self._parser.our_state is h11.DONE:
             self._parser.start_next_cycle()
         fields = [('Host', HOST), ('Request-Id', request_id)]
@@ -96,9 +95,21 @@
         )
         if body:
             data += self._parser.send(h11.Data(data=body))
-        data += self._parser.send(h11.EndOfMessage())
+        return data + self._parser.send(h11.EndOfMessage())
+
+    async def send(self, *request, **headers):
+        """Send a request, given as for ``encode``."""
+        await self.send_bytes(self.encode(*request, **headers))
+
+    async def send_bytes(self, data):
+        """Send a part of an encoded request."""
         await self._stream.send(data)
 
+    def send_at_once(self, *request, **headers):
+        """Send a request without giving the event loop a turn."""
+        raw = self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        os.write(raw.fileno(), self.encode(*request, **headers))
+
     async def receive(self, until=None):
         """Return the response; stop reading once it contains ``until``."""
         reply = Reply()
