Answer requests in progress before a stop ends the process

What callers saw: at the end of the grace of a planned stop, requests in progress were cut with no answer, among them requests that may not be repeated. A stream that no runner was sent got 504 at its deadline, which promises nothing.

Cause: a stop did not shorten the time limits of requests. Requests that were taken in its first seconds, or that waited for a place until late, lived by their own limits until the process ended under them.

A stop now brings the ends of all requests forward (gateway/_time_limits.py): requests without an answer end at 0.88 of the grace by their usual timeout, with 503 if nothing can have run and else 504; streams that have begun are cut at 0.9 as before; the process ends at 0.92 at the latest. Runners are told the shorter deadline, and a request whose expected wait does not end in time is refused at once.

--- a/primrosereel/gateway/_admission.py
+++ b/primrosereel/gateway/_admission.py
@@ -155,6 +155,8 @@
     of a late request changes as others arrive.
     """
     now = exchange.context.clock()
+    # A stop that has begun meanwhile leaves less time.
+    until = min(until, now + exchange.remaining_s)
     if ticket.prefilled or not ticket.is_late(now):
         return False
     return now + exchange.context.places.expected_wait_s(ticket, now) > until
--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -28,6 +28,7 @@
 from primrosereel.gateway import _status as status
 from primrosereel.gateway import _store_client as store_client
 from primrosereel.gateway import _store_reader as store_reader
+from primrosereel.gateway import _time_limits as time_limits
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _members as members_module
 from primrosereel.routing import _model as model
@@ -46,10 +47,15 @@
 # After a stop request, the platform still sends new connections until two
 # readiness checks have failed.
 ACCEPT_WHILE_DRAINING_S = 2.5
-# Shares of the drain limit after which new requests are refused at the latest,
-# and after which requests in progress are cut.
+# Shares of the drain limit: after the first, new requests are refused at the
+# latest; after the next two, requests in progress are answered, and streams
+# that have begun are cut; after the last, the process ends.
 ACCEPT_SHARE_OF_DRAIN = 0.35
+ANSWER_SHARE_OF_DRAIN = 0.88
 CUT_SHARE_OF_DRAIN = 0.9
+END_SHARE_OF_DRAIN = 0.92
+# How often a stop closes idle connections and looks for open ones.
+STOP_POLL_INTERVAL_S = 0.05
 # The retry budget is divided by at least this number of instances per seed, as
 # instances that are not known here spend it as well.
 INSTANCES_PER_SEED = 2
@@ -132,6 +138,7 @@
             ),
             log=log,
             quarantine=prompt_quarantine.PromptQuarantine(random_source),
+            time_limits=time_limits.TimeLimits(clock),
         )
         crash_reports = crash_reports_module.CrashReports(self._context)
         self._reader = store_reader.StoreReader(
@@ -143,7 +150,7 @@
         self._context.uses_changed = self._peers.notify_uses_changed
         self._context.crash_evidence_changed = self._peers.send_crash_evidence
         self._context.send_store_notice = self._peers.send_store_notice
-        self._cut_at = math.inf
+        self._end_at = math.inf
         self._max_instances_seen = INSTANCES_PER_SEED * max(
             1, len(settings.seeds)
         )
@@ -332,7 +339,12 @@
         self._context.draining = True
         self._log.info('draining', active=self._context.active)
         limit_s = self._settings.drain_limit_s
-        self._cut_at = anyio.current_time() + CUT_SHARE_OF_DRAIN * limit_s
+        now = clock()
+        self._context.time_limits.shorten(
+            now + ANSWER_SHARE_OF_DRAIN * limit_s,
+            now + CUT_SHARE_OF_DRAIN * limit_s,
+        )
+        self._end_at = anyio.current_time() + END_SHARE_OF_DRAIN * limit_s
         await anyio.sleep(
             min(ACCEPT_WHILE_DRAINING_S, ACCEPT_SHARE_OF_DRAIN * limit_s)
         )
@@ -341,11 +353,11 @@
     async def _finish_requests(self) -> None:
         """Close connections until none is left on which a request is read.
 
-        Requests that are still in progress at ``_cut_at`` are cut.
+        Their time limits end before ``_end_at``. What is left then is cut.
         """
-        while anyio.current_time() < self._cut_at:
+        while anyio.current_time() < self._end_at:
             self._server.close_idle()
-            await anyio.sleep(0.1)
+            await anyio.sleep(STOP_POLL_INTERVAL_S)
             if not self._server.open_connections:
                 return
         self._log.error('requests cut', active=self._context.active)
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -15,6 +15,7 @@
 from primrosereel.gateway import _ports as ports
 from primrosereel.gateway import _response_memory as response_memory_module
 from primrosereel.gateway import _settings as settings
+from primrosereel.gateway import _time_limits as time_limits_module
 from primrosereel.routing import _decode_places as decode_places
 from primrosereel.routing import _demand as demand_module
 from primrosereel.routing import _ledger as ledger_module
@@ -61,6 +62,7 @@
     response_memory: response_memory_module.ResponseMemory
     log: Any
     quarantine: prompt_quarantine.PromptQuarantine
+    time_limits: time_limits_module.TimeLimits
     demand: demand_module.DemandMeter = dataclasses.field(
         default_factory=demand_module.DemandMeter
     )
@@ -157,14 +159,14 @@
 
 @dataclasses.dataclass(slots=True)
 class Exchange:
-    """One request of a caller in progress; ``deadline_at`` is clock time."""
+    """One request of a caller in progress."""
 
     context: Context
     request: callers.CallerRequest
     route: model.Route
     service: ids.ServiceId
     facts: model.RequestFacts
-    deadline_at: float
+    time_limit: time_limits_module.TimeLimit
     # The number of runners that were sent the request and may have run it.
     attempts: int = 0
     # Whether a runner may have run the request, or may still do so.
@@ -207,8 +209,8 @@
 
     @property
     def remaining_s(self) -> float:
-        """The time left until the deadline."""
-        return self.deadline_at - self.context.clock()
+        """The time left until the request must end."""
+        return self.time_limit.remaining_s
 
     def refusal(
         self,
--- a/primrosereel/gateway/_event_stream.py
+++ b/primrosereel/gateway/_event_stream.py
@@ -167,6 +167,7 @@
         """
         if not self._head_sent:
             self._head_sent = True
+            self._exchange.time_limit.start_answer()
             await self._caller.send_head(
                 callers.Reply(head.status, head.reason, head.headers)
             )
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -85,12 +85,13 @@
         exchange = self._exchange
         self._count_request()
         try:
-            with anyio.fail_after(exchange.remaining_s):
+            with exchange.time_limit.enforce():
                 self._crash_reports.check(exchange)
                 await self._acquire_place()
                 self._crash_reports.check(exchange)
                 await self._prefill()
                 return await self._stream_until_complete()
+            return await self._handle_timeout()
         except RequestEnded as ended:
             return await self._end(ended.reply)
         except admission.Refused as refused:
@@ -168,7 +169,10 @@
             self._exchange.failure(Reason.UPSTREAM_TIMEOUT, 0)
             self._log_cut('the time limit was reached')
             return False
-        reply = self._exchange.failure(Reason.UPSTREAM_TIMEOUT, 504)
+        if self._exchange.may_have_run:
+            reply = self._exchange.failure(Reason.UPSTREAM_TIMEOUT, 504)
+        else:
+            reply = self._refusal(Reason.DEADLINE)
         await self._caller.reply(reply)
         return True
 
--- a/primrosereel/gateway/_plain.py
+++ b/primrosereel/gateway/_plain.py
@@ -47,7 +47,7 @@
         self._context.budget.count_request(
             exchange.service, self._context.clock()
         )
-        with anyio.move_on_after(exchange.remaining_s):
+        with exchange.time_limit.enforce():
             for _ in range(MAX_RUNNERS_TRIED):
                 reply = await self._attempt()
                 if reply is not None:
@@ -195,6 +195,6 @@
             if late:
                 return exchange.failure(Reason.UPSTREAM_TIMEOUT, 504)
             return exchange.failure(Reason.UPSTREAM_FAILED, 502)
-        if exchange.attempts and exchange.remaining_s < MIN_REMAINING_S:
-            return exchange.failure(Reason.DEADLINE, 504)
+        if exchange.remaining_s < MIN_REMAINING_S:
+            self._refusal_reason = Reason.DEADLINE
         return exchange.refusal(self._refusal_reason, RETRY_AFTER_S)
--- a/primrosereel/gateway/_server.py
+++ b/primrosereel/gateway/_server.py
@@ -245,5 +245,5 @@
             route,
             service,
             facts,
-            request.received_at + limit_s,
+            context.time_limits.add(request.received_at + limit_s),
         )
--- /dev/null
+++ b/primrosereel/gateway/_time_limits.py
@@ -0,0 +1,100 @@
+"""Time limits of the requests in progress, which a stop shortens."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+import math
+
+import anyio
+
+__all__ = ['TimeLimit', 'TimeLimits']
+
+
+class TimeLimits:
+    """The time limits of all requests of a process.
+
+    A process that stops answers each request before it ends. Only answers
+    that have begun get a little longer, as nothing else can be sent instead
+    of their rest.
+
+    Example::
+
+        limits = TimeLimits(clock)
+        limit = limits.add(clock() + 4.0)
+        with limit.enforce() as scope:
+            await serve()
+        if scope.cancelled_caught:
+            await refuse()
+    """
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._answer_by = math.inf
+        self._finish_by = math.inf
+        self._enforced: set[TimeLimit] = set()
+
+    @property
+    def clock(self) -> Callable[[], float]:
+        """The clock of all deadlines."""
+        return self._clock
+
+    def shorten(self, answer_by: float, finish_by: float) -> None:
+        """Bring the ends of requests forward, also of those in progress.
+
+        Answers begin at ``answer_by`` at the latest; those that have begun
+        end at ``finish_by``.
+        """
+        self._answer_by = answer_by
+        self._finish_by = finish_by
+        for limit in self._enforced:
+            limit.apply()
+
+    def latest_end(self, answer_started: bool) -> float:
+        """Return when a request must end, whatever its own deadline is."""
+        return self._finish_by if answer_started else self._answer_by
+
+    def add(self, deadline_at: float) -> 'TimeLimit':
+        """Return the limit of a request with its own deadline."""
+        return TimeLimit(self, self._enforced, deadline_at)
+
+
+class TimeLimit:
+    """The time limit of one request."""
+
+    def __init__(
+        self,
+        limits: TimeLimits,
+        enforced: 'set[TimeLimit]',
+        deadline_at: float,
+    ) -> None:
+        self._limits = limits
+        self._enforced = enforced
+        self._deadline_at = deadline_at
+        self._answer_started = False
+        self._scope = anyio.CancelScope()
+
+    @property
+    def remaining_s(self) -> float:
+        """The time left; negative when it is over."""
+        latest_end = self._limits.latest_end(self._answer_started)
+        return min(self._deadline_at, latest_end) - self._limits.clock()
+
+    @contextlib.contextmanager
+    def enforce(self) -> Iterator[anyio.CancelScope]:
+        """Cancel the block when the time is over."""
+        self._enforced.add(self)
+        self.apply()
+        try:
+            with self._scope:
+                yield self._scope
+        finally:
+            self._enforced.discard(self)
+
+    def start_answer(self) -> None:
+        """Record that the answer has begun."""
+        self._answer_started = True
+        self.apply()
+
+    def apply(self) -> None:
+        """Move the deadline of the block to the current limit."""
+        self._scope.deadline = anyio.current_time() + self.remaining_s
--- a/tests/property/test_gateway_stop.py
+++ b/tests/property/test_gateway_stop.py
@@ -3,9 +3,13 @@
 import contextlib
 
 import anyio
+import pytest
 
+from primrosereel.standin import _listed_runner as listed_runner
 from tests import gateway_fleet
 
+Fault = listed_runner.Fault
+
 run = gateway_fleet.run_scenario
 CONNECTIONS = 5
 
@@ -60,3 +64,50 @@
         await fleet.wait_for(lambda: bool(fleet.log.named('stopped')))
 
     run(scenario)
+
+
+@pytest.mark.parametrize('path', ['/read/1', '/file/1', '/once/1', '/ask/1'])
+def test_request_in_progress_at_the_end_of_a_stop_is_answered(path):
+    """Guards against a request that a stop cuts without an answer."""
+
+    async def scenario(fleet):
+        config = gateway_fleet.configuration(version=2)
+        for route in config['routes']:
+            route['timeoutMs'] = 30_000
+        fleet.store.put('op/config', config)
+        context = fleet.gateway._context
+        await fleet.wait_for(lambda: context.table.version == 2)
+        for runner in fleet.runners.values():
+            if runner.options.stage != 'prefill':
+                runner.faults.extend([Fault.SILENT] * 3)
+        async with fleet.client() as client:
+            await client.send(path, 'r1', 'POST', Token_Usage='400,40')
+            await anyio.sleep(0.1)
+            fleet.gateway._stop_requested.set()
+            reply = await client.receive()
+            assert (reply.status, reply.complete) == (504, True)
+        await fleet.wait_for(lambda: bool(fleet.log.named('stopped')))
+        assert not fleet.log.named('requests cut')
+
+    run(scenario)
+
+
+def test_stream_that_has_begun_is_cut_as_the_last_one():
+    """Guards against a stream that a stop cuts earlier than it must."""
+
+    async def scenario(fleet):
+        for name in ('d1', 'd2'):
+            fleet.runners[name].options.event_s = 0.1
+            fleet.runners[name].options.events = 100
+        async with fleet.client() as client:
+            await client.send('/once/1', 'r1', 'POST', Token_Usage='400,40')
+            await client.receive(until=b'id: 1')
+            fleet.gateway._stop_requested.set()
+            started_at = anyio.current_time()
+            assert not (await client.receive()).complete
+            lasted_s = anyio.current_time() - started_at
+        assert lasted_s > 1.8 - 0.01
+        (line,) = fleet.log.named('request unanswered')
+        assert line['reason'] == 'stream_cut'
+
+    run(scenario)
--- a/tests/property/test_gateway_unanswered.py
+++ b/tests/property/test_gateway_unanswered.py
@@ -180,3 +180,21 @@
         assert not fleet.log.named('internal error')
 
     run(scenario)
+
+
+def test_request_that_never_ran_by_its_deadline_gets_503():
+    """Guards against a 504 for a stream that no runner was sent."""
+
+    async def scenario(fleet):
+        fleet.runners['p1'].faults.append(Fault.SILENT)
+        reply = await fleet.ask(
+            '/once/1',
+            'r1',
+            method='POST',
+            Token_Usage='400,40',
+            Deadline_Ms=300,
+        )
+        assert (reply.status, reply.complete) == (503, True)
+        assert run_count(fleet, 'r1') == 0
+
+    run(scenario)
