--- a/primrosereel/gateway/_server.py
+++ b/primrosereel/gateway/_server.py
@@ -35,10 +35,8 @@
     async def serve_connection(self, stream: anyio.abc.SocketStream) -> None:
         """Serve one connection until it closes."""
         http.set_socket_options(stream)
-        table = self._context.table
-        limits = table.limits if table else model.CallerLimits()
         connection = callers.CallerConnection(
-            stream, limits, self._context.clock
+            stream, self._limits, self._context.clock
         )
         self._connections.add(connection)
         try:
@@ -55,11 +53,20 @@
             self._connections.discard(connection)
             await connection.close()
 
-    async def close_idle(self) -> None:
-        """Close the connections on which no request is in progress."""
-        for connection in list(self._connections):
-            if connection.idle:
-                await connection.close()
+    def _limits(self) -> model.CallerLimits:
+        """Return the limits in force."""
+        table = self._context.table
+        return table.limits if table else model.CallerLimits()
+
+    @property
+    def open_connections(self) -> int:
+        """The callers' connections that are not closed."""
+        return len(self._connections)
+
+    def close_idle(self) -> None:
+        """Have each connection closed once no request is read or served."""
+        for connection in self._connections:
+            connection.close_when_idle()
 
     async def _serve_requests(
         self, connection: callers.CallerConnection
@@ -225,13 +232,18 @@
                 version=table.version,
             )
             return callers.Reply(404)
+        service = table_module.pick_service(route, context.random)
+        if service is None:
+            return self._refuse(
+                states.RefusalReason.NO_RUNNER, ERROR_RETRY_AFTER_S
+            )
         facts = context.dialect.request_facts(request.headers)
         limit_s = timeouts.time_limit_s(route, facts)
         return context_module.Exchange(
             context,
             request,
             route,
-            table_module.pick_service(route, context.random),
+            service,
             facts,
-            request.received_at + limit_s,
+            context.time_limits.add(request.received_at + limit_s),
         )
--- a/tests/property/test_gateway_unanswered.py
+++ b/tests/property/test_gateway_unanswered.py
@@ -124,3 +124,77 @@
         assert run_count(fleet, 'r1') == 1
 
     run(scenario)
+
+
+def test_host_that_a_connection_header_names_is_answered():
+    """Guards against a closed connection for ``Connection: host``.
+
+    The header was removed, and h11 sends no request without it.
+    """
+
+    async def scenario(fleet):
+        reply = await fleet.ask('/read/1', 'r1', Connection='host')
+        assert (reply.status, reply.complete) == (200, True)
+
+    run(scenario)
+
+
+def test_weights_that_are_all_zero_are_answered():
+    """Guards against a closed connection for a route without a weight."""
+
+    async def scenario(fleet):
+        config = gateway_fleet.configuration(version=2)
+        config['routes'][0] |= {
+            'service': None,
+            'trafficSplit': [
+                {'service': 'plain', 'weight': 0},
+                {'service': 'llm', 'weight': 0},
+            ],
+        }
+        fleet.store.put('op/config', config)
+        context = fleet.gateway._context
+        await fleet.wait_for(lambda: context.table.version == 2)
+        reply = await fleet.ask('/read/1', 'r1')
+        assert (reply.status, reply.complete) == (503, True)
+        assert not fleet.log.named('internal error')
+
+    run(scenario)
+
+
+def test_runner_whose_address_is_no_host_ends_no_request():
+    """Guards against a closed connection for an entry of another writer.
+
+    The name could not be encoded, which was not recognized as a failed
+    connection.
+    """
+
+    async def scenario(fleet):
+        entry = fleet.runners['s1'].entry() | {'address': '\u00fc..b:80'}
+        fleet.store.put('servers/s3', entry)
+        table = fleet.gateway._context.runners
+        await fleet.wait_for(lambda: table.get('s3') is not None)
+        for name in ('s1', 's2'):
+            table.get(name).in_flight = 3
+        reply = await fleet.ask('/file/1', 'r1', method='POST')
+        assert (reply.status, reply.complete) == (200, True)
+        assert not fleet.log.named('internal error')
+
+    run(scenario)
+
+
+def test_request_that_never_ran_by_its_deadline_gets_503():
+    """Guards against a 504 for a stream that no runner was sent."""
+
+    async def scenario(fleet):
+        fleet.runners['p1'].faults.append(Fault.SILENT)
+        reply = await fleet.ask(
+            '/once/1',
+            'r1',
+            method='POST',
+            Token_Usage='400,40',
+            Deadline_Ms=300,
+        )
+        assert (reply.status, reply.complete) == (503, True)
+        assert run_count(fleet, 'r1') == 0
+
+    run(scenario)
