Log the store's era and revision, and count returns from a copy

The logs of an instance that missed a configuration after the store came back from a copy said 'store regained' and nothing else: neither from which history the store answers nor at which revision. Answers of the store are typed now and their Store-Era is read; 'store read', 'store regained', 'runner listed' and 'configuration in force' carry era and revision, a runner's line also the sequence of its entry. A newer era, or a revision that went back, is logged with both eras and revisions and counted (store.returns), a header that names no era as well (store.eras_unreadable). Nothing acts on it yet.

--- a/primrosereel/gateway/_ports.py
+++ b/primrosereel/gateway/_ports.py
@@ -18,6 +18,8 @@
     'RequestDialect',
     'StoreChange',
     'StoreError',
+    'StoreOrigin',
+    'StoreResponse',
     'StoreState',
     'StoreUnavailable',
 ]
@@ -25,8 +27,31 @@
 Headers = Sequence[tuple[bytes, bytes]]
 
 
+class StoreOrigin(NamedTuple):
+    """Which history of the store a response belongs to.
+
+    ``era`` rises each time the store comes back from a copy, and is None if
+    the response does not name it. ``unreadable`` is a value that is no era.
+    """
+
+    era: ids.StoreEra | None = None
+    unreadable: str = ''
+
+
+NO_ORIGIN = StoreOrigin()
+
+
 class StoreError(Exception):
-    """A call to the store returned no usable response."""
+    """A call to the store returned no usable response.
+
+    ``origin`` is that of the response, if there was one.
+    """
+
+    def __init__(
+        self, detail: str = '', origin: StoreOrigin = NO_ORIGIN
+    ) -> None:
+        super().__init__(detail)
+        self.origin = origin
 
 
 class StoreUnavailable(StoreError):
@@ -41,12 +66,22 @@
 class StoreChange:
     """One store entry: a runner, a configuration, or an unrelated entry.
 
-    ``unreadable`` marks an entry that could not be read.
+    ``unreadable`` marks an entry that could not be read. ``revision`` is that
+    of the entry's last change.
     """
 
     runner: runner_list.ListingChange | None = None
     table: table_module.RoutingTable | None = None
     unreadable: bool = False
+    revision: int = 0
+
+
+class StoreResponse(NamedTuple):
+    """A response of the store, as it was received."""
+
+    status: int
+    headers: Headers
+    body: bytes
 
 
 class StoreState(NamedTuple):
@@ -61,6 +96,7 @@
     revision: int
     relevant_revision: int | None = None
     content: bytes = b''
+    origin: StoreOrigin = NO_ORIGIN
 
 
 class HttpCall(Protocol):
@@ -68,8 +104,8 @@
 
     async def __call__(
         self, method: bytes, target: bytes, limit: int, wait_s: float
-    ) -> tuple[int, bytes]:
-        """Return status and body, or raise StoreUnavailable.
+    ) -> StoreResponse:
+        """Return the response, or raise StoreUnavailable.
 
         ``limit`` bounds the body in bytes; ``wait_s`` is how long the store
         is asked to wait before it responds.
--- a/primrosereel/gateway/_store_client.py
+++ b/primrosereel/gateway/_store_client.py
@@ -23,8 +23,8 @@
 
     async def __call__(
         self, method: bytes, target: bytes, limit: int, wait_s: float
-    ) -> tuple[int, bytes]:
-        """Return status and body; raise StoreUnavailable if the call fails."""
+    ) -> ports.StoreResponse:
+        """Return the response; raise StoreUnavailable if the call fails."""
         request = http.OutgoingRequest(
             method, target, [(b'Host', str(self._address).encode())]
         )
@@ -37,7 +37,7 @@
 
     async def _send_request(
         self, request: http.OutgoingRequest, limit: int
-    ) -> tuple[int, bytes]:
+    ) -> ports.StoreResponse:
         connection = self._connection
         if connection is None or connection.has_input():
             await self._drop()
@@ -47,7 +47,7 @@
         body = await connection.read_body(limit)
         if not connection.reusable:
             await self._drop()
-        return head.status, body
+        return ports.StoreResponse(head.status, head.headers, body)
 
     async def _drop(self) -> None:
         connection, self._connection = self._connection, None
--- a/primrosereel/gateway/_store_reader.py
+++ b/primrosereel/gateway/_store_reader.py
@@ -21,7 +21,7 @@
 from primrosereel.routing import _model as model
 from primrosereel.routing import _runner_list as runner_list
 from primrosereel.routing import _shared_watch as shared_watch
-from primrosereel.routing import _table as table_module
+from primrosereel.routing import _store_history as store_history
 
 __all__ = ['StoreReader']
 
@@ -55,6 +55,8 @@
         self._store = store
         self._runner_list = runner_list.RunnerList(context.runners)
         self._watch_state = shared_watch.SharedWatch(context.random)
+        self._history = store_history.StoreHistory()
+        self._unreadable_era = ''
         self._notice_received = anyio.Event()
         # Stays set when history is lost, as the entries read before that are
         # still in use.
@@ -125,12 +127,15 @@
         for change in state.changes:
             if change.runner is not None and change.runner.listing:
                 listings.append(change.runner.listing)
-            self._apply_table(change.table)
+            self._apply_table(change)
         self._runner_list.apply_snapshot(listings, self._context.clock())
         self._watch_state.snapshot_read(state.revision, self._context.clock())
         self._synchronized = True
         self._context.log.info(
-            'store read', revision=state.revision, runners=len(listings)
+            'store read',
+            era=self._history.era,
+            revision=state.revision,
+            runners=len(listings),
         )
 
     async def _watch(self) -> None:
@@ -155,9 +160,9 @@
     ) -> None:
         for change in changes:
             if change.runner is not None:
-                self._note_listing(change.runner)
+                self._note_listing(change.runner, change.revision)
                 self._runner_list.apply_change(change.runner, now)
-            self._apply_table(change.table)
+            self._apply_table(change)
             if change.unreadable:
                 self._context.count('store.unreadable')
 
@@ -227,7 +232,9 @@
             self._apply_changes(changes, now)
         self._watch_state.accept(notice)
 
-    def _note_listing(self, change: runner_list.ListingChange) -> None:
+    def _note_listing(
+        self, change: runner_list.ListingChange, revision: int
+    ) -> None:
         """Start the callbacks of a runner that leaves, and log its change.
 
         A change that does not affect routing is not logged.
@@ -253,24 +260,65 @@
             role=new.role.value,
             leaving=new.leaving,
             born_ms=new.born_ms,
+            sequence=new.sequence,
+            era=self._history.era,
+            revision=revision,
         )
 
     async def _call(
         self, call: Callable[[], Awaitable[ports.StoreState]]
     ) -> ports.StoreState:
         self._context.count('store.calls')
-        return await call()
-
-    def _apply_table(self, table: table_module.RoutingTable | None) -> None:
+        try:
+            state = await call()
+        except ports.StoreError as error:
+            self._observe_origin(error.origin, None)
+            raise
+        self._observe_origin(state.origin, state.revision)
+        return state
+
+    def _observe_origin(
+        self, origin: ports.StoreOrigin, revision: int | None
+    ) -> None:
+        """Note which history of the store a response belongs to."""
+        if origin.unreadable:
+            self._note_unreadable_era(origin.unreadable)
+        history = self._history
+        previous_era, previous_revision = history.era, history.revision
+        use = history.observe(origin.era, revision, self._context.clock())
+        if use is store_history.AnswerUse.NEWER:
+            self._context.count('store.returns')
+            self._context.log.warning(
+                'store came back from a copy',
+                era=origin.era,
+                revision=revision,
+                previous_era=previous_era,
+                previous_revision=previous_revision,
+            )
+
+    def _note_unreadable_era(self, value: str) -> None:
+        """Count an era that cannot be read; log it if it is another one."""
+        self._context.count('store.eras_unreadable')
+        if value != self._unreadable_era:
+            self._unreadable_era = value
+            self._context.log.warning('store era unreadable', value=value)
+
+    def _apply_table(self, change: ports.StoreChange) -> None:
         """Put a newer configuration into effect; ignore an older one."""
         context = self._context
+        table = change.table
         if table is None:
             return
         if context.table and table.version <= context.table.version:
             return
         context.table = table
         context.places.set_services(table.services)
-        context.log.info('configuration in force', version=table.version)
+        context.log.info(
+            'configuration in force',
+            version=table.version,
+            era=self._history.era,
+            revision=change.revision,
+        )
 
     def _note_store_lost(self, detail: str) -> None:
         self._runner_list.store_lost()
@@ -283,7 +331,11 @@
         self._backoff_s = MIN_BACKOFF_S
         if not self._available:
             self._available = True
-            self._context.log.info('store regained')
+            self._context.log.info(
+                'store regained',
+                era=self._history.era,
+                revision=self._history.revision,
+            )
 
 
 def _routing_fields(listing: model.RunnerListing) -> tuple[Any, ...]:
--- a/primrosereel/platform/_store.py
+++ b/primrosereel/platform/_store.py
@@ -20,6 +20,9 @@
 CONFIGURATION_KEY = 'op/config'
 CONFIGURATION_PREFIX = 'op/'
 RUNNER_PREFIX = 'servers/'
+ERA_HEADER = b'Store-Era'
+# An era rises by one with each return of the store.
+MAX_ERA_DIGITS = 18
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 ROUTE_KINDS = {
     'idempotent': model.RouteKind.IDEMPOTENT,
@@ -142,13 +145,16 @@
         """
         changes: list[ports.StoreChange] = []
         revision: int | None = None
+        origin = ports.NO_ORIGIN
         for prefix in (CONFIGURATION_PREFIX, RUNNER_PREFIX):
             after = ''
             while True:
                 query: dict[str, str | int] = {'prefix': prefix}
                 if after:
                     query['after'] = after
-                page = await self._get(_Target('/v1/kv-range', query), _Page)
+                page, origin = await self._get(
+                    _Target('/v1/kv-range', query), _Page
+                )
                 revision = (
                     page.at if revision is None else min(revision, page.at)
                 )
@@ -156,7 +162,7 @@
                 if not page.has_more or not page.items:
                     break
                 after = page.items[-1].key
-        return ports.StoreState(tuple(changes), revision or 0)
+        return ports.StoreState(tuple(changes), revision or 0, origin=origin)
 
     async def watch(self, after: int, wait_s: float) -> ports.StoreState:
         """Wait for changes after a revision.
@@ -168,18 +174,19 @@
             'after': after,
             'waitMs': int(wait_s * 1000),
         }
-        response = await self._get(
+        response, origin = await self._get(
             _Target('/v1/kv-watch', query), _Events, wait_s
         )
         relevant = [e for e in response.events if _is_relevant(e.key)]
         changes = tuple(map(_decode_change, relevant))
         if not relevant:
-            return ports.StoreState(changes, response.at)
+            return ports.StoreState(changes, response.at, origin=origin)
         return ports.StoreState(
             changes,
             response.at,
             max(event.revision for event in relevant),
             msgspec.msgpack.encode(relevant),
+            origin,
         )
 
     def decode(self, content: bytes) -> tuple[ports.StoreChange, ...]:
@@ -191,19 +198,34 @@
         return tuple(map(_decode_change, items))
 
     async def _get(self, target: _Target, response_type, wait_s: float = 0.0):
-        status, body = await self._call(
+        response = await self._call(
             b'GET', target.encode(), MAX_RESPONSE_BYTES, wait_s
         )
-        if status == 410:
-            raise ports.HistoryLost
-        if status != 200:
+        origin = _read_origin(response.headers)
+        if response.status == 410:
+            raise ports.HistoryLost('status 410', origin)
+        if response.status != 200:
             raise ports.StoreUnavailable(
-                f'{target.path} returned status {status}'
+                f'{target.path} returned status {response.status}', origin
             )
         try:
-            return msgspec.json.decode(body, type=response_type)
+            body = msgspec.json.decode(response.body, type=response_type)
         except msgspec.DecodeError as error:
-            raise ports.StoreUnavailable(f'{target.path}: {error}') from error
+            raise ports.StoreUnavailable(
+                f'{target.path}: {error}', origin
+            ) from error
+        return body, origin
+
+
+def _read_origin(headers: ports.Headers) -> ports.StoreOrigin:
+    name = ERA_HEADER.lower()
+    values = {value for header, value in headers if header.lower() == name}
+    if not values:
+        return ports.NO_ORIGIN
+    text = b', '.join(sorted(values))
+    if not text.isdigit() or len(text) > MAX_ERA_DIGITS:
+        return ports.StoreOrigin(unreadable=text[:80].decode('latin-1'))
+    return ports.StoreOrigin(ids.StoreEra(int(text)))
 
 
 def _is_relevant(key: str) -> bool:
@@ -218,11 +240,14 @@
         return ports.StoreChange(
             runner=runner_list.ListingChange(runner, listing),
             unreadable=listing is None and not item.deleted,
+            revision=item.revision,
         )
     if item.key == CONFIGURATION_KEY and not item.deleted:
         table = _decode_table(item)
-        return ports.StoreChange(table=table, unreadable=table is None)
-    return ports.StoreChange()
+        return ports.StoreChange(
+            table=table, unreadable=table is None, revision=item.revision
+        )
+    return ports.StoreChange(revision=item.revision)
 
 
 def _decode_value(item: _Item, value_type):
@@ -257,6 +282,7 @@
         LEAVING_BY_STATE[entry.state],
         entry.cold_remaining_ms / 1000,
         entry.born,
+        entry.sequence,
     )
 
 
--- a/primrosereel/routing/_model.py
+++ b/primrosereel/routing/_model.py
@@ -124,7 +124,8 @@
     """A runner's entry in the platform's list.
 
     ``cold_s`` is the remaining time of a cold start, and ``born_ms`` when the
-    runner started.
+    runner started. Since then ``sequence`` increases with what the runner
+    writes.
     """
 
     runner: ids.RunnerId
@@ -136,6 +137,7 @@
     leaving: bool
     cold_s: float = 0.0
     born_ms: int = 0
+    sequence: int = 0
 
 
 class LoadReport(NamedTuple):
--- a/tests/property/test_fuzz_platform.py
+++ b/tests/property/test_fuzz_platform.py
@@ -84,7 +84,7 @@
         page = {'items': [], 'hasMore': False, 'at': 7}
         if b'servers' in target:
             page['items'] = items
-        return status, msgspec.json.encode(page)
+        return ports.StoreResponse(status, [], msgspec.json.encode(page))
 
     async def main():
         return await platform.Store(call).read()
@@ -228,7 +228,7 @@
 
     async def call(method, target, limit, wait_s):
         del method, target, limit, wait_s
-        return 200, body
+        return ports.StoreResponse(200, [], body)
 
     async def main():
         await store_module.Store(call).watch(revision, 0.1)
