Read the store again after each return from a copy

Cause: a lost history was noticed by a 410 alone. The store came back from a copy, gave its revisions out again, and they had passed the instance's revision when it reached the store. So the watch from there was answered, and a change that was written again below it never came.

Evidence: test_change_written_again_below_the_watched_revision_is_seen failed before with 'assert 404 == 200', for a store that resets, refuses, is silent, or comes back under a waiting watch. Pages from both sides of a return were taken as one state ('assert 2 == 4' calls), an answer of an older era was used (TimeoutError while waiting for it to be discarded), and a store that answers every watch with 410 was called 841 times in one second.

Why the fix works: StoreHistory assigns each answer, refusals too, to a history by its era, or by a revision that went back where there is no era. In a newer one the known revision is forgotten and all entries are read at once; answers of an older one are discarded, for at most 10 s without any other. A reading whose pages are of several histories is begun again, three times at most. If the first watch after a reading of the same history is refused, the next reading waits for the usual pause.

--- a/primrosereel/gateway/_ports.py
+++ b/primrosereel/gateway/_ports.py
@@ -16,6 +16,7 @@
     'HttpCall',
     'MetadataStore',
     'RequestDialect',
+    'StaleAnswer',
     'StoreChange',
     'StoreError',
     'StoreOrigin',
@@ -62,6 +63,10 @@
     """The store no longer has the history that a watch asked for."""
 
 
+class StaleAnswer(StoreError):
+    """An answer is from before a return of the store that is known."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreChange:
     """One store entry: a runner, a configuration, or an unrelated entry.
@@ -116,7 +121,7 @@
     """The platform's store; access is read-only."""
 
     async def read(self) -> StoreState:
-        """Read all entries."""
+        """Read all entries; they are of one history."""
 
     async def watch(self, after: int, wait_s: float) -> StoreState:
         """Wait for changes after a revision."""
--- a/primrosereel/gateway/_store_reader.py
+++ b/primrosereel/gateway/_store_reader.py
@@ -6,6 +6,10 @@
 share of the shorter of the two bounds within which changes must take effect.
 Instances that see each other share what they read, so that only a few of them
 call the store in each pause.
+
+Revisions name states of one history of the store only. The history of each
+answer is therefore checked before its revision or entries are used, and all
+entries are read again when the store has come back from a copy.
 """
 
 from collections.abc import Awaitable
@@ -57,6 +61,9 @@
         self._watch_state = shared_watch.SharedWatch(context.random)
         self._history = store_history.StoreHistory()
         self._unreadable_era = ''
+        # The history that was read last, and whether it was watched since.
+        self._history_read = 0
+        self._watched = False
         self._notice_received = anyio.Event()
         # Stays set when history is lost, as the entries read before that are
         # still in use.
@@ -102,16 +109,13 @@
                 else:
                     await self._read()
                 self._note_store_recovered()
-            except ports.HistoryLost:
-                self._context.log.info('store history lost')
-                self._watch_state.reset()
+            except ports.HistoryLost as error:
+                await self._forget_history(str(error))
+            except ports.StaleAnswer:
+                await self._back_off()
             except ports.StoreUnavailable as error:
                 self._note_store_lost(str(error))
-                await anyio.sleep(self._backoff_s)
-                max_backoff_s = MAX_BACKOFF_S
-                if self._context.table is None:
-                    max_backoff_s = MAX_INITIAL_BACKOFF_S
-                self._backoff_s = min(2 * self._backoff_s, max_backoff_s)
+                await self._back_off()
                 if self._watch_state.revision:
                     await self._wait_until_due()
 
@@ -120,6 +124,26 @@
         for runner in self._runner_list.remove_missing(self._context.clock()):
             self._context.log.info('runner gone', runner=runner)
 
+    async def _back_off(self) -> None:
+        await anyio.sleep(self._backoff_s)
+        max_backoff_s = MAX_BACKOFF_S
+        if self._context.table is None:
+            max_backoff_s = MAX_INITIAL_BACKOFF_S
+        self._backoff_s = min(2 * self._backoff_s, max_backoff_s)
+
+    async def _forget_history(self, detail: str) -> None:
+        """Have all entries read again, at once unless it did not help."""
+        self._context.log.info(
+            'store history lost',
+            detail=detail,
+            era=self._history.era,
+            revision=self._history.revision,
+        )
+        is_same = self._history.number == self._history_read
+        if is_same and not self._watched:
+            await self._wait_until_due()
+        self._watch_state.reset()
+
     async def _read(self) -> None:
         state = await self._call(self._store.read)
         self._note_store_recovered()
@@ -130,6 +154,7 @@
             self._apply_table(change)
         self._runner_list.apply_snapshot(listings, self._context.clock())
         self._watch_state.snapshot_read(state.revision, self._context.clock())
+        self._history_read, self._watched = self._history.number, False
         self._synchronized = True
         self._context.log.info(
             'store read',
@@ -144,8 +169,13 @@
         async def watch() -> ports.StoreState:
             return await self._store.watch(since, self._watch_s)
 
+        history = self._history.number
         state = await self._call(watch)
         self._note_store_recovered()
+        if self._history.number != history:
+            # The revision watched from belongs to a lost history.
+            raise ports.HistoryLost('the store came back from a copy')
+        self._watched = True
         now = self._context.clock()
         # A notice that arrived during the call may hold later changes.
         if state.revision >= self._watch_state.revision:
@@ -268,19 +298,25 @@
     async def _call(
         self, call: Callable[[], Awaitable[ports.StoreState]]
     ) -> ports.StoreState:
+        """Make a call; raise StaleAnswer if its answer is not to be used."""
         self._context.count('store.calls')
         try:
             state = await call()
         except ports.StoreError as error:
             self._observe_origin(error.origin, None)
             raise
-        self._observe_origin(state.origin, state.revision)
+        use = self._observe_origin(state.origin, state.revision)
+        if use is store_history.AnswerUse.OLDER:
+            raise ports.StaleAnswer
         return state
 
     def _observe_origin(
         self, origin: ports.StoreOrigin, revision: int | None
-    ) -> None:
-        """Note which history of the store a response belongs to."""
+    ) -> store_history.AnswerUse:
+        """Return which history of the store a response belongs to.
+
+        In a newer one nothing is known yet, so all entries are read again.
+        """
         if origin.unreadable:
             self._note_unreadable_era(origin.unreadable)
         history = self._history
@@ -295,6 +331,17 @@
                 previous_era=previous_era,
                 previous_revision=previous_revision,
             )
+            self._watch_state.reset()
+        elif use is store_history.AnswerUse.OLDER:
+            self._context.count('store.answers_discarded')
+            self._context.log.info(
+                'store answer discarded',
+                era=origin.era,
+                revision=revision,
+                known_era=previous_era,
+                known_revision=previous_revision,
+            )
+        return use
 
     def _note_unreadable_era(self, value: str) -> None:
         """Count an era that cannot be read; log it if it is another one."""
--- a/primrosereel/platform/_store.py
+++ b/primrosereel/platform/_store.py
@@ -23,6 +23,8 @@
 ERA_HEADER = b'Store-Era'
 # An era rises by one with each return of the store.
 MAX_ERA_DIGITS = 18
+# How often a reading is begun while its pages belong to several histories.
+MAX_READINGS = 3
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 ROUTE_KINDS = {
     'idempotent': model.RouteKind.IDEMPOTENT,
@@ -131,6 +133,37 @@
         return f'{self.path}?{query}'.encode()
 
 
+class _Pages:
+    """The pages of one reading, which must be of one history."""
+
+    def __init__(self) -> None:
+        self._changes: list[ports.StoreChange] = []
+        self._revisions: list[int] = []
+        self._origin = ports.NO_ORIGIN
+
+    def add(self, page: _Page, origin: ports.StoreOrigin) -> bool:
+        """Add a page; return False if it is of another history."""
+        eras = {self._origin.era, origin.era} - {None}
+        if len(eras) > 1 or page.at < max(self._revisions, default=0):
+            return False
+        self._changes.extend(map(_decode_change, page.items))
+        self._revisions.append(page.at)
+        if self._origin.era is None:
+            self._origin = origin
+        return True
+
+    def state(self) -> ports.StoreState:
+        """Return the entries and the lowest revision.
+
+        A watch from there misses no change.
+        """
+        return ports.StoreState(
+            tuple(self._changes),
+            min(self._revisions, default=0),
+            origin=self._origin,
+        )
+
+
 class Store:
     """Client of the store; ``call`` makes the HTTP requests."""
 
@@ -140,12 +173,18 @@
     async def read(self) -> ports.StoreState:
         """Read the configuration and the runners, page by page.
 
-        The revision is the lowest of all pages, so that a watch from there
-        misses no change.
+        The reading is begun again if the store came back from a copy during
+        it.
         """
-        changes: list[ports.StoreChange] = []
-        revision: int | None = None
-        origin = ports.NO_ORIGIN
+        for _ in range(MAX_READINGS):
+            state = await self._read_pages()
+            if state is not None:
+                return state
+        raise ports.StoreUnavailable('the pages are of several histories')
+
+    async def _read_pages(self) -> ports.StoreState | None:
+        """Return all entries; None if the pages are of several histories."""
+        pages = _Pages()
         for prefix in (CONFIGURATION_PREFIX, RUNNER_PREFIX):
             after = ''
             while True:
@@ -155,14 +194,12 @@
                 page, origin = await self._get(
                     _Target('/v1/kv-range', query), _Page
                 )
-                revision = (
-                    page.at if revision is None else min(revision, page.at)
-                )
-                changes.extend(map(_decode_change, page.items))
+                if not pages.add(page, origin):
+                    return None
                 if not page.has_more or not page.items:
                     break
                 after = page.items[-1].key
-        return ports.StoreState(tuple(changes), revision or 0, origin=origin)
+        return pages.state()
 
     async def watch(self, after: int, wait_s: float) -> ports.StoreState:
         """Wait for changes after a revision.
--- /dev/null
+++ b/tests/property/test_gateway_store_return.py
@@ -0,0 +1,214 @@
+"""A gateway's store comes back from an older copy of itself."""
+
+import anyio
+import msgspec
+import pytest
+
+from primrosereel import platform
+from primrosereel.gateway import _ports as ports
+from primrosereel.routing import _store_history as store_history
+from primrosereel.standin import _metadata_store as metadata_store
+from tests import gateway_fleet
+
+run = gateway_fleet.run_scenario
+Mode = metadata_store.StoreMode
+Use = store_history.AnswerUse
+
+
+def write_new_route(store, version=9):
+    """Write a configuration with a route that version 1 lacks."""
+    routes = [('/new/', 'plain', 'idempotent')]
+    store.put('op/config', gateway_fleet.configuration(version, routes))
+
+
+def write_others(store, count=3):
+    for number in range(count):
+        store.put(f'other/{number}', {})
+
+
+async def reach_present_revision(fleet):
+    """Wait until the gateway watches from the store's revision."""
+    await fleet.wait_for(
+        lambda: (
+            fleet.gateway._reader._watch_state.revision
+            == fleet.store.copy().revision
+        )
+    )
+
+
+def versions(fleet):
+    lines = fleet.log.named('configuration in force')
+    return [line['version'] for line in lines]
+
+
+@pytest.mark.parametrize('away', [Mode.RESET, Mode.BUSY, Mode.SILENT, None])
+def test_change_written_again_below_the_watched_revision_is_seen(away):
+    """Guards against a configuration that an instance never reads.
+
+    The store gave its revisions out again, and they had passed the
+    instance's when it was back, so a watch from there got no 410: new routes
+    were refused with 404 to the end. The second reading must not wait for
+    the pause between watches either.
+    """
+
+    async def scenario(fleet):
+        copy = fleet.store.copy()
+        write_others(fleet.store)
+        await reach_present_revision(fleet)
+        if away is not None:
+            fleet.store.mode = away
+            # Ends a watch that is waiting.
+            write_others(fleet.store, 1)
+            await anyio.sleep(0.3)
+        fleet.store.restore(copy)
+        write_new_route(fleet.store)
+        write_others(fleet.store, 5)
+        fleet.store.mode = Mode.UP
+        await fleet.wait_for(
+            lambda: bool(fleet.log.named('store came back from a copy')), 6.0
+        )
+        await anyio.sleep(0.5)
+        assert (await fleet.ask('/new/1', 'r1')).status == 200
+        assert versions(fleet) == [1, 9]
+
+    run(scenario, runner_drain_s=4.0, configuration_s=4.0)
+
+
+def test_answer_of_an_older_era_is_discarded():
+    """Guards against an answer that was under way over a return.
+
+    It tells of a history that the store has lost.
+    """
+
+    async def scenario(fleet):
+        fleet.store.restore(fleet.store.copy())
+        await fleet.wait_for(
+            lambda: bool(fleet.log.named('store came back from a copy'))
+        )
+        fleet.store.era = 1
+        write_new_route(fleet.store)
+        await fleet.wait_for(
+            lambda: bool(fleet.log.named('store answer discarded'))
+        )
+        assert versions(fleet) == [1]
+        fleet.store.era = 2
+        await fleet.wait_for(lambda: versions(fleet) == [1, 9])
+
+    run(scenario)
+
+
+@pytest.mark.parametrize('era', [None, -1])
+def test_store_without_a_readable_era_is_read_as_before(era):
+    """Guards against an instance that needs the header, or trusts any."""
+
+    async def scenario(fleet):
+        fleet.store.era = era
+        write_new_route(fleet.store)
+        await fleet.wait_for(lambda: versions(fleet) == [1, 9])
+        fleet.store.forget_history()
+        await fleet.wait_for(
+            lambda: bool(fleet.log.named('store history lost'))
+        )
+        write_new_route(fleet.store, 11)
+        await fleet.wait_for(lambda: versions(fleet) == [1, 9, 11])
+        unreadable = fleet.log.named('store era unreadable')
+        assert len(unreadable) == (0 if era is None else 1)
+
+    run(scenario)
+
+
+def test_store_that_refuses_every_watch_is_read_with_pauses():
+    """Guards against a loop of readings without a pause.
+
+    A store whose history is shorter than a reading takes answers each watch
+    with 410.
+    """
+
+    async def scenario(fleet):
+        fleet.store._history_start = 10**9
+        await anyio.sleep(0.5)
+        calls = fleet.store.calls
+        await anyio.sleep(1.0)
+        # A reading takes two calls and a watch one, every 0.07 s.
+        assert fleet.store.calls - calls <= 3 * 1.0 / 0.07
+        write_new_route(fleet.store)
+        await fleet.wait_for(lambda: versions(fleet) == [1, 9])
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    ('answers', 'uses'),
+    [
+        # Answers as era and revision, and which history each belongs to.
+        ([(1, 50), (1, 60), (2, 70)], [Use.CURRENT, Use.CURRENT, Use.NEWER]),
+        ([(1, 50), (2, None), (2, 40)], [Use.CURRENT, Use.NEWER, Use.CURRENT]),
+        ([(1, 50), (2, 40), (1, 60)], [Use.CURRENT, Use.NEWER, Use.OLDER]),
+        ([(None, 50), (None, 40)], [Use.CURRENT, Use.NEWER]),
+        (
+            [(None, 50), (3, 60), (None, 70)],
+            [Use.CURRENT, Use.NEWER, Use.CURRENT],
+        ),
+        ([(1, None), (2, 50)], [Use.CURRENT, Use.CURRENT]),
+        ([(1, 50), (1, 40)], [Use.CURRENT, Use.NEWER]),
+    ],
+)
+def test_answers_are_assigned_to_histories(answers, uses):
+    """Guards against a return that is missed, or seen where there is none."""
+    history = store_history.StoreHistory()
+    seen = [history.observe(era, at, 0.0) for era, at in answers]
+    assert seen == uses
+
+
+def test_store_that_counts_its_eras_anew_is_read_after_some_time():
+    """Guards against an instance that discards all answers for ever."""
+    history = store_history.StoreHistory()
+    assert history.observe(7, 50, 0.0) is Use.CURRENT
+    limit_s = store_history.MAX_OLDER_ERA_S
+    assert history.observe(1, 5, 1.0) is Use.OLDER
+    assert history.observe(1, 5, 0.9 + limit_s) is Use.OLDER
+    assert history.observe(1, 5, 1.1 + limit_s) is Use.NEWER
+    assert (history.era, history.revision) == (1, 5)
+
+
+def read_pages(pages):
+    """Read a store that sends pages with the given eras and revisions."""
+    left = iter(pages)
+    calls = []
+
+    async def call(method, target, limit, wait_s):
+        del method, limit, wait_s
+        calls.append(target)
+        era, revision = next(left)
+        headers = [] if era is None else [(b'store-era', b'%d' % era)]
+        page = {'items': [], 'hasMore': False, 'at': revision}
+        return ports.StoreResponse(200, headers, msgspec.json.encode(page))
+
+    async def main():
+        return await platform.Store(call).read()
+
+    return anyio.run(main), len(calls)
+
+
+@pytest.mark.parametrize(
+    'pages',
+    [
+        [(1, 50), (2, 60), (2, 61), (2, 62)],
+        [(1, 50), (1, 40), (1, 41), (1, 41)],
+        [(None, 50), (None, 40), (None, 41), (None, 41)],
+    ],
+)
+def test_pages_of_two_histories_are_not_one_state(pages):
+    """Guards against a configuration of a lost history beside newer runners.
+
+    The revision of such a state belongs to neither history.
+    """
+    state, calls = read_pages(pages)
+    assert calls == 4
+    assert state.revision == pages[2][1]
+
+
+def test_pages_that_never_fit_are_an_unavailable_store():
+    """Guards against a reading that is repeated without end."""
+    with pytest.raises(ports.StoreUnavailable):
+        read_pages([(era, 50) for era in range(100)])
