Keep runners that a copy of the store lacks until they register again

What callers would see: after a return of the store from a copy, a service whose runners came since the copy has none and is refused with 503, though all of them serve.

Cause: the reading after a return removed every runner that the copy lacks. The time in which runners register again was started only by an outage that the instance had noticed.

Why the fix works: RunnerList.store_restored starts that time at each return, before the entries are read again.

--- a/primrosereel/gateway/_store_reader.py
+++ b/primrosereel/gateway/_store_reader.py
@@ -332,6 +332,7 @@
                 previous_revision=previous_revision,
             )
             self._watch_state.reset()
+            self._runner_list.store_restored(self._context.clock())
         elif use is store_history.AnswerUse.OLDER:
             self._context.count('store.answers_discarded')
             self._context.log.info(
--- a/primrosereel/routing/_runner_list.py
+++ b/primrosereel/routing/_runner_list.py
@@ -54,6 +54,14 @@
             self._in_outage = False
             self._outage_ended = now
 
+    def store_restored(self, now: float) -> None:
+        """Record that the store came back from an older copy.
+
+        Runners that came after the copy are missing until they write their
+        entries again.
+        """
+        self._outage_ended = max(self._outage_ended, now)
+
     def outage_ended(self, when: float) -> None:
         """Record the end of an outage that a peer noticed."""
         if not self._in_outage:
--- a/tests/property/test_gateway_store_return.py
+++ b/tests/property/test_gateway_store_return.py
@@ -212,3 +212,40 @@
     """Guards against a reading that is repeated without end."""
     with pytest.raises(ports.StoreUnavailable):
         read_pages([(era, 50) for era in range(100)])
+
+
+async def lose_writes(fleet, copy):
+    """Let the store come back from a copy, and wait until that is noticed."""
+    returns = len(fleet.log.named('store came back from a copy'))
+    reads = len(fleet.log.named('store read'))
+    fleet.store.restore(copy)
+    await fleet.wait_for(
+        lambda: (
+            len(fleet.log.named('store came back from a copy')) > returns
+            and len(fleet.log.named('store read')) > reads
+        )
+    )
+
+
+def test_runner_that_the_copy_lacks_is_served_until_it_registers_again():
+    """Guards against a service without runners after a return.
+
+    Runners that came after the copy write their entries again within about
+    two seconds; one that does not is gone.
+    """
+
+    async def scenario(fleet):
+        runners = fleet.gateway._context.runners
+        copy = fleet.store.copy()
+        await fleet.add_runner('s3', 'plain')
+        await fleet.add_runner('s4', 'plain')
+        await fleet.wait_for(lambda: runners.get('s4') is not None)
+        before = runners.get('s3')
+        await lose_writes(fleet, copy)
+        assert runners.get('s3') is before
+        fleet.list_runner('s3')
+        await fleet.wait_for(lambda: runners.get('s4') is None)
+        assert fleet.log.named('runner gone')[0]['runner'] == 's4'
+        assert runners.get('s3') is before
+
+    run(scenario)
