Ignore older entries of runners after a return of the store

What callers would see: new requests go to a runner that had said that it drains, and later break off there.

Cause: a copy lists runners as they were. A runner that was draining is ready again in it, and the reading after the return took that for news.

Why the fix works: a runner numbers what it writes (sequence) since the start of its run (born). An entry that was read in another history of the store is compared by these two with the known one, and an older one is ignored, logged and counted. Within one history the store's own order holds as before, so a runner whose clock went back can be listed. The entry of a runner that had left is not known here and is listed again until it expires.

--- a/primrosereel/gateway/_store_reader.py
+++ b/primrosereel/gateway/_store_reader.py
@@ -22,6 +22,7 @@
 
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _ports as ports
+from primrosereel.routing import _entry_order as entry_order
 from primrosereel.routing import _model as model
 from primrosereel.routing import _runner_list as runner_list
 from primrosereel.routing import _shared_watch as shared_watch
@@ -60,6 +61,7 @@
         self._runner_list = runner_list.RunnerList(context.runners)
         self._watch_state = shared_watch.SharedWatch(context.random)
         self._history = store_history.StoreHistory()
+        self._entry_order = entry_order.EntryOrder()
         self._unreadable_era = ''
         # The history that was read last, and whether it was watched since.
         self._history_read = 0
@@ -149,8 +151,10 @@
         self._note_store_recovered()
         listings = []
         for change in state.changes:
-            if change.runner is not None and change.runner.listing:
-                listings.append(change.runner.listing)
+            if change.runner is not None:
+                ordered = self._without_older_entry(change.runner)
+                if ordered.listing is not None:
+                    listings.append(ordered.listing)
             self._apply_table(change)
         self._runner_list.apply_snapshot(listings, self._context.clock())
         self._watch_state.snapshot_read(state.revision, self._context.clock())
@@ -190,12 +194,37 @@
     ) -> None:
         for change in changes:
             if change.runner is not None:
-                self._note_listing(change.runner, change.revision)
-                self._runner_list.apply_change(change.runner, now)
+                ordered = self._without_older_entry(change.runner)
+                self._note_listing(ordered, change.revision)
+                self._runner_list.apply_change(ordered, now)
             self._apply_table(change)
             if change.unreadable:
                 self._context.count('store.unreadable')
 
+    def _without_older_entry(
+        self, change: runner_list.ListingChange
+    ) -> runner_list.ListingChange:
+        """Return a change; the known entry instead of an older one."""
+        new = change.listing
+        if new is None:
+            self._entry_order.forget(change.runner)
+            return change
+        runner = self._context.runners.get(change.runner)
+        known = runner.listing if runner is not None else None
+        is_older = self._entry_order.is_older(new, known, self._history.number)
+        if known is None or not is_older:
+            return change
+        self._context.count('store.entries_ignored')
+        self._context.log.info(
+            'runner entry ignored',
+            runner=new.runner,
+            born_ms=new.born_ms,
+            sequence=new.sequence,
+            known_born_ms=known.born_ms,
+            known_sequence=known.sequence,
+        )
+        return runner_list.ListingChange(change.runner, known)
+
     async def _wait_until_due(self) -> None:
         """Wait until the own knowledge of the store is too old."""
         clock = self._context.clock
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -166,8 +166,9 @@
         self.list_runner(name)
         return runner
 
-    def list_runner(self, name, state='ready'):
-        self.store.put(f'servers/{name}', self.runners[name].entry(state))
+    def list_runner(self, name, state='ready', **changes):
+        entry = self.runners[name].entry(state) | changes
+        self.store.put(f'servers/{name}', entry)
 
     async def start(self, **changes):
         """Start the store and the gateway, and wait until it is ready."""
--- a/tests/property/test_gateway_store_return.py
+++ b/tests/property/test_gateway_store_return.py
@@ -4,8 +4,12 @@
 import msgspec
 import pytest
 
+from primrosereel import _ids as ids
+from primrosereel import _states as states
 from primrosereel import platform
 from primrosereel.gateway import _ports as ports
+from primrosereel.routing import _entry_order as entry_order
+from primrosereel.routing import _model as model
 from primrosereel.routing import _store_history as store_history
 from primrosereel.standin import _metadata_store as metadata_store
 from tests import gateway_fleet
@@ -249,3 +253,69 @@
         assert runners.get('s3') is before
 
     run(scenario)
+
+
+def test_older_entry_of_a_runner_is_ignored_after_a_return():
+    """Guards against new requests to a runner that said that it drains.
+
+    The copy lists it as ready, with an older entry of the same run, until
+    the runner writes again.
+    """
+
+    async def scenario(fleet):
+        runners = fleet.gateway._context.runners
+        copy = fleet.store.copy()
+        fleet.list_runner('s1', 'draining', sequence=2)
+        await fleet.wait_for(lambda: runners.get('s1').listing.leaving)
+        await lose_writes(fleet, copy)
+        assert runners.get('s1').listing.leaving
+        (ignored,) = fleet.log.named('runner entry ignored')
+        assert (ignored['sequence'], ignored['known_sequence']) == (1, 2)
+        fleet.list_runner('s1', 'ready', sequence=3)
+        await fleet.wait_for(lambda: not runners.get('s1').listing.leaving)
+
+    run(scenario)
+
+
+def listing(born_ms, sequence):
+    return model.RunnerListing(
+        ids.RunnerId('r1'),
+        ids.ServiceId('s'),
+        model.Address('127.0.0.1', 1),
+        ids.AvailabilityZone('a'),
+        states.Role.PLAIN,
+        1,
+        False,
+        born_ms=born_ms,
+        sequence=sequence,
+    )
+
+
+@pytest.mark.parametrize(
+    ('known', 'new', 'older'),
+    [
+        # Start of the run and sequence of the known and of the new entry.
+        ((100, 5), (100, 4), True),
+        ((100, 5), (100, 5), False),
+        ((100, 5), (100, 6), False),
+        ((100, 5), (90, 9), True),
+        ((100, 5), (110, 1), False),
+        ((0, 5), (0, 4), False),
+        ((100, 5), (0, 4), False),
+    ],
+)
+def test_entries_of_a_runner_are_ordered_by_run_and_sequence(
+    known, new, older
+):
+    """Guards against a new run that counts as an old entry, or the reverse.
+
+    The order holds between histories only: within one the store's own order
+    does, so that a runner whose clock went back can be listed.
+    """
+    order = entry_order.EntryOrder()
+    before, after = listing(*known), listing(*new)
+    assert not order.is_older(before, None, 1)
+    assert order.is_older(after, before, 2) is older
+    same = entry_order.EntryOrder()
+    assert not same.is_older(before, None, 1)
+    assert not same.is_older(after, before, 1)
