Move streams off runners that are seen to leave in a whole reading

What callers would see: streams that stay at a runner until it exits, and break, if its entry became draining while the store's history was lost.

Cause: only the changes of a watch started the callbacks of streams at a runner that leaves. Since each return of the store from a copy is followed by a whole reading, this is no longer rare.

Evidence: test_streams_leave_a_runner_that_drains_while_history_is_lost failed before with 'assert [] == ['s1']'.

Why the fix works: a whole reading after the first one notes each entry as a watch does, so it starts the callbacks and logs what changed. A runner that the reading lacks is not moved from: it may only be missing in the copy.

--- a/primrosereel/gateway/_store_reader.py
+++ b/primrosereel/gateway/_store_reader.py
@@ -155,6 +155,8 @@
                 ordered = self._without_older_entry(change.runner)
                 if ordered.listing is not None:
                     listings.append(ordered.listing)
+                    if self._synchronized:
+                        self._note_listing(ordered, change.revision)
             self._apply_table(change)
         self._runner_list.apply_snapshot(listings, self._context.clock())
         self._watch_state.snapshot_read(state.revision, self._context.clock())
--- a/tests/property/test_gateway_store_return.py
+++ b/tests/property/test_gateway_store_return.py
@@ -319,3 +319,33 @@
     same = entry_order.EntryOrder()
     assert not same.is_older(before, None, 1)
     assert not same.is_older(after, before, 1)
+
+
+def test_streams_leave_a_runner_that_drains_while_history_is_lost():
+    """Guards against streams that stay at a runner until it exits.
+
+    The entry of the runner was only seen in a reading of all entries, and
+    such a reading started no moves.
+    """
+
+    async def scenario(fleet):
+        leaving = []
+
+        async def leave():
+            leaving.append('s1')
+
+        callbacks = fleet.gateway._context.leave_callbacks
+        with callbacks.registered(ids.RunnerId('s1'), leave):
+            fleet.store.mode = Mode.RESET
+            fleet.list_runner('s1', 'draining', sequence=2)
+            fleet.store.forget_history()
+            await anyio.sleep(0.3)
+            fleet.store.mode = Mode.UP
+            reads = len(fleet.log.named('store read'))
+            await fleet.wait_for(
+                lambda: len(fleet.log.named('store read')) > reads
+            )
+            await anyio.sleep(0.1)
+            assert leaving == ['s1']
+
+    run(scenario)
