Take a version number that was given out again with another text

What callers would see: 404 for a new route at the instances that had read a configuration that the store lost, while the others serve it.

Cause: a configuration was replaced by a higher version only. An operator that numbers by what the store holds gives the number of a lost version to its next text, and instances that had read the lost text kept it.

Evidence: test_number_that_is_given_out_again_with_another_text_is_read failed before with 'assert 404 == 200'.

Why the fix works: entries are applied in the store's order, so of two texts with one number the one read later is what the store holds. All instances end with that one, as those do that start later. A lower version still replaces nothing: test_version_in_force_stays_when_the_ copy_has_an_older_one passed before and after.

--- a/primrosereel/gateway/_store_reader.py
+++ b/primrosereel/gateway/_store_reader.py
@@ -388,7 +388,7 @@
         table = change.table
         if table is None:
             return
-        if context.table and table.version <= context.table.version:
+        if context.table and not table.replaces(context.table):
             return
         context.table = table
         context.places.set_services(table.services)
--- a/primrosereel/platform/_store.py
+++ b/primrosereel/platform/_store.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import hashlib
 from typing import NamedTuple
 import urllib.parse
 
@@ -342,6 +343,7 @@
             limits.header_timeout_ms / 1000,
             limits.idle_timeout_ms / 1000,
         ),
+        hashlib.sha256((item.value or '').encode()).hexdigest(),
     )
 
 
--- a/primrosereel/routing/_table.py
+++ b/primrosereel/routing/_table.py
@@ -24,8 +24,10 @@
         routes: Iterable[model.Route],
         services: Iterable[model.Service],
         limits: model.CallerLimits,
+        digest: str = '',
     ) -> None:
         self._version = version
+        self._digest = digest
         self._limits = limits
         self._services = {service.name: service for service in services}
         self._by_host: dict[str, list[model.Route]] = {}
@@ -39,6 +41,17 @@
         """The version number set by the operators; versions increase."""
         return self._version
 
+    def replaces(self, other: 'RoutingTable') -> bool:
+        """Tell whether this table, read later, replaces another one.
+
+        A version number that the operators gave out again with another text,
+        after a return of the store from a copy, replaces the lost text.
+        Otherwise instances that had read the lost text would keep it.
+        """
+        if self._version == other.version:
+            return self._digest != other._digest
+        return self._version > other.version
+
     @property
     def limits(self) -> model.CallerLimits:
         """The limits of callers' requests."""
--- a/tests/property/test_gateway_store_return.py
+++ b/tests/property/test_gateway_store_return.py
@@ -349,3 +349,41 @@
             assert leaving == ['s1']
 
     run(scenario)
+
+
+def test_version_in_force_stays_when_the_copy_has_an_older_one():
+    """Guards against an instance that goes back to the copy's version."""
+
+    async def scenario(fleet):
+        copy = fleet.store.copy()
+        write_new_route(fleet.store)
+        await fleet.wait_for(lambda: versions(fleet) == [1, 9])
+        await lose_writes(fleet, copy)
+        assert (await fleet.ask('/new/1', 'r1')).status == 200
+        write_new_route(fleet.store)
+        await lose_writes(fleet, fleet.store.copy())
+        assert versions(fleet) == [1, 9]
+
+    run(scenario)
+
+
+def test_number_that_is_given_out_again_with_another_text_is_read():
+    """Guards against instances that keep different texts of one version.
+
+    An operator that numbers by what the store holds gives the lost version's
+    number to its next text.
+    """
+
+    async def scenario(fleet):
+        copy = fleet.store.copy()
+        write_new_route(fleet.store)
+        await fleet.wait_for(lambda: versions(fleet) == [1, 9])
+        await lose_writes(fleet, copy)
+        routes = [('/newer/', 'plain', 'idempotent')]
+        text = gateway_fleet.configuration(9, routes)
+        fleet.store.put('op/config', text)
+        await anyio.sleep(0.5)
+        assert (await fleet.ask('/newer/1', 'r1')).status == 200
+        assert (await fleet.ask('/new/1', 'r2')).status == 404
+
+    run(scenario)
