Do not deny routes that only peers know

What callers would see: 404 for a route that is in force at the other instances, from an instance that started after the store came back from a copy and before the operator wrote its newer version again.

Cause: such an instance knows the copy's version only, and took it for the newest.

Evidence: test_instance_that_starts_from_the_copy_denies_no_newer_route failed before with 'assert 404 == 503'.

Why the fix works: heartbeats name the version in force. Datagrams of older programs lack the field and count as version 0, so DATAGRAM_VERSION stays.

--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -20,6 +20,7 @@
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _members as members_module
 from primrosereel.routing import _model as model
+from primrosereel.routing import _peer_versions as peer_versions_module
 from primrosereel.routing import _placement as placement
 from primrosereel.routing import _prefill_plan as prefill_plan
 from primrosereel.routing import _prompt_quarantine as prompt_quarantine
@@ -64,6 +65,9 @@
     demand: demand_module.DemandMeter = dataclasses.field(
         default_factory=demand_module.DemandMeter
     )
+    peer_versions: peer_versions_module.PeerVersions = dataclasses.field(
+        default_factory=peer_versions_module.PeerVersions
+    )
     table: table_module.RoutingTable | None = None
     # A stop first sets ``draining`` (not ready, requests are still served),
     # then ``refusing`` (new requests are refused).
--- a/primrosereel/gateway/_peers.py
+++ b/primrosereel/gateway/_peers.py
@@ -93,6 +93,8 @@
     demands: list[tuple[str, int, int]] = []
     store: _StoreNotice | None = None
     suspects: list[_Suspect] = []
+    # The version in force, 0 without one.
+    configuration_version: int = 0
 
 
 class Peers:
@@ -325,6 +327,7 @@
                     notice or self._reader.notice(), context.clock()
                 ),
                 self._suspects() if with_crash_evidence else [],
+                context.table.version if context.table is not None else 0,
             )
         )
         for host in sorted(set(targets) - {own_address.host}):
@@ -387,6 +390,9 @@
             ((ids.RunnerId(name), tokens) for name, tokens in datagram.rooms),
             now,
         )
+        context.peer_versions.observe(
+            host, datagram.configuration_version, now
+        )
         if datagram.store is not None:
             self._reader.receive_notice(_decode_notice(datagram.store, now))
         if datagram.suspects:
--- a/primrosereel/gateway/_server.py
+++ b/primrosereel/gateway/_server.py
@@ -132,6 +132,32 @@
             503, headers=[(b'Retry-After', b'%.2f' % retry_after_s)]
         )
 
+    def _refuse_unknown(
+        self,
+        request: callers.CallerRequest,
+        table: table_module.RoutingTable,
+    ) -> callers.Reply:
+        """Return the reply to a request for which there is no route.
+
+        Where peers have a newer version, its routes are not known here yet.
+        """
+        context = self._context
+        peer_version = context.peer_versions.newest(context.clock())
+        context.log.info(
+            'no route',
+            host=request.host,
+            path=request.path[:80],
+            version=table.version,
+            peer_version=peer_version,
+        )
+        if peer_version > table.version:
+            return self._refuse(
+                states.RefusalReason.NO_CONFIGURATION,
+                timeouts.outage_retry_after_s(0.0),
+            )
+        context.count(f'refused.{states.RefusalReason.UNKNOWN_SERVICE.value}')
+        return callers.Reply(404)
+
     def _route_request(
         self, request: callers.CallerRequest
     ) -> context_module.Exchange | callers.Reply:
@@ -148,15 +174,7 @@
             )
         route = table.match(request.host, request.path)
         if route is None or not route.services:
-            reason = states.RefusalReason.UNKNOWN_SERVICE
-            context.count(f'refused.{reason.value}')
-            context.log.info(
-                'no route',
-                host=request.host,
-                path=request.path[:80],
-                version=table.version,
-            )
-            return callers.Reply(404)
+            return self._refuse_unknown(request, table)
         facts = context.dialect.request_facts(request.headers)
         limit_s = timeouts.time_limit_s(route, facts)
         return context_module.Exchange(
--- a/tests/property/test_gateway_store_return.py
+++ b/tests/property/test_gateway_store_return.py
@@ -10,9 +10,11 @@
 from primrosereel.gateway import _ports as ports
 from primrosereel.routing import _entry_order as entry_order
 from primrosereel.routing import _model as model
+from primrosereel.routing import _peer_versions as peer_versions
 from primrosereel.routing import _store_history as store_history
 from primrosereel.standin import _metadata_store as metadata_store
 from tests import gateway_fleet
+from tests.property import test_gateway_peers
 
 run = gateway_fleet.run_scenario
 Mode = metadata_store.StoreMode
@@ -387,3 +389,50 @@
         assert (await fleet.ask('/new/1', 'r2')).status == 404
 
     run(scenario)
+
+
+def test_instance_that_starts_from_the_copy_denies_no_newer_route():
+    """Guards against a 404 for a route that peers serve.
+
+    An instance that starts between a return and the operator's writing knows
+    the copy's version only. It takes the newer one when it is written.
+    """
+    port = gateway_fleet.free_port()
+    own = model.Address('127.0.0.1', port)
+
+    async def scenario(fleet):
+        copy = fleet.store.copy()
+        write_new_route(fleet.store)
+        await fleet.wait_for(lambda: versions(fleet) == [1, 9])
+        await lose_writes(fleet, copy)
+        others = test_gateway_peers.OtherInstances(fleet, port)
+        gateway, log = others.start('127.0.0.2')
+        await fleet.wait_for(
+            lambda: gateway.ready and bool(log.named('peer found'))
+        )
+        await anyio.sleep(0.1)
+        async with gateway_fleet.Client(gateway._settings.callers) as client:
+            refused = await client.ask('/new/1', 'r1')
+            assert refused.status == 503
+            assert float(refused.headers['retry-after']) > 0
+            write_new_route(fleet.store)
+            await fleet.wait_for(
+                lambda: len(log.named('configuration in force')) == 2
+            )
+            assert (await client.ask('/new/1', 'r2')).status == 200
+            assert (await client.ask('/none/1', 'r3')).status == 404
+        assert (await fleet.ask('/new/1', 'r4')).status == 200
+
+    run(scenario, peer=own, seeds=(own,))
+
+
+def test_only_versions_that_peers_named_lately_count():
+    """Guards against 503 for ever after a peer with a lost version ended."""
+    peers = peer_versions.PeerVersions()
+    assert peers.newest(0.0) == 0
+    peers.observe('127.0.0.2', 9, 1.0)
+    peers.observe('127.0.0.3', 4, 3.0)
+    assert peers.newest(3.0) == 9
+    assert peers.newest(1.1 + peer_versions.VERSION_TIMEOUT_S) == 4
+    peers.observe('127.0.0.3', 3, 5.0)
+    assert peers.newest(5.0) == 3
