--- /dev/null
+++ b/primrosereel/gateway/_peer_datagram.py
@@ -0,0 +1,174 @@
+"""The datagram that gateways exchange, and its conversions.
+
+A field that is added goes last and has a default, so that programs of two
+versions understand each other.
+"""
+
+import math
+
+import msgspec
+
+from primrosereel import _ids as ids
+from primrosereel.routing import _demand as demand
+from primrosereel.routing import _ledger as ledger_module
+from primrosereel.routing import _prompt_quarantine as prompt_quarantine
+from primrosereel.routing import _shared_watch as shared_watch
+
+__all__ = [
+    'DATAGRAM_VERSION',
+    'Datagram',
+    'Suspect',
+    'decode_evidence',
+    'decode_notice',
+    'encode_evidence',
+    'encode_notice',
+    'peer_report',
+]
+
+DATAGRAM_VERSION = 3
+
+
+class StoreNotice(msgspec.Struct, array_like=True):
+    """What the sender knows of the store; ages are in ms."""
+
+    revision: int
+    age_ms: int
+    unchanged_since: int
+    change_known: bool = False
+    since: int = 0
+    content: bytes = b''
+    outage_ended_age_ms: int | None = None
+
+
+class Suspect(msgspec.Struct, array_like=True):
+    """A prompt part under which runners crashed."""
+
+    part: str
+    # Runner, start of its run in Unix ms, and age of the crash in ms.
+    crashes: list[tuple[str, int, int]]
+    answered_age_ms: int | None
+
+
+class Datagram(msgspec.Struct, array_like=True):
+    """One message of an instance to its peers."""
+
+    version: int
+    instance: str
+    availability_zone: str
+    incarnation: int
+    sequence: int
+    # Runner, requests, KV cache tokens, and tokens of prompts that a decode
+    # runner prefills itself.
+    uses: list[tuple[str, int, int, int]]
+    waiting_tokens: int
+    # Service, late, priority and age in ms of the first request that waits
+    # for each service.
+    heads: list[tuple[str, bool, int, int]]
+    leaving: bool = False
+    # By zone, some members' hosts and how long ago in ms each was heard from.
+    members: dict[str, list[tuple[str, int]]] = {}
+    # Runners of the sender's shard and their free memory in tokens.
+    rooms: list[tuple[str, int]] = []
+    # Service, prompt tokens that arrive each second, and KV cache tokens that
+    # its streams would take.
+    demands: list[tuple[str, int, int]] = []
+    store: StoreNotice | None = None
+    suspects: list[Suspect] = []
+    # The version in force, 0 without one.
+    configuration_version: int = 0
+
+
+def encode_notice(
+    notice: shared_watch.Notice | None, now: float
+) -> StoreNotice | None:
+    """Encode what is known of the store, with ages for times."""
+    if notice is None:
+        return None
+    ended_at = notice.outage_ended_at
+    return StoreNotice(
+        notice.revision,
+        math.ceil(1000 * (now - notice.confirmed_at)),
+        notice.unchanged_since,
+        notice.change_known,
+        notice.since,
+        notice.content,
+        None if ended_at is None else int(1000 * (now - ended_at)),
+    )
+
+
+def decode_notice(notice: StoreNotice, now: float) -> shared_watch.Notice:
+    """Decode what a peer knows of the store."""
+    ended_age_ms = notice.outage_ended_age_ms
+    return shared_watch.Notice(
+        notice.revision,
+        # A negative age would keep this instance from polling.
+        now - max(0, notice.age_ms) / 1000,
+        notice.unchanged_since,
+        notice.change_known,
+        notice.since,
+        notice.content,
+        None if ended_age_ms is None else now - ended_age_ms / 1000,
+    )
+
+
+def encode_evidence(
+    evidence: prompt_quarantine.PartEvidence, now: float
+) -> Suspect:
+    """Encode the evidence about one prompt part."""
+    crashes = [
+        (str(crash.runner), crash.born_ms, int(1000 * (now - at)))
+        for crash, at in evidence.crashed_at.items()
+    ]
+    answered_age_ms = None
+    if evidence.answered_at > -math.inf:
+        answered_age_ms = int(1000 * (now - evidence.answered_at))
+    return Suspect(evidence.part, crashes, answered_age_ms)
+
+
+def decode_evidence(
+    suspect: Suspect, now: float
+) -> prompt_quarantine.PartEvidence:
+    """Decode a peer's evidence about one prompt part."""
+    answered_at = -math.inf
+    if suspect.answered_age_ms is not None:
+        answered_at = now - max(0, suspect.answered_age_ms) / 1000
+    return prompt_quarantine.PartEvidence(
+        ids.PromptPartId(suspect.part),
+        {
+            # A negative age would keep the part quarantined for too long.
+            prompt_quarantine.Crash(ids.RunnerId(runner), born_ms): now
+            - max(0, age_ms) / 1000
+            for runner, born_ms, age_ms in suspect.crashes
+        },
+        answered_at,
+    )
+
+
+def peer_report(datagram: Datagram) -> ledger_module.PeerReport:
+    """Return the use of the engines that a datagram reports."""
+    uses = {
+        ids.RunnerId(runner): ledger_module.Use(
+            requests, tokens, local_prefill_tokens
+        )
+        for runner, requests, tokens, local_prefill_tokens in datagram.uses
+    }
+    queue_heads = tuple(
+        ledger_module.QueueHead(
+            ids.ServiceId(service), late, priority, age / 1000
+        )
+        for service, late, priority, age in datagram.heads
+    )
+    return ledger_module.PeerReport(
+        ids.InstanceId(datagram.instance),
+        datagram.incarnation,
+        datagram.sequence,
+        uses,
+        datagram.waiting_tokens,
+        queue_heads,
+        datagram.leaving,
+        ids.AvailabilityZone(datagram.availability_zone),
+        {
+            ids.ServiceId(service): demand.Demand(prompt_tokens, kv_tokens)
+            for service, prompt_tokens, kv_tokens in datagram.demands
+        },
+    )
--- a/primrosereel/gateway/_peers.py
+++ b/primrosereel/gateway/_peers.py
@@ -9,7 +9,6 @@
 """
 
 from collections.abc import Iterable
-import math
 
 import anyio
 import anyio.abc
@@ -19,10 +18,8 @@
 from primrosereel import _states as states
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _crash_reports as crash_reports_module
+from primrosereel.gateway import _peer_datagram as peer_datagram
 from primrosereel.gateway import _store_reader as store_reader
-from primrosereel.routing import _demand as demand
-from primrosereel.routing import _ledger as ledger_module
-from primrosereel.routing import _prompt_quarantine as prompt_quarantine
 from primrosereel.routing import _shared_watch as shared_watch
 
 __all__ = ['Peers']
@@ -46,55 +43,6 @@
 GOSSIP_RUNNERS = 16
 # For how long another shard is still sent updates after its engines were used.
 OTHER_SHARD_UPDATE_S = 3.0
-DATAGRAM_VERSION = 3
-
-
-class _StoreNotice(msgspec.Struct, array_like=True):
-    """What the sender knows of the store; ages are in ms."""
-
-    revision: int
-    age_ms: int
-    unchanged_since: int
-    change_known: bool = False
-    since: int = 0
-    content: bytes = b''
-    outage_ended_age_ms: int | None = None
-
-
-class _Suspect(msgspec.Struct, array_like=True):
-    """A prompt part under which runners crashed."""
-
-    part: str
-    # Runner, start of its run in Unix ms, and age of the crash in ms.
-    crashes: list[tuple[str, int, int]]
-    answered_age_ms: int | None
-
-
-class _Datagram(msgspec.Struct, array_like=True):
-    version: int
-    instance: str
-    availability_zone: str
-    incarnation: int
-    sequence: int
-    # Runner, requests, KV cache tokens, and tokens of prompts that a decode
-    # runner prefills itself.
-    uses: list[tuple[str, int, int, int]]
-    waiting_tokens: int
-    # Service, late, priority and age in ms of the first request that waits
-    # for each service.
-    heads: list[tuple[str, bool, int, int]]
-    leaving: bool = False
-    # By zone, some members' hosts and how long ago in ms each was heard from.
-    members: dict[str, list[tuple[str, int]]] = {}
-    # Runners of the sender's shard and their free memory in tokens.
-    rooms: list[tuple[str, int]] = []
-    # Service, prompt tokens that arrive each second, and KV cache tokens that
-    # its streams would take.
-    demands: list[tuple[str, int, int]] = []
-    store: _StoreNotice | None = None
-    suspects: list[_Suspect] = []
-    # The version in force, 0 without one.
-    configuration_version: int = 0
 
 
 class Peers:
@@ -126,7 +74,7 @@
         # Zones of other shards that are sent updates, and until when.
         self._other_zones_until: dict[ids.AvailabilityZone, float] = {}
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(_Datagram)
+        self._decoder = msgspec.msgpack.Decoder(peer_datagram.Datagram)
 
     def notify_uses_changed(self) -> None:
         """Schedule a datagram: this instance's use of the engines changed."""
@@ -302,8 +250,8 @@
         assert own_address is not None
         self._sequence += 1
         data = self._encoder.encode(
-            _Datagram(
-                DATAGRAM_VERSION,
+            peer_datagram.Datagram(
+                peer_datagram.DATAGRAM_VERSION,
                 context.settings.instance,
                 context.settings.availability_zone,
                 context.incarnation,
@@ -323,7 +271,7 @@
                 members or {},
                 list(free_memory),
                 self._demands(),
-                _encode_notice(
+                peer_datagram.encode_notice(
                     notice or self._reader.notice(), context.clock()
                 ),
                 self._suspects() if with_crash_evidence else [],
@@ -340,10 +288,10 @@
                     'datagram not sent', host=host, detail=repr(error)
                 )
 
-    def _suspects(self) -> list[_Suspect]:
+    def _suspects(self) -> list[peer_datagram.Suspect]:
         now = self._context.clock()
         return [
-            _encode_evidence(evidence, now)
+            peer_datagram.encode_evidence(evidence, now)
             for evidence in self._context.quarantine.evidence(now)
         ]
 
@@ -364,10 +312,12 @@
             except msgspec.DecodeError:
                 self._context.count('peers.unreadable')
                 continue
-            if datagram.version == DATAGRAM_VERSION:
+            if datagram.version == peer_datagram.DATAGRAM_VERSION:
                 self._apply_datagram(host, datagram)
 
-    def _apply_datagram(self, host: str, datagram: _Datagram) -> None:
+    def _apply_datagram(
+        self, host: str, datagram: peer_datagram.Datagram
+    ) -> None:
         context = self._context
         now = context.clock()
         if datagram.instance == context.settings.instance:
@@ -394,12 +344,15 @@
             host, datagram.configuration_version, now
         )
         if datagram.store is not None:
-            self._reader.receive_notice(_decode_notice(datagram.store, now))
+            self._reader.receive_notice(
+                peer_datagram.decode_notice(datagram.store, now)
+            )
         if datagram.suspects:
             self._crash_reports.receive(
-                _decode_evidence(suspect, now) for suspect in datagram.suspects
+                peer_datagram.decode_evidence(suspect, now)
+                for suspect in datagram.suspects
             )
-        context.ledger.apply(_peer_report(datagram), now)
+        context.ledger.apply(peer_datagram.peer_report(datagram), now)
         if context.places.waiting_count:
             context.places.admit(now)
 
@@ -407,94 +360,3 @@
         """Schedule a datagram to a discovered or restarted member."""
         self._new_members.add(host)
         self._new_members_added.set()
-
-
-def _encode_notice(
-    notice: shared_watch.Notice | None, now: float
-) -> _StoreNotice | None:
-    if notice is None:
-        return None
-    ended_at = notice.outage_ended_at
-    return _StoreNotice(
-        notice.revision,
-        math.ceil(1000 * (now - notice.confirmed_at)),
-        notice.unchanged_since,
-        notice.change_known,
-        notice.since,
-        notice.content,
-        None if ended_at is None else int(1000 * (now - ended_at)),
-    )
-
-
-def _decode_notice(notice: _StoreNotice, now: float) -> shared_watch.Notice:
-    ended_age_ms = notice.outage_ended_age_ms
-    return shared_watch.Notice(
-        notice.revision,
-        # A negative age would keep this instance from polling.
-        now - max(0, notice.age_ms) / 1000,
-        notice.unchanged_since,
-        notice.change_known,
-        notice.since,
-        notice.content,
-        None if ended_age_ms is None else now - ended_age_ms / 1000,
-    )
-
-
-def _encode_evidence(
-    evidence: prompt_quarantine.PartEvidence, now: float
-) -> _Suspect:
-    crashes = [
-        (str(crash.runner), crash.born_ms, int(1000 * (now - at)))
-        for crash, at in evidence.crashed_at.items()
-    ]
-    answered_age_ms = None
-    if evidence.answered_at > -math.inf:
-        answered_age_ms = int(1000 * (now - evidence.answered_at))
-    return _Suspect(evidence.part, crashes, answered_age_ms)
-
-
-def _decode_evidence(
-    suspect: _Suspect, now: float
-) -> prompt_quarantine.PartEvidence:
-    answered_at = -math.inf
-    if suspect.answered_age_ms is not None:
-        answered_at = now - max(0, suspect.answered_age_ms) / 1000
-    return prompt_quarantine.PartEvidence(
-        ids.PromptPartId(suspect.part),
-        {
-            # A negative age would keep the part quarantined for too long.
-            prompt_quarantine.Crash(ids.RunnerId(runner), born_ms): now
-            - max(0, age_ms) / 1000
-            for runner, born_ms, age_ms in suspect.crashes
-        },
-        answered_at,
-    )
-
-
-def _peer_report(datagram: _Datagram) -> ledger_module.PeerReport:
-    uses = {
-        ids.RunnerId(runner): ledger_module.Use(
-            requests, tokens, local_prefill_tokens
-        )
-        for runner, requests, tokens, local_prefill_tokens in datagram.uses
-    }
-    queue_heads = tuple(
-        ledger_module.QueueHead(
-            ids.ServiceId(service), late, priority, age / 1000
-        )
-        for service, late, priority, age in datagram.heads
-    )
-    return ledger_module.PeerReport(
-        ids.InstanceId(datagram.instance),
-        datagram.incarnation,
-        datagram.sequence,
-        uses,
-        datagram.waiting_tokens,
-        queue_heads,
-        datagram.leaving,
-        ids.AvailabilityZone(datagram.availability_zone),
-        {
-            ids.ServiceId(service): demand.Demand(prompt_tokens, kv_tokens)
-            for service, prompt_tokens, kv_tokens in datagram.demands
-        },
-    )
