--- a/primrosereel/platform/_store.py
+++ b/primrosereel/platform/_store.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import hashlib
 from typing import NamedTuple
 import urllib.parse
 
@@ -20,6 +21,11 @@
 CONFIGURATION_KEY = 'op/config'
 CONFIGURATION_PREFIX = 'op/'
 RUNNER_PREFIX = 'servers/'
+ERA_HEADER = b'Store-Era'
+# An era rises by one with each return of the store.
+MAX_ERA_DIGITS = 18
+# How often a reading is begun while its pages belong to several histories.
+MAX_READINGS = 3
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 ROUTE_KINDS = {
     'idempotent': model.RouteKind.IDEMPOTENT,
@@ -128,6 +134,37 @@
         return f'{self.path}?{query}'.encode()
 
 
+class _Pages:
+    """The pages of one reading, which must be of one history."""
+
+    def __init__(self) -> None:
+        self._changes: list[ports.StoreChange] = []
+        self._revisions: list[int] = []
+        self._origin = ports.NO_ORIGIN
+
+    def add(self, page: _Page, origin: ports.StoreOrigin) -> bool:
+        """Add a page; return False if it is of another history."""
+        eras = {self._origin.era, origin.era} - {None}
+        if len(eras) > 1 or page.at < max(self._revisions, default=0):
+            return False
+        self._changes.extend(map(_decode_change, page.items))
+        self._revisions.append(page.at)
+        if self._origin.era is None:
+            self._origin = origin
+        return True
+
+    def state(self) -> ports.StoreState:
+        """Return the entries and the lowest revision.
+
+        A watch from there misses no change.
+        """
+        return ports.StoreState(
+            tuple(self._changes),
+            min(self._revisions, default=0),
+            origin=self._origin,
+        )
+
+
 class Store:
     """Client of the store; ``call`` makes the HTTP requests."""
 
@@ -137,26 +174,33 @@
     async def read(self) -> ports.StoreState:
         """Read the configuration and the runners, page by page.
 
-        The revision is the lowest of all pages, so that a watch from there
-        misses no change.
+        The reading is begun again if the store came back from a copy during
+        it.
         """
-        changes: list[ports.StoreChange] = []
-        revision: int | None = None
+        for _ in range(MAX_READINGS):
+            state = await self._read_pages()
+            if state is not None:
+                return state
+        raise ports.StoreUnavailable('the pages are of several histories')
+
+    async def _read_pages(self) -> ports.StoreState | None:
+        """Return all entries; None if the pages are of several histories."""
+        pages = _Pages()
         for prefix in (CONFIGURATION_PREFIX, RUNNER_PREFIX):
             after = ''
             while True:
                 query: dict[str, str | int] = {'prefix': prefix}
                 if after:
                     query['after'] = after
-                page = await self._get(_Target('/v1/kv-range', query), _Page)
-                revision = (
-                    page.at if revision is None else min(revision, page.at)
+                page, origin = await self._get(
+                    _Target('/v1/kv-range', query), _Page
                 )
-                changes.extend(map(_decode_change, page.items))
+                if not pages.add(page, origin):
+                    return None
                 if not page.has_more or not page.items:
                     break
                 after = page.items[-1].key
-        return ports.StoreState(tuple(changes), revision or 0)
+        return pages.state()
 
     async def watch(self, after: int, wait_s: float) -> ports.StoreState:
         """Wait for changes after a revision.
@@ -168,18 +212,19 @@
             'after': after,
             'waitMs': int(wait_s * 1000),
         }
-        response = await self._get(
+        response, origin = await self._get(
             _Target('/v1/kv-watch', query), _Events, wait_s
         )
         relevant = [e for e in response.events if _is_relevant(e.key)]
         changes = tuple(map(_decode_change, relevant))
         if not relevant:
-            return ports.StoreState(changes, response.at)
+            return ports.StoreState(changes, response.at, origin=origin)
         return ports.StoreState(
             changes,
             response.at,
             max(event.revision for event in relevant),
             msgspec.msgpack.encode(relevant),
+            origin,
         )
 
     def decode(self, content: bytes) -> tuple[ports.StoreChange, ...]:
@@ -191,19 +236,34 @@
         return tuple(map(_decode_change, items))
 
     async def _get(self, target: _Target, response_type, wait_s: float = 0.0):
-        status, body = await self._call(
+        response = await self._call(
             b'GET', target.encode(), MAX_RESPONSE_BYTES, wait_s
         )
-        if status == 410:
-            raise ports.HistoryLost
-        if status != 200:
+        origin = _read_origin(response.headers)
+        if response.status == 410:
+            raise ports.HistoryLost('status 410', origin)
+        if response.status != 200:
             raise ports.StoreUnavailable(
-                f'{target.path} returned status {status}'
+                f'{target.path} returned status {response.status}', origin
             )
         try:
-            return msgspec.json.decode(body, type=response_type)
+            body = msgspec.json.decode(response.body, type=response_type)
         except msgspec.DecodeError as error:
-            raise ports.StoreUnavailable(f'{target.path}: {error}') from error
+            raise ports.StoreUnavailable(
+                f'{target.path}: {error}', origin
+            ) from error
+        return body, origin
+
+
+def _read_origin(headers: ports.Headers) -> ports.StoreOrigin:
+    name = ERA_HEADER.lower()
+    values = {value for header, value in headers if header.lower() == name}
+    if not values:
+        return ports.NO_ORIGIN
+    text = b', '.join(sorted(values))
+    if not text.isdigit() or len(text) > MAX_ERA_DIGITS:
+        return ports.StoreOrigin(unreadable=text[:80].decode('latin-1'))
+    return ports.StoreOrigin(ids.StoreEra(int(text)))
 
 
 def _is_relevant(key: str) -> bool:
@@ -218,11 +278,14 @@
         return ports.StoreChange(
             runner=runner_list.ListingChange(runner, listing),
             unreadable=listing is None and not item.deleted,
+            revision=item.revision,
         )
     if item.key == CONFIGURATION_KEY and not item.deleted:
         table = _decode_table(item)
-        return ports.StoreChange(table=table, unreadable=table is None)
-    return ports.StoreChange()
+        return ports.StoreChange(
+            table=table, unreadable=table is None, revision=item.revision
+        )
+    return ports.StoreChange(revision=item.revision)
 
 
 def _decode_value(item: _Item, value_type):
@@ -257,6 +320,7 @@
         LEAVING_BY_STATE[entry.state],
         entry.cold_remaining_ms / 1000,
         entry.born,
+        entry.sequence,
     )
 
 
@@ -279,6 +343,7 @@
             limits.header_timeout_ms / 1000,
             limits.idle_timeout_ms / 1000,
         ),
+        hashlib.sha256((item.value or '').encode()).hexdigest(),
     )
 
 
