Free a handle whose runner closes its connection

What callers saw: nothing at once; the caller's connection was closed after the answer, without notice. The KV cache of the unused prompt stayed held until its handle expired.

Cause: a handle is freed on the connection of its prefill. After an answer with Connection: close h11 sends no further request and raises LocalProtocolError, which was not expected at the end of a generation: the rest of its clean-up was skipped.

Evidence: test_handle_is_freed_if_its_runner_closes_the_connection failed before this change (the handle was still held after 5 s: TimeoutError).

The call is now made on a new connection where the first one cannot be used.

--- a/primrosereel/gateway/_prompt.py
+++ b/primrosereel/gateway/_prompt.py
@@ -22,6 +22,8 @@
 # A handle is only passed to a decode runner within this share of its lifetime,
 # so that it does not expire before the runner fetches the KV cache.
 HANDLE_USABLE_SHARE = 0.7
+# A handle that is not freed within this time is left to expire.
+FREE_TIMEOUT_S = 0.3
 
 
 @dataclasses.dataclass(slots=True)
@@ -190,18 +192,34 @@
         handle, self._handle = self._handle, None
         if handle is None:
             return
-        method, target = self._context.dialect.free_handle(handle.name)
-        address = str(handle.connection.address).encode()
-        request = http.OutgoingRequest(method, target, [(b'Host', address)])
         self._context.count('prefill.freed')
-        with anyio.CancelScope(shield=True), anyio.move_on_after(0.3):
+        with (
+            anyio.CancelScope(shield=True),
+            anyio.move_on_after(FREE_TIMEOUT_S),
+        ):
             try:
-                await handle.connection.send_request(request)
-                await handle.connection.read_body(MAX_RESPONSE_BYTES)
-            except http.BrokenResponse as error:
+                await self._send_free(handle)
+            except http.HttpError as error:
                 self._context.log.info(
                     'handle not freed',
                     request=self._exchange.facts.request_id,
                     detail=str(error),
                 )
-            await handle.connection.close()
+
+    async def _send_free(self, handle: Handle) -> None:
+        """Free a handle on its connection, or on a new one if it is closed."""
+        method, target = self._context.dialect.free_handle(handle.name)
+        connection = handle.connection
+        address = connection.address
+        request = http.OutgoingRequest(
+            method, target, [(b'Host', str(address).encode())]
+        )
+        try:
+            if not connection.reusable or connection.has_input():
+                await connection.close()
+                connection = await http.connect(address, FREE_TIMEOUT_S)
+            await connection.send_request(request)
+            await connection.read_body(MAX_RESPONSE_BYTES)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await connection.close()
--- a/tests/property/test_gateway_unanswered.py
+++ b/tests/property/test_gateway_unanswered.py
@@ -198,3 +198,31 @@
         assert run_count(fleet, 'r1') == 0
 
     run(scenario)
+
+
+def test_handle_is_freed_if_its_runner_closes_the_connection(monkeypatch):
+    """Guards against an error after the answer, and a handle that stays.
+
+    A prefill runner that leaves says ``Connection: close`` in its answer, so
+    the handle cannot be freed on that connection.
+    """
+
+    async def scenario(fleet):
+        prefill = fleet.runners['p1']
+        prefill_once = prefill._prefill
+
+        async def prefill_and_close(request):
+            answer = await prefill_once(request)
+            answer.headers.append((b'Connection', b'close'))
+            return answer
+
+        monkeypatch.setattr(prefill, '_prefill', prefill_and_close)
+        for name in ('d1', 'd2'):
+            fleet.runners[name].faults.append(Fault.RESET_BEFORE_RUN)
+        reply = await fleet.ask('/once/1', 'r1', method='POST', **STREAM)
+        assert reply.status == 502
+        assert prefill.prefills['r1'] == 1
+        await fleet.wait_for(lambda: not prefill.handles)
+        assert not fleet.log.named('internal error')
+
+    run(scenario)
