Compare the era of what peers read before it is used

What callers would see, were the sharing of the watch switched on: a configuration of a lost history in force, and one of the present history that is never read.

Cause: a notice of a peer names revisions, and after a return of the store the same revisions name other states.

Evidence: with the field added but not compared, test_notice_of_another_history_is_not_applied failed with 'assert [1, 9] == [1]' for an older, a newer and a missing era.

Why the fix works: a notice carries its era. One of the own era is used as before, a newer era makes the instance read the store at once, and others are ignored. The sharing stays switched off (SHARES_WATCH).

--- a/primrosereel/gateway/_peer_datagram.py
+++ b/primrosereel/gateway/_peer_datagram.py
@@ -38,6 +38,7 @@
     since: int = 0
     content: bytes = b''
     outage_ended_age_ms: int | None = None
+    era: int | None = None
 
 
 class Suspect(msgspec.Struct, array_like=True):
@@ -93,6 +94,7 @@
         notice.since,
         notice.content,
         None if ended_at is None else int(1000 * (now - ended_at)),
+        notice.era,
     )
 
 
@@ -108,6 +110,7 @@
         notice.since,
         notice.content,
         None if ended_age_ms is None else now - ended_age_ms / 1000,
+        None if notice.era is None else ids.StoreEra(notice.era),
     )
 
 
--- a/primrosereel/gateway/_store_reader.py
+++ b/primrosereel/gateway/_store_reader.py
@@ -254,8 +254,11 @@
         if not SHARES_WATCH:
             return None
         notice = self._watch_state.notice()
+        if notice is None:
+            return None
+        notice = notice._replace(era=self._history.era)
         ended_at = self._runner_list.outage_ended_at
-        if notice is None or not math.isfinite(ended_at):
+        if not math.isfinite(ended_at):
             return notice
         return notice._replace(outage_ended_at=ended_at)
 
@@ -263,7 +266,7 @@
         """Use what a peer knows of the store."""
         if not SHARES_WATCH:
             return
-        use = self._watch_state.classify(notice)
+        use = self._classify_notice(notice)
         if use is shared_watch.NoticeUse.NOTHING:
             return
         if use is shared_watch.NoticeUse.BEHIND:
@@ -272,6 +275,17 @@
             self._accept_notice(notice, use)
         self._notice_received.set()
 
+    def _classify_notice(
+        self, notice: shared_watch.Notice
+    ) -> shared_watch.NoticeUse:
+        """Return what a notice is good for; revisions need the same era."""
+        era = self._history.era
+        if notice.era == era:
+            return self._watch_state.classify(notice)
+        if notice.era is not None and (era is None or notice.era > era):
+            return shared_watch.NoticeUse.BEHIND
+        return shared_watch.NoticeUse.NOTHING
+
     def _accept_notice(
         self, notice: shared_watch.Notice, use: shared_watch.NoticeUse
     ) -> None:
--- a/primrosereel/routing/_shared_watch.py
+++ b/primrosereel/routing/_shared_watch.py
@@ -14,6 +14,8 @@
 import random as random_module
 from typing import NamedTuple
 
+from primrosereel import _ids as ids
+
 __all__ = ['Notice', 'NoticeUse', 'SharedWatch']
 
 # The pause is extended by up to this share of it at random. Most extensions
@@ -32,7 +34,8 @@
     revision. ``content`` holds the relevant changes after the revision
     ``since``; it is empty if they are not part of the notice.
     ``outage_ended_at`` is when the sender reached the store again after an
-    outage, None if it knows of none.
+    outage, None if it knows of none. Revisions are those of the history with
+    ``era``.
     """
 
     revision: int
@@ -42,6 +45,7 @@
     since: int = 0
     content: bytes = b''
     outage_ended_at: float | None = None
+    era: ids.StoreEra | None = None
 
 
 class NoticeUse(enum.Enum):
--- a/tests/property/test_gateway_store_return.py
+++ b/tests/property/test_gateway_store_return.py
@@ -8,6 +8,7 @@
 from primrosereel import _states as states
 from primrosereel import platform
 from primrosereel.gateway import _ports as ports
+from primrosereel.gateway import _store_reader as store_reader
 from primrosereel.routing import _entry_order as entry_order
 from primrosereel.routing import _model as model
 from primrosereel.routing import _peer_versions as peer_versions
@@ -436,3 +437,50 @@
     assert peers.newest(1.1 + peer_versions.VERSION_TIMEOUT_S) == 4
     peers.observe('127.0.0.3', 3, 5.0)
     assert peers.newest(5.0) == 3
+
+
+@pytest.mark.parametrize(
+    ('era', 'taken', 'behind'),
+    [
+        # The notice's era, and what the instance, which knows era 2, does:
+        # take the change, or read the store at once.
+        (1, [1], False),
+        (2, [1, 9], False),
+        (3, [1], True),
+        (None, [1], False),
+    ],
+)
+def test_notice_of_another_history_is_not_applied(
+    monkeypatch, era, taken, behind
+):
+    """Guards against changes of a lost history that a peer passes on.
+
+    Their revisions may fit those that the instance knows of the present
+    history. A newer era than the own one tells of a return.
+    """
+    monkeypatch.setattr(store_reader, 'SHARES_WATCH', True)
+
+    async def scenario(fleet):
+        peer_store = metadata_store.MetadataStore()
+        write_new_route(peer_store)
+        (item,) = peer_store.copy().items.values()
+        content = msgspec.msgpack.encode([item.as_item()])
+        await lose_writes(fleet, fleet.store.copy())
+        await reach_present_revision(fleet)
+        reader = fleet.gateway._reader
+        known = reader.notice()
+        notice = known._replace(
+            revision=known.revision + 5,
+            confirmed_at=known.confirmed_at + 0.001,
+            unchanged_since=known.revision + 5,
+            change_known=True,
+            since=known.revision,
+            content=content,
+            era=era,
+        )
+        reader.receive_notice(notice)
+        assert versions(fleet) == taken
+        due_at = reader._watch_state.due_at(10.0)
+        assert (due_at < known.confirmed_at + 1.0) is behind
+
+    run(scenario, runner_drain_s=2.0, configuration_s=2.0)
