--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -1,6 +1,7 @@
 """A gateway on loopback, with stand-ins for the store and the runners."""
 
 import contextlib
+import os
 
 import anyio
 import anyio.abc
@@ -78,19 +79,8 @@
     async def __aexit__(self, *_):
         await anyio.aclose_forcefully(self._stream)
 
-    async def send(
-        self,
-        target,
-        request_id,
-        method='GET',
-        body=b'',
-        body_delay_s=0.0,
-        **headers,
-    ):
-        """Send a request; dashes in header names are given as underscores.
-
-        The body follows the head after ``body_delay_s``.
-        """
+    def encode(self, target, request_id, method='GET', body=b'', **headers):
+        """Return a request; dashes in header names are underscores."""
         if self._parser.our_state is h11.DONE:
             self._parser.start_next_cycle()
         fields = [('Host', HOST), ('Request-Id', request_id)]
@@ -103,15 +93,23 @@
         data = self._parser.send(
             h11.Request(method=method, target=target, headers=fields)
         )
-        if body_delay_s:
-            await self._stream.send(data)
-            await anyio.sleep(body_delay_s)
-            data = b''
         if body:
             data += self._parser.send(h11.Data(data=body))
-        data += self._parser.send(h11.EndOfMessage())
+        return data + self._parser.send(h11.EndOfMessage())
+
+    async def send(self, *request, **headers):
+        """Send a request, given as for ``encode``."""
+        await self.send_bytes(self.encode(*request, **headers))
+
+    async def send_bytes(self, data):
+        """Send a part of an encoded request."""
         await self._stream.send(data)
 
+    def send_at_once(self, *request, **headers):
+        """Send a request without giving the event loop a turn."""
+        raw = self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        os.write(raw.fileno(), self.encode(*request, **headers))
+
     async def receive(self, until=None):
         """Return the response; stop reading once it contains ``until``."""
         reply = Reply()
@@ -179,8 +177,9 @@
         self.list_runner(name)
         return runner
 
-    def list_runner(self, name, state='ready'):
-        self.store.put(f'servers/{name}', self.runners[name].entry(state))
+    def list_runner(self, name, state='ready', **changes):
+        entry = self.runners[name].entry(state) | changes
+        self.store.put(f'servers/{name}', entry)
 
     async def start(self, **changes):
         """Start the store and the gateway, and wait until it is ready."""
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -36,6 +36,7 @@
 BODY_SHARE = 0.5
 SLOW_BODY_SHARE = 0.3
 MAX_BODY_BYTES = 30_000
+MAX_BODY_DELAY_S = 0.4
 KEPT_CONNECTIONS_PER_PROCESS = 2
 # The share of the idle limit that callers keep a connection idle at most.
 IDLE_SHARE = 0.8
@@ -210,21 +211,22 @@
             self._outcomes[attempt.outcome] += 1
 
     async def _send(self, client, attempt):
-        delay_s = 0.0
-        if attempt.body and self._random.random() < SLOW_BODY_SHARE:
-            delay_s = self._random.uniform(0.05, 0.4)
         parts = ['system'] + [DEADLY_PART] * attempt.deadly
         prefix = ''.join(f'{part}:100,' for part in parts)
-        await client.send(
+        data = client.encode(
             attempt.path,
             attempt.request_id,
             'POST',
             attempt.body,
-            delay_s,
             Deadline_Ms=DEADLINE_MS,
             Token_Usage='2000,100',
             Prompt_Prefix=f'{prefix}{attempt.request_id}:1800',
         )
+        if attempt.body and self._random.random() < SLOW_BODY_SHARE:
+            head, end, data = data.partition(b'\r\n\r\n')
+            await client.send_bytes(head + end)
+            await anyio.sleep(self._random.uniform(0.05, MAX_BODY_DELAY_S))
+        await client.send_bytes(data)
         attempt.sent_at = anyio.current_time()
 
 
--- a/tests/soak/leaving_checks.py
+++ b/tests/soak/leaving_checks.py
@@ -58,12 +58,15 @@
 
 
 def _regained_at(process, regained, left_at, at):
-    """Return when a process had the store again after its link failed."""
+    """Return when a process had the store again after its link failed.
+
+    It is in touch once the link has been calm for the stable window.
+    """
     link_end = process.store_link.disturbed.end_before(at)
-    if link_end <= left_at:
+    in_touch_at = link_end + processes_module.STABLE_WINDOW_S
+    if in_touch_at <= left_at:
         return left_at
-    later = [when for when in regained if link_end <= when <= at]
-    return min([*later, link_end + processes_module.STABLE_WINDOW_S])
+    return min([in_touch_at, *(w for w in regained if link_end <= w <= at)])
 
 
 def check_leaving_answers(record):
