Draw the kinds of faults by run, and take the soak's ports below the ephemeral range

With all kinds of faults in each run, the frequent ones hid the others; a run now draws some of them. Ports from the ephemeral range could be taken by an outgoing connection before a process listened on them.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -18,7 +18,13 @@
 STORE_FAULTS = list(metadata_store.StoreMode)[1:]
 RETRY_AFTER = ('0.8', '1', '2.5', '3')
 MAX_FAULT_GAP_S = 0.8
+MIN_KINDS = 3
+MAX_KINDS = 8
+MAX_CHANGE_GAP_S = 3.0
 READY_TIMEOUT_S = 3.0
+# The time for which a runner leaves, says so before the store does, or is
+# listed as leaving before its entry is removed.
+MAX_LEAVE_S = 3.5
 BURST_REQUESTS = 30
 BURST_S = 3.0
 # How long and how often the store is copied.
@@ -48,7 +54,23 @@
     async def run(self, seconds):
         """Cause faults for some seconds and wait for the end of the last."""
         end = anyio.current_time() + seconds
-        faults = (
+        kinds = self._draw_kinds()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._copy_store, end)
+            tasks.start_soon(self._operate, end)
+            while anyio.current_time() < end:
+                fault = self._random.choice(kinds)
+                self._counts[fault.__name__.strip('_')] += 1
+                tasks.start_soon(fault)
+                await anyio.sleep(self._random.uniform(0.1, MAX_FAULT_GAP_S))
+
+    def _draw_kinds(self):
+        """Return the kinds of faults of this run.
+
+        A run has some kinds only, as faults that disturb everything excuse
+        what others cause.
+        """
+        kinds = (
             self._kill_process,
             self._pause_process,
             self._stop_process,
@@ -63,16 +85,10 @@
             self._pause_runner,
             self._remove_runner,
             self._remove_runner_unseen,
-            self._change_configuration,
             self._change_configuration_in_series,
         )
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._copy_store, end)
-            while anyio.current_time() < end:
-                fault = self._random.choice(faults)
-                self._counts[fault.__name__.strip('_')] += 1
-                tasks.start_soon(fault)
-                await anyio.sleep(self._random.uniform(0.1, MAX_FAULT_GAP_S))
+        count = self._random.randint(MIN_KINDS, MAX_KINDS)
+        return self._random.sample(kinds, count)
 
     # Processes.
 
@@ -251,9 +267,9 @@
             return
         runner = self._stand_ins.runners[name]
         says_so = self._random.random() < 0.6
-        ahead_s = self._random.uniform(0.0, 2.5)
+        ahead_s = self._random.uniform(0.0, MAX_LEAVE_S)
         first_state = self._random.choice(('draining', None))
-        wait_s = self._random.uniform(0.5, 2.5)
+        wait_s = self._random.uniform(0.5, MAX_LEAVE_S)
         if says_so:
             runner.leaving = True
             await anyio.sleep(ahead_s)
@@ -274,6 +290,14 @@
 
     # Configuration.
 
+    async def _operate(self, end):
+        """Change the configuration now and then."""
+        async with anyio.create_task_group() as tasks:
+            while anyio.current_time() < end:
+                tasks.start_soon(self._change_configuration)
+                gap_s = self._random.uniform(0.3, MAX_CHANGE_GAP_S)
+                await anyio.sleep(gap_s)
+
     async def _change_configuration(self):
         known = len(self._operator.routes)
         self._operator.change_configuration(self._random)
--- a/tests/soak/operator.py
+++ b/tests/soak/operator.py
@@ -19,6 +19,8 @@
 STREAM_TIMEOUTS_MS = (3000, 4000, 5000)
 PLAIN_TIMEOUTS_MS = (1000, 1500, 2000)
 MAX_ADDED_ROUTES = 6
+ROUTE_CHANGE_SHARE = 0.7
+LIMIT_CHANGE_SHARE = 0.5
 # A version that was acknowledged this long ago is in force everywhere.
 IN_FORCE_S = processes.CONFIG_APPLY_S + 1.0
 
@@ -116,16 +118,14 @@
         )
 
     def change_configuration(self, random):
-        """Write a version with one or two changes."""
+        """Write a version, mostly with changes."""
         self._version += random.randint(1, 3)
-        changes = (
-            self._change_idle_limit,
-            self._change_timeouts,
-            self._add_route,
-            self._remove_route,
-        )
-        for change in random.sample(changes, random.randint(1, 2)):
-            change(random)
+        changes = (self._change_idle_limit, self._change_timeouts)
+        route_changes = (self._add_route, self._add_route, self._remove_route)
+        if random.random() < ROUTE_CHANGE_SHARE:
+            random.choice(route_changes)(random)
+        if random.random() < LIMIT_CHANGE_SHARE:
+            random.choice(changes)(random)
         self._write_configuration()
 
     def _change_idle_limit(self, random):
--- /dev/null
+++ b/tests/soak/ports.py
@@ -0,0 +1,33 @@
+"""Free ports for processes that are started again and again."""
+
+import contextlib
+import random
+import socket
+
+__all__ = ['free_port']
+
+# Below the range from which the system takes the ports of connections: one of
+# those could take a port while its process is down.
+FIRST_PORT = 20_000
+LAST_PORT = 31_999
+HOST_COUNT = 12
+
+
+def free_port():
+    """Return a port that is free on all hosts, for TCP and UDP."""
+    hosts = [f'127.0.0.{n + 1}' for n in range(HOST_COUNT)]
+    while True:
+        port = random.randint(FIRST_PORT, LAST_PORT)
+        if all(_is_free(host, port) for host in hosts):
+            return port
+
+
+def _is_free(host, port):
+    with contextlib.ExitStack() as stack:
+        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+            opened = stack.enter_context(socket.socket(socket.AF_INET, kind))
+            try:
+                opened.bind((host, port))
+            except OSError:
+                return False
+    return True
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -10,6 +10,7 @@
 from primrosereel.routing import _model as model
 from tests import gateway_fleet
 from tests.soak import links
+from tests.soak import ports
 from tests.soak import spans
 
 __all__ = [
@@ -60,8 +61,8 @@
 
     def __init__(self, number, folder, store_port, peer_port):
         self.host = f'127.0.0.{number + 1}'
-        self.callers = model.Address(self.host, gateway_fleet.free_port())
-        self.readiness = model.Address(self.host, gateway_fleet.free_port())
+        self.callers = model.Address(self.host, ports.free_port())
+        self.readiness = model.Address(self.host, ports.free_port())
         self.log = folder / f'{number}.log'
         self.store_link = links.Link(store_port)
         self.halted = spans.Spans()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -22,10 +22,10 @@
 
 import anyio
 
-from tests import gateway_fleet
 from tests.soak import callers as callers_module
 from tests.soak import checks
 from tests.soak import faults as faults_module
+from tests.soak import ports
 from tests.soak import processes as processes_module
 from tests.soak import record as record_module
 from tests.soak import stand_ins as stand_ins_module
@@ -70,7 +70,7 @@
             tasks.cancel_scope.cancel()
 
     async def _start_processes(self, tasks, folder):
-        peer_port = gateway_fleet.free_port()
+        peer_port = ports.free_port()
         store_port = self._stand_ins.store.server.port
         for number in range(self._process_count):
             process = processes_module.GatewayProcess(
