Go on serving when a connection cannot be accepted

What callers saw: all requests of an instance ended at once without an answer, when more connections arrived than it has file descriptors for.

Cause: an OSError of accept (EMFILE) left the listener's task and cancelled the group that serves all connections, so the process ended.

Evidence: test_lack_of_file_descriptors_does_not_end_the_process failed before this change with 'OSError: [Errno 24] Too many open files' from the gateway.

The listeners go on after a pause of 0.1 s, with a log line and a counter. All listeners serve their connections in the outer group, so that the failure of one accept ends no connection.

--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -42,6 +42,8 @@
 BACKLOG = 512
 MAINTENANCE_INTERVAL_S = 0.5
 RESTART_DELAY_S = 0.5
+# The pause after a connection could not be accepted.
+ACCEPT_RETRY_S = 0.1
 DEFAULT_POLICY = 'expected-completion'
 METRICS_PATH = b'/metrics'
 # After a stop request, the platform still sends new connections until two
@@ -202,14 +204,20 @@
                 clock,
             )
             tasks.start_soon(
-                self._listen, self._settings.readiness, check.serve_connection
+                self._listen,
+                self._settings.readiness,
+                check.serve_connection,
+                tasks,
             )
             if self._metrics_address is not None:
                 pages = status.StatusServer(
                     {METRICS_PATH: self._metrics_page}, clock
                 )
                 tasks.start_soon(
-                    self._listen, self._metrics_address, pages.serve_connection
+                    self._listen,
+                    self._metrics_address,
+                    pages.serve_connection,
+                    tasks,
                 )
             async with anyio.create_task_group() as listening:
                 listening.start_soon(
@@ -253,12 +261,13 @@
         self,
         address: model.Address,
         handler: Callable[[anyio.abc.SocketStream], Awaitable[None]],
-        connections: anyio.abc.TaskGroup | None = None,
+        connections: anyio.abc.TaskGroup,
     ) -> None:
         """Accept connections until cancelled.
 
-        Connections that are served in the group ``connections`` outlast the
-        listener.
+        They are served in the group ``connections`` and outlast the listener.
+        A connection that cannot be accepted, as no file descriptor is left,
+        must not end the others.
         """
         listener = await anyio.create_tcp_listener(
             local_host=address.host,
@@ -267,7 +276,20 @@
             reuse_port=False,
         )
         async with listener:
-            await listener.serve(handler, connections)
+            while True:
+                try:
+                    await listener.serve(handler, connections)
+                except* OSError as errors:
+                    self._accept_failed(address, errors)
+                await anyio.sleep(ACCEPT_RETRY_S)
+
+    def _accept_failed(
+        self, address: model.Address, errors: BaseExceptionGroup[OSError]
+    ) -> None:
+        self._context.count('connections.not_accepted')
+        self._log.error(
+            'accept failed', address=str(address), detail=repr(errors)
+        )
 
     async def _wait_for_signal(self) -> None:
         with anyio.open_signal_receiver(
--- a/tests/property/test_gateway_unanswered.py
+++ b/tests/property/test_gateway_unanswered.py
@@ -1,5 +1,9 @@
 """Requests that were read must get a final and true answer."""
 
+import os
+import resource
+import socket
+
 import anyio
 import pytest
 
@@ -226,3 +230,42 @@
         assert not fleet.log.named('internal error')
 
     run(scenario)
+
+
+def exhaust_file_descriptors(reserve):
+    """Open files until none can be opened; ``reserve`` bounds their number."""
+    opened = [os.open(os.devnull, os.O_RDONLY)]
+    limit = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (opened[0] + reserve, limit[1]))
+    try:
+        while True:
+            opened.append(os.open(os.devnull, os.O_RDONLY))
+    except OSError:
+        return opened, limit
+
+
+def test_lack_of_file_descriptors_does_not_end_the_process():
+    """Guards against a flood of connections that ends all requests.
+
+    A connection that could not be accepted ended the process.
+    """
+
+    async def scenario(fleet):
+        for name in ('s1', 's2'):
+            fleet.runners[name].options.work_s = 0.5
+        async with fleet.client() as client:
+            await client.send('/file/1', 'r1', method='POST')
+            await anyio.sleep(0.2)
+            with socket.create_connection(
+                (fleet.callers.host, fleet.callers.port)
+            ):
+                opened, limit = exhaust_file_descriptors(reserve=50)
+                await anyio.sleep(0.1)
+                for descriptor in opened:
+                    os.close(descriptor)
+                resource.setrlimit(resource.RLIMIT_NOFILE, limit)
+            assert (await client.receive()).status == 200
+        assert (await fleet.ask('/read/1', 'r2')).status == 200
+        assert fleet.log.named('accept failed')
+
+    run(scenario)
