Announce the end of connections in all answers after a stop began

What callers saw: a connection that a stop closed in front of their next request, though they respect Connection: close.

Cause: only requests that began after the signal were answered with it, not those in progress at that moment. Their connections went idle and were closed.

Evidence: test_answer_to_a_request_of_before_the_stop_closes_its_connection failed before this change with 'assert None == "close"'.

Streams whose head was sent cannot be marked any more.

--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -359,6 +359,7 @@
         New requests are refused after that.
         """
         self._context.draining = True
+        self._server.close_after_replies()
         self._log.info('draining', active=self._context.active)
         limit_s = self._settings.drain_limit_s
         now = clock()
--- a/primrosereel/gateway/_server.py
+++ b/primrosereel/gateway/_server.py
@@ -63,6 +63,11 @@
         """The callers' connections that are not closed."""
         return len(self._connections)
 
+    def close_after_replies(self) -> None:
+        """Have the next response on each connection announce its end."""
+        for connection in self._connections:
+            connection.close_after_reply()
+
     def close_idle(self) -> None:
         """Have each connection closed once no request is read or served."""
         for connection in self._connections:
--- a/tests/property/test_gateway_stop.py
+++ b/tests/property/test_gateway_stop.py
@@ -111,3 +111,23 @@
         assert line['reason'] == 'stream_cut'
 
     run(scenario)
+
+
+def test_answer_to_a_request_of_before_the_stop_closes_its_connection():
+    """Guards against callers that use a connection that a stop will close.
+
+    Only requests that began after the signal said ``Connection: close``.
+    """
+
+    async def scenario(fleet):
+        for name in ('s1', 's2'):
+            fleet.runners[name].options.work_s = 0.3
+        async with fleet.client() as client:
+            await client.send('/file/1', 'r1', method='POST')
+            await anyio.sleep(0.1)
+            fleet.gateway._stop_requested.set()
+            reply = await client.receive()
+            assert reply.status == 200
+            assert reply.headers.get('connection') == 'close'
+
+    run(scenario)
