--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -2,12 +2,13 @@
 
 Three processes serve callers while processes are killed, paused and stopped,
 links to the runners and the metadata store are disturbed, runners fail and
-drain, some prompts crash the runner that answers them, and the configuration
-changes. Faults overlap. The responses to callers
-and the executions on runners are checked for these guarantees: a response is
-correct and in order, a non-idempotent request runs at most once and never
-after a refusal that says it did not run, and the gateway recovers. A seed
-fixes the faults and requests, but not their exact timing.
+drain, some prompts crash the runner that answers them, the store comes back
+from a copy, and the configuration changes. Faults overlap. The responses to
+callers and the executions on runners are checked for these guarantees: a
+response is correct and in order, a non-idempotent request runs at most once
+and never after a refusal that says it did not run, the gateway recovers, and
+it ends with the last configuration. A seed fixes the faults and requests, but
+not their exact timing.
 
 Run it directly: ``python -m tests.soak --seeds 50 --first 1000 --seconds 10``.
 """
@@ -31,6 +32,7 @@
 from primrosereel.standin import _operator_config as operator_config
 from tests import gateway_fleet
 from tests.soak import links
+from tests.soak import store_return
 
 __all__ = ['Soak', 'run']
 
@@ -298,6 +300,7 @@
             self._reload_settings,
             self._disturb_runner,
             self._disturb_store,
+            self._return_store,
             self._fail_runner,
             self._drain_runner,
             self._publish_configuration,
@@ -376,6 +379,9 @@
             await anyio.sleep(wait_s)
             self._store_link.set_mode(links.Mode.PASS)
 
+    async def _return_store(self):
+        await store_return.return_from_copy(self._store, self._random)
+
     async def _fail_runner(self):
         """Queue four random faults on each of half of the runners."""
         for name, *_ in self._random.sample(RUNNERS, len(RUNNERS) // 2):
@@ -462,6 +468,9 @@
                 )
 
     def _check_logs(self):
+        self.violations += store_return.older_versions(
+            self._processes, self._version
+        )
         for process in self._processes:
             for line in process.log.read_text().splitlines():
                 try:
