--- a/tests/soak/answer_checks.py
+++ b/tests/soak/answer_checks.py
@@ -14,6 +14,7 @@
     'check_routes',
     'check_runs',
     'check_unanswered',
+    'check_versions',
 ]
 
 # Refusals that state that no runner has executed the request.
@@ -186,6 +187,22 @@
             )
 
 
+def check_versions(record):
+    """Each process ends with the newest configuration in force."""
+    for process in record.processes:
+        versions = [
+            event['version']
+            for _, event in record.log_events(process)
+            if event['event'] == 'configuration in force'
+        ]
+        if versions[-1:] != [record.operator.version]:
+            yield record_module.Violation(
+                f'{process.host} ends with version {versions[-1:]}, not '
+                f'{record.operator.version}',
+                '',
+            )
+
+
 def check_logs(record):
     """No part of a process fails, and no request ends in an exception."""
     for process in record.processes:
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -10,6 +10,7 @@
     answer_checks.check_unanswered,
     answer_checks.check_runs,
     answer_checks.check_routes,
+    answer_checks.check_versions,
     answer_checks.check_logs,
     leaving_checks.check_left_runners,
     leaving_checks.check_leaving_answers,
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -30,6 +30,8 @@
 # How long and how often the store is copied.
 COPY_INTERVAL_S = 0.5
 MAX_COPIES = 12
+# The longest pause between two writes after a return of the store.
+MAX_WRITE_GAP_S = 0.1
 
 
 class FaultInjector:
@@ -220,6 +222,7 @@
         away_s = self._random.uniform(0.2, 2.0)
         age = self._random.randint(1, MAX_COPIES)
         change_first = self._random.random() < 0.7
+        written_first = self._random.random() < 0.3
         async with self._store_lock:
             copy = self._copies[-min(age, len(self._copies))]
             if change_first:
@@ -229,8 +232,10 @@
             self._store.mode = mode
             await anyio.sleep(away_s)
             self._store.restore(copy)
+            if written_first:
+                await self._operator.write_again(self._random, 0.0)
             self._store.mode = metadata_store.StoreMode.UP
-            await self._operator.write_again(self._random)
+            await self._operator.write_again(self._random, MAX_WRITE_GAP_S)
             self._operator.disturbed.end(disturbance)
 
     # Runners.
@@ -282,11 +287,20 @@
         self._operator.publish_runner(name, 'ready')
 
     async def _remove_runner_unseen(self):
-        """Let a runner leave while some processes are without the store."""
+        """Remove a runner's entry while some processes are without the store.
+
+        The entry stays away for longer than one that only lapsed.
+        """
+        name = self._random.choice(list(self._stand_ins.links))
+        if self._operator.is_leaving(name):
+            return
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._disturb_store_links)
-            await anyio.sleep(self._random.uniform(0.1, 1.0))
-            await self._remove_runner()
+            await anyio.sleep(self._random.uniform(0.1, 2.0))
+            self._operator.publish_runner(name, None)
+        await anyio.sleep(self._random.uniform(MAX_LEAVE_S, 5.0))
+        self._stand_ins.runners[name].restart()
+        self._operator.publish_runner(name, 'ready')
 
     # Configuration.
 
--- a/tests/soak/operator.py
+++ b/tests/soak/operator.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import enum
+import functools
 import math
 
 import anyio
@@ -102,6 +103,11 @@
 
     # Configurations.
 
+    @property
+    def version(self):
+        """The newest version of the configuration."""
+        return self._version
+
     @property
     def live_prefixes(self):
         return [r.prefix for r in self.routes if r.removed_at == math.inf]
@@ -164,10 +170,17 @@
 
     # After a return of the store from a copy.
 
-    async def write_again(self, random):
-        """Write what the store lost: configuration first, then runners."""
-        await anyio.sleep(random.uniform(0.0, 0.3))
-        self._write_configuration()
-        for name in random.sample(list(self._states), len(self._states)):
-            await anyio.sleep(random.uniform(0.0, 0.1))
-            self.write_runner(name)
+    async def write_again(self, random, pause_s):
+        """Write what the store lost, in some order, with pauses up to a time.
+
+        Pauses of 0 write all of it at one moment.
+        """
+        writes = [
+            functools.partial(self.write_runner, n) for n in self._states
+        ]
+        writes.append(self._write_configuration)
+        random.shuffle(writes)
+        for write in writes:
+            if pause_s:
+                await anyio.sleep(random.uniform(0.0, pause_s))
+            write()
