--- a/primrosereel/gateway/_server.py
+++ b/primrosereel/gateway/_server.py
@@ -86,7 +86,8 @@
                 reason = await self._serve_watched(connection, request)
             finally:
                 self._context.active -= 1
-                if reason is not None:
+                # Work after a complete answer may be cancelled, too.
+                if reason is not None and not connection.answered:
                     self._record_unanswered(request, reason)
             if reason is not None or not connection.start_next_cycle():
                 return
