--- a/tests/property/test_gateway_unanswered.py
+++ b/tests/property/test_gateway_unanswered.py
@@ -1,5 +1,6 @@
 """Requests that were read must get a final and true answer."""
 
+import contextlib
 import os
 import resource
 import socket
@@ -14,6 +15,8 @@
 STREAM = {'Token_Usage': '400,40', 'Model': 'm', 'Deadline_Ms': 3000}
 # Large enough that the body is sent while the response is read.
 LONG_BODY = b'b' * 40_000
+# How many files a test opens at most to use up all descriptors.
+FREE_DESCRIPTORS = 50
 
 run = gateway_fleet.run_scenario
 
@@ -232,16 +235,22 @@
     run(scenario)
 
 
-def exhaust_file_descriptors(reserve):
-    """Open files until none can be opened; ``reserve`` bounds their number."""
+@contextlib.contextmanager
+def no_file_descriptors():
+    """Open files until none can be opened, and close them at the end."""
     opened = [os.open(os.devnull, os.O_RDONLY)]
     limit = resource.getrlimit(resource.RLIMIT_NOFILE)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (opened[0] + reserve, limit[1]))
+    lowered = opened[0] + FREE_DESCRIPTORS
+    resource.setrlimit(resource.RLIMIT_NOFILE, (lowered, limit[1]))
     try:
-        while True:
-            opened.append(os.open(os.devnull, os.O_RDONLY))
-    except OSError:
-        return opened, limit
+        with contextlib.suppress(OSError):
+            while True:
+                opened.append(os.open(os.devnull, os.O_RDONLY))
+        yield
+    finally:
+        for descriptor in opened:
+            os.close(descriptor)
+        resource.setrlimit(resource.RLIMIT_NOFILE, limit)
 
 
 def test_lack_of_file_descriptors_does_not_end_the_process():
@@ -256,14 +265,13 @@
         async with fleet.client() as client:
             await client.send('/file/1', 'r1', method='POST')
             await anyio.sleep(0.2)
-            with socket.create_connection(
-                (fleet.callers.host, fleet.callers.port)
+            with (
+                socket.create_connection(
+                    (fleet.callers.host, fleet.callers.port)
+                ),
+                no_file_descriptors(),
             ):
-                opened, limit = exhaust_file_descriptors(reserve=50)
                 await anyio.sleep(0.1)
-                for descriptor in opened:
-                    os.close(descriptor)
-                resource.setrlimit(resource.RLIMIT_NOFILE, limit)
             assert (await client.receive()).status == 200
         assert (await fleet.ask('/read/1', 'r2')).status == 200
         assert fleet.log.named('accept failed')
