--- a/primrosereel/bench/_passthrough.py
+++ b/primrosereel/bench/_passthrough.py
@@ -36,8 +36,7 @@
 
     async def __call__(self, scope, receive, send) -> None:
         """Serve one ASGI connection."""
-        if scope['type'] == 'lifespan':
-            await asgi.run_lifespan(receive, send)
+        if not await asgi.is_request(scope, receive, send):
             return
         call = json.loads(await asgi.read_body(receive, MAX_BODY_BYTES))
         request = {
--- a/primrosereel/daemon/_asgi.py
+++ b/primrosereel/daemon/_asgi.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 __all__ = ['BodyTooLarge', 'CallerDisconnected', 'Receive', 'Send', 'header']
-__all__ += ['read_body', 'respond', 'run_lifespan']
+__all__ += ['is_request', 'read_body', 'respond']
 
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
@@ -59,7 +59,16 @@
     await send({'type': 'http.response.body', 'body': body})
 
 
-async def run_lifespan(receive: Receive, send: Send) -> None:
+async def is_request(
+    scope: dict[str, Any], receive: Receive, send: Send
+) -> bool:
+    """Return whether a connection is an HTTP request; serve a lifespan."""
+    if scope['type'] == 'lifespan':
+        await _run_lifespan(receive, send)
+    return scope['type'] == 'http'
+
+
+async def _run_lifespan(receive: Receive, send: Send) -> None:
     """Acknowledge the server's startup and shutdown events."""
     while True:
         message = await receive()
--- a/primrosereel/daemon/_callers.py
+++ b/primrosereel/daemon/_callers.py
@@ -119,10 +119,7 @@
 
     async def __call__(self, scope, receive, send) -> None:
         """Serve one ASGI connection."""
-        if scope['type'] == 'lifespan':
-            await asgi.run_lifespan(receive, send)
-            return
-        if scope['type'] != 'http':
+        if not await asgi.is_request(scope, receive, send):
             return
         call = _Call(scope, receive, send)
         self._open += 1
--- a/primrosereel/daemon/_operators.py
+++ b/primrosereel/daemon/_operators.py
@@ -42,10 +42,7 @@
 
     async def __call__(self, scope, receive, send) -> None:
         """Serve one ASGI connection."""
-        if scope['type'] == 'lifespan':
-            await asgi.run_lifespan(receive, send)
-            return
-        if scope['type'] != 'http':
+        if not await asgi.is_request(scope, receive, send):
             return
         status, document = self._route(scope)
         await asgi.respond(
