--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -32,6 +32,8 @@
 MAX_COPIES = 12
 # The longest pause between two writes after a return of the store.
 MAX_WRITE_GAP_S = 0.1
+# More than the configuration and the runners' entries take.
+OTHER_WRITES = 20
 
 
 class FaultInjector:
@@ -238,6 +240,25 @@
             await self._operator.write_again(self._random, MAX_WRITE_GAP_S)
             self._operator.disturbed.end(disturbance)
 
+    async def hide_a_configuration(self):
+        """Write a configuration that is read only after a return of the store.
+
+        Other writes pass the revision that the processes have read up to, so
+        one that reads on from there misses the configuration.
+        """
+        copy = self._store.copy()
+        self._operator.write_others(OTHER_WRITES)
+        await anyio.sleep(self._random.uniform(1.5, 3.0))
+        disturbance = self._operator.disturbed.begin()
+        self._store.mode = metadata_store.StoreMode.RESET
+        self._operator.change_configuration(self._random)
+        await anyio.sleep(self._random.uniform(0.1, 1.0))
+        self._store.restore(copy)
+        await self._operator.write_again(self._random, 0.0)
+        self._operator.write_others(OTHER_WRITES)
+        self._store.mode = metadata_store.StoreMode.UP
+        self._operator.disturbed.end(disturbance)
+
     # Runners.
 
     async def _fail_runners(self):
--- a/tests/soak/operator.py
+++ b/tests/soak/operator.py
@@ -101,6 +101,11 @@
             entry['address'] = f'127.0.0.1:{self._links[name].port}'
         self._store.put(f'servers/{name}', entry)
 
+    def write_others(self, count):
+        """Write what concerns no process, as heartbeats do constantly."""
+        for number in range(count):
+            self._store.put(f'other/{number}', {})
+
     # Configurations.
 
     @property
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -107,11 +107,12 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(injector.run, self._seconds)
             tasks.start_soon(self._callers.run, self._seconds)
+        self._stand_ins.end_faults()
+        await injector.hide_a_configuration()
         self.violations += injector.violations
 
     async def _check_recovery(self):
         """All processes are ready again, and sound requests are served."""
-        self._stand_ins.end_faults()
         for process in self._processes:
             if not await process.is_ready_within(RECOVERY_TIMEOUT_S):
                 self.violations.append(
