Wait out a second of silence of a sound runner

A sound runner may send nothing for a second and go on. A resumable stream was continued at another runner after 0.8 s; a plain call after 45 % of the time left, a prefill after 0.6 s and an order after 1.0 s counted as a failure of the runner, which was then avoided; the two calls of a move had 1.5 s together, and a stream that may run once was cut when its stop call was given up.

A plain call that may run twice still goes on to another runner, and a decode runner still prefills the prompt, at the times as before, but that is no failure: Runner.observe_silence counts one only after 1.4 s without any answer, over all requests that follow each other. Until then other runners are preferred for 0.5 s. An order waits for 2 s, and so does each call of a move.

Of the 9 tests 7 failed before: the stream ran twice (2 == 1), s1 and p1 had evidence against them, the order was not accepted, and the moved stream was cut ((200, False) == (200, True)). The tests on runners that stay silent passed before and after.

--- a/primrosereel/gateway/_orders.py
+++ b/primrosereel/gateway/_orders.py
@@ -15,7 +15,10 @@
 __all__ = ['Orders']
 
 SAMPLE_INTERVAL_S = 0.5
-RESPONSE_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 1.0
+# Longer than a sound runner is silent: an order that is given up may have been
+# accepted.
+RESPONSE_TIMEOUT_S = 2.0
 MAX_RESPONSE_BYTES = 65536
 # The time allowed for running work to finish before a change of role starts.
 FINISH_RUNNING_S = 4.0
@@ -126,7 +129,7 @@
         try:
             with anyio.fail_after(RESPONSE_TIMEOUT_S):
                 connection = await http.connect(
-                    switch.address, RESPONSE_TIMEOUT_S
+                    switch.address, CONNECT_TIMEOUT_S
                 )
                 head = await connection.send_request(
                     http.OutgoingRequest(method, target, headers, body)
--- a/primrosereel/gateway/_plain.py
+++ b/primrosereel/gateway/_plain.py
@@ -96,7 +96,7 @@
                 Retry.PLAIN_IDEMPOTENT, runner, str(error)
             )
         if scope.cancelled_caught:
-            runner.observe_failure(self._context.clock())
+            runner.observe_silence(started_at, self._context.clock())
             exchange.record_failed_attempt(
                 Retry.PLAIN_IDEMPOTENT, runner, 'timeout'
             )
--- a/primrosereel/gateway/_prompt.py
+++ b/primrosereel/gateway/_prompt.py
@@ -88,7 +88,10 @@
         except http.BrokenResponse as error:
             self._record_failure(runner, Retry.PREFILL_FAILED, str(error))
         except TimeoutError:
-            self._record_failure(runner, Retry.PREFILL_FAILED, 'timeout')
+            runner.observe_silence(now, self._context.clock())
+            exchange.record_failed_attempt(
+                Retry.PREFILL_FAILED, runner, 'timeout'
+            )
         return False
 
     def _record_failure(
--- a/primrosereel/gateway/_stream_move.py
+++ b/primrosereel/gateway/_stream_move.py
@@ -19,7 +19,9 @@
 # The interval between two attempts to find a place, and how long to try.
 PLACE_RETRY_INTERVAL_S = 0.2
 PLACE_SEARCH_LIMIT_S = 6.0
-CALL_TIMEOUT_S = 1.5
+# The time limit of each of the two calls, longer than the silence of a sound
+# runner: a call that is given up may have stopped the stream.
+CALL_TIMEOUT_S = 2.0
 FREE_TIMEOUT_S = 0.5
 MAX_RESPONSE_BYTES = 65536
 
@@ -159,15 +161,14 @@
         """
         target = self.target
         assert target is not None
-        with anyio.fail_after(CALL_TIMEOUT_S):
-            status = await self._copy_to(target, last=False)
-            if status != 200 or self._ended:
-                return f'copy: status {status}'
-            self._stopping = True
-            status = await self._copy_to(target, last=True)
-            if status == 200:
-                self.handle = self._unused_copy
-            return f'stop: status {status}'
+        status = await self._copy_to(target, last=False)
+        if status != 200 or self._ended:
+            return f'copy: status {status}'
+        self._stopping = True
+        status = await self._copy_to(target, last=True)
+        if status == 200:
+            self.handle = self._unused_copy
+        return f'stop: status {status}'
 
     async def _copy_to(self, runner: runners.Runner, last: bool) -> int:
         """Copy the stream to a runner, and keep the handle of the copy."""
@@ -178,9 +179,10 @@
             runner.listing.address,
             last,
         )
-        status, response_body = await self._send_to_source(
-            http.OutgoingRequest(method, target, headers, body)
-        )
+        with anyio.fail_after(CALL_TIMEOUT_S):
+            status, response_body = await self._send_to_source(
+                http.OutgoingRequest(method, target, headers, body)
+            )
         if status == 200:
             self._unused_copy = dialect.move_result(
                 self._source.listing.address, response_body
--- a/primrosereel/gateway/_upstream.py
+++ b/primrosereel/gateway/_upstream.py
@@ -130,6 +130,7 @@
     try:
         head = await connection.send_request(build_request(exchange, options))
         facts = context.dialect.response_facts(head.status, head.headers)
+        runner.observe_answer(context.clock())
         runner.observe_report(facts.load, context.clock())
         if head.status == MISDIRECTED:
             runner.observe_replaced(context.clock())
--- a/primrosereel/routing/_placement.py
+++ b/primrosereel/routing/_placement.py
@@ -19,6 +19,7 @@
 OTHER_ZONE_COST = 0.15
 SUSPECT_COST = 50.0
 FULL_COST = 5.0
+SILENT_COST = 5.0
 FAILURE_COST = 4.0
 COLD_COST = 1.0
 TIE_BREAK_JITTER = 0.05
@@ -85,6 +86,8 @@
             cost += SUSPECT_COST * (1 + runner.failures)
         if now < runner.full_until:
             cost += FULL_COST
+        if runner.is_silent(now):
+            cost += SILENT_COST
         if runner.listing.cold_s > 0:
             cost += COLD_COST
         cost += FAILURE_COST * runner.failure_rate
--- a/primrosereel/routing/_runners.py
+++ b/primrosereel/routing/_runners.py
@@ -9,6 +9,7 @@
 from primrosereel import _ids as ids
 from primrosereel import _states as states
 from primrosereel.routing import _model as model
+from primrosereel.routing import _timeouts as timeouts
 
 __all__ = ['Runner', 'RunnerTable']
 
@@ -29,6 +30,9 @@
 MIN_FULL_S = 0.25
 MAX_FULL_S = 3.0
 
+# How long another runner is preferred to one that did not answer in time.
+SILENT_S = 0.5
+
 # Weight of a new observation in a runner's moving averages.
 LATENCY_SAMPLE_WEIGHT = 0.3
 FAILURE_SAMPLE_WEIGHT = 0.25
@@ -58,6 +62,11 @@
     rejections: int = 0
     suspect_until: float = -math.inf
     full_until: float = -math.inf
+    # When the runner last answered, and since and until when it counts as
+    # silent.
+    answered_at: float = -math.inf
+    silent_since: float = -math.inf
+    silent_until: float = -math.inf
 
     @property
     def runner_id(self) -> ids.RunnerId:
@@ -91,8 +100,16 @@
         return self.failures >= DOWN_FAILURES and self.is_suspect(now)
 
     def is_available(self, now: float) -> bool:
-        """Tell whether the runner is neither suspect nor full."""
-        return not self.is_suspect(now) and now >= self.full_until
+        """Tell whether the runner is not suspect, full or silent."""
+        return (
+            not self.is_suspect(now)
+            and now >= self.full_until
+            and not self.is_silent(now)
+        )
+
+    def is_silent(self, now: float) -> bool:
+        """Tell whether the runner did not answer in time just now."""
+        return now < self.silent_until
 
     def observe_report(
         self, report: model.LoadReport | None, now: float
@@ -105,6 +122,25 @@
         total = report.running + report.waiting
         self.peer_requests = max(0.0, total - self.in_flight)
 
+    def observe_answer(self, now: float) -> None:
+        """Record that the runner answered, whatever the answer is."""
+        self.answered_at = now
+        self.silent_until = -math.inf
+
+    def observe_silence(self, since: float, now: float) -> None:
+        """Record that the runner did not answer a request sent at ``since``.
+
+        A sound runner may be silent for about a second. The silences of
+        requests that follow each other are one, and a longer one is a failure.
+        """
+        if self.silent_since <= self.answered_at or (
+            since > self.silent_until + timeouts.SOUND_SILENCE_S
+        ):
+            self.silent_since = max(since, self.answered_at)
+        self.silent_until = now + SILENT_S
+        if now - self.silent_since >= timeouts.SOUND_SILENCE_S:
+            self.observe_failure(now)
+
     def observe_success(self, seconds: float, now: float) -> None:
         """Record a complete response and its duration."""
         self.failures = 0
--- a/primrosereel/routing/_timeouts.py
+++ b/primrosereel/routing/_timeouts.py
@@ -7,6 +7,7 @@
 from primrosereel.routing import _model as model
 
 __all__ = [
+    'SOUND_SILENCE_S',
     'caller_gap_s',
     'first_event_s',
     'plain_attempt_s',
@@ -26,10 +27,13 @@
 # Share of the caller's gap after which a stream continues at another runner.
 CALLER_GAP_SHARE = 0.55
 
+# A sound runner may send nothing for about a second and then go on. A shorter
+# silence is no failure.
+SOUND_SILENCE_S = 1.4
+
 # A resumable stream's next event is late after this multiple of the gap
-# target, but not before the minimum.
+# target, but not before a sound runner would have gone on.
 STREAM_GAP_TARGET_FACTOR = 4.0
-MIN_STREAM_GAP_S = 0.8
 
 # Share of the remaining time that the first of two attempts may take.
 FIRST_ATTEMPT_SHARE = 0.45
@@ -69,13 +73,13 @@
 
 def first_event_s(route: model.Route) -> float:
     """Return the timeout of a resumable stream's first event."""
-    return CALLER_GAP_SHARE * caller_gap_s(route)
+    return max(SOUND_SILENCE_S, CALLER_GAP_SHARE * caller_gap_s(route))
 
 
 def stream_gap_s(route: model.Route) -> float:
     """Return the timeout of the next event of a resumable stream."""
     target_gap_s = STREAM_GAP_TARGET_FACTOR * (route.gap_target_s or 0.0)
-    return max(MIN_STREAM_GAP_S, target_gap_s)
+    return max(SOUND_SILENCE_S, target_gap_s)
 
 
 def plain_attempt_s(remaining_s: float, attempts_left: int) -> float:
@@ -86,7 +90,11 @@
 
 
 def prefill_timeout_s(route: model.Route, expected_s: float) -> float:
-    """Return the timeout of a prefill."""
+    """Return the timeout of a prefill.
+
+    It is shorter than the silence of a sound runner: the decode runner then
+    prefills the prompt, and the prefill runner has not failed yet.
+    """
     timeout_s = max(MIN_PREFILL_TIMEOUT_S, PREFILL_TIMEOUT_FACTOR * expected_s)
     return min(timeout_s, CALLER_GAP_SHARE * caller_gap_s(route))
 
