Model the availability of runners in one table

The table of runners takes its answers from the model; each change is logged and counted with its source.

--- a/primrosereel/gateway/_admission.py
+++ b/primrosereel/gateway/_admission.py
@@ -70,7 +70,7 @@
         excluded=excluded,
         on_admitted=admitted.set,
     )
-    if not context.runners.ready(exchange.service, states.Role.DECODE):
+    if not context.runners.ready(exchange.service, states.Role.DECODE, now):
         raise Refused(states.RefusalReason.NO_RUNNER, MIN_RETRY_AFTER_S)
     limit_s = min(timeouts.place_wait_s(exchange.route), exchange.remaining_s)
     places.add(ticket, now)
--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -14,6 +14,7 @@
 
 from primrosereel import _ids as ids
 from primrosereel import _registry as registry
+from primrosereel.gateway import _availability_log as availability_log
 from primrosereel.gateway import _callers as callers
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _crash_reports as crash_reports_module
@@ -28,6 +29,7 @@
 from primrosereel.gateway import _status as status
 from primrosereel.gateway import _store_client as store_client
 from primrosereel.gateway import _store_reader as store_reader
+from primrosereel.routing import _availability as availability_module
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _members as members_module
 from primrosereel.routing import _model as model
@@ -100,7 +102,15 @@
         self._policy = policy
         zone = settings.availability_zone
         shards = shards_module.Shards(zone)
-        table = runners.RunnerTable(shards.owns)
+        table = runners.RunnerTable(
+            shards.owns,
+            availability_module.AvailabilityTable(
+                availability_module.AvailabilityBounds(
+                    settings.runner_drain_s
+                ),
+                self._availability_changed,
+            ),
+        )
         ledger = ledger_module.Ledger(shards.owns)
         self._context = context_module.Context(
             settings=settings,
@@ -219,6 +229,12 @@
             self._log.info('stopped', active=self._context.active)
             tasks.cancel_scope.cancel()
 
+    def _availability_changed(
+        self, transition: availability_module.Transition
+    ) -> None:
+        """Act on a change of a runner's availability."""
+        availability_log.record(self._context, transition)
+
     def _readiness_page(self) -> callers.Reply:
         return callers.Reply(200 if self.ready else 503)
 
--- a/primrosereel/routing/_decode_places.py
+++ b/primrosereel/routing/_decode_places.py
@@ -266,7 +266,7 @@
                 int(self._capacity(runner) - self._use(runner, now).tokens),
             )
             for service in self._engines
-            for runner in self._table.ready(service, states.Role.DECODE)
+            for runner in self._table.ready(service, states.Role.DECODE, now)
             if runner.is_available(now) and self._table.owned(runner)
         ]
         return sorted(free, key=lambda entry: -entry[1])
@@ -296,7 +296,7 @@
         candidates = [
             runner
             for runner in self._table.foreign(
-                ticket.service, states.Role.DECODE, ticket.excluded
+                ticket.service, states.Role.DECODE, now, ticket.excluded
             )
             if runner.is_available(now)
             and self._reported_free_tokens(runner, now) >= needed_tokens
@@ -325,7 +325,7 @@
             f'{runner.runner_id} {use.requests} requests {use.tokens} tokens'
             + ('' if now >= runner.full_until else ' full')
             + (' suspect' if runner.is_suspect(now) else '')
-            for runner in self._table.ready(service, states.Role.DECODE)
+            for runner in self._table.ready(service, states.Role.DECODE, now)
             for use in (self._use(runner, now),)
         ]
         return (
@@ -375,7 +375,7 @@
     def _candidates(self, ticket: Ticket, now: float) -> list[runners.Runner]:
         """Return the ready runners; only available ones if there are any."""
         ready = self._table.ready(
-            ticket.service, states.Role.DECODE, ticket.excluded
+            ticket.service, states.Role.DECODE, now, ticket.excluded
         )
         return [
             runner for runner in ready if runner.is_available(now)
--- a/primrosereel/routing/_model.py
+++ b/primrosereel/routing/_model.py
@@ -123,8 +123,8 @@
 class RunnerListing:
     """A runner's entry in the platform's list.
 
-    ``cold_s`` is the remaining time of a cold start, and ``born_ms`` when the
-    runner started.
+    ``cold_s`` is the remaining time of a cold start, ``born_ms`` when the
+    runner started, and ``sequence`` counts the entries of one run.
     """
 
     runner: ids.RunnerId
@@ -136,6 +136,7 @@
     leaving: bool
     cold_s: float = 0.0
     born_ms: int = 0
+    sequence: int = 0
 
 
 class LoadReport(NamedTuple):
--- a/primrosereel/routing/_placement.py
+++ b/primrosereel/routing/_placement.py
@@ -56,7 +56,9 @@
         now: float,
     ) -> runners.Runner | None:
         """Return the runner with the lowest cost."""
-        candidates = self._table.ready(service, states.Role.PLAIN, excluded)
+        candidates = self._table.ready(
+            service, states.Role.PLAIN, now, excluded
+        )
         if not candidates:
             return None
         fastest = min(
@@ -110,5 +112,7 @@
         now: float,
     ) -> runners.Runner | None:
         """Return a random ready runner."""
-        candidates = self._table.ready(service, states.Role.PLAIN, excluded)
+        candidates = self._table.ready(
+            service, states.Role.PLAIN, now, excluded
+        )
         return self._random.choice(candidates) if candidates else None
--- a/primrosereel/routing/_policies.py
+++ b/primrosereel/routing/_policies.py
@@ -30,7 +30,7 @@
     ) -> runners.Runner | None:
         """Return a random ready runner."""
         candidates = self._table.ready(
-            ticket.service, states.Role.DECODE, ticket.excluded
+            ticket.service, states.Role.DECODE, now, ticket.excluded
         )
         return self._random.choice(candidates) if candidates else None
 
--- a/primrosereel/routing/_prefill_plan.py
+++ b/primrosereel/routing/_prefill_plan.py
@@ -104,7 +104,9 @@
         least_tokens = min(
             (
                 self._local_prefill_tokens(runner, now)
-                for runner in self._table.ready(service, states.Role.DECODE)
+                for runner in self._table.ready(
+                    service, states.Role.DECODE, now
+                )
             ),
             default=0,
         )
@@ -125,7 +127,7 @@
     ) -> list[runners.Runner]:
         return [
             runner
-            for runner in self._table.ready(service, states.Role.PREFILL)
+            for runner in self._table.ready(service, states.Role.PREFILL, now)
             if runner.is_available(now)
         ]
 
--- a/primrosereel/routing/_roles.py
+++ b/primrosereel/routing/_roles.py
@@ -175,7 +175,7 @@
         """
         return [
             runner
-            for runner in self._table.ready(service, role)
+            for runner in self._table.ready(service, role, now)
             if self._table.owned(runner)
             and not (
                 runner.is_down(now)
--- a/primrosereel/routing/_runner_list.py
+++ b/primrosereel/routing/_runner_list.py
@@ -68,7 +68,7 @@
         """Apply the change of one entry."""
         if change.listing is not None:
             self._missing.discard(change.runner)
-            self._table.put(change.listing)
+            self._table.put(change.listing, now)
         elif now < self._outage_ended + REREGISTRATION_S:
             self._missing.add(change.runner)
         else:
--- a/primrosereel/routing/_runners.py
+++ b/primrosereel/routing/_runners.py
@@ -8,6 +8,7 @@
 
 from primrosereel import _ids as ids
 from primrosereel import _states as states
+from primrosereel.routing import _availability as availability_module
 from primrosereel.routing import _model as model
 
 __all__ = ['Runner', 'RunnerTable']
@@ -39,6 +40,10 @@
     """A runner's listing, and this instance's observations of it."""
 
     listing: model.RunnerListing
+    # Whether it takes new requests; shared with the table of availability.
+    availability: availability_module.AvailabilityRecord = dataclasses.field(
+        default_factory=availability_module.AvailabilityRecord
+    )
     in_flight: int = 0
     # Tokens of own requests: reserved KV cache memory at a decode runner,
     # unfinished prompt tokens at a prefill runner.
@@ -153,14 +158,19 @@
 class RunnerTable:
     """All runners of the platform's list by id.
 
-    ``owns`` tells whether the engines of a zone belong to the own shard.
+    ``owns`` tells whether the engines of a zone belong to the own shard, and
+    ``availability`` which runners take new requests.
     """
 
     def __init__(
         self,
         owns: Callable[[ids.AvailabilityZone], bool] = lambda _: True,
+        availability: availability_module.AvailabilityTable | None = None,
     ) -> None:
         self._owns = owns
+        self._availability = (
+            availability or availability_module.AvailabilityTable()
+        )
         self._runners: dict[ids.RunnerId, Runner] = {}
 
     def __len__(self) -> int:
@@ -169,22 +179,36 @@
     def __iter__(self) -> Iterator[Runner]:
         return iter(self._runners.values())
 
+    @property
+    def availability(self) -> availability_module.AvailabilityTable:
+        """Which runners take new requests, and why others do not."""
+        return self._availability
+
     def get(self, runner_id: ids.RunnerId) -> Runner | None:
         """Return a runner; None if it is not listed."""
         return self._runners.get(runner_id)
 
-    def put(self, listing: model.RunnerListing) -> None:
-        """Add or update a runner's listing.
+    def put(self, listing: model.RunnerListing, now: float = 0.0) -> None:
+        """Add or update a runner's listing; ignore one that is outdated.
 
         A runner that restarted under its id or moved to another address is a
         new one: observations of the old run are dropped.
         """
+        version = availability_module.RunVersion(
+            listing.born_ms, listing.sequence
+        )
+        if not self._availability.observe_entry(
+            listing.runner, version, listing.leaving, now
+        ):
+            return
         for other in list(self._runners.values()):
             if _replaces(listing, other.listing):
                 del self._runners[other.runner_id]
         runner = self._runners.get(listing.runner)
         if runner is None or _is_new_run(runner.listing, listing):
-            self._runners[listing.runner] = Runner(listing)
+            self._runners[listing.runner] = Runner(
+                listing, self._availability.record(listing.runner)
+            )
         else:
             runner.listing = listing
 
@@ -196,13 +220,14 @@
         self,
         service: ids.ServiceId,
         role: states.Role,
+        now: float,
         excluded: Collection[ids.RunnerId] = (),
     ) -> list[Runner]:
         """Return the runners of a service that accept new requests.
 
         Engines of other shards are returned only if the own shard has none.
         """
-        listed = self._listed(service, role, excluded)
+        listed = self._accepting(service, role, now, excluded)
         if role is states.Role.PLAIN:
             return listed
         return [r for r in listed if self.owned(r)] or listed
@@ -211,20 +236,22 @@
         self,
         service: ids.ServiceId,
         role: states.Role,
+        now: float,
         excluded: Collection[ids.RunnerId] = (),
     ) -> list[Runner]:
         """Return the engines of other shards that accept new requests."""
-        listed = self._listed(service, role, excluded)
+        listed = self._accepting(service, role, now, excluded)
         return [runner for runner in listed if not self.owned(runner)]
 
     def owned(self, runner: Runner) -> bool:
         """Tell whether a runner belongs to the own shard."""
         return self._owns(runner.listing.availability_zone)
 
-    def _listed(
+    def _accepting(
         self,
         service: ids.ServiceId,
         role: states.Role,
+        now: float,
         excluded: Collection[ids.RunnerId],
     ) -> list[Runner]:
         return [
@@ -232,7 +259,8 @@
             for runner in self._runners.values()
             if runner.listing.service == service
             and runner.listing.role is role
-            and not runner.listing.leaving
+            and runner.availability.accepts_from <= now
+            and now < runner.availability.accepts_until
             and runner.runner_id not in excluded
         ]
 
