Believe a runner that says in an answer that it leaves

A runner that leaves says so in all its answers, often before the store does, and the gateway went on sending it requests.

Each answer of a runner now goes through runner_signs.observe_answer: to requests, prefills, orders, moves and frees, and refusals and errors too. It hands load, Server-Leaving and Retry-After to the model. RunnerChanges acts on each transition, whatever it was learned from: idle connections are closed, and streams are moved, also the one whose own head said it. A connection to a runner that left is not kept.

RunnerTable replaced an empty availability table by one of its own, as an empty table is false, so no transition was reported.

--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -14,7 +14,6 @@
 
 from primrosereel import _ids as ids
 from primrosereel import _registry as registry
-from primrosereel.gateway import _availability_log as availability_log
 from primrosereel.gateway import _callers as callers
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _crash_reports as crash_reports_module
@@ -24,6 +23,7 @@
 from primrosereel.gateway import _pool as pool_module
 from primrosereel.gateway import _ports as ports
 from primrosereel.gateway import _response_memory as response_memory
+from primrosereel.gateway import _runner_changes as runner_changes
 from primrosereel.gateway import _server as server_module
 from primrosereel.gateway import _settings as settings_module
 from primrosereel.gateway import _status as status
@@ -143,6 +143,7 @@
             log=log,
             quarantine=prompt_quarantine.PromptQuarantine(random_source),
         )
+        self._runner_changes = runner_changes.RunnerChanges(self._context)
         crash_reports = crash_reports_module.CrashReports(self._context)
         self._reader = store_reader.StoreReader(
             self._context, make_store(store_client.StoreClient(settings.store))
@@ -195,6 +196,7 @@
                 self._maintain,
                 self._peers.run,
                 self._context.leave_callbacks.run,
+                self._context.pool.run,
             ]
             if self._policy.balances_roles:
                 parts.append(self._orders.run)
@@ -233,7 +235,7 @@
         self, transition: availability_module.Transition
     ) -> None:
         """Act on a change of a runner's availability."""
-        availability_log.record(self._context, transition)
+        self._runner_changes.apply(transition)
 
     def _readiness_page(self) -> callers.Reply:
         return callers.Reply(200 if self.ready else 503)
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -15,6 +15,7 @@
 from primrosereel.gateway import _ports as ports
 from primrosereel.gateway import _response_memory as response_memory_module
 from primrosereel.gateway import _settings as settings
+from primrosereel.routing import _availability as availability
 from primrosereel.routing import _decode_places as decode_places
 from primrosereel.routing import _demand as demand_module
 from primrosereel.routing import _ledger as ledger_module
@@ -75,6 +76,10 @@
     avoided_runners: dict[ids.RunnerId, tuple[states.Role, float]] = (
         dataclasses.field(default_factory=dict)
     )
+    # Called when this instance has learned a runner's availability itself.
+    availability_changed: Callable[[availability.Availability], None] = (
+        lambda _: None
+    )
     # Called when this instance's use of the engines changed.
     uses_changed: Callable[[], None] = lambda: None
     # Called when peers should be told which prompts crash runners.
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -13,6 +13,7 @@
 from primrosereel.gateway import _held_place as held_place
 from primrosereel.gateway import _http as http
 from primrosereel.gateway import _prompt as prompt_module
+from primrosereel.gateway import _runner_signs as runner_signs
 from primrosereel.gateway import _stream_move as stream_move
 from primrosereel.gateway import _upstream as upstream
 from primrosereel.routing import _decode_places as decode_places
@@ -296,7 +297,9 @@
         move = self._move = self._new_move(runner)
         try:
             with self._context.leave_callbacks.registered(
-                runner.runner_id, move.run
+                runner.runner_id,
+                move.run,
+                runner_signs.has_left(self._context, runner),
             ):
                 await self._forward_events(response, runner, started_at)
         except (http.BrokenResponse, events.SequenceError) as error:
--- a/primrosereel/gateway/_leave_callbacks.py
+++ b/primrosereel/gateway/_leave_callbacks.py
@@ -30,11 +30,13 @@
 
     @contextlib.contextmanager
     def registered(
-        self, runner: ids.RunnerId, callback: Callback
+        self, runner: ids.RunnerId, callback: Callback, has_left: bool = False
     ) -> Iterator[None]:
-        """Start ``callback`` once if the runner leaves meanwhile."""
+        """Start ``callback`` once if the runner leaves or has left."""
         callbacks = self._callbacks.setdefault(runner, [])
         callbacks.append(callback)
+        if has_left:
+            self.runner_leaves(runner)
         try:
             yield
         finally:
--- a/primrosereel/gateway/_orders.py
+++ b/primrosereel/gateway/_orders.py
@@ -7,6 +7,7 @@
 from primrosereel import _ids as ids
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _http as http
+from primrosereel.gateway import _runner_signs as runner_signs
 from primrosereel.routing import _demand as demand
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _model as model
@@ -134,6 +135,9 @@
                 head = await connection.send_request(
                     http.OutgoingRequest(method, target, headers, body)
                 )
+                runner = context.runners.get(switch.runner)
+                if runner is not None:
+                    runner_signs.observe_answer(context, runner, head)
                 await connection.read_body(MAX_RESPONSE_BYTES)
             return f'status {head.status}'
         except (http.HttpError, TimeoutError) as error:
--- a/primrosereel/gateway/_plain.py
+++ b/primrosereel/gateway/_plain.py
@@ -128,8 +128,11 @@
                 await response.connection.close()
             raise
         now = self._context.clock()
-        await self._context.pool.put(
-            response.connection, response.head.keep_alive_s, now
+        await upstream.keep_connection(
+            self._context,
+            runner,
+            response.connection,
+            response.head.keep_alive_s,
         )
         if not response.facts.signed or response.facts.encoded:
             raise http.BrokenResponse(
--- a/primrosereel/gateway/_pool.py
+++ b/primrosereel/gateway/_pool.py
@@ -7,6 +7,8 @@
 
 import math
 
+import anyio
+
 from primrosereel.gateway import _http as http
 from primrosereel.routing import _model as model
 
@@ -27,6 +29,23 @@
         self._idle: dict[
             model.Address, list[tuple[float, http.HttpConnection]]
         ] = {}
+        # Connections that ``run`` closes.
+        self._dropped: list[http.HttpConnection] = []
+        self._wakeup = anyio.Event()
+
+    def drop(self, address: model.Address) -> None:
+        """Use no idle connection to an address any more, and close them."""
+        for _, connection in self._idle.pop(address, []):
+            self._dropped.append(connection)
+        self._wakeup.set()
+
+    async def run(self) -> None:
+        """Close dropped connections until cancelled."""
+        while True:
+            await self._wakeup.wait()
+            self._wakeup = anyio.Event()
+            while self._dropped:
+                await self._dropped.pop().close()
 
     async def get(
         self, address: model.Address, now: float, request_id: str
--- a/primrosereel/gateway/_prompt.py
+++ b/primrosereel/gateway/_prompt.py
@@ -7,6 +7,7 @@
 from primrosereel import _states as states
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _http as http
+from primrosereel.gateway import _runner_signs as runner_signs
 from primrosereel.gateway import _upstream as upstream
 from primrosereel.routing import _model as model
 from primrosereel.routing import _runners as runners
@@ -29,6 +30,7 @@
     """The handle of a prompt's KV cache at a prefill runner."""
 
     name: str
+    runner: runners.Runner
     connection: http.HttpConnection
     keep_alive_s: float | None
     expires_at: float
@@ -152,6 +154,7 @@
         handle_ttl_s = engine.handle_ttl_s if engine is not None else 0.0
         self._handle = Handle(
             result.handle,
+            runner,
             response.connection,
             response.head.keep_alive_s,
             now + HANDLE_USABLE_SHARE * handle_ttl_s,
@@ -184,8 +187,11 @@
         """
         handle, self._handle = self._handle, None
         if handle is not None:
-            await self._context.pool.put(
-                handle.connection, handle.keep_alive_s, self._context.clock()
+            await upstream.keep_connection(
+                self._context,
+                handle.runner,
+                handle.connection,
+                handle.keep_alive_s,
             )
 
     async def free(self) -> None:
@@ -199,7 +205,10 @@
         self._context.count('prefill.freed')
         with anyio.CancelScope(shield=True), anyio.move_on_after(0.3):
             try:
-                await handle.connection.send_request(request)
+                head = await handle.connection.send_request(request)
+                runner_signs.observe_answer(
+                    self._context, handle.runner, head, True
+                )
                 await handle.connection.read_body(MAX_RESPONSE_BYTES)
             except http.BrokenResponse as error:
                 self._context.log.info(
--- /dev/null
+++ b/primrosereel/gateway/_runner_changes.py
@@ -0,0 +1,36 @@
+"""Acts on changes of runners' availability, whatever they were learned from.
+
+A runner that leaves gets no new request: its idle connections are closed and
+its streams are moved.
+"""
+
+from primrosereel.gateway import _availability_log as availability_log
+from primrosereel.gateway import _context as context_module
+from primrosereel.gateway import _runner_signs as runner_signs
+from primrosereel.routing import _availability as availability
+
+__all__ = ['RunnerChanges']
+
+Source = availability.Source
+
+# What only this instance has learned; an entry is read by all instances.
+OWN_SOURCES = frozenset({Source.ANSWER, Source.REFUSAL})
+
+
+class RunnerChanges:
+    """Acts on the transitions of one instance's runners."""
+
+    def __init__(self, context: context_module.Context) -> None:
+        self._context = context
+
+    def apply(self, transition: availability.Transition) -> None:
+        """Act on a transition; it is in force already."""
+        context = self._context
+        availability_log.record(context, transition)
+        if transition.new in runner_signs.LEFT:
+            context.leave_callbacks.runner_leaves(transition.runner)
+            runner = context.runners.get(transition.runner)
+            if runner is not None:
+                context.pool.drop(runner.listing.address)
+        if transition.source in OWN_SOURCES:
+            context.availability_changed(transition.new)
--- a/primrosereel/gateway/_stream_move.py
+++ b/primrosereel/gateway/_stream_move.py
@@ -11,6 +11,7 @@
 
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _http as http
+from primrosereel.gateway import _runner_signs as runner_signs
 from primrosereel.routing import _decode_places as decode_places
 from primrosereel.routing import _runners as runners
 
@@ -201,6 +202,7 @@
         connection = await http.connect(address, CALL_TIMEOUT_S)
         try:
             head = await connection.send_request(request)
+            runner_signs.observe_answer(self._context, self._source, head)
             return head.status, await connection.read_body(MAX_RESPONSE_BYTES)
         finally:
             with anyio.CancelScope(shield=True):
--- a/primrosereel/gateway/_upstream.py
+++ b/primrosereel/gateway/_upstream.py
@@ -9,6 +9,7 @@
 from primrosereel.gateway import _callers as callers
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _http as http
+from primrosereel.gateway import _runner_signs as runner_signs
 from primrosereel.routing import _model as model
 from primrosereel.routing import _runners as runners
 
@@ -20,6 +21,7 @@
     'connect',
     'connect_or_reuse',
     'count_in_flight',
+    'keep_connection',
     'open_response',
     'refuses_connections',
 ]
@@ -129,9 +131,9 @@
     context = exchange.context
     try:
         head = await connection.send_request(build_request(exchange, options))
-        facts = context.dialect.response_facts(head.status, head.headers)
-        runner.observe_answer(context.clock())
-        runner.observe_report(facts.load, context.clock())
+        facts = runner_signs.observe_answer(
+            context, runner, head, connection.reused
+        )
         if head.status == MISDIRECTED:
             runner.observe_replaced(context.clock())
         if not facts.not_run:
@@ -144,5 +146,18 @@
         with anyio.CancelScope(shield=True):
             await connection.close()
         raise
-    await context.pool.put(connection, head.keep_alive_s, context.clock())
+    await keep_connection(context, runner, connection, head.keep_alive_s)
     raise Rejected(head)
+
+
+async def keep_connection(
+    context: context_module.Context,
+    runner: runners.Runner,
+    connection: http.HttpConnection,
+    keep_alive_s: float | None,
+) -> None:
+    """Keep a connection for other requests, or close that to one leaving."""
+    if runner_signs.has_left(context, runner):
+        await connection.close()
+    else:
+        await context.pool.put(connection, keep_alive_s, context.clock())
--- a/primrosereel/routing/_runners.py
+++ b/primrosereel/routing/_runners.py
@@ -204,9 +204,10 @@
         availability: availability_module.AvailabilityTable | None = None,
     ) -> None:
         self._owns = owns
-        self._availability = (
-            availability or availability_module.AvailabilityTable()
-        )
+        # A table that is still empty is false.
+        if availability is None:
+            availability = availability_module.AvailabilityTable()
+        self._availability = availability
         self._runners: dict[ids.RunnerId, Runner] = {}
 
     def __len__(self) -> int:
