Keep what is known of each run of a runner in one record

Leaving is final for a run; an entry older than what is known changes nothing, and a runner that is gone comes back only with a newer entry. Spare runners (refused a peer, or missing) are used after the others. Roles count runners that back off but order none of them to switch.

--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -105,10 +105,7 @@
         table = runners.RunnerTable(
             shards.owns,
             availability_module.AvailabilityTable(
-                availability_module.AvailabilityBounds(
-                    settings.runner_drain_s
-                ),
-                self._availability_changed,
+                on_transition=self._availability_changed
             ),
         )
         ledger = ledger_module.Ledger(shards.owns)
--- a/primrosereel/routing/_availability.py
+++ b/primrosereel/routing/_availability.py
@@ -1,29 +1,30 @@
 """The availability of runners: what each of six sources says, in one model.
 
-A runner's entry in the store, its removal, a list that was read again after
-the history was lost, the runner's answers, its refusals and peers all say
-something of whether a runner takes new requests. Each statement is an event of
-one table of transitions, and carries the run of the runner that it is about.
-A statement about an older run, or an entry that is older than what is known,
-changes nothing.
+Each statement about a runner names the run that it is about, and is an event
+of the table of transitions. A statement about an older run, or an entry that
+is older than what is known, changes nothing.
 """
 
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
-import enum
 import math
 from typing import NamedTuple
 
 from primrosereel import _ids as ids
+from primrosereel.routing._availability_states import Availability
+from primrosereel.routing._availability_states import Event
+from primrosereel.routing._availability_states import Notice
+from primrosereel.routing._availability_states import RunVersion
+from primrosereel.routing._availability_states import Source
+from primrosereel.routing._availability_states import Transition
+from primrosereel.routing._availability_states import TRANSITIONS
 
 __all__ = [
-    'TRANSITIONS',
     'Availability',
     'AvailabilityBounds',
     'AvailabilityRecord',
     'AvailabilityTable',
-    'Event',
     'Notice',
     'RunVersion',
     'Source',
@@ -32,171 +33,26 @@
 
 # Runners register again within about two seconds after an outage of the store.
 REREGISTRATION_S = 2.0
-# A runner that asks for more is asked again after this time.
+# A runner that wants no requests for longer is asked again after this time.
 MAX_BACK_OFF_S = 30.0
-# How long it is remembered that a runner left. A store that was restored from
-# a copy lists it again.
+# How long it is remembered, and told to peers, that a runner left. A store
+# that was restored from a copy lists it again.
 TOMBSTONE_S = 120.0
-MAX_TOMBSTONES = 4096
+MAX_TOMBSTONES = 1024
+# How long peers are told that a runner is back.
+RETURN_TOLD_S = 10.0
 # Peers are told of at most this many runners at a time, newest first.
 MAX_NOTICES = 64
 
-
-class Availability(enum.Enum):
-    """Whether a runner takes new requests."""
-
-    READY = 'ready'
-    # The runner refused a request and named a time until which it wants none.
-    BACKING_OFF = 'backing_off'
-    # The entry is missing, and it is not known whether the runner left.
-    MISSING = 'missing'
-    LEAVING = 'leaving'
-    GONE = 'gone'
-
-
-class Source(enum.Enum):
-    """From what a statement about a runner was learned."""
-
-    ENTRY = 'entry'
-    REMOVAL = 'removal'
-    LOST_HISTORY = 'lost_history'
-    ANSWER = 'answer'
-    REFUSAL = 'refusal'
-    PEER = 'peer'
-
-
-class Event(enum.Enum):
-    """What a statement says, or what time alone brings about."""
-
-    # An entry of the known run that is not older than what is known.
-    LISTED = 'listed'
-    LISTED_LEAVING = 'listed_leaving'
-    # The same, for a run that is newer than the known one.
-    NEW_RUN = 'new_run'
-    NEW_RUN_LEAVING = 'new_run_leaving'
-    # An entry that is newer than all that was known when the runner was gone.
-    RETURNED = 'returned'
-    REMOVED = 'removed'
-    # A removal that may be that of a runner which registers again.
-    LAPSED = 'lapsed'
-    REREGISTRATION_OVER = 'reregistration_over'
-    SAID_LEAVING = 'said_leaving'
-    REFUSED = 'refused'
-    BACK_OFF_OVER = 'back_off_over'
-
-
-class RunVersion(NamedTuple):
-    """Orders what a runner says of itself.
-
-    ``sequence`` counts the entries of one run; 0 if it is not known.
-    """
-
-    born_ms: int
-    sequence: int = 0
-
-
-class Notice(NamedTuple):
-    """What an instance tells its peers of a runner.
-
-    ``age_s`` is how long it has known it, and ``remaining_s`` how much longer
-    the runner backs off.
-    """
-
-    runner: ids.RunnerId
-    born_ms: int
-    availability: Availability
-    age_s: float
-    remaining_s: float = 0.0
-
-
-class Transition(NamedTuple):
-    """A change of a runner's availability.
-
-    ``age_s`` is the age of the statement, ``until`` the clock time at which
-    the new state ends by itself, and ``overrode`` says what was known before.
-    """
-
-    runner: ids.RunnerId
-    old: Availability
-    new: Availability
-    source: Source
-    age_s: float
-    until: float | None
-    overrode: str
-
-
-_S = Availability
-_E = Event
-
-# The state after each event. Leaving is final for a run: only an entry of a
-# newer run makes the runner ready again.
-TRANSITIONS: dict[tuple[Availability, Event], Availability] = {
-    (_S.READY, _E.LISTED): _S.READY,
-    (_S.READY, _E.LISTED_LEAVING): _S.LEAVING,
-    (_S.READY, _E.NEW_RUN): _S.READY,
-    (_S.READY, _E.NEW_RUN_LEAVING): _S.LEAVING,
-    (_S.READY, _E.RETURNED): _S.READY,
-    (_S.READY, _E.REMOVED): _S.GONE,
-    (_S.READY, _E.LAPSED): _S.MISSING,
-    (_S.READY, _E.REREGISTRATION_OVER): _S.READY,
-    (_S.READY, _E.SAID_LEAVING): _S.LEAVING,
-    (_S.READY, _E.REFUSED): _S.BACKING_OFF,
-    (_S.READY, _E.BACK_OFF_OVER): _S.READY,
-    (_S.BACKING_OFF, _E.LISTED): _S.BACKING_OFF,
-    (_S.BACKING_OFF, _E.LISTED_LEAVING): _S.LEAVING,
-    (_S.BACKING_OFF, _E.NEW_RUN): _S.READY,
-    (_S.BACKING_OFF, _E.NEW_RUN_LEAVING): _S.LEAVING,
-    (_S.BACKING_OFF, _E.RETURNED): _S.BACKING_OFF,
-    (_S.BACKING_OFF, _E.REMOVED): _S.GONE,
-    (_S.BACKING_OFF, _E.LAPSED): _S.MISSING,
-    (_S.BACKING_OFF, _E.REREGISTRATION_OVER): _S.BACKING_OFF,
-    (_S.BACKING_OFF, _E.SAID_LEAVING): _S.LEAVING,
-    (_S.BACKING_OFF, _E.REFUSED): _S.BACKING_OFF,
-    (_S.BACKING_OFF, _E.BACK_OFF_OVER): _S.READY,
-    (_S.MISSING, _E.LISTED): _S.READY,
-    (_S.MISSING, _E.LISTED_LEAVING): _S.LEAVING,
-    (_S.MISSING, _E.NEW_RUN): _S.READY,
-    (_S.MISSING, _E.NEW_RUN_LEAVING): _S.LEAVING,
-    (_S.MISSING, _E.RETURNED): _S.READY,
-    (_S.MISSING, _E.REMOVED): _S.GONE,
-    (_S.MISSING, _E.LAPSED): _S.MISSING,
-    (_S.MISSING, _E.REREGISTRATION_OVER): _S.GONE,
-    (_S.MISSING, _E.SAID_LEAVING): _S.LEAVING,
-    (_S.MISSING, _E.REFUSED): _S.MISSING,
-    (_S.MISSING, _E.BACK_OFF_OVER): _S.MISSING,
-    (_S.LEAVING, _E.LISTED): _S.LEAVING,
-    (_S.LEAVING, _E.LISTED_LEAVING): _S.LEAVING,
-    (_S.LEAVING, _E.NEW_RUN): _S.READY,
-    (_S.LEAVING, _E.NEW_RUN_LEAVING): _S.LEAVING,
-    (_S.LEAVING, _E.RETURNED): _S.LEAVING,
-    (_S.LEAVING, _E.REMOVED): _S.GONE,
-    (_S.LEAVING, _E.LAPSED): _S.LEAVING,
-    (_S.LEAVING, _E.REREGISTRATION_OVER): _S.GONE,
-    (_S.LEAVING, _E.SAID_LEAVING): _S.LEAVING,
-    (_S.LEAVING, _E.REFUSED): _S.LEAVING,
-    (_S.LEAVING, _E.BACK_OFF_OVER): _S.LEAVING,
-    (_S.GONE, _E.LISTED): _S.GONE,
-    (_S.GONE, _E.LISTED_LEAVING): _S.GONE,
-    (_S.GONE, _E.NEW_RUN): _S.READY,
-    (_S.GONE, _E.NEW_RUN_LEAVING): _S.LEAVING,
-    (_S.GONE, _E.RETURNED): _S.READY,
-    (_S.GONE, _E.REMOVED): _S.GONE,
-    (_S.GONE, _E.LAPSED): _S.GONE,
-    (_S.GONE, _E.REREGISTRATION_OVER): _S.GONE,
-    (_S.GONE, _E.SAID_LEAVING): _S.GONE,
-    (_S.GONE, _E.REFUSED): _S.GONE,
-    (_S.GONE, _E.BACK_OFF_OVER): _S.GONE,
-}
+# States in which a runner gets no new request.
+_BARRED = frozenset((Availability.LEAVING, Availability.GONE))
+# States of which peers are told.
+_TOLD = _BARRED | {Availability.BACKING_OFF}
 
 
 class AvailabilityBounds(NamedTuple):
-    """Times in seconds that bound what is believed, and the memory of it.
-
-    ``drain_s`` is the time after which a leaving runner must not get a new
-    request.
-    """
+    """Times in seconds that bound what is believed, and the memory of it."""
 
-    drain_s: float = 2.0
     reregistration_s: float = REREGISTRATION_S
     max_back_off_s: float = MAX_BACK_OFF_S
     tombstone_s: float = TOMBSTONE_S
@@ -223,8 +79,11 @@
     back_off_until: float = -math.inf
     # A peer was refused; other runners are preferred until then.
     hinted_until: float = -math.inf
+    # The entry is removed; it may come back until ``missing_until``.
+    is_unlisted: bool = False
     missing_until: float = math.inf
     entry_seen_at: float = -math.inf
+    returned_at: float = -math.inf
     # The run said that it leaves. That outlasts a return of its entry.
     said_leaving: bool = False
 
@@ -232,26 +91,54 @@
         """Tell whether the runner may get a new request."""
         return self.accepts_from <= now < self.accepts_until
 
+    @property
+    def is_removed(self) -> bool:
+        """Whether the runner is gone and its entry too."""
+        return self.is_unlisted and self.state is Availability.GONE
+
+    def preference(self, now: float) -> int:
+        """Return how willingly the runner is used, 0 first.
+
+        A runner that refused a peer's request comes second, and one whose
+        entry is missing last.
+        """
+        if self.state is Availability.MISSING:
+            return 2
+        return 1 if now < self.hinted_until else 0
+
     def state_at(self, now: float) -> Availability:
-        """Return the state, with what has ended by time alone."""
+        """Return the state, with what time alone has ended."""
+        event = self.due_event(now)
+        return TRANSITIONS[self.state, event] if event else self.state
+
+    def due_event(self, now: float) -> Event | None:
+        """Return the event that time alone has brought about."""
+        if now >= self.missing_until:
+            return Event.REREGISTRATION_OVER
         if (
             self.state is Availability.BACKING_OFF
             and now >= self.back_off_until
         ):
-            return Availability.READY
-        if self.state is Availability.MISSING and now >= self.missing_until:
-            return Availability.GONE
-        return self.state
+            return Event.BACK_OFF_OVER
+        return None
 
     def update_times(self) -> None:
-        """Derive from when until when the runner accepts requests."""
-        self.accepts_from, self.accepts_until = -math.inf, math.inf
-        if self.state in (Availability.LEAVING, Availability.GONE):
+        """Derive the times between which the runner accepts requests."""
+        self.accepts_from = self.back_off_until
+        if self.state in _BARRED:
             self.accepts_from = math.inf
-        else:
-            self.accepts_from = self.back_off_until
-        if self.state is Availability.MISSING:
-            self.accepts_until = self.missing_until
+        self.accepts_until = self.missing_until
+
+    def start_run(self, born_ms: int) -> None:
+        """Forget what was said of older runs."""
+        self.version = RunVersion(born_ms)
+        self.back_off_until = self.hinted_until = -math.inf
+        self.said_leaving = False
+
+    def describe(self, now: float) -> str:
+        """Return the state, its source and age, for the log."""
+        age = f' for {now - self.since:.3f} s' if self.since > -1e9 else ''
+        return f'{self.state.value} by {self.source.value}{age}'
 
 
 def _ignore(transition: Transition) -> None:
@@ -259,7 +146,12 @@
 
 
 class AvailabilityTable:
-    """The availability of all runners that were heard of."""
+    """The availability of all runners that were heard of.
+
+    ``on_transition`` gets each change of a runner's state. Changes by time
+    alone are found by ``expire``; questions with a later ``now`` take them
+    into account before.
+    """
 
     def __init__(
         self,
@@ -269,7 +161,8 @@
         self._bounds = bounds
         self._on_transition = on_transition
         self._records: dict[ids.RunnerId, AvailabilityRecord] = {}
-        # Until when some runner is missing or hinted at.
+        # The records of which peers are told.
+        self._told: dict[ids.RunnerId, AvailabilityRecord] = {}
         self._deferred_until = -math.inf
 
     def __len__(self) -> int:
@@ -280,6 +173,11 @@
         """The bounds of what is believed."""
         return self._bounds
 
+    @property
+    def deferred_until(self) -> float:
+        """Until when some runner is used less willingly than others."""
+        return self._deferred_until
+
     def record(self, runner_id: ids.RunnerId) -> AvailabilityRecord:
         """Return the record of a runner, a new one if it is not known."""
         record = self._records.get(runner_id)
@@ -296,35 +194,32 @@
     ) -> bool:
         """Apply an entry; return False if it is to be ignored.
 
-        That is an entry that is older than what is known, or one that tells
-        nothing newer of a runner that is gone.
+        That is an entry that is older than what is known, or one that says
+        nothing newer of a runner whose entry was removed.
         """
         record = self.record(runner_id)
-        known = record.version
-        if version < known and (version.sequence or version[0] < known[0]):
-            return False
-        event = self._entry_event(record, version, leaving, now)
-        record.version = max(version, known)
-        if event is Event.LISTED and record.state is Availability.GONE:
+        if _is_older(version, record.version):
             return False
+        event = _entry_event(record, version, leaving)
+        if event is Event.LISTED_AGAIN:
+            return record.state_at(now) not in (
+                Availability.MISSING,
+                Availability.GONE,
+            )
+        self._advance(runner_id, record, now)
+        was_gone = record.state is Availability.GONE
+        if version.born_ms > record.version.born_ms:
+            record.start_run(version.born_ms)
+        record.version = max(version, record.version)
         record.entry_seen_at = now
+        record.is_unlisted = False
+        record.missing_until = math.inf
+        record.said_leaving = record.said_leaving or leaving
+        if was_gone and not record.said_leaving:
+            self._tell_return(runner_id, record, now)
         self._apply(runner_id, record, event, Source.ENTRY, now)
         return True
 
-    def _entry_event(
-        self,
-        record: AvailabilityRecord,
-        version: RunVersion,
-        leaving: bool,
-        now: float,
-    ) -> Event:
-        if version.born_ms > record.version.born_ms:
-            return Event.NEW_RUN_LEAVING if leaving else Event.NEW_RUN
-        if leaving:
-            return Event.LISTED_LEAVING
-        newer = version > record.version or not version.sequence
-        return Event.RETURNED if newer else Event.LISTED
-
     def observe_removal(
         self,
         runner_id: ids.RunnerId,
@@ -334,12 +229,16 @@
     ) -> None:
         """Apply the removal of an entry, or its absence from a list.
 
-        Until ``missing_until`` the runner may register again.
+        The runner may register again until ``missing_until``.
         """
         record = self.record(runner_id)
-        record.missing_until = missing_until
-        event = Event.LAPSED if now < missing_until else Event.REMOVED
-        self._apply(runner_id, record, event, source, now)
+        self._advance(runner_id, record, now)
+        record.is_unlisted = True
+        if now < missing_until and record.state is not Availability.GONE:
+            record.missing_until = missing_until
+            self._apply(runner_id, record, Event.LAPSED, source, now)
+        else:
+            self._apply(runner_id, record, Event.REMOVED, source, now)
 
     def observe_leaving(
         self,
@@ -349,13 +248,20 @@
         now: float,
         age_s: float = 0.0,
     ) -> None:
-        """Apply what an answer or a peer says: the run leaves."""
-        record = self._record_of_run(runner_id, born_ms)
-        if record is not None:
-            record.said_leaving = True
-            self._apply(
-                runner_id, record, Event.SAID_LEAVING, source, now, age_s
-            )
+        """Apply what an answer or a peer says: the run leaves.
+
+        ``born_ms`` 0 stands for the known run.
+        """
+        record = self.record(runner_id)
+        event = Event.SAID_LEAVING
+        if born_ms > record.version.born_ms:
+            record.start_run(born_ms)
+            event = Event.NEW_RUN_LEAVING
+        elif 0 < born_ms < record.version.born_ms:
+            return
+        self._advance(runner_id, record, now)
+        record.said_leaving = True
+        self._apply(runner_id, record, event, source, now, age_s)
 
     def observe_back_off(
         self,
@@ -367,38 +273,25 @@
     ) -> float:
         """Apply a refusal; return for how many seconds it is honoured.
 
-        What a peer was told is a hint to prefer other runners.
+        A refusal to a peer is a hint to prefer other runners. One that is not
+        of the known run, or for no valid time, is ignored.
         """
+        record = self._records.get(runner_id)
+        if record is None or born_ms not in (0, record.version.born_ms):
+            return 0.0
         if not for_s > 0:
             return 0.0
         for_s = min(for_s, self._bounds.max_back_off_s)
-        record = self._record_of_run(runner_id, born_ms)
-        if record is None:
-            return 0.0
+        until = now + for_s
         if source is Source.PEER:
-            record.hinted_until = max(record.hinted_until, now + for_s)
-            self._deferred_until = max(
-                self._deferred_until, record.hinted_until
-            )
-        else:
-            record.back_off_until = max(record.back_off_until, now + for_s)
-            self._apply(runner_id, record, Event.REFUSED, source, now)
+            record.hinted_until = max(record.hinted_until, until)
+            self._defer(record.hinted_until)
+            return for_s
+        self._advance(runner_id, record, now)
+        record.back_off_until = max(record.back_off_until, until)
+        self._apply(runner_id, record, Event.REFUSED, source, now)
         return for_s
 
-    def _record_of_run(
-        self, runner_id: ids.RunnerId, born_ms: int
-    ) -> AvailabilityRecord | None:
-        """Return the record for a statement of a run; None for an old run.
-
-        ``born_ms`` 0 stands for the known run.
-        """
-        record = self.record(runner_id)
-        if born_ms > record.version.born_ms:
-            record.version = RunVersion(born_ms)
-        elif 0 < born_ms < record.version.born_ms:
-            return None
-        return record
-
     def state(self, runner_id: ids.RunnerId, now: float) -> Availability:
         """Return the state of a runner; one that is not known is gone."""
         record = self._records.get(runner_id)
@@ -426,57 +319,153 @@
     ) -> float:
         """Return when the first of the runners takes requests again.
 
-        It is 0.0 if one of them does, or if all of them leave.
+        It is 0.0 if one of them does now, or if all of them leave.
         """
         return min(
             (
                 self.back_off_remaining_s(runner_id, now)
                 for runner_id in runner_ids
-                if self.state(runner_id, now)
-                not in (Availability.LEAVING, Availability.GONE)
+                if self.state(runner_id, now) not in _BARRED
             ),
             default=0.0,
         )
 
     def notices(self, now: float) -> list[Notice]:
         """Return what peers are told, newest first."""
-        told = [
+        notices = [
             Notice(
                 runner_id,
                 record.version.born_ms,
-                record.state_at(now),
+                record.state,
                 max(0.0, now - record.since),
                 max(0.0, record.back_off_until - now),
             )
-            for runner_id, record in self._records.items()
-            if record.state_at(now)
-            in (
-                Availability.BACKING_OFF,
-                Availability.LEAVING,
-                Availability.GONE,
-            )
+            for runner_id, record in self._told.items()
+            if self._is_told(record, now)
         ]
-        told.sort(key=lambda notice: notice.age_s)
-        return told[:MAX_NOTICES]
+        notices.sort(key=lambda notice: notice.age_s)
+        return notices[:MAX_NOTICES]
+
+    def _is_told(self, record: AvailabilityRecord, now: float) -> bool:
+        if record.state is Availability.BACKING_OFF:
+            return now < record.back_off_until
+        if record.state in _BARRED:
+            return now - record.since < self._bounds.tombstone_s
+        return now - record.returned_at < RETURN_TOLD_S
 
     def receive(self, notice: Notice, now: float) -> None:
         """Apply what a peer told."""
-        if notice.availability is Availability.LEAVING:
-            self.observe_leaving(
-                notice.runner,
-                notice.born_ms,
-                Source.PEER,
-                now,
-                notice.age_s,
-            )
-        elif notice.availability is Availability.BACKING_OFF:
+        runner_id, born_ms, availability, age_s, remaining_s = notice
+        if availability is Availability.LEAVING:
+            self.observe_leaving(runner_id, born_ms, Source.PEER, now, age_s)
+        elif availability is Availability.BACKING_OFF:
             self.observe_back_off(
-                notice.runner,
-                notice.born_ms,
-                notice.remaining_s,
-                Source.PEER,
-                now,
+                runner_id, born_ms, remaining_s, Source.PEER, now
             )
+        elif availability is Availability.GONE:
+            self._gone_at_peer(runner_id, born_ms, now, age_s)
+        elif availability is Availability.READY:
+            self._back_at_peer(runner_id, born_ms, now, age_s)
+
+    def _gone_at_peer(
+        self, runner_id: ids.RunnerId, born_ms: int, now: float, age_s: float
+    ) -> None:
+        """Apply that a peer knows a runner to be gone.
+
+        An entry that was read here since then says that it lives.
+        """
+        record = self._records.get(runner_id)
+        if record is None or born_ms != record.version.born_ms:
+            return
+        if now - age_s <= record.entry_seen_at:
+            return
+        self._advance(runner_id, record, now)
+        self._apply(runner_id, record, Event.REMOVED, Source.PEER, now, age_s)
+
+    def _back_at_peer(
+        self, runner_id: ids.RunnerId, born_ms: int, now: float, age_s: float
+    ) -> None:
+        """Apply that a runner is back which only a peer said to be gone."""
+        record = self._records.get(runner_id)
+        if (
+            record is not None
+            and record.state is Availability.GONE
+            and not record.is_unlisted
+            and born_ms == record.version.born_ms
+            and not record.said_leaving
+            and now - age_s > record.since
+        ):
+            record.entry_seen_at = now - age_s
+            self._tell_return(runner_id, record, now - age_s)
+            self._apply(
+                runner_id, record, Event.BACK_AT_PEER, Source.PEER, now, age_s
+            )
+
+    def _tell_return(
+        self, runner_id: ids.RunnerId, record: AvailabilityRecord, when: float
+    ) -> None:
+        record.returned_at = when
+        self._told[runner_id] = record
+
+    def set_missing_until(self, missing_until: float, now: float) -> None:
+        """Set until when missing entries may come back.
+
+        Call ``expire`` before, so that entries whose time is over stay gone.
+        """
+        for record in self._records.values():
+            if record.is_unlisted and record.state is not Availability.GONE:
+                record.missing_until = missing_until
+                record.update_times()
+                self._defer(missing_until)
+
+    def expire(self, now: float) -> None:
+        """Apply what time has brought about.
+
+        What is known of runners that left long ago is forgotten.
+        """
+        self._deferred_until = -math.inf
+        for runner_id, record in list(self._records.items()):
+            self._advance(runner_id, record, now)
+            if record.state is Availability.MISSING:
+                self._defer(record.missing_until)
+            if now < record.hinted_until:
+                self._defer(record.hinted_until)
+        self._forget_tombstones(now)
+
+    def _forget_tombstones(self, now: float) -> None:
+        for runner_id, record in list(self._told.items()):
+            if not self._is_told(record, now):
+                del self._told[runner_id]
+                if _is_tombstone(record):
+                    del self._records[runner_id]
+        tombstones = [
+            (record.since, runner_id)
+            for runner_id, record in self._told.items()
+            if _is_tombstone(record)
+        ]
+        excess = len(tombstones) - self._bounds.max_tombstones
+        if excess > 0:
+            for _, runner_id in sorted(tombstones)[:excess]:
+                del self._told[runner_id]
+                del self._records[runner_id]
+
+    def _defer(self, until: float) -> None:
+        self._deferred_until = max(self._deferred_until, until)
+
+    def _advance(
+        self, runner_id: ids.RunnerId, record: AvailabilityRecord, now: float
+    ) -> None:
+        """Apply what time alone has brought about."""
+        event = record.due_event(now)
+        if event is None:
+            return
+        over_since = record.missing_until
+        if event is Event.BACK_OFF_OVER:
+            over_since = record.back_off_until
+        record.missing_until = math.inf
+        self._apply(
+            runner_id, record, event, record.source, now, now - over_since
+        )
 
     def _apply(
         self,
@@ -487,14 +476,60 @@
         now: float,
         age_s: float = 0.0,
     ) -> None:
-        old = record.state_at(now)
+        """Take the transition of an event, and report a change."""
+        old = record.state
         new = TRANSITIONS[old, event]
-        overrode = f'{old.value} of {record.source.value}'
-        if new is not old or new is not record.state:
+        if new is Availability.READY and now < record.back_off_until:
+            # The time that a refusal named outlasts the missing entry.
+            new = TRANSITIONS[new, Event.REFUSED]
+        if new is Availability.GONE:
+            record.missing_until = math.inf
+        overrode = record.describe(now)
+        if new is not old:
             record.state, record.source = new, source
             record.since = now - age_s
         record.update_times()
+        if new is Availability.MISSING:
+            self._defer(record.missing_until)
+        if new in _TOLD:
+            self._told[runner_id] = record
         if new is not old:
+            until = {
+                Availability.BACKING_OFF: record.back_off_until,
+                Availability.MISSING: record.missing_until,
+            }.get(new)
             self._on_transition(
-                Transition(runner_id, old, new, source, age_s, None, overrode)
+                Transition(runner_id, old, new, source, age_s, until, overrode)
             )
+
+
+def _is_older(version: RunVersion, known: RunVersion) -> bool:
+    """Tell whether an entry is older than the known one.
+
+    An entry without a sequence is not older than others of its run.
+    """
+    if version.born_ms != known.born_ms:
+        return version.born_ms < known.born_ms
+    return 0 < version.sequence < known.sequence
+
+
+def _entry_event(
+    record: AvailabilityRecord, version: RunVersion, leaving: bool
+) -> Event:
+    """Return the event of an entry that is not older than the known one."""
+    if version.born_ms > record.version.born_ms:
+        return Event.NEW_RUN_LEAVING if leaving else Event.NEW_RUN
+    if version == record.version and version.sequence:
+        says_more = leaving and record.state is not Availability.GONE
+        return Event.LISTED_LEAVING if says_more else Event.LISTED_AGAIN
+    if leaving or record.said_leaving:
+        return Event.LISTED_LEAVING
+    return Event.LISTED
+
+
+def _is_tombstone(record: AvailabilityRecord) -> bool:
+    """Tell whether only the memory of a runner is left."""
+    unlisted = record.entry_seen_at == -math.inf
+    return record.state is Availability.GONE or (
+        record.state is Availability.LEAVING and unlisted
+    )
--- a/primrosereel/routing/_decode_places.py
+++ b/primrosereel/routing/_decode_places.py
@@ -250,7 +250,7 @@
             if self._fits(runner, ticket, now)
         ]
         return min(
-            candidates,
+            self._table.preferred(candidates, now),
             key=lambda runner: self._cost(runner, ticket, now),
             default=None,
         )
@@ -258,7 +258,7 @@
     def free_memory(self, now: float) -> list[tuple[ids.RunnerId, int]]:
         """Return the free memory of the shard's decode runners, most first.
 
-        Suspect and full runners are left out.
+        Suspect, full and missing runners are left out.
         """
         free = [
             (
@@ -267,7 +267,9 @@
             )
             for service in self._engines
             for runner in self._table.ready(service, states.Role.DECODE, now)
-            if runner.is_available(now) and self._table.owned(runner)
+            if runner.is_available(now)
+            and not runner.availability.preference(now)
+            and self._table.owned(runner)
         ]
         return sorted(free, key=lambda entry: -entry[1])
 
@@ -303,7 +305,7 @@
         ]
         if not candidates:
             return None
-        runner = self._random.choice(candidates)
+        runner = self._random.choice(self._table.preferred(candidates, now))
         tokens, reported_at = self._foreign_free_memory[runner.runner_id]
         self._foreign_free_memory[runner.runner_id] = (
             tokens - ticket.tokens,
--- a/primrosereel/routing/_placement.py
+++ b/primrosereel/routing/_placement.py
@@ -56,9 +56,7 @@
         now: float,
     ) -> runners.Runner | None:
         """Return the runner with the lowest cost."""
-        candidates = self._table.ready(
-            service, states.Role.PLAIN, now, excluded
-        )
+        candidates = self._candidates(service, excluded, now)
         if not candidates:
             return None
         fastest = min(
@@ -69,6 +67,22 @@
             candidates, key=lambda runner: self._cost(runner, fastest, now)
         )
 
+    def _candidates(
+        self,
+        service: ids.ServiceId,
+        excluded: Collection[ids.RunnerId],
+        now: float,
+    ) -> list[runners.Runner]:
+        """Return the runners to choose from.
+
+        Spare runners are among them only while no other is available.
+        """
+        ready = self._table.ready(service, states.Role.PLAIN, now, excluded)
+        preferred = self._table.preferred(ready, now)
+        if preferred is ready or any(r.is_available(now) for r in preferred):
+            return preferred
+        return ready
+
     def _cost(
         self, runner: runners.Runner, fastest: float | None, now: float
     ) -> float:
--- a/primrosereel/routing/_prefill_plan.py
+++ b/primrosereel/routing/_prefill_plan.py
@@ -125,11 +125,12 @@
     def _available_prefill(
         self, service: ids.ServiceId, now: float
     ) -> list[runners.Runner]:
-        return [
+        available = [
             runner
             for runner in self._table.ready(service, states.Role.PREFILL, now)
             if runner.is_available(now)
         ]
+        return self._table.preferred(available, now)
 
     def choose(
         self, decode: runners.Runner, tokens: int, now: float
--- a/primrosereel/routing/_roles.py
+++ b/primrosereel/routing/_roles.py
@@ -124,25 +124,40 @@
         reverses = bool(prefill) and state.last_order_role not in (None, role)
         if reverses and now < state.last_order_at + REVERSAL_DELAY_S:
             return None
+        runner = self._donor(
+            state, prefill if role is states.Role.DECODE else decode, now
+        )
+        if runner is None:
+            return None
         state.imbalanced_since = None
         state.last_order_role, state.last_order_at = role, now
         # The larger the deficit is, the sooner the next order may follow.
         state.next_order_at = now + (engine.switch_s + SETTLE_S) / abs(deficit)
-        donors = prefill if role is states.Role.DECODE else decode
-        runner = min(
+        state.pending[runner.runner_id] = now + engine.switch_s + SETTLE_S
+        return RoleSwitch(runner.runner_id, runner.listing.address, role)
+
+    def _donor(
+        self,
+        state: _BalanceState,
+        donors: list[runners.Runner],
+        now: float,
+    ) -> runners.Runner | None:
+        """Return the runner to switch; None while all of them back off."""
+        return min(
             (
                 runner
                 for runner in donors
                 if runner.runner_id not in state.pending
+                and runner.availability.accepts(now)
             ),
             key=lambda r: (
+                r.availability.preference(now),
                 r.is_suspect(now),
                 self._tokens_in_use(r, now),
                 r.runner_id,
             ),
+            default=None,
         )
-        state.pending[runner.runner_id] = now + engine.switch_s + SETTLE_S
-        return RoleSwitch(runner.runner_id, runner.listing.address, role)
 
     def _note_runners(
         self,
@@ -175,9 +190,8 @@
         """
         return [
             runner
-            for runner in self._table.ready(service, role, now)
-            if self._table.owned(runner)
-            and not (
+            for runner in self._table.staying(service, role, now)
+            if not (
                 runner.is_down(now)
                 and now - runner.failing_since >= patience_s
             )
--- a/primrosereel/routing/_runners.py
+++ b/primrosereel/routing/_runners.py
@@ -203,18 +203,69 @@
             return
         for other in list(self._runners.values()):
             if _replaces(listing, other.listing):
-                del self._runners[other.runner_id]
+                self.remove(
+                    other.runner_id,
+                    now,
+                    source=availability_module.Source.ENTRY,
+                )
+        record = self._availability.record(listing.runner)
         runner = self._runners.get(listing.runner)
         if runner is None or _is_new_run(runner.listing, listing):
-            self._runners[listing.runner] = Runner(
-                listing, self._availability.record(listing.runner)
-            )
+            self._runners[listing.runner] = Runner(listing, record)
         else:
             runner.listing = listing
+            runner.availability = record
+
+    def remove(
+        self,
+        runner_id: ids.RunnerId,
+        now: float = 0.0,
+        missing_until: float = -math.inf,
+        source: availability_module.Source = (
+            availability_module.Source.REMOVAL
+        ),
+    ) -> None:
+        """Remove a runner that is no longer listed.
 
-    def remove(self, runner_id: ids.RunnerId) -> None:
-        """Remove a runner that is no longer listed."""
-        self._runners.pop(runner_id, None)
+        Until ``missing_until`` it may register again, and is kept as missing.
+        """
+        self._availability.observe_removal(
+            runner_id, now, missing_until, source
+        )
+        if not now < missing_until:
+            self._runners.pop(runner_id, None)
+
+    def expire(self, now: float) -> list[ids.RunnerId]:
+        """Remove missing runners that did not register again.
+
+        Return the removed runners.
+        """
+        self._availability.expire(now)
+        removed = sorted(
+            runner.runner_id
+            for runner in self._runners.values()
+            if runner.availability.is_removed
+        )
+        for runner_id in removed:
+            del self._runners[runner_id]
+        return removed
+
+    def preferred(self, candidates: list[Runner], now: float) -> list[Runner]:
+        """Return the candidates to choose from; the others are spare.
+
+        Spare are runners that refused a request of a peer, and after them
+        those whose entry is missing.
+        """
+        if now >= self._availability.deferred_until or not candidates:
+            return candidates
+        best = min(
+            runner.availability.preference(now) for runner in candidates
+        )
+        return [
+            runner
+            for runner in candidates
+            if runner.availability.preference(now) == best
+        ]
 
     def ready(
         self,
@@ -232,6 +283,23 @@
             return listed
         return [r for r in listed if self.owned(r)] or listed
 
+    def staying(
+        self, service: ids.ServiceId, role: states.Role, now: float
+    ) -> list[Runner]:
+        """Return the runners of the own shard that do not leave.
+
+        Those that back off for some time are among them.
+        """
+        return [
+            runner
+            for runner in self._runners.values()
+            if runner.listing.service == service
+            and runner.listing.role is role
+            and runner.availability.accepts_from < math.inf
+            and now < runner.availability.accepts_until
+            and self.owned(runner)
+        ]
+
     def foreign(
         self,
         service: ids.ServiceId,
