Date removals after an outage from the return of the store

Cause: RunnerList took a removal that it learned within two seconds of the end of its own outage for an entry that comes back, and counted the two seconds from its own return. An instance that was turned away longest went on sending longest, and the runner was a full candidate meanwhile.

Why it works: peers tell since when they have had the store without interruption. If one had it all through, no entry expired for lack of the store and the removal is real at once; else the time counts from the earliest return that any instance knows. Meanwhile the runner is missing: others come first, and the time ends it without waiting for maintenance.

--- a/primrosereel/gateway/_peers.py
+++ b/primrosereel/gateway/_peers.py
@@ -58,7 +58,6 @@
     change_known: bool = False
     since: int = 0
     content: bytes = b''
-    outage_ended_age_ms: int | None = None
 
 
 class _Suspect(msgspec.Struct, array_like=True):
@@ -408,7 +407,6 @@
 ) -> _StoreNotice | None:
     if notice is None:
         return None
-    ended_at = notice.outage_ended_at
     return _StoreNotice(
         notice.revision,
         math.ceil(1000 * (now - notice.confirmed_at)),
@@ -416,12 +414,10 @@
         notice.change_known,
         notice.since,
         notice.content,
-        None if ended_at is None else int(1000 * (now - ended_at)),
     )
 
 
 def _decode_notice(notice: _StoreNotice, now: float) -> shared_watch.Notice:
-    ended_age_ms = notice.outage_ended_age_ms
     return shared_watch.Notice(
         notice.revision,
         # A negative age would keep this instance from polling.
@@ -430,7 +426,6 @@
         notice.change_known,
         notice.since,
         notice.content,
-        None if ended_age_ms is None else now - ended_age_ms / 1000,
     )
 
 
--- a/primrosereel/gateway/_store_reader.py
+++ b/primrosereel/gateway/_store_reader.py
@@ -11,7 +11,6 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
-import math
 from typing import Any
 
 import anyio
@@ -187,11 +186,7 @@
         """Return what this instance knows of the store, for its peers."""
         if not SHARES_WATCH:
             return None
-        notice = self._watch_state.notice()
-        ended_at = self._runner_list.outage_ended_at
-        if notice is None or not math.isfinite(ended_at):
-            return notice
-        return notice._replace(outage_ended_at=ended_at)
+        return self._watch_state.notice()
 
     def receive_notice(self, notice: shared_watch.Notice) -> None:
         """Use what a peer knows of the store."""
@@ -211,8 +206,6 @@
     ) -> None:
         now = self._context.clock()
         self._runner_list.store_recovered(now)
-        if notice.outage_ended_at is not None:
-            self._runner_list.outage_ended(notice.outage_ended_at)
         if use is shared_watch.NoticeUse.COMPLETES:
             try:
                 changes = self._store.decode(notice.content)
@@ -273,7 +266,7 @@
         context.log.info('configuration in force', version=table.version)
 
     def _note_store_lost(self, detail: str) -> None:
-        self._runner_list.store_lost()
+        self._runner_list.store_lost(self._context.clock())
         if self._available:
             self._available = False
             self._context.log.warning('store lost', detail=detail)
--- a/primrosereel/routing/_runner_list.py
+++ b/primrosereel/routing/_runner_list.py
@@ -1,22 +1,20 @@
 """Applies the platform's list of runners to the table of runners.
 
-Entries expire while the store is unavailable, and runners write them again
-soon after it recovers. An entry that is missing after an outage is therefore
-kept for some time.
+A removed entry is that of a runner that left, or one that expired while the
+store was unavailable and comes back. The contact of all instances with the
+store tells them apart; while it cannot be told, the runner is missing.
 """
 
-import math
 from typing import NamedTuple
 
 from primrosereel import _ids as ids
+from primrosereel.routing import _availability as availability
 from primrosereel.routing import _model as model
 from primrosereel.routing import _runners as runners
+from primrosereel.routing import _store_contact as store_contact
 
 __all__ = ['ListingChange', 'RunnerList']
 
-# Runners register again within about two seconds after an outage.
-REREGISTRATION_S = 2.0
-
 
 class ListingChange(NamedTuple):
     """A change of one entry; ``listing`` is None for a removed entry.
@@ -33,46 +31,61 @@
 
     def __init__(self, table: runners.RunnerTable) -> None:
         self._table = table
-        self._in_outage = False
-        self._outage_ended = -math.inf
-        self._missing: set[ids.RunnerId] = set()
+        self._contact = store_contact.StoreContact(
+            table.availability.bounds.reregistration_s
+        )
 
     @property
-    def removal_due_at(self) -> float:
-        """When missing entries are removed; infinite if none is missing."""
-        if not self._missing or self._in_outage:
-            return math.inf
-        return self._outage_ended + REREGISTRATION_S
+    def in_touch_since(self) -> float:
+        """Since when this instance has had the store without interruption.
+
+        Infinite while it is without it. Peers are told of it.
+        """
+        return self._contact.in_touch_since
 
-    def store_lost(self) -> None:
+    def store_lost(self, now: float) -> None:
         """Record that the store is unavailable."""
-        self._in_outage = True
+        self._table.expire(now)
+        self._contact.lost(now)
+        self._update_missing(now)
 
     def store_recovered(self, now: float) -> None:
-        """Record that the store is available again."""
-        if self._in_outage:
-            self._in_outage = False
-            self._outage_ended = now
+        """Record that the store answers."""
+        self._contact.answered(now)
+        self._update_missing(now)
 
-    def outage_ended(self, when: float) -> None:
-        """Record the end of an outage that a peer noticed."""
-        if not self._in_outage:
-            self._outage_ended = max(self._outage_ended, when)
+    def store_restored(self, now: float) -> None:
+        """Record that the store was restored from a copy.
 
-    @property
-    def outage_ended_at(self) -> float:
-        """When the last outage ended; negative infinity without one."""
-        return self._outage_ended
+        Runners that are not in the copy have the time to register again.
+        """
+        self._table.expire(now)
+        self._contact.restored(now)
+        self._update_missing(now)
 
-    def apply_change(self, change: ListingChange, now: float) -> None:
+    def peer_in_touch(
+        self, peer: ids.InstanceId, since: float, now: float
+    ) -> None:
+        """Record since when a peer has had the store without interruption."""
+        self._contact.peer_in_touch(peer, since, now)
+        self._update_missing(now)
+
+    def apply_change(
+        self,
+        change: ListingChange,
+        now: float,
+        source: availability.Source = availability.Source.REMOVAL,
+    ) -> None:
         """Apply the change of one entry."""
         if change.listing is not None:
-            self._missing.discard(change.runner)
             self._table.put(change.listing, now)
-        elif now < self._outage_ended + REREGISTRATION_S:
-            self._missing.add(change.runner)
         else:
-            self._table.remove(change.runner)
+            self._table.remove(
+                change.runner,
+                now,
+                self._contact.removals_real_from(now),
+                source,
+            )
 
     def apply_snapshot(
         self, listings: list[model.RunnerListing], now: float
@@ -83,14 +96,19 @@
             self.apply_change(ListingChange(listing.runner, listing), now)
         for runner in list(self._table):
             if runner.runner_id not in listed:
-                self.apply_change(ListingChange(runner.runner_id, None), now)
+                self.apply_change(
+                    ListingChange(runner.runner_id, None),
+                    now,
+                    availability.Source.LOST_HISTORY,
+                )
 
     def remove_missing(self, now: float) -> list[ids.RunnerId]:
-        """Remove entries that are still missing; return their runners."""
-        if now < self.removal_due_at:
-            return []
-        removed = sorted(self._missing)
-        self._missing.clear()
-        for runner_id in removed:
-            self._table.remove(runner_id)
-        return removed
+        """Remove runners whose entry did not come back; return them."""
+        self._contact.forget_silent_peers(now)
+        return self._table.expire(now)
+
+    def _update_missing(self, now: float) -> None:
+        """Apply what is now known of when missing entries may come back."""
+        self._table.availability.set_missing_until(
+            self._contact.removals_real_from(now), now
+        )
--- a/primrosereel/routing/_shared_watch.py
+++ b/primrosereel/routing/_shared_watch.py
@@ -31,8 +31,6 @@
     something changed just then, or the sender read a snapshot of that
     revision. ``content`` holds the relevant changes after the revision
     ``since``; it is empty if they are not part of the notice.
-    ``outage_ended_at`` is when the sender reached the store again after an
-    outage, None if it knows of none.
     """
 
     revision: int
@@ -41,7 +39,6 @@
     change_known: bool = False
     since: int = 0
     content: bytes = b''
-    outage_ended_at: float | None = None
 
 
 class NoticeUse(enum.Enum):
--- a/tests/property/test_routing_units.py
+++ b/tests/property/test_routing_units.py
@@ -115,8 +115,9 @@
     """Guards against the loss of all runners when the store restarts empty."""
     table = runners.RunnerTable()
     listed = runner_list.RunnerList(table)
+    listed.store_recovered(0.0)
     listed.apply_snapshot([entry('r1'), entry('r2', 2)], 0.0)
-    listed.store_lost()
+    listed.store_lost(5.0)
     listed.store_recovered(10.0)
     listed.apply_snapshot([entry('r1')], 10.1)
     assert len(table) == 2
@@ -129,8 +130,9 @@
     """Guards against removal of a runner that registered again in time."""
     table = runners.RunnerTable()
     listed = runner_list.RunnerList(table)
+    listed.store_recovered(0.0)
     listed.apply_snapshot([entry('r1')], 0.0)
-    listed.store_lost()
+    listed.store_lost(5.0)
     listed.store_recovered(10.0)
     listed.apply_change(
         runner_list.ListingChange(ids.RunnerId('r1'), None), 10.1
