Send nothing to runners that back off

A runner that refuses with 503 and Retry-After wants nothing from this instance until then. The model keeps that time, but not all senders asked it, and a service whose runners all back off was refused after 0.25 s of Retry-After, for the reason no_runner.

No order is sent to such a runner and no handle is freed at it, and streams are neither moved to it nor by a call to it. A decode runner's refusal with Retry-After no longer counts as a lost handle, after which the request was sent to the same runner without one. If all runners of a service back off, callers are refused at once for the reason runners_backing_off; Retry-After is the shortest time that is left, not capped, and spread upwards by up to 30 %. Waiting requests are refused as well, except one whose prompt is prefilled and whose runner is back in time.

A stream that was stopped for a move is still continued at the runner with its copy if that one backs off in between: no other runner could.

--- a/primrosereel/_states.py
+++ b/primrosereel/_states.py
@@ -46,6 +46,7 @@
     DEADLINE = 'deadline'
     NO_CAPACITY = 'no_capacity'
     NO_RUNNER = 'no_runner'
+    RUNNERS_BACKING_OFF = 'runners_backing_off'
     DEPENDENCY_UNAVAILABLE = 'dependency_unavailable'
     NO_CONFIGURATION = 'no_configuration'
     DRAINING = 'draining'
--- a/primrosereel/gateway/_admission.py
+++ b/primrosereel/gateway/_admission.py
@@ -10,7 +10,12 @@
 from primrosereel.routing import _decode_places as decode_places
 from primrosereel.routing import _timeouts as timeouts
 
-__all__ = ['Refused', 'acquire_another_place', 'acquire_place']
+__all__ = [
+    'Refused',
+    'acquire_another_place',
+    'acquire_place',
+    'refusal_while_backing_off',
+]
 
 # How often waiting requests are checked even if no change was signalled.
 RECHECK_INTERVAL_S = 0.05
@@ -71,7 +76,9 @@
         on_admitted=admitted.set,
     )
     if not context.runners.ready(exchange.service, states.Role.DECODE, now):
-        raise Refused(states.RefusalReason.NO_RUNNER, MIN_RETRY_AFTER_S)
+        raise refusal_while_backing_off(
+            exchange, states.Role.DECODE
+        ) or Refused(states.RefusalReason.NO_RUNNER, MIN_RETRY_AFTER_S)
     limit_s = min(timeouts.place_wait_s(exchange.route), exchange.remaining_s)
     places.add(ticket, now)
     if ticket.runner is None:
@@ -113,6 +120,7 @@
 ) -> None:
     """Wait for a place; withdraw the ticket and refuse if none is free."""
     context = exchange.context
+    backing_off: Refused | None = None
     started_at = context.clock()
     next_update_at = started_at + PEER_UPDATE_INTERVAL_S
     try:
@@ -126,6 +134,11 @@
                     next_update_at = context.clock() + PEER_UPDATE_INTERVAL_S
                     context.uses_changed()
                 context.places.admit(context.clock())
+                backing_off = _backs_off_beyond(
+                    exchange, ticket, started_at + limit_s
+                )
+                if backing_off is not None:
+                    break
     except BaseException:
         _withdraw(exchange, ticket)
         context.places.release(ticket)
@@ -133,7 +146,7 @@
     if ticket.runner is None:
         _withdraw(exchange, ticket)
         wait_s = context.places.expected_wait_s(ticket, context.clock())
-        raise _no_capacity(exchange, wait_s)
+        raise backing_off or _no_capacity(exchange, wait_s)
 
 
 def _withdraw(
@@ -160,9 +173,60 @@
     return now + exchange.context.places.expected_wait_s(ticket, now) > until
 
 
+def refusal_while_backing_off(
+    exchange: context_module.Exchange, role: states.Role
+) -> Refused | None:
+    """Return the refusal of a request if all its runners back off.
+
+    Its ``retry_after_s`` is not capped by the time that the caller has left:
+    no runner takes the request before.
+    """
+    context = exchange.context
+    back_off_s = context.runners.availability.shortest_back_off_s(
+        (
+            runner.runner_id
+            for runner in context.runners
+            if runner.listing.service == exchange.service
+            and runner.listing.role is role
+        ),
+        context.clock(),
+    )
+    if not back_off_s:
+        return None
+    return Refused(
+        states.RefusalReason.RUNNERS_BACKING_OFF,
+        max(MIN_RETRY_AFTER_S, back_off_s) * _jitter(context),
+        f'all runners back off, the first one for {back_off_s:.2f} s',
+    )
+
+
+def _backs_off_beyond(
+    exchange: context_module.Exchange,
+    ticket: decode_places.Ticket,
+    until: float,
+) -> Refused | None:
+    """Return the refusal of a waiting request if all its runners back off.
+
+    A prompt that was prefilled would be lost, so its request waits for a
+    runner that takes requests again in time.
+    """
+    now = exchange.context.clock()
+    if ticket.runner is not None or exchange.context.runners.ready(
+        exchange.service, states.Role.DECODE, now
+    ):
+        return None
+    refused = refusal_while_backing_off(exchange, states.Role.DECODE)
+    if refused is None or not ticket.prefilled:
+        return refused
+    return refused if now + refused.retry_after_s > until else None
+
+
+def _jitter(context: context_module.Context) -> float:
+    return 1 + RETRY_AFTER_JITTER * context.random.random()
+
+
 def _no_capacity(exchange: context_module.Exchange, wait_s: float) -> Refused:
-    random = exchange.context.random
-    jitter = 1 + RETRY_AFTER_JITTER * random.random()
+    jitter = _jitter(exchange.context)
     latest_s = RETRY_AFTER_SHARE * exchange.remaining_s
     retry_after_s = min(max(MIN_RETRY_AFTER_S, wait_s) * jitter, latest_s)
     now = exchange.context.clock()
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -252,6 +252,11 @@
         """Return 503 only if no earlier attempt may have run."""
         if self._may_have_run:
             return self._exchange.failure(reason, 502)
+        refused = admission.refusal_while_backing_off(
+            self._exchange, states.Role.DECODE
+        )
+        if refused is not None:
+            return self._admission_reply(refused)
         return self._exchange.refusal(reason, RETRY_AFTER_S)
 
     def _handle_broken_stream(
@@ -387,18 +392,19 @@
     ) -> None:
         exchange = self._exchange
         now = self._context.clock()
+        backs_off = runner_signs.backs_off(self._context, runner)
         self._rejections += 1
         if rejected.head.status == upstream.MISDIRECTED:
             reason = Retry.RUNNER_REPLACED
             self._place.exclude(runner)
-        elif with_handle and self._handle_is_gone(runner):
+        elif with_handle and not backs_off and self._handle_is_gone(runner):
             reason = Retry.KV_CACHE_GONE
             self._prompt.invalidate_handle()
         else:
             reason = Retry.ENGINE_FULL
             runner.observe_rejection(now)
             self._place.give_up()
-            if not with_handle and runner.idle:
+            if not with_handle and not backs_off and runner.idle:
                 self._avoid_switching(runner, now)
         exchange.record_failed_attempt(reason, runner, str(rejected))
         if not self._context.budget.try_spend(exchange.service, now):
--- a/primrosereel/gateway/_orders.py
+++ b/primrosereel/gateway/_orders.py
@@ -108,7 +108,7 @@
         runner = context.runners.get(switch.runner)
         if not accepted:
             context.stop_avoiding_runner(switch.runner)
-            if runner is not None:
+            if runner is not None and self._accepts(switch):
                 runner.observe_failure(now)
         context.count('orders')
         context.log.info(
@@ -120,6 +120,12 @@
         )
         return accepted
 
+    def _accepts(self, switch: roles.RoleSwitch) -> bool:
+        context = self._context
+        return context.runners.availability.accepts(
+            switch.runner, context.clock()
+        )
+
     async def _send(self, switch: roles.RoleSwitch, token: int) -> str:
         context = self._context
         method, target, headers, body = context.dialect.role_order(
@@ -132,6 +138,8 @@
                 connection = await http.connect(
                     switch.address, CONNECT_TIMEOUT_S
                 )
+                if not self._accepts(switch):
+                    return 'the runner takes no orders now'
                 head = await connection.send_request(
                     http.OutgoingRequest(method, target, headers, body)
                 )
--- a/primrosereel/gateway/_plain.py
+++ b/primrosereel/gateway/_plain.py
@@ -4,6 +4,7 @@
 
 from primrosereel import _ids as ids
 from primrosereel import _states as states
+from primrosereel.gateway import _admission as admission
 from primrosereel.gateway import _callers as callers
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _http as http
@@ -200,4 +201,11 @@
             return exchange.failure(Reason.UPSTREAM_FAILED, 502)
         if exchange.attempts and exchange.remaining_s < MIN_REMAINING_S:
             return exchange.failure(Reason.DEADLINE, 504)
+        refused = admission.refusal_while_backing_off(
+            exchange, states.Role.PLAIN
+        )
+        if refused is not None:
+            return exchange.refusal(
+                refused.reason, refused.retry_after_s, refused.detail
+            )
         return exchange.refusal(self._refusal_reason, RETRY_AFTER_S)
--- a/primrosereel/gateway/_prompt.py
+++ b/primrosereel/gateway/_prompt.py
@@ -199,6 +199,10 @@
         handle, self._handle = self._handle, None
         if handle is None:
             return
+        if runner_signs.backs_off(self._context, handle.runner):
+            # The handle expires by itself.
+            await handle.connection.close()
+            return
         method, target = self._context.dialect.free_handle(handle.name)
         address = str(handle.connection.address).encode()
         request = http.OutgoingRequest(method, target, [(b'Host', address)])
--- a/primrosereel/gateway/_runner_signs.py
+++ b/primrosereel/gateway/_runner_signs.py
@@ -11,7 +11,7 @@
 from primrosereel.routing import _model as model
 from primrosereel.routing import _runners as runners
 
-__all__ = ['LEFT', 'has_left', 'observe_answer']
+__all__ = ['LEFT', 'backs_off', 'has_left', 'observe_answer']
 
 LEFT = frozenset(
     {availability.Availability.LEAVING, availability.Availability.GONE}
@@ -59,6 +59,16 @@
     return state in LEFT
 
 
+def backs_off(context: context_module.Context, runner: runners.Runner) -> bool:
+    """Tell whether a runner wants nothing from this instance now."""
+    return (
+        context.runners.availability.back_off_remaining_s(
+            runner.runner_id, context.clock()
+        )
+        > 0
+    )
+
+
 def _observe_back_off(
     context: context_module.Context,
     runner: runners.Runner,
--- a/primrosereel/gateway/_stream_move.py
+++ b/primrosereel/gateway/_stream_move.py
@@ -74,7 +74,9 @@
         """Release the target's place and free a copy that was not used."""
         self.end()
         unused_copy, self._unused_copy = self._unused_copy, None
-        if unused_copy is None:
+        if unused_copy is None or runner_signs.backs_off(
+            self._context, self._source
+        ):
             return
         method, target = self._context.dialect.free_handle(unused_copy)
         self._context.count('streams.copies_freed')
@@ -144,7 +146,10 @@
         until = context.clock() + PLACE_SEARCH_LIMIT_S
         while not self._ended and context.clock() < until:
             runner = context.places.choose(self._ticket, context.clock())
-            if runner is not None and self.first_event_sent:
+            may_call = self.first_event_sent and not runner_signs.backs_off(
+                context, self._source
+            )
+            if runner is not None and may_call:
                 if not context.budget.try_spend(
                     self._exchange.service, context.clock()
                 ):
@@ -165,6 +170,8 @@
         status = await self._copy_to(target, last=False)
         if status != 200 or self._ended:
             return f'copy: status {status}'
+        if not target.availability.accepts(self._context.clock()):
+            return 'the target takes no more requests'
         self._stopping = True
         status = await self._copy_to(target, last=True)
         if status == 200:
