Place requests anew whose runner stops before they are sent

A request holds its place and an open connection at a decode runner while its prompt is prefilled. If the runner began to leave or to back off in that time, by its entry or by an answer, the request was sent to it all the same. Plain calls and prefills had the same gap while they connected.

UnsentPlaces tells each HeldPlace at once that its runner takes no more requests. The place is given up, and the request gets another one or waits as the first of its priority; it is not late, and is not refused for that. With its prompt prefilled it keeps the handle and goes before all others. HeldPlace.confirm asks once more just before the sending. upstream.connect_or_reuse raises Withdrawn if the runner stopped while a connection was opened, and another runner is tried.

All 7 tests fail without the change: d1, s1 or p1 got the request (assert not [Request(...)]); Ticket had no flag displaced.

--- a/primrosereel/gateway/_admission.py
+++ b/primrosereel/gateway/_admission.py
@@ -98,11 +98,13 @@
     ticket: decode_places.Ticket,
     limit_s: float,
 ) -> None:
-    """Queue a ticket whose place was given up.
+    """Queue a ticket whose place was given up, if it has no other yet.
 
     Raises Refused if no place is free in time.
     """
     context = exchange.context
+    if ticket.runner is not None:
+        return
     admitted = anyio.Event()
     ticket.on_admitted = admitted.set
     context.places.add(ticket, context.clock())
--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -29,6 +29,7 @@
 from primrosereel.gateway import _status as status
 from primrosereel.gateway import _store_client as store_client
 from primrosereel.gateway import _store_reader as store_reader
+from primrosereel.gateway import _unsent_places as unsent_places
 from primrosereel.routing import _availability as availability_module
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _members as members_module
@@ -133,6 +134,7 @@
             ),
             shards=shards,
             leave_callbacks=leave_callbacks.LeaveCallbacks(self._part_failed),
+            unsent_places=unsent_places.UnsentPlaces(),
             pool=pool_module.ConnectionPool(),
             response_memory=response_memory.ResponseMemory(
                 settings.memory_bytes
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -15,6 +15,7 @@
 from primrosereel.gateway import _ports as ports
 from primrosereel.gateway import _response_memory as response_memory_module
 from primrosereel.gateway import _settings as settings
+from primrosereel.gateway import _unsent_places as unsent_places_module
 from primrosereel.routing import _availability as availability
 from primrosereel.routing import _decode_places as decode_places
 from primrosereel.routing import _demand as demand_module
@@ -58,6 +59,7 @@
     members: members_module.Members
     shards: shards_module.Shards
     leave_callbacks: leave_callbacks_module.LeaveCallbacks
+    unsent_places: unsent_places_module.UnsentPlaces
     pool: pool_module.ConnectionPool
     response_memory: response_memory_module.ResponseMemory
     log: Any
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -9,6 +9,7 @@
 from primrosereel.gateway import _callers as callers
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _crash_reports as crash_reports_module
+from primrosereel.gateway import _decode_connection as decode_connection
 from primrosereel.gateway import _event_stream as event_stream
 from primrosereel.gateway import _held_place as held_place
 from primrosereel.gateway import _http as http
@@ -34,7 +35,6 @@
 SWITCH_AVOID_SHARE = 0.35
 # Decode runners that may reject a request before it is refused.
 MAX_REJECTIONS = 4
-MAX_CONNECT_ATTEMPTS = 4
 RETRY_AFTER_S = 0.5
 
 
@@ -74,7 +74,9 @@
         self._prompt = prompt_module.Prompt(exchange)
         self._rejections = 0
         self._may_have_run = False
-        self._connection: http.HttpConnection | None = None
+        self._connection = decode_connection.DecodeConnection(
+            exchange, self._place
+        )
         # The decode runner that is currently prefilling the prompt itself.
         self._local_prefill_runner: runners.Runner | None = None
         # The move of the current stream, and the completed move whose copy
@@ -89,7 +91,8 @@
         try:
             with anyio.fail_after(exchange.remaining_s):
                 self._crash_reports.check(exchange)
-                await self._acquire_place()
+                if not await self._connection.open():
+                    raise RequestEnded(self._refusal(Reason.NO_RUNNER))
                 self._crash_reports.check(exchange)
                 await self._prefill()
                 return await self._stream_until_complete()
@@ -104,9 +107,7 @@
             if self._move is not None:
                 await self._move.close()
             await self._prompt.free()
-            if self._connection is not None:
-                with anyio.CancelScope(shield=True):
-                    await self._connection.close()
+            await self._connection.close()
 
     def _count_request(self) -> None:
         exchange = self._exchange
@@ -127,44 +128,6 @@
         await self._caller.reply(reply)
         return True
 
-    async def _acquire_place(self) -> None:
-        """Acquire a place at a reachable decode runner.
-
-        The connection is opened before the prefill, so that no prompt is
-        prefilled for an unreachable runner.
-        """
-        for _ in range(MAX_CONNECT_ATTEMPTS):
-            runner = await self._place.acquire()
-            try:
-                self._connection = await upstream.connect(
-                    self._exchange, runner
-                )
-                return
-            except upstream.NotSent as error:
-                self._record_connect_failure(runner, str(error))
-        raise RequestEnded(self._refusal(Reason.NO_RUNNER))
-
-    def _record_connect_failure(
-        self, runner: runners.Runner, detail: str
-    ) -> None:
-        runner.observe_failure(self._context.clock())
-        self._exchange.record_failed_attempt(
-            Retry.CONNECT_FAILED, runner, detail
-        )
-        self._place.exclude(runner)
-
-    async def _decode_connection(
-        self, runner: runners.Runner
-    ) -> http.HttpConnection:
-        """Return the connection opened earlier, or a new one if it closed."""
-        connection, self._connection = self._connection, None
-        if connection is not None:
-            same_address = connection.address == runner.listing.address
-            if same_address and not connection.has_input():
-                return connection
-            await connection.close()
-        return await upstream.connect(self._exchange, runner)
-
     async def _handle_timeout(self) -> bool:
         if self._stream.head_sent:
             self._exchange.failure(Reason.UPSTREAM_TIMEOUT, 0)
@@ -359,7 +322,10 @@
             self._set_local_prefill_runner(runner)
         try:
             with anyio.move_on_after(self._first_event_s()):
-                connection = await self._decode_connection(runner)
+                connection = await self._connection.take(runner)
+                if connection is None:
+                    self._may_have_run = may_have_run_before
+                    return None
                 response = await upstream.open_response(
                     exchange, runner, options, connection
                 )
@@ -370,7 +336,7 @@
                 return response
         except upstream.NotSent as error:
             self._may_have_run = may_have_run_before
-            self._record_connect_failure(runner, str(error))
+            self._connection.record_failure(runner, str(error))
         except upstream.Rejected as error:
             self._may_have_run = may_have_run_before
             self._handle_rejection(runner, handle is not None, error)
--- a/primrosereel/gateway/_plain.py
+++ b/primrosereel/gateway/_plain.py
@@ -84,6 +84,9 @@
                 Retry.CONNECT_FAILED, runner, str(error)
             )
             return None
+        except upstream.Withdrawn:
+            self._may_have_run = may_have_run_before
+            return None
         except upstream.Rejected as error:
             self._may_have_run = may_have_run_before
             runner.observe_rejection(self._context.clock())
--- a/primrosereel/gateway/_prompt.py
+++ b/primrosereel/gateway/_prompt.py
@@ -85,6 +85,8 @@
         except upstream.NotSent as error:
             self._record_failure(runner, Retry.CONNECT_FAILED, str(error))
             return True
+        except upstream.Withdrawn:
+            return True
         except upstream.Rejected as error:
             return self._handle_rejection(runner, error)
         except http.BrokenResponse as error:
--- a/primrosereel/gateway/_runner_changes.py
+++ b/primrosereel/gateway/_runner_changes.py
@@ -1,7 +1,8 @@
 """Acts on changes of runners' availability, whatever they were learned from.
 
 A runner that leaves gets no new request: its idle connections are closed and
-its streams are moved.
+its streams are moved. Requests that hold a place at a runner that takes none
+any more, and were not sent yet, are placed anew.
 """
 
 from primrosereel.gateway import _availability_log as availability_log
@@ -14,6 +15,7 @@
 Source = availability.Source
 
 # What only this instance has learned; an entry is read by all instances.
+TAKES_NOTHING = runner_signs.LEFT | {availability.Availability.BACKING_OFF}
 OWN_SOURCES = frozenset({Source.ANSWER, Source.REFUSAL})
 
 
@@ -32,5 +34,7 @@
             runner = context.runners.get(transition.runner)
             if runner is not None:
                 context.pool.drop(runner.listing.address)
+        if transition.new in TAKES_NOTHING:
+            context.unsent_places.runner_stopped(transition.runner)
         if transition.source in OWN_SOURCES:
             context.availability_changed(transition.new)
--- a/primrosereel/gateway/_upstream.py
+++ b/primrosereel/gateway/_upstream.py
@@ -17,6 +17,7 @@
     'NotSent',
     'OpenResponse',
     'Rejected',
+    'Withdrawn',
     'build_request',
     'connect',
     'connect_or_reuse',
@@ -44,6 +45,10 @@
     """No connection was established, so nothing was sent to the runner."""
 
 
+class Withdrawn(Exception):
+    """The runner takes no more requests, and the request was not sent."""
+
+
 @dataclasses.dataclass(slots=True)
 class OpenResponse:
     """A response whose body has not been read."""
@@ -109,12 +114,21 @@
 async def connect_or_reuse(
     exchange: context_module.Exchange, runner: runners.Runner
 ) -> http.HttpConnection:
-    """Return an idle connection to a runner, or a new one."""
+    """Return an idle connection to a runner, or a new one.
+
+    Raises NotSent if none is established, and Withdrawn if the runner has
+    begun to leave or to back off meanwhile.
+    """
     context = exchange.context
-    idle = await context.pool.get(
+    connection = await context.pool.get(
         runner.listing.address, context.clock(), exchange.facts.request_id
     )
-    return idle or await connect(exchange, runner)
+    if connection is None:
+        connection = await connect(exchange, runner)
+    if not runner.availability.accepts(context.clock()):
+        await connection.close()
+        raise Withdrawn(runner.runner_id)
+    return connection
 
 
 async def open_response(
--- a/primrosereel/routing/_decode_places.py
+++ b/primrosereel/routing/_decode_places.py
@@ -83,17 +83,22 @@
     # The prompt was prefilled for a runner that then rejected the request.
     # Its KV cache lasts for less than a second.
     prefilled: bool = False
+    # The request lost its place before it was sent, as its runner takes no
+    # more requests. It goes before the others of its priority.
+    displaced: bool = False
     on_admitted: Callable[[], None] = lambda: None
 
     def rank(self, now: float) -> tuple[bool, int, float]:
         """Return the sort key by which tickets get places, lowest first."""
         if self.prefilled:
             return False, PREFILLED_PRIORITY, self.arrived_at
+        if self.displaced:
+            return False, self.priority, -math.inf
         return self.is_late(now), self.priority, self.arrived_at
 
     def is_late(self, now: float) -> bool:
         """Tell whether the request misses its target even if it starts now."""
-        return now > self.latest_start(now)
+        return not self.displaced and now > self.latest_start(now)
 
 
 class _MeanDuration:
@@ -185,9 +190,11 @@
 
     def add(self, ticket: Ticket, now: float) -> None:
         """Queue a ticket and admit the waiting tickets that fit."""
-        if not ticket.prefilled and not ticket.is_late(now):
+        is_new = not ticket.prefilled and not ticket.displaced
+        if is_new and not ticket.is_late(now):
             self._arrivals.add(ticket.tokens, now)
-        self._waiting.append(ticket)
+        if ticket not in self._waiting:
+            self._waiting.append(ticket)
         self.admit(now)
 
     def withdraw(self, ticket: Ticket) -> None:
