--- a/primrosereel/routing/_availability.py
+++ b/primrosereel/routing/_availability.py
@@ -7,12 +7,17 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-import dataclasses
 import math
 from typing import NamedTuple
 
 from primrosereel import _ids as ids
+from primrosereel.routing._availability_notices import RunnerNotices
+from primrosereel.routing._availability_notices import TOLD
+from primrosereel.routing._availability_record import AvailabilityRecord
+from primrosereel.routing._availability_record import entry_event
+from primrosereel.routing._availability_record import is_older
 from primrosereel.routing._availability_states import Availability
+from primrosereel.routing._availability_states import BARRED
 from primrosereel.routing._availability_states import Event
 from primrosereel.routing._availability_states import Notice
 from primrosereel.routing._availability_states import RunVersion
@@ -39,15 +44,6 @@
 # that was restored from a copy lists it again.
 TOMBSTONE_S = 120.0
 MAX_TOMBSTONES = 1024
-# How long peers are told that a runner is back.
-RETURN_TOLD_S = 10.0
-# Peers are told of at most this many runners at a time, newest first.
-MAX_NOTICES = 64
-
-# States in which a runner gets no new request.
-_BARRED = frozenset((Availability.LEAVING, Availability.GONE))
-# States of which peers are told.
-_TOLD = _BARRED | {Availability.BACKING_OFF}
 
 
 class AvailabilityBounds(NamedTuple):
@@ -62,85 +58,6 @@
 DEFAULT_BOUNDS = AvailabilityBounds()
 
 
-@dataclasses.dataclass(eq=False, slots=True)
-class AvailabilityRecord:
-    """What is known of the newest known run of a runner.
-
-    The runner takes new requests from ``accepts_from`` until
-    ``accepts_until``.
-    """
-
-    version: RunVersion = RunVersion(0)
-    state: Availability = Availability.READY
-    source: Source = Source.ENTRY
-    since: float = -math.inf
-    accepts_from: float = -math.inf
-    accepts_until: float = math.inf
-    back_off_until: float = -math.inf
-    # A peer was refused; other runners are preferred until then.
-    hinted_until: float = -math.inf
-    # The entry is removed; it may come back until ``missing_until``.
-    is_unlisted: bool = False
-    missing_until: float = math.inf
-    entry_seen_at: float = -math.inf
-    returned_at: float = -math.inf
-    # The run said that it leaves. That outlasts a return of its entry.
-    said_leaving: bool = False
-
-    def accepts(self, now: float) -> bool:
-        """Tell whether the runner may get a new request."""
-        return self.accepts_from <= now < self.accepts_until
-
-    @property
-    def is_removed(self) -> bool:
-        """Whether the runner is gone and its entry too."""
-        return self.is_unlisted and self.state is Availability.GONE
-
-    def preference(self, now: float) -> int:
-        """Return how willingly the runner is used, 0 first.
-
-        A runner that refused a peer's request comes second, and one whose
-        entry is missing last.
-        """
-        if self.state is Availability.MISSING:
-            return 2
-        return 1 if now < self.hinted_until else 0
-
-    def state_at(self, now: float) -> Availability:
-        """Return the state, with what time alone has ended."""
-        event = self.due_event(now)
-        return TRANSITIONS[self.state, event] if event else self.state
-
-    def due_event(self, now: float) -> Event | None:
-        """Return the event that time alone has brought about."""
-        if now >= self.missing_until:
-            return Event.REREGISTRATION_OVER
-        if (
-            self.state is Availability.BACKING_OFF
-            and now >= self.back_off_until
-        ):
-            return Event.BACK_OFF_OVER
-        return None
-
-    def update_times(self) -> None:
-        """Derive the times between which the runner accepts requests."""
-        self.accepts_from = self.back_off_until
-        if self.state in _BARRED:
-            self.accepts_from = math.inf
-        self.accepts_until = self.missing_until
-
-    def start_run(self, born_ms: int) -> None:
-        """Forget what was said of older runs."""
-        self.version = RunVersion(born_ms)
-        self.back_off_until = self.hinted_until = -math.inf
-        self.said_leaving = False
-
-    def describe(self, now: float) -> str:
-        """Return the state, its source and age, for the log."""
-        age = f' for {now - self.since:.3f} s' if self.since > -1e9 else ''
-        return f'{self.state.value} by {self.source.value}{age}'
-
-
 def _ignore(transition: Transition) -> None:
     """Do nothing with a transition."""
 
@@ -161,8 +78,9 @@
         self._bounds = bounds
         self._on_transition = on_transition
         self._records: dict[ids.RunnerId, AvailabilityRecord] = {}
-        # The records of which peers are told.
-        self._told: dict[ids.RunnerId, AvailabilityRecord] = {}
+        self._told = RunnerNotices(bounds.tombstone_s, bounds.max_tombstones)
+        # The records whose entry is removed and may come back.
+        self._missing: dict[ids.RunnerId, AvailabilityRecord] = {}
         self._deferred_until = -math.inf
 
     def __len__(self) -> int:
@@ -198,9 +116,9 @@
         nothing newer of a runner whose entry was removed.
         """
         record = self.record(runner_id)
-        if _is_older(version, record.version):
+        if is_older(version, record.version):
             return False
-        event = _entry_event(record, version, leaving)
+        event = entry_event(record, version, leaving)
         if event is Event.LISTED_AGAIN:
             return record.state_at(now) not in (
                 Availability.MISSING,
@@ -214,6 +132,7 @@
         record.entry_seen_at = now
         record.is_unlisted = False
         record.missing_until = math.inf
+        self._missing.pop(runner_id, None)
         record.said_leaving = record.said_leaving or leaving
         if was_gone and not record.said_leaving:
             self._tell_return(runner_id, record, now)
@@ -236,6 +155,7 @@
         record.is_unlisted = True
         if now < missing_until and record.state is not Availability.GONE:
             record.missing_until = missing_until
+            self._missing[runner_id] = record
             self._apply(runner_id, record, Event.LAPSED, source, now)
         else:
             self._apply(runner_id, record, Event.REMOVED, source, now)
@@ -325,33 +245,14 @@
             (
                 self.back_off_remaining_s(runner_id, now)
                 for runner_id in runner_ids
-                if self.state(runner_id, now) not in _BARRED
+                if self.state(runner_id, now) not in BARRED
             ),
             default=0.0,
         )
 
     def notices(self, now: float) -> list[Notice]:
         """Return what peers are told, newest first."""
-        notices = [
-            Notice(
-                runner_id,
-                record.version.born_ms,
-                record.state,
-                max(0.0, now - record.since),
-                max(0.0, record.back_off_until - now),
-            )
-            for runner_id, record in self._told.items()
-            if self._is_told(record, now)
-        ]
-        notices.sort(key=lambda notice: notice.age_s)
-        return notices[:MAX_NOTICES]
-
-    def _is_told(self, record: AvailabilityRecord, now: float) -> bool:
-        if record.state is Availability.BACKING_OFF:
-            return now < record.back_off_until
-        if record.state in _BARRED:
-            return now - record.since < self._bounds.tombstone_s
-        return now - record.returned_at < RETURN_TOLD_S
+        return self._told.notices(now)
 
     def receive(self, notice: Notice, now: float) -> None:
         """Apply what a peer told."""
@@ -405,18 +306,20 @@
         self, runner_id: ids.RunnerId, record: AvailabilityRecord, when: float
     ) -> None:
         record.returned_at = when
-        self._told[runner_id] = record
+        self._told.add(runner_id, record)
 
     def set_missing_until(self, missing_until: float, now: float) -> None:
         """Set until when missing entries may come back.
 
-        Call ``expire`` before, so that entries whose time is over stay gone.
+        A runner whose time is over stays gone.
         """
-        for record in self._records.values():
-            if record.is_unlisted and record.state is not Availability.GONE:
+        for runner_id, record in list(self._missing.items()):
+            self._advance(runner_id, record, now)
+            if runner_id in self._missing:
                 record.missing_until = missing_until
                 record.update_times()
                 self._defer(missing_until)
+                self._advance(runner_id, record, now)
 
     def expire(self, now: float) -> None:
         """Apply what time has brought about.
@@ -430,24 +333,8 @@
                 self._defer(record.missing_until)
             if now < record.hinted_until:
                 self._defer(record.hinted_until)
-        self._forget_tombstones(now)
-
-    def _forget_tombstones(self, now: float) -> None:
-        for runner_id, record in list(self._told.items()):
-            if not self._is_told(record, now):
-                del self._told[runner_id]
-                if _is_tombstone(record):
-                    del self._records[runner_id]
-        tombstones = [
-            (record.since, runner_id)
-            for runner_id, record in self._told.items()
-            if _is_tombstone(record)
-        ]
-        excess = len(tombstones) - self._bounds.max_tombstones
-        if excess > 0:
-            for _, runner_id in sorted(tombstones)[:excess]:
-                del self._told[runner_id]
-                del self._records[runner_id]
+        for runner_id in self._told.expire(now):
+            self._records.pop(runner_id, None)
 
     def _defer(self, until: float) -> None:
         self._deferred_until = max(self._deferred_until, until)
@@ -462,10 +349,8 @@
         over_since = record.missing_until
         if event is Event.BACK_OFF_OVER:
             over_since = record.back_off_until
-        record.missing_until = math.inf
-        self._apply(
-            runner_id, record, event, record.source, now, now - over_since
-        )
+        age_s = now - max(over_since, record.since)
+        self._apply(runner_id, record, event, record.source, now, age_s)
 
     def _apply(
         self,
@@ -484,6 +369,7 @@
             new = TRANSITIONS[new, Event.REFUSED]
         if new is Availability.GONE:
             record.missing_until = math.inf
+            self._missing.pop(runner_id, None)
         overrode = record.describe(now)
         if new is not old:
             record.state, record.source = new, source
@@ -491,8 +377,8 @@
         record.update_times()
         if new is Availability.MISSING:
             self._defer(record.missing_until)
-        if new in _TOLD:
-            self._told[runner_id] = record
+        if new in TOLD:
+            self._told.add(runner_id, record)
         if new is not old:
             until = {
                 Availability.BACKING_OFF: record.back_off_until,
@@ -501,35 +387,3 @@
             self._on_transition(
                 Transition(runner_id, old, new, source, age_s, until, overrode)
             )
-
-
-def _is_older(version: RunVersion, known: RunVersion) -> bool:
-    """Tell whether an entry is older than the known one.
-
-    An entry without a sequence is not older than others of its run.
-    """
-    if version.born_ms != known.born_ms:
-        return version.born_ms < known.born_ms
-    return 0 < version.sequence < known.sequence
-
-
-def _entry_event(
-    record: AvailabilityRecord, version: RunVersion, leaving: bool
-) -> Event:
-    """Return the event of an entry that is not older than the known one."""
-    if version.born_ms > record.version.born_ms:
-        return Event.NEW_RUN_LEAVING if leaving else Event.NEW_RUN
-    if version == record.version and version.sequence:
-        says_more = leaving and record.state is not Availability.GONE
-        return Event.LISTED_LEAVING if says_more else Event.LISTED_AGAIN
-    if leaving or record.said_leaving:
-        return Event.LISTED_LEAVING
-    return Event.LISTED
-
-
-def _is_tombstone(record: AvailabilityRecord) -> bool:
-    """Tell whether only the memory of a runner is left."""
-    unlisted = record.entry_seen_at == -math.inf
-    return record.state is Availability.GONE or (
-        record.state is Availability.LEAVING and unlisted
-    )
--- a/primrosereel/routing/_availability_states.py
+++ b/primrosereel/routing/_availability_states.py
@@ -12,6 +12,7 @@
 from primrosereel import _ids as ids
 
 __all__ = [
+    'BARRED',
     'TRANSITIONS',
     'Availability',
     'Event',
@@ -34,6 +35,10 @@
     GONE = 'gone'
 
 
+# States in which a runner gets no new request.
+BARRED = frozenset((Availability.LEAVING, Availability.GONE))
+
+
 class Source(enum.Enum):
     """From what a statement about a runner was learned."""
 
