--- a/primrosereel/routing/_runners.py
+++ b/primrosereel/routing/_runners.py
@@ -168,9 +168,9 @@
         availability: availability_module.AvailabilityTable | None = None,
     ) -> None:
         self._owns = owns
-        self._availability = (
-            availability or availability_module.AvailabilityTable()
-        )
+        if availability is None:
+            availability = availability_module.AvailabilityTable()
+        self._availability = availability
         self._runners: dict[ids.RunnerId, Runner] = {}
 
     def __len__(self) -> int:
