--- a/primrosereel/routing/_runners.py
+++ b/primrosereel/routing/_runners.py
@@ -204,7 +204,6 @@
         availability: availability_module.AvailabilityTable | None = None,
     ) -> None:
         self._owns = owns
-        # A table that is still empty is false.
         if availability is None:
             availability = availability_module.AvailabilityTable()
         self._availability = availability
