--- /dev/null
+++ b/tests/property/test_gateway_stop.py
@@ -0,0 +1,113 @@
+"""Requests around the end of a planned stop of the gateway."""
+
+import contextlib
+
+import anyio
+import pytest
+
+from primrosereel.standin import _listed_runner as listed_runner
+from tests import gateway_fleet
+
+Fault = listed_runner.Fault
+
+run = gateway_fleet.run_scenario
+CONNECTIONS = 5
+
+
+async def stop(fleet):
+    fleet.gateway._stop_requested.set()
+    await fleet.wait_for(lambda: fleet.gateway._context.refusing)
+
+
+def test_requests_that_arrive_as_idle_connections_close_are_answered():
+    """Guards against requests that are dropped when a stop closes connections.
+
+    A connection counted as idle until its bytes were parsed.
+    """
+
+    async def scenario(fleet):
+        async with contextlib.AsyncExitStack() as stack:
+            clients = [
+                await stack.enter_async_context(fleet.client())
+                for _ in range(CONNECTIONS)
+            ]
+            for number, client in enumerate(clients):
+                await client.ask('/read/1', f'r{number}')
+            fleet.gateway._context.refusing = True
+            for number, client in enumerate(clients):
+                client.send_at_once('/read/1', f's{number}')
+            fleet.gateway._server.close_idle()
+            replies = [await client.receive() for client in clients]
+        assert [reply.status for reply in replies] == [503] * CONNECTIONS
+        closing = [reply.headers['connection'] for reply in replies]
+        assert closing == ['close'] * CONNECTIONS
+
+    run(scenario)
+
+
+def test_request_that_is_read_at_the_end_of_a_stop_is_answered():
+    """Guards against a closed connection while a request is being read.
+
+    It did not count as active, so the process ended in front of its rest.
+    """
+
+    async def scenario(fleet):
+        async with fleet.client() as client:
+            data = client.encode('/file/1', 'r1', method='POST', body=b'body')
+            await client.send_bytes(data[:-2])
+            await stop(fleet)
+            await anyio.sleep(0.3)
+            await client.send_bytes(data[-2:])
+            reply = await client.receive()
+            assert (reply.status, reply.complete) == (503, True)
+            assert reply.headers['connection'] == 'close'
+        await fleet.wait_for(lambda: bool(fleet.log.named('stopped')))
+
+    run(scenario)
+
+
+@pytest.mark.parametrize('path', ['/read/1', '/file/1', '/once/1', '/ask/1'])
+def test_request_in_progress_at_the_end_of_a_stop_is_answered(path):
+    """Guards against a request that a stop cuts without an answer."""
+
+    async def scenario(fleet):
+        config = gateway_fleet.configuration(version=2)
+        for route in config['routes']:
+            route['timeoutMs'] = 30_000
+        fleet.store.put('op/config', config)
+        context = fleet.gateway._context
+        await fleet.wait_for(lambda: context.table.version == 2)
+        for runner in fleet.runners.values():
+            if runner.options.stage != 'prefill':
+                runner.faults.extend([Fault.SILENT] * 3)
+        async with fleet.client() as client:
+            await client.send(path, 'r1', 'POST', Token_Usage='400,40')
+            await anyio.sleep(0.1)
+            fleet.gateway._stop_requested.set()
+            reply = await client.receive()
+            assert (reply.status, reply.complete) == (504, True)
+        await fleet.wait_for(lambda: bool(fleet.log.named('stopped')))
+        assert not fleet.log.named('requests cut')
+
+    run(scenario)
+
+
+def test_stream_that_has_begun_is_cut_as_the_last_one():
+    """Guards against a stream that a stop cuts earlier than it must."""
+
+    async def scenario(fleet):
+        for name in ('d1', 'd2'):
+            fleet.runners[name].options.event_s = 0.1
+            fleet.runners[name].options.events = 100
+        async with fleet.client() as client:
+            await client.send('/once/1', 'r1', 'POST', Token_Usage='400,40')
+            await client.receive(until=b'id: 1')
+            fleet.gateway._stop_requested.set()
+            started_at = anyio.current_time()
+            assert not (await client.receive()).complete
+            lasted_s = anyio.current_time() - started_at
+        assert lasted_s > 1.8 - 0.01
+        (line,) = fleet.log.named('request unanswered')
+        assert line['reason'] == 'stream_cut'
+
+    run(scenario)
