Tell peers what runners say of their availability

A runner tells each instance by itself that it leaves, and only those that it answers. An instance that is cut off from the store learned it last.

Datagrams carry the model's notices: runner, run, state, age and the rest of a back-off. What a runner said to this instance is told at once, that one leaves to all members; heartbeats repeat what is younger than 3 s, as a datagram may be lost; gossip and the first datagram to a new member hold all notices. Ordinary updates hold none, as bytes between zones are priced. Each datagram says for how long its sender has had the store without interruption, for the model to date removals.

Without the sender and the receiver 5 of the 6 tests fail: the peer's state stays ready, or no hint arrives (TimeoutError), and StoreReader had no attribute in_touch_since.

--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -159,6 +159,7 @@
         self._orders = orders.Orders(self._context)
         self._context.uses_changed = self._peers.notify_uses_changed
         self._context.crash_evidence_changed = self._peers.send_crash_evidence
+        self._context.availability_changed = self._peers.send_runner_notices
         self._context.send_store_notice = self._peers.send_store_notice
         self._end_at = math.inf
         self._max_instances_seen = INSTANCES_PER_SEED * max(
--- a/primrosereel/gateway/_peers.py
+++ b/primrosereel/gateway/_peers.py
@@ -19,7 +19,9 @@
 from primrosereel import _states as states
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _crash_reports as crash_reports_module
+from primrosereel.gateway import _runner_notices as runner_notices
 from primrosereel.gateway import _store_reader as store_reader
+from primrosereel.routing import _availability as availability
 from primrosereel.routing import _demand as demand
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _prompt_quarantine as prompt_quarantine
@@ -92,6 +94,9 @@
     demands: list[tuple[str, int, int]] = []
     store: _StoreNotice | None = None
     suspects: list[_Suspect] = []
+    runners: list[runner_notices.RunnerNotice] = []
+    # For how long in ms the sender has had the store without interruption.
+    store_in_touch_ms: int | None = None
 
 
 class Peers:
@@ -109,6 +114,10 @@
         # Whether the next datagram goes to all members, with the evidence
         # about prompts that crash runners.
         self._crash_evidence_unsent = False
+        # Whether the next datagram tells what runners said of themselves, and
+        # whether it goes to all members.
+        self._runner_notices_unsent = False
+        self._leaving_unsent = False
         # Content of the store that is sent with the next datagram.
         self._unsent_notice: shared_watch.Notice | None = None
         self._members = context.members
@@ -139,6 +148,17 @@
         self._crash_evidence_unsent = True
         self._changed.set()
 
+    def send_runner_notices(self, new: availability.Availability) -> None:
+        """Schedule a datagram on what a runner said of itself.
+
+        All instances are told of a runner that leaves; that one backs off is
+        a hint for those that use the same runners.
+        """
+        self._runner_notices_unsent = True
+        if new is availability.Availability.LEAVING:
+            self._leaving_unsent = True
+        self._changed.set()
+
     async def run(self) -> None:
         """Exchange datagrams until cancelled."""
         own_address = self._context.settings.peer
@@ -163,13 +183,18 @@
                     self._crash_evidence_unsent,
                     False,
                 )
-                if tell_all:
+                if tell_all or self._leaving_unsent:
                     targets |= {member.host for member in self._members}
+                scope = runner_notices.Scope.NONE
+                if self._runner_notices_unsent:
+                    scope = runner_notices.Scope.NEW
+                self._runner_notices_unsent = self._leaving_unsent = False
                 await self._send(
                     socket,
                     targets,
                     notice=notice,
                     with_crash_evidence=tell_all,
+                    scope=scope,
                 )
 
     async def _send_heartbeats(self, socket: anyio.abc.UDPSocket) -> None:
@@ -187,7 +212,11 @@
                 del self._incarnations[host]
             seed_hosts = {seed.host for seed in context.settings.seeds}
             targets = shard_hosts | self._other_shard_hosts()
-            await self._send(socket, targets | seed_hosts - known_hosts)
+            await self._send(
+                socket,
+                targets | seed_hosts - known_hosts,
+                scope=runner_notices.Scope.NEW,
+            )
             await self._gossip(socket, now)
             searching = (
                 not known_hosts and now - started_at < SEARCH_DURATION_S
@@ -208,6 +237,7 @@
             self._gossip_members(now),
             free_memory,
             with_crash_evidence=True,
+            scope=runner_notices.Scope.ALL,
         )
 
     async def _update_new_members(self, socket: anyio.abc.UDPSocket) -> None:
@@ -224,6 +254,7 @@
                 new_members,
                 self._gossip_members(now),
                 with_crash_evidence=True,
+                scope=runner_notices.Scope.ALL,
             )
 
     def _update_shards(self) -> None:
@@ -293,11 +324,13 @@
         free_memory: Iterable[tuple[str, int]] = (),
         notice: shared_watch.Notice | None = None,
         with_crash_evidence: bool = False,
+        scope: runner_notices.Scope = runner_notices.Scope.NONE,
     ) -> None:
         context = self._context
         own_address = context.settings.peer
         assert own_address is not None
         self._sequence += 1
+        now = context.clock()
         data = self._encoder.encode(
             _Datagram(
                 DATAGRAM_VERSION,
@@ -324,6 +357,12 @@
                     notice or self._reader.notice(), context.clock()
                 ),
                 self._suspects() if with_crash_evidence else [],
+                runners=runner_notices.encode(
+                    context.runners.availability, scope, now
+                ),
+                store_in_touch_ms=runner_notices.in_touch_ms(
+                    self._reader.in_touch_since, now
+                ),
             )
         )
         for host in sorted(set(targets) - {own_address.host}):
@@ -392,10 +431,23 @@
             self._crash_reports.receive(
                 _decode_evidence(suspect, now) for suspect in datagram.suspects
             )
+        self._receive_runner_notices(datagram, now)
         context.ledger.apply(_peer_report(datagram), now)
         if context.places.waiting_count:
             context.places.admit(now)
 
+    def _receive_runner_notices(self, datagram: _Datagram, now: float) -> None:
+        if datagram.store_in_touch_ms is not None:
+            self._reader.peer_in_touch(
+                ids.InstanceId(datagram.instance),
+                now - max(0, datagram.store_in_touch_ms) / 1000,
+            )
+        notices, unknown = runner_notices.decode(datagram.runners)
+        for notice in notices:
+            self._context.runners.availability.receive(notice, now)
+        if unknown:
+            self._context.count('peers.unknown_runner_notices')
+
     def _add_new_member(self, host: str) -> None:
         """Schedule a datagram to a discovered or restarted member."""
         self._new_members.add(host)
--- a/primrosereel/gateway/_store_reader.py
+++ b/primrosereel/gateway/_store_reader.py
@@ -15,6 +15,7 @@
 
 import anyio
 
+from primrosereel import _ids as ids
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _ports as ports
 from primrosereel.routing import _model as model
@@ -188,6 +189,15 @@
             return None
         return self._watch_state.notice()
 
+    @property
+    def in_touch_since(self) -> float:
+        """Since when the store has answered; infinite while it does not."""
+        return self._runner_list.in_touch_since
+
+    def peer_in_touch(self, peer: ids.InstanceId, since: float) -> None:
+        """Record since when a peer has had the store."""
+        self._runner_list.peer_in_touch(peer, since, self._context.clock())
+
     def receive_notice(self, notice: shared_watch.Notice) -> None:
         """Use what a peer knows of the store."""
         if not SHARES_WATCH:
