Test the availability of runners over interleavings of its sources

A property test draws statements of all six sources and compares with what one may conclude without a table of states.

--- a/primrosereel/routing/_availability.py
+++ b/primrosereel/routing/_availability.py
@@ -120,6 +120,7 @@
             return False
         event = entry_event(record, version, leaving)
         if event is Event.LISTED_AGAIN:
+            record.said_leaving = record.said_leaving or leaving
             return record.state_at(now) not in (
                 Availability.MISSING,
                 Availability.GONE,
--- a/tests/property/test_store_contact.py
+++ b/tests/property/test_store_contact.py
@@ -11,6 +11,7 @@
 
 from primrosereel import _ids as ids
 from primrosereel import _states as states
+from primrosereel.routing import _availability as availability
 from primrosereel.routing import _placement as placement
 from primrosereel.routing import _runner_list as runner_list
 from primrosereel.routing import _runners as runners
@@ -108,6 +109,36 @@
     assert instance.list.remove_missing(12.6) == [LEFT]
 
 
+def test_word_of_a_peer_from_before_the_outage_ends_no_runner():
+    """Guards against the loss of a service that a silent peer vouched for."""
+    instance = Instance()
+    instance.list.peer_in_touch(PEER, 0.5, 9.0)
+    instance.lose_store(9.6, 10.1, 12.0)
+    instance.list.apply_snapshot([], 12.0)
+    assert instance.usable(13.9) == {'r0', 'r1'}
+
+
+def test_runner_that_is_gone_is_not_missing_again():
+    """Guards against a runner that a later return of a peer brings back."""
+    instance = Instance(count=1)
+    instance.lose_store(9.6, 10.1, 12.473)
+    instance.learn_removal(12.474)
+    instance.list.peer_in_touch(PEER, 11.584, 12.9)
+    instance.list.peer_in_touch(PEER, 13.8, 13.9)
+    assert not instance.usable(14.0)
+
+
+def test_runner_that_was_long_gone_for_peers_is_used_once_listed():
+    """Guards against a listed runner that stays barred for good."""
+    instance = Instance(count=1)
+    gone = availability.Notice(LEFT, 1, availability.Availability.GONE, 0.1)
+    instance.table.availability.receive(gone, 5.0)
+    assert instance.list.remove_missing(200.0) == []
+    assert not instance.usable(200.0)
+    instance.learn_entry(entry(0, sequence=6), 200.0)
+    assert instance.usable(200.0) == {LEFT}
+
+
 def test_service_whose_entries_expired_is_used_until_they_are_back():
     """Guards against refusals of a whole service after the store was away."""
     instance = Instance()
