--- a/primrosereel/cmd/_remote.py
+++ b/primrosereel/cmd/_remote.py
@@ -72,7 +72,11 @@
 
     def add_arguments(self, parser: argparse.ArgumentParser) -> None:
         """Declare the command's options."""
-        parser.add_argument('request_id', metavar='REQUEST-ID')
+        parser.add_argument(
+            'request_id',
+            metavar='REQUEST-ID',
+            help='with --log also the name of a runner',
+        )
         parser.add_argument(
             '--log',
             action='append',
@@ -97,7 +101,10 @@
         except OSError as error:
             print(error, file=sys.stderr)
             return 1
-        selected = request_log.request_lines(all_lines, options.request_id)
+        wanted = options.request_id
+        selected = request_log.request_lines(
+            all_lines, wanted
+        ) or request_log.runner_lines(all_lines, wanted)
         if options.json:
             command.print_result(selected, True)
         else:
--- a/primrosereel/cmd/_request_log.py
+++ b/primrosereel/cmd/_request_log.py
@@ -1,11 +1,11 @@
-"""Collects the log lines of one request from several processes."""
+"""Collects the log lines of one request or runner from several processes."""
 
 from collections.abc import Iterable
 import json
 import pathlib
 from typing import Any
 
-__all__ = ['format_line', 'read_logs', 'request_lines']
+__all__ = ['format_line', 'read_logs', 'request_lines', 'runner_lines']
 
 # Fields that every line has, or that say nothing about the request.
 COMMON_FIELDS = frozenset(
@@ -48,12 +48,27 @@
     lines: Iterable[dict[str, Any]], request_id: str
 ) -> list[dict[str, Any]]:
     """Return the lines of one request, ordered by timestamp."""
-    selected = [
+    return _by_time(
         line
         for line in lines
         if any(line.get(name) == request_id for name in REQUEST_ID_FIELDS)
-    ]
-    return sorted(selected, key=lambda line: str(line.get('timestamp', '')))
+    )
+
+
+def runner_lines(
+    lines: Iterable[dict[str, Any]], runner: str
+) -> list[dict[str, Any]]:
+    """Return the lines of a runner that belong to no request, in order."""
+    return _by_time(
+        line
+        for line in lines
+        if line.get('runner') == runner
+        and not any(name in line for name in REQUEST_ID_FIELDS)
+    )
+
+
+def _by_time(lines: Iterable[dict[str, Any]]) -> list[dict[str, Any]]:
+    return sorted(lines, key=lambda line: str(line.get('timestamp', '')))
 
 
 def format_line(line: dict[str, Any]) -> str:
--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -242,6 +242,9 @@
         metrics.gauge('active_requests', context.active)
         metrics.gauge('waiting_requests', context.places.waiting_count)
         metrics.gauge('runners', len(context.runners))
+        metrics.gauge(
+            'runners_accepting', context.runners.accepting_count(now)
+        )
         metrics.gauge('peers', context.ledger.peer_count(now))
         metrics.gauge('members', len(context.members))
         metrics.gauge(
--- a/primrosereel/routing/_runners.py
+++ b/primrosereel/routing/_runners.py
@@ -250,6 +250,13 @@
             del self._runners[runner_id]
         return removed
 
+    def accepting_count(self, now: float) -> int:
+        """Return how many listed runners take new requests."""
+        return sum(
+            runner.availability.accepts(now)
+            for runner in self._runners.values()
+        )
+
     def preferred(self, candidates: list[Runner], now: float) -> list[Runner]:
         """Return the candidates to choose from; the others are spare.
 
--- a/tests/property/test_request_stories.py
+++ b/tests/property/test_request_stories.py
@@ -32,6 +32,22 @@
     assert request_log.format_line(line) == '2 -: answered: reason deadline'
 
 
+def test_explain_finds_the_lines_of_a_runner():
+    """Guards against a runner that gets nothing without an explanation."""
+    lines = [
+        {'event': 'runner gone', 'runner': 'd1', 'timestamp': '3'},
+        {'event': 'served', 'request': 'n1', 'runner': 'd1', 'timestamp': '2'},
+        {
+            'event': 'runner availability changed',
+            'runner': 'd1',
+            'timestamp': '1',
+        },
+        {'event': 'runner gone', 'runner': 'd2', 'timestamp': '1'},
+    ]
+    selected = request_log.runner_lines(lines, 'd1')
+    assert [line['timestamp'] for line in selected] == ['1', '3']
+
+
 async def no_capacity(fleet):
     for name in ('d1', 'd2'):
         row = fleet.gateway._context.runners.get(name)
