--- a/tests/property/test_gateway_leaving_runners.py
+++ b/tests/property/test_gateway_leaving_runners.py
@@ -45,6 +45,17 @@
     return await ask_plain(fleet)
 
 
+async def ask_another_runner(fleet):
+    """Ask the runner that has taken over another one's address."""
+    fleet.runners['s1'].options.runner = 'another'
+    return await ask_plain(fleet)
+
+
+async def ask_for_broken_stream(fleet):
+    fleet.runners['d1'].faults.append(Fault.BREAK_STREAM)
+    return await ask_for_stream(fleet)
+
+
 async def ask_for_stream(fleet):
     prefer(fleet, 'd1')
     await fleet.ask('/once/1', 'r1', method='POST', **STREAM)
@@ -82,7 +93,9 @@
         ask_plain,
         ask_for_refusal,
         ask_for_error,
+        ask_another_runner,
         ask_for_stream,
+        ask_for_broken_stream,
         ask_for_prefill,
         give_order,
         free_handle,
