--- a/primrosereel/routing/_availability.py
+++ b/primrosereel/routing/_availability.py
@@ -257,7 +257,8 @@
 
     def receive(self, notice: Notice, now: float) -> None:
         """Apply what a peer told."""
-        runner_id, born_ms, availability, age_s, remaining_s = notice
+        runner_id, born_ms, availability, _, remaining_s = notice
+        age_s = max(0.0, notice.age_s)
         if availability is Availability.LEAVING:
             self.observe_leaving(runner_id, born_ms, Source.PEER, now, age_s)
         elif availability is Availability.BACKING_OFF:
--- a/primrosereel/routing/_decode_places.py
+++ b/primrosereel/routing/_decode_places.py
@@ -330,6 +330,10 @@
             for runner in self._table.ready(service, states.Role.DECODE, now)
             for use in (self._use(runner, now),)
         ]
+        parts += [
+            f'{runner.runner_id} {runner.availability.state_at(now).value}'
+            for runner in self._table.barred(service, states.Role.DECODE, now)
+        ]
         return (
             f'{len(self._waiting)} requests waiting here, '
             f'{self._ledger.waiting_tokens(now)} tokens waiting at '
--- a/primrosereel/routing/_runners.py
+++ b/primrosereel/routing/_runners.py
@@ -307,6 +307,18 @@
             and self.owned(runner)
         ]
 
+    def barred(
+        self, service: ids.ServiceId, role: states.Role, now: float
+    ) -> list[Runner]:
+        """Return the runners of a service that take no new requests."""
+        return [
+            runner
+            for runner in self._runners.values()
+            if runner.listing.service == service
+            and runner.listing.role is role
+            and not runner.availability.accepts(now)
+        ]
+
     def foreign(
         self,
         service: ids.ServiceId,
@@ -334,8 +346,8 @@
             for runner in self._runners.values()
             if runner.listing.service == service
             and runner.listing.role is role
-            and runner.availability.accepts_from <= now
-            and now < runner.availability.accepts_until
+            and (record := runner.availability).accepts_from <= now
+            and now < record.accepts_until
             and runner.runner_id not in excluded
         ]
 
--- a/tests/property/test_routing_places.py
+++ b/tests/property/test_routing_places.py
@@ -6,6 +6,7 @@
 
 from primrosereel import _ids as ids
 from primrosereel import _states as states
+from primrosereel.routing import _availability as availability
 from primrosereel.routing import _decode_places as decode_places
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _model as model
@@ -323,3 +324,17 @@
     instance.places.release(holder)
     instance.places.admit(0.4)
     assert (overtaken.runner, fresh.runner is not None) == (None, True)
+
+
+def test_description_names_runners_that_take_nothing():
+    """Guards against a refusal for lack of room that hides why."""
+    instance = Instance('i1')
+    runner = instance.table.get(ids.RunnerId('d0'))
+    availability_table = instance.table.availability
+    availability_table.observe_back_off(
+        runner.runner_id, 0, 2.0, availability.Source.REFUSAL, 1.0
+    )
+    told = instance.places.describe(SERVICE, 1.5)
+    assert 'd0 backing_off' in told
+    assert 'd1 0 requests' in told
+    assert 'd0 backing_off' not in instance.places.describe(SERVICE, 3.0)
