--- a/primrosereel/gateway/_runner_changes.py
+++ b/primrosereel/gateway/_runner_changes.py
@@ -14,8 +14,9 @@
 
 Source = availability.Source
 
-# What only this instance has learned; an entry is read by all instances.
+# States in which a request that was not sent yet is placed anew.
 TAKES_NOTHING = runner_signs.LEFT | {availability.Availability.BACKING_OFF}
+# What only this instance has learned; an entry is read by all instances.
 OWN_SOURCES = frozenset({Source.ANSWER, Source.REFUSAL})
 
 
