--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -15,11 +15,13 @@
 from primrosereel.gateway import _ports as ports
 from primrosereel.gateway import _response_memory as response_memory_module
 from primrosereel.gateway import _settings as settings
+from primrosereel.gateway import _time_limits as time_limits_module
 from primrosereel.routing import _decode_places as decode_places
 from primrosereel.routing import _demand as demand_module
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _members as members_module
 from primrosereel.routing import _model as model
+from primrosereel.routing import _peer_versions as peer_versions_module
 from primrosereel.routing import _placement as placement
 from primrosereel.routing import _prefill_plan as prefill_plan
 from primrosereel.routing import _prompt_quarantine as prompt_quarantine
@@ -61,9 +63,13 @@
     response_memory: response_memory_module.ResponseMemory
     log: Any
     quarantine: prompt_quarantine.PromptQuarantine
+    time_limits: time_limits_module.TimeLimits
     demand: demand_module.DemandMeter = dataclasses.field(
         default_factory=demand_module.DemandMeter
     )
+    peer_versions: peer_versions_module.PeerVersions = dataclasses.field(
+        default_factory=peer_versions_module.PeerVersions
+    )
     table: table_module.RoutingTable | None = None
     # A stop first sets ``draining`` (not ready, requests are still served),
     # then ``refusing`` (new requests are refused).
@@ -157,16 +163,18 @@
 
 @dataclasses.dataclass(slots=True)
 class Exchange:
-    """One request of a caller in progress; ``deadline_at`` is clock time."""
+    """One request of a caller in progress."""
 
     context: Context
     request: callers.CallerRequest
     route: model.Route
     service: ids.ServiceId
     facts: model.RequestFacts
-    deadline_at: float
+    time_limit: time_limits_module.TimeLimit
     # The number of runners that were sent the request and may have run it.
     attempts: int = 0
+    # Whether a runner may have run the request, or may still do so.
+    may_have_run: bool = False
     # The duration in seconds of each finished step, for the log.
     steps: dict[str, float] = dataclasses.field(default_factory=dict)
 
@@ -205,8 +213,8 @@
 
     @property
     def remaining_s(self) -> float:
-        """The time left until the deadline."""
-        return self.deadline_at - self.context.clock()
+        """The time left until the request must end."""
+        return self.time_limit.remaining_s
 
     def refusal(
         self,
--- a/primrosereel/gateway/_http.py
+++ b/primrosereel/gateway/_http.py
@@ -112,7 +112,8 @@
     try:
         with anyio.fail_after(timeout_s):
             stream = await anyio.connect_tcp(address.host, address.port)
-    except (OSError, TimeoutError) as error:
+    except (OSError, TimeoutError, ValueError) as error:
+        # A host that is no valid name leads to a ValueError.
         refused = isinstance(error.__cause__, ConnectionRefusedError)
         failure = ConnectRefused if refused else ConnectFailed
         raise failure(f'{address}: {error!r}') from error
@@ -191,19 +192,31 @@
         """
         self._unsent = data
         head: ResponseHead | None = None
+        failure: Exception | None = None
 
         async def send() -> None:
             try:
                 await self._stream.send(data)
                 self._unsent = b''
-            except (OSError, anyio.BrokenResourceError):
+            except (
+                OSError,
+                anyio.BrokenResourceError,
+                anyio.ClosedResourceError,
+            ):
                 # The reader reports how the connection ended.
                 return
 
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(send)
-            head = await self._read_head(request)
+            try:
+                head = await self._read_head(request)
+            except Exception as error:
+                # The group would wrap it in an ExceptionGroup, which no
+                # caller handles.
+                failure = error
             tasks.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
         assert head is not None
         return head
 
--- a/primrosereel/gateway/_server.py
+++ b/primrosereel/gateway/_server.py
@@ -16,6 +16,8 @@
 
 __all__ = ['Server']
 
+ERROR_RETRY_AFTER_S = 0.5
+
 
 class Server:
     """Serves callers' connections."""
@@ -33,10 +35,8 @@
     async def serve_connection(self, stream: anyio.abc.SocketStream) -> None:
         """Serve one connection until it closes."""
         http.set_socket_options(stream)
-        table = self._context.table
-        limits = table.limits if table else model.CallerLimits()
         connection = callers.CallerConnection(
-            stream, limits, self._context.clock
+            stream, self._limits, self._context.clock
         )
         self._connections.add(connection)
         try:
@@ -53,11 +53,20 @@
             self._connections.discard(connection)
             await connection.close()
 
-    async def close_idle(self) -> None:
-        """Close the connections on which no request is in progress."""
-        for connection in list(self._connections):
-            if connection.idle:
-                await connection.close()
+    def _limits(self) -> model.CallerLimits:
+        """Return the limits in force."""
+        table = self._context.table
+        return table.limits if table else model.CallerLimits()
+
+    @property
+    def open_connections(self) -> int:
+        """The callers' connections that are not closed."""
+        return len(self._connections)
+
+    def close_idle(self) -> None:
+        """Have each connection closed once no request is read or served."""
+        for connection in self._connections:
+            connection.close_when_idle()
 
     async def _serve_requests(
         self, connection: callers.CallerConnection
@@ -67,21 +76,26 @@
             if request is None:
                 return
             self._context.active += 1
+            reason: states.EndReason | None = states.EndReason.PROCESS_STOPPED
             try:
-                complete = await self._serve_watched(connection, request)
+                reason = await self._serve_watched(connection, request)
             finally:
                 self._context.active -= 1
-            if not complete or not connection.start_next_cycle():
+                if reason is not None:
+                    self._record_unanswered(request, reason)
+            if reason is not None or not connection.start_next_cycle():
                 return
 
     async def _serve_watched(
         self,
         connection: callers.CallerConnection,
         request: callers.CallerRequest,
-    ) -> bool:
-        """Serve a request; cancel its work if the caller disconnects."""
-        complete = False
-        failure: Exception | None = None
+    ) -> states.EndReason | None:
+        """Serve a request; cancel its work if the caller disconnects.
+
+        Returns why the answer is not complete; None if it is.
+        """
+        reason: states.EndReason | None = states.EndReason.CALLER_GONE
 
         async def watch() -> None:
             await connection.wait_closed()
@@ -90,39 +104,100 @@
 
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(watch)
-            try:
-                complete = await self._serve(connection, request)
-            except callers.CallerDisconnected:
-                complete = False
-            except Exception as error:
-                failure = error
+            reason = await self._serve(connection, request)
             tasks.cancel_scope.cancel()
-        if failure is not None:
-            self._context.count('internal_errors')
-            self._context.log.error(
-                'internal error', detail=repr(failure), exc_info=failure
-            )
-        return complete
+        return reason
+
+    def _record_unanswered(
+        self, request: callers.CallerRequest, reason: states.EndReason
+    ) -> None:
+        """Log and count a request whose answer is missing or incomplete."""
+        context = self._context
+        context.count(f'unanswered.{reason.value}')
+        facts = context.dialect.request_facts(request.headers)
+        context.log.info(
+            'request unanswered',
+            request=facts.request_id,
+            reason=reason.value,
+            path=request.path[:80],
+            seconds=round(context.clock() - request.received_at, 3),
+        )
 
     async def _serve(
         self,
         connection: callers.CallerConnection,
         request: callers.CallerRequest,
-    ) -> bool:
+    ) -> states.EndReason | None:
         if self._context.draining:
             connection.close_after_reply()
-        routed = self._route_request(request)
-        if isinstance(routed, callers.Reply):
-            await connection.reply(routed)
-            return True
-        if routed.route.kind is model.RouteKind.STREAMING:
+        exchange: context_module.Exchange | None = None
+        try:
+            routed = self._route_request(request)
+            if isinstance(routed, callers.Reply):
+                await connection.reply(routed)
+                return None
+            exchange = routed
+            complete = await self._handle(connection, exchange)
+            return None if complete else states.EndReason.STREAM_CUT
+        except callers.CallerDisconnected:
+            return states.EndReason.CALLER_GONE
+        except Exception as error:
+            self._record_error(request, error)
+            return await self._answer_error(connection, exchange)
+
+    async def _handle(
+        self,
+        connection: callers.CallerConnection,
+        exchange: context_module.Exchange,
+    ) -> bool:
+        """Serve a routed request; False if its answer was cut off."""
+        if exchange.route.kind is model.RouteKind.STREAMING:
             handler = generation.Generation(
-                routed, connection, self._crash_reports
+                exchange, connection, self._crash_reports
             )
             return await handler.serve()
-        await connection.reply(await plain.PlainCall(routed).serve())
+        await connection.reply(await plain.PlainCall(exchange).serve())
         return True
 
+    def _record_error(
+        self, request: callers.CallerRequest, error: Exception
+    ) -> None:
+        facts = self._context.dialect.request_facts(request.headers)
+        self._context.count('internal_errors')
+        self._context.log.error(
+            'internal error',
+            request=facts.request_id,
+            detail=repr(error),
+            exc_info=error,
+        )
+
+    async def _answer_error(
+        self,
+        connection: callers.CallerConnection,
+        exchange: context_module.Exchange | None,
+    ) -> states.EndReason | None:
+        """Answer a request that an unexpected error ended.
+
+        Only a response that has begun cannot be answered any more. 503 states
+        that the request did not run.
+        """
+        if connection.answered:
+            return None
+        if connection.answer_started:
+            return states.EndReason.INTERNAL_ERROR
+        reason = states.RefusalReason.INTERNAL
+        if exchange is None:
+            reply = self._refuse(reason, ERROR_RETRY_AFTER_S)
+        elif exchange.may_have_run:
+            reply = exchange.failure(reason, 502)
+        else:
+            reply = exchange.refusal(reason, ERROR_RETRY_AFTER_S)
+        try:
+            await connection.reply(reply)
+        except callers.CallerDisconnected:
+            return states.EndReason.CALLER_GONE
+        return None
+
     def _refuse(
         self, reason: states.RefusalReason, retry_after_s: float
     ) -> callers.Reply:
@@ -132,6 +207,32 @@
             503, headers=[(b'Retry-After', b'%.2f' % retry_after_s)]
         )
 
+    def _refuse_unknown(
+        self,
+        request: callers.CallerRequest,
+        table: table_module.RoutingTable,
+    ) -> callers.Reply:
+        """Return the reply to a request for which there is no route.
+
+        Where peers have a newer version, its routes are not known here yet.
+        """
+        context = self._context
+        peer_version = context.peer_versions.newest(context.clock())
+        context.log.info(
+            'no route',
+            host=request.host,
+            path=request.path[:80],
+            version=table.version,
+            peer_version=peer_version,
+        )
+        if peer_version > table.version:
+            return self._refuse(
+                states.RefusalReason.NO_CONFIGURATION,
+                timeouts.outage_retry_after_s(0.0),
+            )
+        context.count(f'refused.{states.RefusalReason.UNKNOWN_SERVICE.value}')
+        return callers.Reply(404)
+
     def _route_request(
         self, request: callers.CallerRequest
     ) -> context_module.Exchange | callers.Reply:
@@ -148,22 +249,19 @@
             )
         route = table.match(request.host, request.path)
         if route is None or not route.services:
-            reason = states.RefusalReason.UNKNOWN_SERVICE
-            context.count(f'refused.{reason.value}')
-            context.log.info(
-                'no route',
-                host=request.host,
-                path=request.path[:80],
-                version=table.version,
+            return self._refuse_unknown(request, table)
+        service = table_module.pick_service(route, context.random)
+        if service is None:
+            return self._refuse(
+                states.RefusalReason.NO_RUNNER, ERROR_RETRY_AFTER_S
             )
-            return callers.Reply(404)
         facts = context.dialect.request_facts(request.headers)
         limit_s = timeouts.time_limit_s(route, facts)
         return context_module.Exchange(
             context,
             request,
             route,
-            table_module.pick_service(route, context.random),
+            service,
             facts,
-            request.received_at + limit_s,
+            context.time_limits.add(request.received_at + limit_s),
         )
--- a/primrosereel/gateway/_store_reader.py
+++ b/primrosereel/gateway/_store_reader.py
@@ -6,6 +6,10 @@
 share of the shorter of the two bounds within which changes must take effect.
 Instances that see each other share what they read, so that only a few of them
 call the store in each pause.
+
+Revisions name states of one history of the store only. The history of each
+answer is therefore checked before its revision or entries are used, and all
+entries are read again when the store has come back from a copy.
 """
 
 from collections.abc import Awaitable
@@ -20,7 +24,7 @@
 from primrosereel.routing import _model as model
 from primrosereel.routing import _runner_list as runner_list
 from primrosereel.routing import _shared_watch as shared_watch
-from primrosereel.routing import _table as table_module
+from primrosereel.routing import _store_history as store_history
 
 __all__ = ['StoreReader']
 
@@ -54,6 +58,11 @@
         self._store = store
         self._runner_list = runner_list.RunnerList(context.runners)
         self._watch_state = shared_watch.SharedWatch(context.random)
+        self._history = store_history.StoreHistory()
+        self._unreadable_era = ''
+        # The history that was read last, and whether it was watched since.
+        self._history_read = 0
+        self._watched = False
         self._notice_received = anyio.Event()
         # Stays set when history is lost, as the entries read before that are
         # still in use.
@@ -99,16 +108,13 @@
                 else:
                     await self._read()
                 self._note_store_recovered()
-            except ports.HistoryLost:
-                self._context.log.info('store history lost')
-                self._watch_state.reset()
+            except ports.HistoryLost as error:
+                await self._forget_history(str(error))
+            except ports.StaleAnswer:
+                await self._back_off()
             except ports.StoreUnavailable as error:
                 self._note_store_lost(str(error))
-                await anyio.sleep(self._backoff_s)
-                max_backoff_s = MAX_BACKOFF_S
-                if self._context.table is None:
-                    max_backoff_s = MAX_INITIAL_BACKOFF_S
-                self._backoff_s = min(2 * self._backoff_s, max_backoff_s)
+                await self._back_off()
                 if self._watch_state.revision:
                     await self._wait_until_due()
 
@@ -117,6 +123,26 @@
         for runner in self._runner_list.remove_missing(self._context.clock()):
             self._context.log.info('runner gone', runner=runner)
 
+    async def _back_off(self) -> None:
+        await anyio.sleep(self._backoff_s)
+        max_backoff_s = MAX_BACKOFF_S
+        if self._context.table is None:
+            max_backoff_s = MAX_INITIAL_BACKOFF_S
+        self._backoff_s = min(2 * self._backoff_s, max_backoff_s)
+
+    async def _forget_history(self, detail: str) -> None:
+        """Have all entries read again, at once unless it did not help."""
+        self._context.log.info(
+            'store history lost',
+            detail=detail,
+            era=self._history.era,
+            revision=self._history.revision,
+        )
+        is_same = self._history.number == self._history_read
+        if is_same and not self._watched:
+            await self._wait_until_due()
+        self._watch_state.reset()
+
     async def _read(self) -> None:
         state = await self._call(self._store.read)
         self._note_store_recovered()
@@ -124,12 +150,18 @@
         for change in state.changes:
             if change.runner is not None and change.runner.listing:
                 listings.append(change.runner.listing)
-            self._apply_table(change.table)
+                if self._synchronized:
+                    self._note_listing(change.runner, change.revision)
+            self._apply_table(change)
         self._runner_list.apply_snapshot(listings, self._context.clock())
         self._watch_state.snapshot_read(state.revision, self._context.clock())
+        self._history_read, self._watched = self._history.number, False
         self._synchronized = True
         self._context.log.info(
-            'store read', revision=state.revision, runners=len(listings)
+            'store read',
+            era=self._history.era,
+            revision=state.revision,
+            runners=len(listings),
         )
 
     async def _watch(self) -> None:
@@ -138,8 +170,13 @@
         async def watch() -> ports.StoreState:
             return await self._store.watch(since, self._watch_s)
 
+        history = self._history.number
         state = await self._call(watch)
         self._note_store_recovered()
+        if self._history.number != history:
+            # The revision watched from belongs to a lost history.
+            raise ports.HistoryLost('the store came back from a copy')
+        self._watched = True
         now = self._context.clock()
         # A notice that arrived during the call may hold later changes.
         if state.revision >= self._watch_state.revision:
@@ -154,9 +191,9 @@
     ) -> None:
         for change in changes:
             if change.runner is not None:
-                self._note_listing(change.runner)
+                self._note_listing(change.runner, change.revision)
                 self._runner_list.apply_change(change.runner, now)
-            self._apply_table(change.table)
+            self._apply_table(change)
             if change.unreadable:
                 self._context.count('store.unreadable')
 
@@ -186,13 +223,14 @@
         """Return what this instance knows of the store, for its peers."""
         if not SHARES_WATCH:
             return None
-        return self._watch_state.notice()
+        notice = self._watch_state.notice()
+        return notice and notice._replace(era=self._history.era)
 
     def receive_notice(self, notice: shared_watch.Notice) -> None:
         """Use what a peer knows of the store."""
         if not SHARES_WATCH:
             return
-        use = self._watch_state.classify(notice)
+        use = self._classify_notice(notice)
         if use is shared_watch.NoticeUse.NOTHING:
             return
         if use is shared_watch.NoticeUse.BEHIND:
@@ -201,6 +239,17 @@
             self._accept_notice(notice, use)
         self._notice_received.set()
 
+    def _classify_notice(
+        self, notice: shared_watch.Notice
+    ) -> shared_watch.NoticeUse:
+        """Return what a notice is good for; revisions need the same era."""
+        era = self._history.era
+        if notice.era == era:
+            return self._watch_state.classify(notice)
+        if notice.era is not None and (era is None or notice.era > era):
+            return shared_watch.NoticeUse.BEHIND
+        return shared_watch.NoticeUse.NOTHING
+
     def _accept_notice(
         self, notice: shared_watch.Notice, use: shared_watch.NoticeUse
     ) -> None:
@@ -220,13 +269,17 @@
             self._apply_changes(changes, now)
         self._watch_state.accept(notice)
 
-    def _note_listing(self, change: runner_list.ListingChange) -> None:
+    def _note_listing(
+        self, change: runner_list.ListingChange, revision: int
+    ) -> None:
         """Start the callbacks of a runner that leaves, and log its change.
 
         A change that does not affect routing is not logged.
         """
         runner = self._context.runners.get(change.runner)
         new = change.listing
+        if new is not None and self._is_outdated(new):
+            return
         if new is None or new.leaving:
             self._context.leave_callbacks.runner_leaves(change.runner)
         if new is None:
@@ -246,24 +299,100 @@
             role=new.role.value,
             leaving=new.leaving,
             born_ms=new.born_ms,
+            sequence=new.sequence,
+            era=self._history.era,
+            revision=revision,
         )
 
+    def _is_outdated(self, new: model.RunnerListing) -> bool:
+        """Tell whether an entry is ignored; count and log it."""
+        context = self._context
+        if not self._runner_list.ignores(new, context.clock()):
+            return False
+        known = context.runners.availability.record(new.runner).version
+        context.count('store.entries_ignored')
+        context.log.info(
+            'runner entry ignored',
+            runner=new.runner,
+            born_ms=new.born_ms,
+            sequence=new.sequence,
+            known_born_ms=known.born_ms,
+            known_sequence=known.sequence,
+        )
+        return True
+
     async def _call(
         self, call: Callable[[], Awaitable[ports.StoreState]]
     ) -> ports.StoreState:
+        """Make a call; raise StaleAnswer if its answer is not to be used."""
         self._context.count('store.calls')
-        return await call()
-
-    def _apply_table(self, table: table_module.RoutingTable | None) -> None:
+        try:
+            state = await call()
+        except ports.StoreError as error:
+            self._observe_origin(error.origin, None)
+            raise
+        use = self._observe_origin(state.origin, state.revision)
+        if use is store_history.AnswerUse.OLDER:
+            raise ports.StaleAnswer
+        return state
+
+    def _observe_origin(
+        self, origin: ports.StoreOrigin, revision: int | None
+    ) -> store_history.AnswerUse:
+        """Return which history of the store a response belongs to.
+
+        In a newer one nothing is known yet, so all entries are read again.
+        """
+        if origin.unreadable:
+            self._note_unreadable_era(origin.unreadable)
+        history = self._history
+        previous_era, previous_revision = history.era, history.revision
+        use = history.observe(origin.era, revision, self._context.clock())
+        if use is store_history.AnswerUse.NEWER:
+            self._context.count('store.returns')
+            self._context.log.warning(
+                'store came back from a copy',
+                era=origin.era,
+                revision=revision,
+                previous_era=previous_era,
+                previous_revision=previous_revision,
+            )
+            self._watch_state.reset()
+            self._runner_list.store_restored(self._context.clock())
+        elif use is store_history.AnswerUse.OLDER:
+            self._context.count('store.answers_discarded')
+            self._context.log.info(
+                'store answer discarded',
+                era=origin.era,
+                revision=revision,
+                known_era=previous_era,
+                known_revision=previous_revision,
+            )
+        return use
+
+    def _note_unreadable_era(self, value: str) -> None:
+        """Count an era that cannot be read; log it if it is another one."""
+        self._context.count('store.eras_unreadable')
+        if value != self._unreadable_era:
+            self._unreadable_era = value
+            self._context.log.warning('store era unreadable', value=value)
+
+    def _apply_table(self, change: ports.StoreChange) -> None:
         """Put a newer configuration into effect; ignore an older one."""
         context = self._context
+        table = change.table
         if table is None:
             return
-        if context.table and table.version <= context.table.version:
+        if context.table and not table.replaces(context.table):
             return
         context.table = table
         context.places.set_services(table.services)
-        context.log.info('configuration in force', version=table.version)
+        context.log.info(
+            'configuration in force',
+            version=table.version,
+            era=self._history.era,
+            revision=change.revision,
+        )
 
     def _note_store_lost(self, detail: str) -> None:
         self._runner_list.store_lost(self._context.clock())
@@ -276,7 +405,11 @@
         self._backoff_s = MIN_BACKOFF_S
         if not self._available:
             self._available = True
-            self._context.log.info('store regained')
+            self._context.log.info(
+                'store regained',
+                era=self._history.era,
+                revision=self._history.revision,
+            )
 
 
 def _routing_fields(listing: model.RunnerListing) -> tuple[Any, ...]:
--- a/primrosereel/routing/_availability_record.py
+++ b/primrosereel/routing/_availability_record.py
@@ -22,6 +22,9 @@
     """
 
     version: RunVersion = RunVersion(0)
+    # The history of the store in which the newest entry, or its removal, was
+    # read; None if it is not known or others told of a newer run.
+    history: int | None = None
     state: Availability = Availability.READY
     source: Source = Source.ENTRY
     since: float = -math.inf
@@ -38,6 +41,10 @@
     # The run said that it leaves. That outlasts a return of its entry.
     said_leaving: bool = False
 
+    def is_followed(self, history: int | None) -> bool:
+        """Tell whether an entry of a history was written after the known."""
+        return history is not None and history == self.history
+
     def accepts(self, now: float) -> bool:
         """Tell whether the runner may get a new request."""
         return self.accepts_from <= now < self.accepts_until
@@ -81,8 +88,9 @@
         self.accepts_until = self.missing_until
 
     def start_run(self, born_ms: int) -> None:
-        """Forget what was said of older runs."""
+        """Forget what was said of other runs."""
         self.version = RunVersion(born_ms)
+        self.history = None
         self.back_off_until = self.hinted_until = -math.inf
         self.said_leaving = False
 
@@ -92,23 +100,32 @@
         return f'{self.state.value} by {self.source.value}{age}'
 
 
-def is_older(version: RunVersion, known: RunVersion) -> bool:
+def is_older(
+    version: RunVersion, known: RunVersion, follows: bool = False
+) -> bool:
     """Tell whether an entry is older than the known one.
 
-    An entry without a sequence is not older than others of its run.
+    ``follows`` is set if the store's own order tells that it was written
+    later. An entry without a start of the run, or without a sequence, is not
+    older than others.
     """
+    if follows or not version.born_ms or not known.born_ms:
+        return False
     if version.born_ms != known.born_ms:
         return version.born_ms < known.born_ms
     return 0 < version.sequence < known.sequence
 
 
 def entry_event(
-    record: AvailabilityRecord, version: RunVersion, leaving: bool
+    record: AvailabilityRecord,
+    version: RunVersion,
+    leaving: bool,
+    follows: bool,
 ) -> Event:
     """Return the event of an entry that is not older than the known one."""
-    if version.born_ms > record.version.born_ms:
+    if version.born_ms and version.born_ms != record.version.born_ms:
         return Event.NEW_RUN_LEAVING if leaving else Event.NEW_RUN
-    if version == record.version and version.sequence:
+    if version == record.version and version.sequence and not follows:
         says_more = leaving and record.state is not Availability.GONE
         return Event.LISTED_LEAVING if says_more else Event.LISTED_AGAIN
     if leaving or record.said_leaving:
--- a/primrosereel/routing/_availability_states.py
+++ b/primrosereel/routing/_availability_states.py
@@ -13,6 +13,7 @@
 
 __all__ = [
     'BARRED',
+    'NEW_RUNS',
     'TRANSITIONS',
     'Availability',
     'Event',
@@ -58,7 +59,7 @@
     LISTED_LEAVING = 'listed_leaving'
     # An entry that is not newer.
     LISTED_AGAIN = 'listed_again'
-    # An entry of a newer run.
+    # An entry of another run.
     NEW_RUN = 'new_run'
     NEW_RUN_LEAVING = 'new_run_leaving'
     REMOVED = 'removed'
@@ -72,6 +73,10 @@
     BACK_AT_PEER = 'back_at_peer'
 
 
+# Events of an entry of another run than the known one.
+NEW_RUNS = frozenset((Event.NEW_RUN, Event.NEW_RUN_LEAVING))
+
+
 class RunVersion(NamedTuple):
     """Orders what a runner says of itself.
 
--- a/primrosereel/routing/_shared_watch.py
+++ b/primrosereel/routing/_shared_watch.py
@@ -14,6 +14,8 @@
 import random as random_module
 from typing import NamedTuple
 
+from primrosereel import _ids as ids
+
 __all__ = ['Notice', 'NoticeUse', 'SharedWatch']
 
 # The pause is extended by up to this share of it at random. Most extensions
@@ -30,7 +32,8 @@
     routing changed after ``unchanged_since``; ``change_known`` tells whether
     something changed just then, or the sender read a snapshot of that
     revision. ``content`` holds the relevant changes after the revision
-    ``since``; it is empty if they are not part of the notice.
+    ``since``; it is empty if they are not part of the notice. Revisions are
+    those of the history with ``era``.
     """
 
     revision: int
@@ -39,6 +42,7 @@
     change_known: bool = False
     since: int = 0
     content: bytes = b''
+    era: ids.StoreEra | None = None
 
 
 class NoticeUse(enum.Enum):
--- a/primrosereel/routing/_store_contact.py
+++ b/primrosereel/routing/_store_contact.py
@@ -67,7 +67,11 @@
         later, even if a peer was never without the store. An interruption
         that has just ended was that of the restored store.
         """
-        if self._in_touch_since < now - PEER_CONTACT_VALID_S:
+        has_just_ended = (
+            self._interrupted_at > -math.inf
+            and self._in_touch_since >= now - PEER_CONTACT_VALID_S
+        )
+        if not has_just_ended:
             self._interrupted_at = now
         self._in_touch_since = now
         self._restored = True
