--- a/primrosereel/routing/_availability.py
+++ b/primrosereel/routing/_availability.py
@@ -19,6 +19,7 @@
 from primrosereel.routing._availability_states import Availability
 from primrosereel.routing._availability_states import BARRED
 from primrosereel.routing._availability_states import Event
+from primrosereel.routing._availability_states import NEW_RUNS
 from primrosereel.routing._availability_states import Notice
 from primrosereel.routing._availability_states import RunVersion
 from primrosereel.routing._availability_states import Source
@@ -109,16 +110,20 @@
         version: RunVersion,
         leaving: bool,
         now: float,
+        history: int | None = None,
     ) -> bool:
         """Apply an entry; return False if it is to be ignored.
 
         That is an entry that is older than what is known, or one that says
-        nothing newer of a runner whose entry was removed.
+        nothing newer of a runner whose entry was removed. Within one
+        ``history`` of the store its own order holds; else the run and the
+        sequence tell which entry is older.
         """
         record = self.record(runner_id)
-        if is_older(version, record.version):
+        follows = record.is_followed(history)
+        if is_older(version, record.version, follows):
             return False
-        event = entry_event(record, version, leaving)
+        event = entry_event(record, version, leaving, follows)
         if event is Event.LISTED_AGAIN:
             record.said_leaving = record.said_leaving or leaving
             return record.state_at(now) not in (
@@ -127,9 +132,10 @@
             )
         self._advance(runner_id, record, now)
         was_gone = record.state is Availability.GONE
-        if version.born_ms > record.version.born_ms:
+        if event in NEW_RUNS:
             record.start_run(version.born_ms)
         record.version = max(version, record.version)
+        record.history = history
         record.entry_seen_at = now
         record.is_unlisted = False
         record.missing_until = math.inf
@@ -140,20 +146,40 @@
         self._apply(runner_id, record, event, Source.ENTRY, now)
         return True
 
+    def ignores_entry(
+        self,
+        runner_id: ids.RunnerId,
+        version: RunVersion,
+        now: float,
+        history: int | None = None,
+    ) -> bool:
+        """Tell whether an entry would be ignored."""
+        record = self._records.get(runner_id)
+        if record is None or record.is_followed(history):
+            return False
+        if record.state_at(now) in (Availability.MISSING, Availability.GONE):
+            is_same = bool(version.sequence) and version == record.version
+            return is_same or is_older(version, record.version)
+        return is_older(version, record.version)
+
     def observe_removal(
         self,
         runner_id: ids.RunnerId,
         now: float,
         missing_until: float = -math.inf,
         source: Source = Source.REMOVAL,
+        history: int | None = None,
     ) -> None:
         """Apply the removal of an entry, or its absence from a list.
 
-        The runner may register again until ``missing_until``.
+        The runner may register again until ``missing_until``. An entry that
+        is read later in the same ``history`` was written since.
         """
         record = self.record(runner_id)
         self._advance(runner_id, record, now)
         record.is_unlisted = True
+        if history is not None:
+            record.history = history
         if now < missing_until and record.state is not Availability.GONE:
             record.missing_until = missing_until
             self._missing[runner_id] = record
--- a/primrosereel/routing/_model.py
+++ b/primrosereel/routing/_model.py
@@ -123,8 +123,9 @@
 class RunnerListing:
     """A runner's entry in the platform's list.
 
-    ``cold_s`` is the remaining time of a cold start, ``born_ms`` when the
-    runner started, and ``sequence`` counts the entries of one run.
+    ``cold_s`` is the remaining time of a cold start, and ``born_ms`` when the
+    runner started. Since then ``sequence`` increases with what the runner
+    writes.
     """
 
     runner: ids.RunnerId
--- a/primrosereel/routing/_runner_list.py
+++ b/primrosereel/routing/_runner_list.py
@@ -34,6 +34,8 @@
         self._contact = store_contact.StoreContact(
             table.availability.bounds.reregistration_s
         )
+        # Counts the returns of the store from a copy.
+        self._history = 0
 
     @property
     def in_touch_since(self) -> float:
@@ -61,6 +63,7 @@
         """
         self._table.expire(now)
         self._contact.restored(now)
+        self._history += 1
         self._update_missing(now)
 
     def peer_in_touch(
@@ -70,6 +73,13 @@
         self._contact.peer_in_touch(peer, since, now)
         self._update_missing(now)
 
+    def ignores(self, listing: model.RunnerListing, now: float) -> bool:
+        """Tell whether an entry is outdated, as a copy of the store has it."""
+        version = availability.RunVersion(listing.born_ms, listing.sequence)
+        return self._table.availability.ignores_entry(
+            listing.runner, version, now, self._history
+        )
+
     def apply_change(
         self,
         change: ListingChange,
@@ -78,13 +88,14 @@
     ) -> None:
         """Apply the change of one entry."""
         if change.listing is not None:
-            self._table.put(change.listing, now)
+            self._table.put(change.listing, now, self._history)
         else:
             self._table.remove(
                 change.runner,
                 now,
                 self._contact.removals_real_from(now),
                 source,
+                self._history,
             )
 
     def apply_snapshot(
--- a/primrosereel/routing/_runners.py
+++ b/primrosereel/routing/_runners.py
@@ -224,9 +224,16 @@
         """Return a runner; None if it is not listed."""
         return self._runners.get(runner_id)
 
-    def put(self, listing: model.RunnerListing, now: float = 0.0) -> None:
+    def put(
+        self,
+        listing: model.RunnerListing,
+        now: float = 0.0,
+        history: int | None = None,
+    ) -> None:
         """Add or update a runner's listing; ignore one that is outdated.
 
+        ``history`` is that of the store from which it was read.
+
         A runner that restarted under its id or moved to another address is a
         new one: observations of the old run are dropped.
         """
@@ -234,7 +241,7 @@
             listing.born_ms, listing.sequence
         )
         if not self._availability.observe_entry(
-            listing.runner, version, listing.leaving, now
+            listing.runner, version, listing.leaving, now, history
         ):
             return
         for other in list(self._runners.values()):
@@ -260,13 +267,14 @@
         source: availability_module.Source = (
             availability_module.Source.REMOVAL
         ),
+        history: int | None = None,
     ) -> None:
         """Remove a runner that is no longer listed.
 
         Until ``missing_until`` it may register again, and is kept as missing.
         """
         self._availability.observe_removal(
-            runner_id, now, missing_until, source
+            runner_id, now, missing_until, source, history
         )
         if not now < missing_until:
             self._runners.pop(runner_id, None)
--- a/tests/property/test_store_contact.py
+++ b/tests/property/test_store_contact.py
@@ -205,6 +205,15 @@
     assert not instance.usable(12.0)
 
 
+def test_restored_copy_soon_after_the_start_ends_no_runners():
+    """Guards against the loss of a service right after a process started."""
+    instance = Instance()
+    instance.list.store_restored(0.5)
+    instance.list.apply_snapshot([], 0.5)
+    assert instance.usable(2.4) == {'r0', 'r1'}
+    assert not instance.usable(2.5)
+
+
 def test_removal_without_an_outage_is_real():
     """Guards against use of a runner that left without an announcement."""
     instance = Instance()
