Scan a response's headers for repeats only where a sign is present

Most answers have neither Server-Leaving nor Retry-After; the names of all headers were put in lower case twice more for each of them. The 22 tests of test_runner_signs.py pass as before.

--- a/primrosereel/platform/_dialect.py
+++ b/primrosereel/platform/_dialect.py
@@ -1,5 +1,6 @@
 """Headers of requests and responses, and HTTP calls to runners."""
 
+from collections.abc import Mapping
 from collections.abc import Sequence
 import re
 from typing import TypeVar
@@ -130,7 +131,7 @@
         """Decode the headers of a runner's response."""
         values = {name.lower(): value for name, value in headers}
         request_id = values.get(REQUEST_ID)
-        signs = _RunnerSigns(status, headers)
+        signs = _RunnerSigns(status, headers, values)
         return model.ResponseFacts(
             request_id=None
             if request_id is None
@@ -212,20 +213,27 @@
     names are kept in ``invalid_headers``.
     """
 
-    def __init__(self, status: int, headers: Headers) -> None:
+    def __init__(
+        self,
+        status: int,
+        headers: Headers,
+        values: Mapping[bytes, bytes],
+    ) -> None:
+        self._headers = headers
+        self._values = values
         self.leaving = False
         self.retry_after_s: float | None = None
         self.invalid_headers: list[str] = []
-        leaving = self._only_value(LEAVING, headers)
+        leaving = self._only_value(LEAVING)
         if leaving == LEAVING_VALUE:
             self.leaving = True
         elif leaving is not None:
             self.invalid_headers.append(LEAVING.decode())
         if status == UNAVAILABLE:
-            self.retry_after_s = self._seconds(headers)
+            self.retry_after_s = self._seconds()
 
-    def _seconds(self, headers: Headers) -> float | None:
-        value = self._only_value(RETRY_AFTER, headers)
+    def _seconds(self) -> float | None:
+        value = self._only_value(RETRY_AFTER)
         if value is None:
             return None
         if RETRY_AFTER_SECONDS.fullmatch(value) is None:
@@ -233,15 +241,15 @@
             return None
         return float(value)
 
-    def _only_value(self, name: bytes, headers: Headers) -> bytes | None:
+    def _only_value(self, name: bytes) -> bytes | None:
         """Return the value of a header; None if it is absent or repeated."""
-        values = [
-            value.strip() for key, value in headers if key.lower() == name
-        ]
-        if len(values) > 1:
+        if name not in self._values:
+            return None
+        number = sum(key.lower() == name for key, _ in self._headers)
+        if number > 1:
             self.invalid_headers.append(name.decode())
             return None
-        return values[0] if values else None
+        return self._values[name].strip()
 
 
 def _json_headers(runner: ids.RunnerId) -> list[tuple[bytes, bytes]]:
