--- a/tests/property/test_gateway_silent_runners.py
+++ b/tests/property/test_gateway_silent_runners.py
@@ -131,6 +131,38 @@
     run(scenario)
 
 
+@pytest.mark.parametrize('fault', [Fault.SILENT, Fault.PAUSE_STREAM])
+def test_stream_of_a_dead_runner_goes_on_before_its_caller_leaves(fault):
+    """Guards against a wait for a dead runner beyond what callers wait for.
+
+    Callers of this route leave a stream after two seconds without an event.
+    """
+
+    async def scenario(fleet):
+        configuration = gateway_fleet.configuration(2)
+        for route in configuration['routes']:
+            route['targetLatencyMs'] = 300
+        fleet.store.put('op/config', configuration)
+        context = fleet.gateway._context
+        await fleet.wait_for(lambda: context.table.version == 2)
+        row = context.runners.get('d2')
+        row.in_flight, row.tokens = 6, 20_000
+        fleet.runners['d1'].faults.append(fault)
+        fleet.runners['d1'].options.pause_s = 30.0
+        gaps_s = []
+        async with fleet.client() as client:
+            event_at = anyio.current_time()
+            await client.send('/ask/1', 'r1', method='POST', **STREAM)
+            for number in (1, 2, 3):
+                await client.receive(until=b'id: %d\n' % number)
+                gaps_s.append(anyio.current_time() - event_at)
+                event_at = anyio.current_time()
+            assert (await client.receive()).complete
+        assert max(gaps_s) < timeouts.MIN_CALLER_GAP_S
+
+    run(scenario)
+
+
 @hypothesis.given(
     st.floats(0.05, 30.0), st.one_of(st.none(), st.floats(0.01, 5.0))
 )
