Tell peers with the next datagram what the store says of runners

Instances that the store turns away learned of a runner that left only with the next heartbeat of a peer, up to a second after that peer.

Each change that was not learned from a peer now goes with the next datagram to the own shard, whatever causes it. It causes none by itself, as all instances that have the store read the same entry.

The test fails without the change (TimeoutError: the instance without the store still holds s1 for ready, with heartbeats 60 s apart).

--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -84,8 +84,8 @@
     avoided_runners: dict[ids.RunnerId, tuple[states.Role, float]] = (
         dataclasses.field(default_factory=dict)
     )
-    # Called when this instance has learned a runner's availability itself.
-    availability_changed: Callable[[availability.Availability], None] = (
+    # Called after each change of a runner's availability.
+    availability_changed: Callable[[availability.Transition], None] = (
         lambda _: None
     )
     # Called when this instance's use of the engines changed.
--- a/primrosereel/gateway/_peers.py
+++ b/primrosereel/gateway/_peers.py
@@ -43,6 +43,10 @@
 # The number of runners that a gossip datagram lists, those with the most free
 # memory.
 GOSSIP_RUNNERS = 16
+# Sources that only this instance has; an entry is read by all instances.
+OWN_SOURCES = frozenset(
+    {availability.Source.ANSWER, availability.Source.REFUSAL}
+)
 # For how long another shard is still sent updates after its engines were used.
 OTHER_SHARD_UPDATE_S = 3.0
 
@@ -96,16 +100,21 @@
         self._crash_evidence_unsent = True
         self._changed.set()
 
-    def send_runner_notices(self, new: availability.Availability) -> None:
-        """Schedule a datagram on what a runner said of itself.
+    def send_runner_notices(self, transition: availability.Transition) -> None:
+        """Tell peers of a change of a runner's availability.
 
-        All instances are told of a runner that leaves; that one backs off is
-        a hint for those that use the same runners.
+        What a runner said to this instance only is told at once: that it
+        leaves to all instances, that it backs off to those that use the same
+        runners. What the store said is told with the next datagram, for
+        instances that are without the store.
         """
+        if transition.source is availability.Source.PEER:
+            return
         self._runner_notices_unsent = True
-        if new is availability.Availability.LEAVING:
-            self._leaving_unsent = True
-        self._changed.set()
+        if transition.source in OWN_SOURCES:
+            if transition.new is availability.Availability.LEAVING:
+                self._leaving_unsent = True
+            self._changed.set()
 
     async def run(self) -> None:
         """Exchange datagrams until cancelled."""
--- a/primrosereel/gateway/_runner_changes.py
+++ b/primrosereel/gateway/_runner_changes.py
@@ -12,12 +12,8 @@
 
 __all__ = ['RunnerChanges']
 
-Source = availability.Source
-
 # States in which a request that was not sent yet is placed anew.
 TAKES_NOTHING = runner_signs.LEFT | {availability.Availability.BACKING_OFF}
-# What only this instance has learned; an entry is read by all instances.
-OWN_SOURCES = frozenset({Source.ANSWER, Source.REFUSAL})
 
 
 class RunnerChanges:
@@ -37,5 +33,4 @@
                 context.pool.drop(runner.listing.address)
         if transition.new in TAKES_NOTHING:
             context.unsent_places.runner_stopped(transition.runner)
-        if transition.source in OWN_SOURCES:
-            context.availability_changed(transition.new)
+        context.availability_changed(transition)
--- a/tests/property/test_gateway_runner_notices.py
+++ b/tests/property/test_gateway_runner_notices.py
@@ -3,6 +3,7 @@
 import math
 
 from primrosereel.gateway import _peers as peers
+from primrosereel.gateway import _ports as ports
 from primrosereel.gateway import _runner_notices as runner_notices
 from primrosereel.routing import _availability as availability
 from primrosereel.routing import _model as model
@@ -56,6 +57,32 @@
     run_with_peer(scenario)
 
 
+def test_instance_without_the_store_is_told_what_the_store_says(monkeypatch):
+    """Guards against requests to a runner that left during an outage.
+
+    The store turns this instance away; its peers read that the runner drains.
+    """
+    monkeypatch.setattr(peers, 'HEARTBEAT_INTERVAL_S', 60.0)
+
+    async def scenario(fleet, other, *_):
+        async def turn_away(*_):
+            raise ports.StoreUnavailable('turned away')
+
+        other._reader._store.watch = turn_away
+        await fleet.wait_for(lambda: not other._reader._available, 3.0)
+        fleet.list_runner('s1', 'draining')
+        await fleet.wait_for(
+            lambda: state(fleet.gateway, 's1') is Availability.LEAVING
+        )
+        # Any use of an engine sends a datagram.
+        await back_offs.ask_stream(fleet)
+        await fleet.wait_for(
+            lambda: state(other, 's1') is Availability.LEAVING, 0.5
+        )
+
+    run_with_peer(scenario)
+
+
 def test_heartbeats_repeat_what_a_lost_datagram_told(monkeypatch):
     """Guards against a peer that misses one datagram and never knows."""
     monkeypatch.setattr(peers.Peers, 'send_runner_notices', lambda *_: None)
