--- a/primrosereel/routing/_availability_record.py
+++ b/primrosereel/routing/_availability_record.py
@@ -49,6 +49,11 @@
         """Tell whether the runner may get a new request."""
         return self.accepts_from <= now < self.accepts_until
 
+    @property
+    def is_missing(self) -> bool:
+        """Whether the entry is missing and the runner may have left."""
+        return self.state is Availability.MISSING
+
     @property
     def is_removed(self) -> bool:
         """Whether the runner is gone and its entry too."""
@@ -60,7 +65,7 @@
         A runner that refused a peer's request comes second, and one whose
         entry is missing last.
         """
-        if self.state is Availability.MISSING:
+        if self.is_missing:
             return 2
         return 1 if now < self.hinted_until else 0
 
--- a/primrosereel/routing/_decode_places.py
+++ b/primrosereel/routing/_decode_places.py
@@ -216,9 +216,9 @@
                 continue
             runner = None
             if self._ledger.is_first(_queue_head(ticket, now), now):
-                runner = self.choose(ticket, now) or self._choose_spillover(
-                    ticket, now
-                )
+                runner = self.choose(ticket, now)
+                if runner is None or runner.availability.is_missing:
+                    runner = self._choose_spillover(ticket, now) or runner
             if runner is None:
                 blocked.add(ticket.service)
                 continue
--- a/tests/property/test_routing_shards.py
+++ b/tests/property/test_routing_shards.py
@@ -183,6 +183,16 @@
     assert instance.submit(10_000, 0.1).runner is None
 
 
+def test_missing_runner_comes_after_those_of_other_shards():
+    """Guards against requests to a runner that may have left."""
+    instance = Instance()
+    instance.table.remove(ids.RunnerId('d-a'), 0.0, missing_until=2.0)
+    instance.places.learn_free_memory([(ids.RunnerId('d-b'), 26_000)], 0.0)
+    assert instance.places.free_memory(0.1) == []
+    assert instance.submit(10_000, 0.1).runner.runner_id == 'd-b'
+    assert instance.submit(10_000, 0.1).runner.runner_id == 'd-a'
+
+
 def test_free_memory_is_sorted_most_first():
     """Guards against reports that leave out the runners with most memory.
 
