--- a/primrosereel/routing/_availability.py
+++ b/primrosereel/routing/_availability.py
@@ -82,7 +82,7 @@
         self._told = RunnerNotices(bounds.tombstone_s, bounds.max_tombstones)
         # The records whose entry is removed and may come back.
         self._missing: dict[ids.RunnerId, AvailabilityRecord] = {}
-        self._deferred_until = -math.inf
+        self._has_spare = False
 
     def __len__(self) -> int:
         return len(self._records)
@@ -93,9 +93,12 @@
         return self._bounds
 
     @property
-    def deferred_until(self) -> float:
-        """Until when some runner is used less willingly than others."""
-        return self._deferred_until
+    def has_spare(self) -> bool:
+        """Whether some runner may be missing or hinted at.
+
+        It stays set until ``expire`` finds none.
+        """
+        return self._has_spare
 
     def record(self, runner_id: ids.RunnerId) -> AvailabilityRecord:
         """Return the record of a runner, a new one if it is not known."""
@@ -232,7 +235,7 @@
         until = now + for_s
         if source is Source.PEER:
             record.hinted_until = max(record.hinted_until, until)
-            self._defer(record.hinted_until)
+            self._has_spare = True
             return for_s
         self._advance(runner_id, record, now)
         record.back_off_until = max(record.back_off_until, until)
@@ -346,7 +349,6 @@
             if runner_id in self._missing:
                 record.missing_until = missing_until
                 record.update_times()
-                self._defer(missing_until)
                 self._advance(runner_id, record, now)
 
     def expire(self, now: float) -> None:
@@ -354,19 +356,14 @@
 
         What is known of runners that left long ago is forgotten.
         """
-        self._deferred_until = -math.inf
+        has_hints = False
         for runner_id, record in list(self._records.items()):
             self._advance(runner_id, record, now)
-            if record.state is Availability.MISSING:
-                self._defer(record.missing_until)
-            if now < record.hinted_until:
-                self._defer(record.hinted_until)
+            has_hints = has_hints or now < record.hinted_until
+        self._has_spare = has_hints or bool(self._missing)
         for runner_id in self._told.expire(now):
             self._records.pop(runner_id, None)
 
-    def _defer(self, until: float) -> None:
-        self._deferred_until = max(self._deferred_until, until)
-
     def _advance(
         self, runner_id: ids.RunnerId, record: AvailabilityRecord, now: float
     ) -> None:
@@ -404,7 +401,7 @@
             record.since = now - age_s
         record.update_times()
         if new is Availability.MISSING:
-            self._defer(record.missing_until)
+            self._has_spare = True
         if new in TOLD:
             self._told.add(runner_id, record)
         if new is not old:
--- a/primrosereel/routing/_placement.py
+++ b/primrosereel/routing/_placement.py
@@ -46,6 +46,7 @@
         random: random_module.Random,
     ) -> None:
         self._table = table
+        self._availability = table.availability
         self._availability_zone = availability_zone
         self._random = random
 
@@ -56,9 +57,13 @@
         now: float,
     ) -> runners.Runner | None:
         """Return the runner with the lowest cost."""
-        candidates = self._candidates(service, excluded, now)
+        candidates = self._table.ready(
+            service, states.Role.PLAIN, now, excluded
+        )
         if not candidates:
             return None
+        if self._availability.has_spare:
+            candidates = self._without_spare(candidates, now)
         fastest = min(
             (runner.latency_s for runner in candidates if runner.latency_s),
             default=None,
@@ -67,19 +72,12 @@
             candidates, key=lambda runner: self._cost(runner, fastest, now)
         )
 
-    def _candidates(
-        self,
-        service: ids.ServiceId,
-        excluded: Collection[ids.RunnerId],
-        now: float,
+    def _without_spare(
+        self, ready: list[runners.Runner], now: float
     ) -> list[runners.Runner]:
-        """Return the runners to choose from.
-
-        Spare runners are among them only while no other is available.
-        """
-        ready = self._table.ready(service, states.Role.PLAIN, now, excluded)
+        """Leave out spare runners while another one is available."""
         preferred = self._table.preferred(ready, now)
-        if preferred is ready or any(r.is_available(now) for r in preferred):
+        if any(runner.is_available(now) for runner in preferred):
             return preferred
         return ready
 
--- a/primrosereel/routing/_runners.py
+++ b/primrosereel/routing/_runners.py
@@ -271,7 +271,7 @@
         Spare are runners that refused a request of a peer, and after them
         those whose entry is missing.
         """
-        if now >= self._availability.deferred_until or not candidates:
+        if not self._availability.has_spare or not candidates:
             return candidates
         best = min(
             runner.availability.preference(now) for runner in candidates
@@ -349,15 +349,21 @@
         now: float,
         excluded: Collection[ids.RunnerId],
     ) -> list[Runner]:
-        return [
+        accepting = [
             runner
             for runner in self._runners.values()
             if runner.listing.service == service
             and runner.listing.role is role
-            and (record := runner.availability).accepts_from <= now
-            and now < record.accepts_until
+            and runner.availability.accepts_from <= now
             and runner.runner_id not in excluded
         ]
+        if not self._availability.has_spare:
+            return accepting
+        return [
+            runner
+            for runner in accepting
+            if now < runner.availability.accepts_until
+        ]
 
 
 def _replaces(new: model.RunnerListing, old: model.RunnerListing) -> bool:
