--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -1,6 +1,8 @@
 """A gateway on loopback, with stand-ins for the store and the runners."""
 
 import contextlib
+import functools
+import inspect
 import os
 
 import anyio
@@ -25,6 +27,7 @@
     'fleet',
     'free_port',
     'run_scenario',
+    'with_fleet',
 ]
 
 HOST = operator_config.HOST
@@ -228,6 +231,27 @@
     return settings.GatewaySettings(**(defaults | changes))
 
 
+def with_fleet(test):
+    """Run a test, a coroutine function, with a fleet as its first argument.
+
+    Example::
+
+        @gateway_fleet.with_fleet
+        async def test_read(fleet):
+            assert (await fleet.ask('/read/1', 'r1')).status == 200
+    """
+
+    @functools.wraps(test)
+    def run(**arguments):
+        run_scenario(lambda fleet: test(fleet, **arguments))
+
+    # pytest asks for the other arguments only.
+    signature = inspect.signature(test)
+    _, *others = signature.parameters.values()
+    run.__signature__ = signature.replace(parameters=others)
+    return run
+
+
 def run_scenario(scenario, **changes):
     """Run a scenario against a fleet; it must end within 20 s."""
 
--- a/tests/property/test_gateway_leaving_runners.py
+++ b/tests/property/test_gateway_leaving_runners.py
@@ -14,8 +14,6 @@
 Fault = listed_runner.Fault
 STREAM = test_gateway.STREAM
 
-run = gateway_fleet.run_scenario
-
 
 def state(fleet, name):
     context = fleet.gateway._context
@@ -29,20 +27,19 @@
     row.in_flight, row.tokens = 6, 20_000
 
 
-async def ask_plain(fleet):
+async def ask_plain(fleet, fault=None):
+    fleet.runners['s1'].faults.extend([fault] if fault else [])
     prefer(fleet, 's1')
     await fleet.ask('/read/1', 'r1')
     return 's1'
 
 
 async def ask_for_refusal(fleet):
-    fleet.runners['s1'].faults.append(Fault.SHED)
-    return await ask_plain(fleet)
+    return await ask_plain(fleet, Fault.SHED)
 
 
 async def ask_for_error(fleet):
-    fleet.runners['s1'].faults.append(Fault.ERROR)
-    return await ask_plain(fleet)
+    return await ask_plain(fleet, Fault.ERROR)
 
 
 async def ask_another_runner(fleet):
@@ -51,19 +48,19 @@
     return await ask_plain(fleet)
 
 
-async def ask_for_broken_stream(fleet):
-    fleet.runners['d1'].faults.append(Fault.BREAK_STREAM)
-    return await ask_for_stream(fleet)
-
-
-async def ask_for_stream(fleet):
+async def ask_for_stream(fleet, fault=None):
+    fleet.runners['d1'].faults.extend([fault] if fault else [])
     prefer(fleet, 'd1')
     await fleet.ask('/once/1', 'r1', method='POST', **STREAM)
     return 'd1'
 
 
+async def ask_for_broken_stream(fleet):
+    return await ask_for_stream(fleet, Fault.BREAK_STREAM)
+
+
 async def ask_for_prefill(fleet):
-    await fleet.ask('/once/1', 'r1', method='POST', **STREAM)
+    await ask_for_stream(fleet)
     return 'p1'
 
 
@@ -101,136 +98,116 @@
         free_handle,
     ],
 )
-def test_each_kind_of_answer_says_that_its_runner_leaves(ask):
+@gateway_fleet.with_fleet
+async def test_each_kind_of_answer_says_that_its_runner_leaves(fleet, ask):
     """Guards against requests to a runner that said that it leaves.
 
     The platform's list may show the runner as ready for longer.
     """
-
-    async def scenario(fleet):
-        for runner in fleet.runners.values():
-            runner.leaving = True
-        name = await ask(fleet)
-        await fleet.wait_for(
-            lambda: state(fleet, name) is Availability.LEAVING
-        )
-        for runner in fleet.runners.values():
-            runner.leaving = False
-        requests = len(fleet.runners[name].requests)
-        for number in range(4):
-            await fleet.ask('/read/1', f'n{number}')
-            await fleet.ask('/once/1', f'g{number}', method='POST', **STREAM)
-        assert len(fleet.runners[name].requests) == requests
-        (line,) = [
-            line
-            for line in fleet.log.named('runner availability changed')
-            if (line['runner'], line['new']) == (name, 'leaving')
-        ]
-        assert (line['old'], line['source']) == ('ready', 'answer')
-
-    run(scenario)
-
-
-def test_idle_connections_to_a_leaving_runner_are_closed():
+    for runner in fleet.runners.values():
+        runner.leaving = True
+    name = await ask(fleet)
+    await fleet.wait_for(lambda: state(fleet, name) is Availability.LEAVING)
+    for runner in fleet.runners.values():
+        runner.leaving = False
+    requests = len(fleet.runners[name].requests)
+    for number in range(4):
+        await fleet.ask('/read/1', f'n{number}')
+        await fleet.ask('/once/1', f'g{number}', method='POST', **STREAM)
+    assert len(fleet.runners[name].requests) == requests
+    (line,) = [
+        line
+        for line in fleet.log.named('runner availability changed')
+        if (line['runner'], line['new']) == (name, 'leaving')
+    ]
+    assert (line['old'], line['source']) == ('ready', 'answer')
+
+
+@gateway_fleet.with_fleet
+async def test_idle_connections_to_a_leaving_runner_are_closed(fleet):
     """Guards against a request on a connection that its runner closes."""
+    context = fleet.gateway._context
+    prefer(fleet, 's1')
+    address = context.runners.get('s1').listing.address
 
-    async def scenario(fleet):
-        context = fleet.gateway._context
-        prefer(fleet, 's1')
-        address = context.runners.get('s1').listing.address
-
-        async def ask(number):
-            await fleet.ask('/read/1', f'r{number}')
-
-        fleet.runners['s1'].options.work_s = 0.1
-        async with anyio.create_task_group() as tasks:
-            for number in range(2):
-                tasks.start_soon(ask, number)
-        idle = [connection for _, connection in context.pool._idle[address]]
-        assert len(idle) == 2
-        fleet.runners['s1'].leaving = True
-        await ask(2)
-        await fleet.wait_for(lambda: not any(c.reusable for c in idle), 0.5)
-        assert address not in context.pool._idle
+    async def ask(number):
+        await fleet.ask('/read/1', f'r{number}')
 
-    run(scenario)
+    fleet.runners['s1'].options.work_s = 0.1
+    async with anyio.create_task_group() as tasks:
+        for number in range(2):
+            tasks.start_soon(ask, number)
+    idle = [connection for _, connection in context.pool._idle[address]]
+    assert len(idle) == 2
+    fleet.runners['s1'].leaving = True
+    await ask(2)
+    await fleet.wait_for(lambda: not any(c.reusable for c in idle), 0.5)
+    assert address not in context.pool._idle
 
 
-def test_streams_of_a_runner_that_says_that_it_leaves_are_moved():
+@gateway_fleet.with_fleet
+async def test_streams_of_a_runner_that_says_that_it_leaves_are_moved(fleet):
     """Guards against streams that are cut when their runner ends.
 
     It also guards against the stream whose own head says it, and which was
     not yet known as one of that runner.
     """
-
-    async def scenario(fleet):
-        moves.make_streams_long(fleet)
-        prefer(fleet, 'd1')
-        async with fleet.client() as first, fleet.client() as second:
-            await first.send('/once/1', 'r1', method='POST', **STREAM)
-            await first.receive(until=b'id: 2')
-            fleet.runners['d1'].leaving = True
-            await second.send('/once/1', 'r2', method='POST', **STREAM)
-            for client in (first, second):
-                assert (await client.receive()).complete
-        assert {
-            line['source'] for line in fleet.log.named('stream moved')
-        } == {'d1'}
-        assert len(fleet.log.named('stream moved')) == 2
-
-    run(scenario)
-
-
-def test_a_restart_ends_the_leaving_of_a_runner():
+    moves.make_streams_long(fleet)
+    prefer(fleet, 'd1')
+    async with fleet.client() as first, fleet.client() as second:
+        await first.send('/once/1', 'r1', method='POST', **STREAM)
+        await first.receive(until=b'id: 2')
+        fleet.runners['d1'].leaving = True
+        await second.send('/once/1', 'r2', method='POST', **STREAM)
+        for client in (first, second):
+            assert (await client.receive()).complete
+    assert {line['source'] for line in fleet.log.named('stream moved')} == {
+        'd1'
+    }
+    assert len(fleet.log.named('stream moved')) == 2
+
+
+@gateway_fleet.with_fleet
+async def test_a_restart_ends_the_leaving_of_a_runner(fleet):
     """Guards against a new run that gets nothing as the old one left."""
-
-    async def scenario(fleet):
-        fleet.runners['s1'].leaving = True
-        await ask_plain(fleet)
-        assert state(fleet, 's1') is Availability.LEAVING
-        fleet.list_runner('s1')
-        await anyio.sleep(0.3)
-        assert state(fleet, 's1') is Availability.LEAVING
-        fleet.runners['s1'].leaving = False
-        fleet.runners['s1'].born_ms += 1
-        fleet.list_runner('s1')
-        await fleet.wait_for(lambda: state(fleet, 's1') is Availability.READY)
-
-    run(scenario)
-
-
-def test_a_head_that_is_cut_says_nothing_of_its_runner():
+    fleet.runners['s1'].leaving = True
+    await ask_plain(fleet)
+    assert state(fleet, 's1') is Availability.LEAVING
+    fleet.list_runner('s1')
+    await anyio.sleep(0.3)
+    assert state(fleet, 's1') is Availability.LEAVING
+    fleet.runners['s1'].leaving = False
+    fleet.runners['s1'].born_ms += 1
+    fleet.list_runner('s1')
+    await fleet.wait_for(lambda: state(fleet, 's1') is Availability.READY)
+
+
+@gateway_fleet.with_fleet
+async def test_a_head_that_is_cut_says_nothing_of_its_runner(fleet):
     """Guards against a broken answer that takes a runner out of use."""
-
-    async def scenario(fleet):
-        fleet.runners['s1'].leaving = True
-        fleet.runners['s1'].faults.append(Fault.CUT_HEAD)
-        prefer(fleet, 's1')
-        assert (await fleet.ask('/read/1', 'r1')).status == 200
-        assert state(fleet, 's1') is Availability.READY
-
-    run(scenario)
+    fleet.runners['s1'].leaving = True
+    fleet.runners['s1'].faults.append(Fault.CUT_HEAD)
+    prefer(fleet, 's1')
+    assert (await fleet.ask('/read/1', 'r1')).status == 200
+    assert state(fleet, 's1') is Availability.READY
 
 
 @pytest.mark.parametrize(
     'header', [(b'Server-Leaving', b'maybe'), (b'Server-Leaving', b'1')]
 )
-def test_an_invalid_header_is_counted_and_loses_no_request(
-    header, monkeypatch
+@gateway_fleet.with_fleet
+async def test_an_invalid_header_is_counted_and_loses_no_request(
+    fleet, header, monkeypatch
 ):
     """Guards against a request that is lost for a runner's invalid header."""
     monkeypatch.setattr(listed_runner, 'LEAVING_HEADER', header)
-
-    async def scenario(fleet):
-        runner = fleet.runners['s1']
-        respond = runner._response_headers
-        runner._response_headers = lambda name: [*respond(name), header]
-        runner.leaving = True
-        prefer(fleet, 's1')
-        reply = await fleet.ask('/file/1', 'r1', method='POST')
-        assert (reply.status, reply.body) == (200, b'answer to r1')
-        assert state(fleet, 's1') is Availability.READY
-        (line,) = fleet.log.named('runner header ignored')
-        assert (line['runner'], line['header']) == ('s1', 'server-leaving')
-
-    run(scenario)
+    runner = fleet.runners['s1']
+    respond = runner._response_headers
+    runner._response_headers = lambda name: [*respond(name), header]
+    runner.leaving = True
+    prefer(fleet, 's1')
+    reply = await fleet.ask('/file/1', 'r1', method='POST')
+    assert (reply.status, reply.body) == (200, b'answer to r1')
+    assert state(fleet, 's1') is Availability.READY
+    (line,) = fleet.log.named('runner header ignored')
+    assert (line['runner'], line['header']) == ('s1', 'server-leaving')
--- a/tests/property/test_gateway_silent_runners.py
+++ b/tests/property/test_gateway_silent_runners.py
@@ -16,8 +16,6 @@
 Fault = listed_runner.Fault
 STREAM = test_gateway.STREAM
 
-run = gateway_fleet.run_scenario
-
 
 def failed_runners(fleet):
     """Return the runners with evidence against them."""
@@ -29,138 +27,117 @@
 
 
 @pytest.mark.parametrize('path', ['/ask/1', '/once/1'])
-def test_stream_of_a_silent_runner_is_not_given_up(path):
+@gateway_fleet.with_fleet
+async def test_stream_of_a_silent_runner_is_not_given_up(fleet, path):
     """Guards against streams that another runner continues after 0.8 s."""
-
-    async def scenario(fleet):
-        for name in ('d1', 'd2'):
-            fleet.runners[name].faults.append(Fault.PAUSE_STREAM)
-        reply = await fleet.ask(path, 'r1', method='POST', **STREAM)
-        assert (reply.status, reply.complete) == (200, True)
-        assert test_gateway.run_count(fleet, 'r1') == 1
-        assert not failed_runners(fleet)
-
-    run(scenario)
+    for name in ('d1', 'd2'):
+        fleet.runners[name].faults.append(Fault.PAUSE_STREAM)
+    reply = await fleet.ask(path, 'r1', method='POST', **STREAM)
+    assert (reply.status, reply.complete) == (200, True)
+    assert test_gateway.run_count(fleet, 'r1') == 1
+    assert not failed_runners(fleet)
 
 
-def test_silence_of_a_plain_runner_is_no_evidence():
+@gateway_fleet.with_fleet
+async def test_silence_of_a_plain_runner_is_no_evidence(fleet):
     """Guards against a sound runner that is avoided after a silence.
 
     A call that may run twice goes to another runner meanwhile.
     """
+    fleet.runners['s1'].faults.append(Fault.PAUSE)
+    fleet.gateway._context.runners.get('s2').in_flight = 3
+    reply = await fleet.ask('/read/1', 'r1')
+    assert reply.status == 200
+    assert fleet.runners['s1'].requests
+    assert not failed_runners(fleet)
 
-    async def scenario(fleet):
-        fleet.runners['s1'].faults.append(Fault.PAUSE)
-        fleet.gateway._context.runners.get('s2').in_flight = 3
-        reply = await fleet.ask('/read/1', 'r1')
-        assert reply.status == 200
-        assert fleet.runners['s1'].requests
-        assert not failed_runners(fleet)
-
-    run(scenario)
 
-
-def test_silence_of_a_prefill_runner_is_no_evidence():
+@gateway_fleet.with_fleet
+async def test_silence_of_a_prefill_runner_is_no_evidence(fleet):
     """Guards against a sound prefill runner that is avoided after a silence.
 
     The prompt is prefilled at the decode runner meanwhile.
     """
+    fleet.runners['p1'].faults.append(Fault.PAUSE)
+    reply = await fleet.ask('/once/1', 'r1', method='POST', **STREAM)
+    assert (reply.status, reply.complete) == (200, True)
+    assert fleet.runners['p1'].requests
+    assert not failed_runners(fleet)
 
-    async def scenario(fleet):
-        fleet.runners['p1'].faults.append(Fault.PAUSE)
-        reply = await fleet.ask('/once/1', 'r1', method='POST', **STREAM)
-        assert (reply.status, reply.complete) == (200, True)
-        assert fleet.runners['p1'].requests
-        assert not failed_runners(fleet)
-
-    run(scenario)
 
-
-def test_order_waits_for_a_silent_runner():
+@gateway_fleet.with_fleet
+async def test_order_waits_for_a_silent_runner(fleet):
     """Guards against an order that is given up although it is accepted."""
+    address = fleet.gateway._context.runners.get('d1').listing.address
+    fleet.runners['d1'].pause(1.2)
+    assert await orders.give_order(fleet, 'd1', address)
+    assert not failed_runners(fleet)
 
-    async def scenario(fleet):
-        address = fleet.gateway._context.runners.get('d1').listing.address
-        fleet.runners['d1'].pause(1.2)
-        assert await orders.give_order(fleet, 'd1', address)
-        assert not failed_runners(fleet)
-
-    run(scenario)
 
-
-def test_move_waits_for_a_silent_source():
+@gateway_fleet.with_fleet
+async def test_move_waits_for_a_silent_source(fleet):
     """Guards against a stream that is cut as its stop call was given up."""
-
-    async def scenario(fleet):
-        moves.make_streams_long(fleet)
-        for runner in test_gateway.decode_runners(fleet):
-            runner.options.copy_s = 0.2
-        async with fleet.client() as client:
-            source, target = await moves.start_stream(fleet, client, '/once/1')
-            fleet.list_runner(source.options.runner, 'draining')
-            await fleet.wait_for(lambda: len(source.moves) == 2)
-            source.pause(1.3)
-            reply = await client.receive()
-        assert (reply.status, reply.complete) == (200, True)
-        assert target.requests
-
-    run(scenario)
+    moves.make_streams_long(fleet)
+    for runner in test_gateway.decode_runners(fleet):
+        runner.options.copy_s = 0.2
+    async with fleet.client() as client:
+        source, target = await moves.start_stream(fleet, client, '/once/1')
+        fleet.list_runner(source.options.runner, 'draining')
+        await fleet.wait_for(lambda: len(source.moves) == 2)
+        source.pause(1.3)
+        reply = await client.receive()
+    assert (reply.status, reply.complete) == (200, True)
+    assert target.requests
 
 
 @pytest.mark.parametrize('path', ['/read/1', '/ask/1'])
-def test_runner_that_stays_silent_is_found_to_fail(path):
+@gateway_fleet.with_fleet
+async def test_runner_that_stays_silent_is_found_to_fail(fleet, path):
     """Guards against a dead runner that gets requests again and again."""
-
-    async def scenario(fleet):
-        for name in ('s1', 'd1'):
-            fleet.runners[name].faults.extend([Fault.SILENT] * 99)
-        for name in ('s2', 'd2'):
-            row = fleet.gateway._context.runners.get(name)
-            row.in_flight, row.tokens = 6, 20_000
-        for number in range(5):
-            started_at = anyio.current_time()
-            reply = await fleet.ask(
-                path, f'r{number}', method='POST', **STREAM
-            )
-            assert reply.status == 200
-            assert anyio.current_time() - started_at < 3.0
-            await anyio.sleep(0.4)
-        assert failed_runners(fleet) <= {'s1', 'd1'}
-        assert failed_runners(fleet)
-
-    run(scenario)
+    for name in ('s1', 'd1'):
+        fleet.runners[name].faults.extend([Fault.SILENT] * 99)
+    for name in ('s2', 'd2'):
+        row = fleet.gateway._context.runners.get(name)
+        row.in_flight, row.tokens = 6, 20_000
+    for number in range(5):
+        started_at = anyio.current_time()
+        reply = await fleet.ask(path, f'r{number}', method='POST', **STREAM)
+        assert reply.status == 200
+        assert anyio.current_time() - started_at < 3.0
+        await anyio.sleep(0.4)
+    assert failed_runners(fleet) <= {'s1', 'd1'}
+    assert failed_runners(fleet)
 
 
 @pytest.mark.parametrize('fault', [Fault.SILENT, Fault.PAUSE_STREAM])
-def test_stream_of_a_dead_runner_goes_on_before_its_caller_leaves(fault):
+@gateway_fleet.with_fleet
+async def test_stream_of_a_dead_runner_goes_on_before_its_caller_leaves(
+    fleet, fault
+):
     """Guards against a wait for a dead runner beyond what callers wait for.
 
     Callers of this route leave a stream after two seconds without an event.
     """
-
-    async def scenario(fleet):
-        configuration = gateway_fleet.configuration(2)
-        for route in configuration['routes']:
-            route['targetLatencyMs'] = 300
-        fleet.store.put('op/config', configuration)
-        context = fleet.gateway._context
-        await fleet.wait_for(lambda: context.table.version == 2)
-        row = context.runners.get('d2')
-        row.in_flight, row.tokens = 6, 20_000
-        fleet.runners['d1'].faults.append(fault)
-        fleet.runners['d1'].options.pause_s = 30.0
-        gaps_s = []
-        async with fleet.client() as client:
+    configuration = gateway_fleet.configuration(2)
+    for route in configuration['routes']:
+        route['targetLatencyMs'] = 300
+    fleet.store.put('op/config', configuration)
+    context = fleet.gateway._context
+    await fleet.wait_for(lambda: context.table.version == 2)
+    row = context.runners.get('d2')
+    row.in_flight, row.tokens = 6, 20_000
+    fleet.runners['d1'].faults.append(fault)
+    fleet.runners['d1'].options.pause_s = 30.0
+    gaps_s = []
+    async with fleet.client() as client:
+        event_at = anyio.current_time()
+        await client.send('/ask/1', 'r1', method='POST', **STREAM)
+        for number in (1, 2, 3):
+            await client.receive(until=b'id: %d\n' % number)
+            gaps_s.append(anyio.current_time() - event_at)
             event_at = anyio.current_time()
-            await client.send('/ask/1', 'r1', method='POST', **STREAM)
-            for number in (1, 2, 3):
-                await client.receive(until=b'id: %d\n' % number)
-                gaps_s.append(anyio.current_time() - event_at)
-                event_at = anyio.current_time()
-            assert (await client.receive()).complete
-        assert max(gaps_s) < timeouts.MIN_CALLER_GAP_S
-
-    run(scenario)
+        assert (await client.receive()).complete
+    assert max(gaps_s) < timeouts.MIN_CALLER_GAP_S
 
 
 @hypothesis.given(
--- a/tests/property/test_gateway_unsent_requests.py
+++ b/tests/property/test_gateway_unsent_requests.py
@@ -13,64 +13,58 @@
 back_off = back_offs.back_off
 ask_stream = back_offs.ask_stream
 
-run = gateway_fleet.run_scenario
-
 
 def drain(fleet, name):
     fleet.list_runner(name, 'draining')
 
 
 @pytest.mark.parametrize('stop', [back_off, drain])
-def test_unsent_request_is_placed_anew_when_its_runner_stops(stop):
+@gateway_fleet.with_fleet
+async def test_unsent_request_is_placed_anew_when_its_runner_stops(
+    fleet, stop
+):
     """Guards against a request that is sent to a runner that wants none.
 
     Its place and its connection are older than what the runner said. The
     prompt is not prefilled again.
     """
-
-    async def scenario(fleet):
-        leaving.prefer(fleet, 'd1')
-        fleet.runners['p1'].options.work_s = 0.5
-
-        async def stop_first():
-            await fleet.wait_for(lambda: bool(fleet.runners['p1'].requests))
-            stop(fleet, 'd1')
-
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(stop_first)
-            reply = await ask_stream(fleet)
-        assert (reply.status, reply.complete) == (200, True)
-        assert not fleet.runners['d1'].requests
-        (request,) = fleet.runners['d2'].requests
-        assert 'kv-source' in request.headers
-        assert fleet.runners['p1'].prefills['r1'] == 1
-        (line,) = fleet.log.named('request placed anew')
-        assert (line['runner'], line['new_runner']) == ('d1', 'd2')
-
-    run(scenario)
-
-
-def test_unsent_request_waits_if_no_other_runner_has_room():
+    leaving.prefer(fleet, 'd1')
+    fleet.runners['p1'].options.work_s = 0.5
+
+    async def stop_first():
+        await fleet.wait_for(lambda: bool(fleet.runners['p1'].requests))
+        stop(fleet, 'd1')
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(stop_first)
+        reply = await ask_stream(fleet)
+    assert (reply.status, reply.complete) == (200, True)
+    assert not fleet.runners['d1'].requests
+    (request,) = fleet.runners['d2'].requests
+    assert 'kv-source' in request.headers
+    assert fleet.runners['p1'].prefills['r1'] == 1
+    (line,) = fleet.log.named('request placed anew')
+    assert (line['runner'], line['new_runner']) == ('d1', 'd2')
+
+
+@gateway_fleet.with_fleet
+async def test_unsent_request_waits_if_no_other_runner_has_room(fleet):
     """Guards against a refusal although a place becomes free in time."""
+    other = rejections.fill(fleet, 'd2', 48_400)
+    fleet.runners['p1'].options.work_s = 0.3
 
-    async def scenario(fleet):
-        other = rejections.fill(fleet, 'd2', 48_400)
-        fleet.runners['p1'].options.work_s = 0.3
-
-        async def stop_first():
-            await fleet.wait_for(lambda: bool(fleet.runners['p1'].requests))
-            back_off(fleet, 'd1')
-            await anyio.sleep(0.4)
-            other.tokens = other.in_flight = 0
+    async def stop_first():
+        await fleet.wait_for(lambda: bool(fleet.runners['p1'].requests))
+        back_off(fleet, 'd1')
+        await anyio.sleep(0.4)
+        other.tokens = other.in_flight = 0
 
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(stop_first)
-            reply = await ask_stream(fleet)
-        assert (reply.status, reply.complete) == (200, True)
-        assert not fleet.runners['d1'].requests
-        assert not fleet.gateway.engine_uses()
-
-    run(scenario)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(stop_first)
+        reply = await ask_stream(fleet)
+    assert (reply.status, reply.complete) == (200, True)
+    assert not fleet.runners['d1'].requests
+    assert not fleet.gateway.engine_uses()
 
 
 def test_displaced_requests_go_first_of_their_priority():
@@ -107,31 +101,28 @@
         ('d1', '/once/1', 'd2'),
     ],
 )
-def test_connection_is_not_used_once_its_runner_stops(
-    name, path, other, monkeypatch
+@gateway_fleet.with_fleet
+async def test_connection_is_not_used_once_its_runner_stops(
+    fleet, name, path, other, monkeypatch
 ):
     """Guards against a request that is sent as its connection is open."""
     connect = http.connect
-
-    async def scenario(fleet):
-        await fleet.add_runner('p2', 'llm', 'prefill')
-        table = fleet.gateway._context.runners
-        await fleet.wait_for(lambda: table.get('p2') is not None)
-        table.get('p2').slowness = 1.5
-        for preferred in ('s1', 'd1'):
-            leaving.prefer(fleet, preferred)
-        address = table.get(name).listing.address
-
-        async def connect_and_stop(target, timeout_s):
-            connection = await connect(target, timeout_s)
-            if target == address:
-                back_off(fleet, name)
-            return connection
-
-        monkeypatch.setattr(http, 'connect', connect_and_stop)
-        reply = await ask_stream(fleet, path=path)
-        assert (reply.status, reply.complete) == (200, True)
-        assert not fleet.runners[name].requests
-        assert fleet.runners[other].requests
-
-    run(scenario)
+    await fleet.add_runner('p2', 'llm', 'prefill')
+    table = fleet.gateway._context.runners
+    await fleet.wait_for(lambda: table.get('p2') is not None)
+    table.get('p2').slowness = 1.5
+    for preferred in ('s1', 'd1'):
+        leaving.prefer(fleet, preferred)
+    address = table.get(name).listing.address
+
+    async def connect_and_stop(target, timeout_s):
+        connection = await connect(target, timeout_s)
+        if target == address:
+            back_off(fleet, name)
+        return connection
+
+    monkeypatch.setattr(http, 'connect', connect_and_stop)
+    reply = await ask_stream(fleet, path=path)
+    assert (reply.status, reply.complete) == (200, True)
+    assert not fleet.runners[name].requests
+    assert fleet.runners[other].requests
