Round the Retry-After of runners that back off upwards

Callers are told hundredths of a second, rounded to the nearest, so that one could return up to 5 ms before its runner takes requests again.

The test failed before (3.0 == 3.01).

--- a/primrosereel/gateway/_admission.py
+++ b/primrosereel/gateway/_admission.py
@@ -1,6 +1,7 @@
 """Admission: waits for a place at a decode runner, or refuses a request."""
 
 from collections.abc import Collection
+import math
 
 import anyio
 
@@ -197,9 +198,12 @@
     )
     if not back_off_s:
         return None
+    retry_after_s = max(MIN_RETRY_AFTER_S, back_off_s) * _jitter(context)
     return Refused(
         states.RefusalReason.RUNNERS_BACKING_OFF,
-        max(MIN_RETRY_AFTER_S, back_off_s) * _jitter(context),
+        # Callers are told hundredths of a second, which must not be rounded
+        # down.
+        math.ceil(100 * retry_after_s) / 100,
         f'all runners back off, the first one for {back_off_s:.2f} s',
     )
 
--- a/tests/property/test_gateway_back_off.py
+++ b/tests/property/test_gateway_back_off.py
@@ -72,6 +72,19 @@
     assert reply.status == 200
 
 
+@gateway_fleet.with_fleet
+async def test_retry_after_is_not_rounded_below_the_back_off(fleet):
+    """Guards against a caller that returns just before its runner does."""
+    context = fleet.gateway._context
+    now = context.clock()
+    context.clock = lambda: now
+    context.random.random = lambda: 0.0
+    for name in ('s1', 's2'):
+        back_off(fleet, name, 3.004)
+    reply = await fleet.ask('/read/1', 'r1')
+    assert float(reply.headers['retry-after']) == 3.01
+
+
 @gateway_fleet.with_fleet
 async def test_generations_are_refused_at_once_if_all_runners_back_off(fleet):
     """Guards against prompts that wait, or are prefilled, for no runner."""
