--- a/tests/property/test_gateway_back_off.py
+++ b/tests/property/test_gateway_back_off.py
@@ -178,6 +178,24 @@
     assert not target.requests
 
 
+@gateway_fleet.with_fleet
+async def test_stopped_stream_goes_on_at_the_runner_with_its_copy(fleet):
+    """Guards against a stream that is cut as its new runner backs off.
+
+    The old runner has stopped it, and no other runner has the copy.
+    """
+    moves.make_streams_long(fleet)
+    async with fleet.client() as client:
+        source, target = await moves.start_stream(fleet, client, '/once/1')
+        source.options.copy_s = 0.2
+        fleet.list_runner(source.options.runner, 'draining')
+        await fleet.wait_for(lambda: len(source.moves) == 2)
+        back_off(fleet, target.options.runner, 20.0)
+        reply = await client.receive()
+    assert (reply.status, reply.complete) == (200, True)
+    assert len(target.requests) == 1
+
+
 @pytest.mark.parametrize(
     ('retry_after', 'event'),
     [
