--- a/tests/property/test_availability.py
+++ b/tests/property/test_availability.py
@@ -3,6 +3,7 @@
 import dataclasses
 import itertools
 import math
+import pathlib
 
 from hypothesis import given
 from hypothesis import settings
@@ -18,6 +19,7 @@
 from primrosereel.routing import _runners as runners
 from tests.property import test_routing_places as places_tests
 
+PAGE = pathlib.Path(__file__).resolve().parents[2] / 'docs' / 'design.md'
 RUNNER = ids.RunnerId('r')
 SERVICE = ids.ServiceId('plain')
 PEER = ids.InstanceId('peer')
@@ -72,12 +74,11 @@
 
 def test_the_table_of_the_page_is_that_of_the_code():
     """Guards against a page that tells other transitions than are made."""
-    with open('docs/design.md', encoding='utf-8') as page:
-        rows = [
-            [cell.strip(' `') for cell in line.strip().strip('|').split('|')]
-            for line in page
-            if line.startswith('| `')
-        ]
+    rows = [
+        [cell.strip(' `') for cell in line.strip('|').split('|')]
+        for line in PAGE.read_text().splitlines()
+        if line.startswith('| `')
+    ]
     after = {row[0]: row[1:] for row in rows if len(row) == 6}
     for event in Event:
         expected = [
@@ -117,6 +118,11 @@
         assert table.state(RUNNER, 2.0) is Availability.GONE
     assert table.observe_entry(RUNNER, Version(10, 6), False, 3.0)
     assert table.accepts(RUNNER, 3.0)
+    # What an entry says is not forgotten while the runner is gone.
+    table.observe_removal(RUNNER, 4.0)
+    assert not table.observe_entry(RUNNER, Version(10, 6), True, 5.0)
+    table.observe_entry(RUNNER, Version(10, 7), False, 6.0)
+    assert table.state(RUNNER, 6.0) is Availability.LEAVING
 
 
 def test_transition_tells_source_age_and_what_it_overrode():
--- a/tests/property/test_routing_places.py
+++ b/tests/property/test_routing_places.py
@@ -10,6 +10,7 @@
 from primrosereel.routing import _decode_places as decode_places
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _model as model
+from primrosereel.routing import _prefill_plan as prefill_plan
 from primrosereel.routing import _runners as runners
 
 SERVICE = ids.ServiceId('llm')
@@ -326,6 +327,28 @@
     assert (overtaken.runner, fresh.runner is not None) == (None, True)
 
 
+def test_missing_runner_gets_requests_only_if_no_other_has_room():
+    """Guards against prompts for a runner that may have left."""
+    instance = Instance('i1')
+    for number in range(2):
+        instance.table.put(
+            listing(f'p{number}', states.Role.PREFILL, 200 + number)
+        )
+    plan = prefill_plan.PrefillPlan(instance.table, instance.ledger, ZONE)
+    for name in ('d0', 'p0'):
+        instance.table.remove(ids.RunnerId(name), 0.0, missing_until=2.0)
+    decode = instance.table.get(ids.RunnerId('d1'))
+    instance.table.get(ids.RunnerId('p1')).tokens = 2_000
+    assert plan.choose(decode, 500, 0.1).runner_id == 'p1'
+    placed = [instance.submit(20_000, 0.1).runner for _ in range(5)]
+    assert [r and r.runner_id for r in placed] == [
+        *['d1'] * 2,
+        'd0',
+        'd0',
+        None,
+    ]
+
+
 def test_description_names_runners_that_take_nothing():
     """Guards against a refusal for lack of room that hides why."""
     instance = Instance('i1')
--- a/tests/property/test_routing_roles.py
+++ b/tests/property/test_routing_roles.py
@@ -4,6 +4,7 @@
 
 from primrosereel import _ids as ids
 from primrosereel import _states as states
+from primrosereel.routing import _availability as availability
 from primrosereel.routing import _demand as demand_module
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _model as model
@@ -79,6 +80,25 @@
     assert not switches(balance, 10, start=2)
 
 
+def test_runner_that_backs_off_counts_but_gets_no_order():
+    """Guards against orders to a runner that wants no requests for a time.
+
+    Without it in the count, a refusal would look like a lost runner.
+    """
+    balance, table = fleet(2, 4, 40_000)
+    table.availability.observe_back_off(
+        ids.RunnerId('prefill0'), 0, 20.0, availability.Source.REFUSAL, 0.0
+    )
+    assert not switches(balance, 10)
+    balance, table = fleet(3, 1, 45_000)
+    for name in ('prefill0', 'prefill2'):
+        table.availability.observe_back_off(
+            ids.RunnerId(name), 0, 20.0, availability.Source.REFUSAL, 0.0
+        )
+    (_, switch), *_ = switches(balance, 10)
+    assert switch.runner == 'prefill1'
+
+
 def test_orders_are_spaced():
     """Guards against a second order before the first one shows effect."""
     balance, table = fleet(3, 3, 45_000)
--- a/tests/property/test_store_contact.py
+++ b/tests/property/test_store_contact.py
@@ -214,6 +214,16 @@
     assert not instance.usable(2.5)
 
 
+def test_return_from_a_copy_counts_for_its_own_time_only():
+    """Guards against use of a runner that left in a later, own outage."""
+    instance = Instance()
+    instance.list.store_restored(10.0)
+    instance.list.peer_in_touch(PEER, 10.0, 29.5)
+    instance.lose_store(20.0, 21.0, 30.0)
+    instance.learn_removal(30.0)
+    assert instance.usable(30.0) == {'r1'}
+
+
 def test_removal_without_an_outage_is_real():
     """Guards against use of a runner that left without an announcement."""
     instance = Instance()
