Have each soak run end after a return that hides a configuration

Now the configuration is written while the instances are cut off and again below their revision. The returns have their own random numbers, so the other faults of each seed stay as they were.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -16,12 +16,9 @@
 import collections
 import functools
 import json
-import os
 import pathlib
 import random
 import signal
-import subprocess
-import sys
 import tempfile
 
 import anyio
@@ -31,13 +28,13 @@
 from primrosereel.standin import _metadata_store as metadata_store
 from primrosereel.standin import _operator_config as operator_config
 from tests import gateway_fleet
+from tests.soak import gateway_process
 from tests.soak import links
 from tests.soak import store_return
 
 __all__ = ['Soak', 'run']
 
 Fault = listed_runner.Fault
-HOSTS = ('127.0.0.1', '127.0.0.2', '127.0.0.3')
 RUNNERS = (
     *((f'p{n}', 'llm', 'prefill') for n in range(2)),
     *((f'd{n}', 'llm', 'decode') for n in range(3)),
@@ -57,87 +54,6 @@
 REQUESTS_PER_S = 25.0
 START_TIMEOUT_S = 20.0
 RECOVERY_TIMEOUT_S = 12.0
-SETTINGS_TEMPLATE = """
-nodeName = "soak-{number}"
-zone = "zone-a"
-ip = "{host}"
-internalPortRange = [{peer}, {peer}]
-seeds = ["127.0.0.1:1"]
-[listen]
-frontend = "{host}:{callers}"
-ready = "{host}:{readiness}"
-[bounds]
-drainMs = 1000
-configApplyMs = 1000
-stableWindowMs = 1000
-graceS = 6
-retryBudgetRatio = 0.2
-budgetWindowS = 10
-retryBudgetSlack = 50
-[platform]
-address = "127.0.0.1:{store}"
-"""
-
-
-class GatewayProcess:
-    """One gateway process and its log."""
-
-    def __init__(self, number, folder, store, peer):
-        self.host = HOSTS[number]
-        self.callers = gateway_fleet.free_port()
-        self.readiness = gateway_fleet.free_port()
-        self._settings = folder / f'{number}.toml'
-        self.log = folder / f'{number}.log'
-        self._settings.write_text(
-            SETTINGS_TEMPLATE.format(
-                number=number,
-                host=self.host,
-                peer=peer,
-                callers=self.callers,
-                readiness=self.readiness,
-                store=store,
-            )
-        )
-        self.popen = None
-        # Held while a fault is being injected into this process.
-        self.fault_lock = anyio.Lock()
-
-    def start(self):
-        with self.log.open('ab') as log:
-            self.popen = subprocess.Popen(
-                [sys.executable, '-m', 'primrosereel.cmd.gateway'],
-                env=os.environ | {'PRIMROSEREEL_CONFIG': str(self._settings)},
-                stdout=log,
-                stderr=log,
-            )
-
-    def signal(self, number):
-        if self.popen.poll() is None:
-            self.popen.send_signal(number)
-
-    def touch_settings(self):
-        """Append an empty line, which changes the file but no setting."""
-        self._settings.write_text(self._settings.read_text() + '\n')
-
-    async def wait_exit(self, timeout_s):
-        """Return the exit status, or None if it still runs at the timeout."""
-        with anyio.move_on_after(timeout_s):
-            while self.popen.poll() is None:
-                await anyio.sleep(0.05)
-        return self.popen.poll()
-
-    async def wait_ready(self, timeout_s):
-        address = model.Address(self.host, self.readiness)
-        with anyio.fail_after(timeout_s):
-            while True:
-                try:
-                    async with gateway_fleet.Client(address) as client:
-                        reply = await client.ask('/v1/readiness', 'ready')
-                    if reply.status == 200:
-                        return
-                except OSError:
-                    pass
-                await anyio.sleep(0.05)
 
 
 class Soak:
@@ -145,7 +61,10 @@
 
     def __init__(self, seed, seconds):
         self._random = random.Random(seed)
+        # Random sources of their own leave each seed's other faults as they
+        # are.
         self._prompts_random = random.Random(seed + 1)
+        self._returns_random = random.Random(seed + 2)
         self._seconds = seconds
         self._load_end = 0.0
         self._version = 1
@@ -196,8 +115,10 @@
             self._publish_runner(name, 'ready')
         peer = gateway_fleet.free_port()
         self._processes = [
-            GatewayProcess(number, folder, self._store_link.port, peer)
-            for number in range(len(HOSTS))
+            gateway_process.GatewayProcess(
+                number, folder, self._store_link.port, peer
+            )
+            for number in range(len(gateway_process.HOSTS))
         ]
         for process in self._processes:
             process.start()
@@ -300,11 +221,11 @@
             self._reload_settings,
             self._disturb_runner,
             self._disturb_store,
-            self._return_store,
             self._fail_runner,
             self._drain_runner,
             self._publish_configuration,
         )
+        tasks.start_soon(self._return_store)
         while anyio.current_time() < self._load_end:
             fault_method = self._random.choice(fault_methods)
             self.faults[fault_method.__name__] += 1
@@ -380,7 +301,13 @@
             self._store_link.set_mode(links.Mode.PASS)
 
     async def _return_store(self):
-        await store_return.return_from_copy(self._store, self._random)
+        await store_return.return_from_copy(
+            self._store,
+            self._returns_random,
+            functools.partial(
+                self._publish_configuration, self._returns_random
+            ),
+        )
 
     async def _fail_runner(self):
         """Queue four random faults on each of half of the runners."""
@@ -398,8 +325,8 @@
             await anyio.sleep(wait_s)
         self._publish_runner(name, 'ready')
 
-    async def _publish_configuration(self):
-        self._version += self._random.randint(1, 3)
+    async def _publish_configuration(self, random_source=None):
+        self._version += (random_source or self._random).randint(1, 3)
         self._store.put(
             'op/config', operator_config.configuration(self._version)
         )
@@ -420,6 +347,7 @@
                     f'{process.host} did not become ready after the faults'
                 )
                 return
+        await self._return_store()
         # The gateway avoids runners that failed for a few seconds.
         await anyio.sleep(5.0)
         before = self.outcomes['200']
--- a/tests/soak/store_return.py
+++ b/tests/soak/store_return.py
@@ -8,23 +8,33 @@
 
 __all__ = ['older_versions', 'return_from_copy']
 
+OTHER_WRITES = 10
 
-async def return_from_copy(store, random):
+
+async def return_from_copy(store, random, publish):
     """Take the store away, and bring it back from a copy some time old.
 
-    What was written since the copy is written again, in another order.
+    Its last answer is to the operator, whose configuration ``publish`` writes.
+    What was written since the copy is written again, the configuration first,
+    and other writes pass the revisions that were lost.
     """
     copy = store.copy()
-    await anyio.sleep(random.uniform(0.3, 3.0))
+    # Runners write constantly, so the instances' revisions are lost ones.
+    for number in range(OTHER_WRITES):
+        store.put(f'other/{number}', {})
+    await anyio.sleep(random.uniform(1.5, 3.0))
     store.mode = metadata_store.StoreMode.RESET
+    await publish()
     await anyio.sleep(random.uniform(0.1, 1.0))
-    lost = store.copy().items
+    lost = store.copy()
     store.restore(copy)
-    for key in sorted(lost, reverse=True):
-        if lost[key].revision > copy.revision:
-            store.put(key, lost[key].value)
-    for key in copy.items.keys() - lost.keys():
+    for key in sorted(lost.items):
+        if lost.items[key].revision > copy.revision:
+            store.put(key, lost.items[key].value)
+    for key in copy.items.keys() - lost.items.keys():
         store.delete(key)
+    for number in range(OTHER_WRITES):
+        store.put(f'other/{number}', {})
     store.mode = metadata_store.StoreMode.UP
 
 
