--- a/primrosereel/gateway/_server.py
+++ b/primrosereel/gateway/_server.py
@@ -63,6 +63,11 @@
         """The callers' connections that are not closed."""
         return len(self._connections)
 
+    def close_after_replies(self) -> None:
+        """Have the next response on each connection announce its end."""
+        for connection in self._connections:
+            connection.close_after_reply()
+
     def close_idle(self) -> None:
         """Have each connection closed once no request is read or served."""
         for connection in self._connections:
@@ -81,7 +86,8 @@
                 reason = await self._serve_watched(connection, request)
             finally:
                 self._context.active -= 1
-                if reason is not None:
+                # Work after a complete answer may be cancelled, too.
+                if reason is not None and not connection.answered:
                     self._record_unanswered(request, reason)
             if reason is not None or not connection.start_next_cycle():
                 return
