--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -23,12 +23,15 @@
 from primrosereel.gateway import _pool as pool_module
 from primrosereel.gateway import _ports as ports
 from primrosereel.gateway import _response_memory as response_memory
+from primrosereel.gateway import _runner_changes as runner_changes
 from primrosereel.gateway import _server as server_module
 from primrosereel.gateway import _settings as settings_module
 from primrosereel.gateway import _status as status
 from primrosereel.gateway import _store_client as store_client
 from primrosereel.gateway import _store_reader as store_reader
 from primrosereel.gateway import _time_limits as time_limits
+from primrosereel.gateway import _unsent_places as unsent_places
+from primrosereel.routing import _availability as availability_module
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _members as members_module
 from primrosereel.routing import _model as model
@@ -108,7 +111,12 @@
         self._policy = policy
         zone = settings.availability_zone
         shards = shards_module.Shards(zone)
-        table = runners.RunnerTable(shards.owns)
+        table = runners.RunnerTable(
+            shards.owns,
+            availability_module.AvailabilityTable(
+                on_transition=self._availability_changed
+            ),
+        )
         ledger = ledger_module.Ledger(shards.owns)
         self._context = context_module.Context(
             settings=settings,
@@ -134,6 +142,7 @@
             ),
             shards=shards,
             leave_callbacks=leave_callbacks.LeaveCallbacks(self._part_failed),
+            unsent_places=unsent_places.UnsentPlaces(),
             pool=pool_module.ConnectionPool(),
             response_memory=response_memory.ResponseMemory(
                 settings.memory_bytes
@@ -142,6 +151,7 @@
             quarantine=prompt_quarantine.PromptQuarantine(random_source),
             time_limits=time_limits.TimeLimits(clock),
         )
+        self._runner_changes = runner_changes.RunnerChanges(self._context)
         crash_reports = crash_reports_module.CrashReports(self._context)
         self._reader = store_reader.StoreReader(
             self._context, make_store(store_client.StoreClient(settings.store))
@@ -151,6 +161,7 @@
         self._orders = orders.Orders(self._context)
         self._context.uses_changed = self._peers.notify_uses_changed
         self._context.crash_evidence_changed = self._peers.send_crash_evidence
+        self._context.availability_changed = self._peers.send_runner_notices
         self._context.send_store_notice = self._peers.send_store_notice
         self._end_at = math.inf
         self._max_instances_seen = INSTANCES_PER_SEED * max(
@@ -194,6 +205,7 @@
                 self._maintain,
                 self._peers.run,
                 self._context.leave_callbacks.run,
+                self._context.pool.run,
             ]
             if self._policy.balances_roles:
                 parts.append(self._orders.run)
@@ -234,6 +246,12 @@
             self._log.info('stopped', active=self._context.active)
             tasks.cancel_scope.cancel()
 
+    def _availability_changed(
+        self, transition: availability_module.Transition
+    ) -> None:
+        """Act on a change of a runner's availability."""
+        self._runner_changes.apply(transition)
+
     def _readiness_page(self) -> callers.Reply:
         return callers.Reply(200 if self.ready else 503)
 
@@ -244,6 +262,9 @@
         metrics.gauge('active_requests', context.active)
         metrics.gauge('waiting_requests', context.places.waiting_count)
         metrics.gauge('runners', len(context.runners))
+        metrics.gauge(
+            'runners_accepting', context.runners.accepting_count(now)
+        )
         metrics.gauge('peers', context.ledger.peer_count(now))
         metrics.gauge('members', len(context.members))
         metrics.gauge(
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -16,6 +16,8 @@
 from primrosereel.gateway import _response_memory as response_memory_module
 from primrosereel.gateway import _settings as settings
 from primrosereel.gateway import _time_limits as time_limits_module
+from primrosereel.gateway import _unsent_places as unsent_places_module
+from primrosereel.routing import _availability as availability
 from primrosereel.routing import _decode_places as decode_places
 from primrosereel.routing import _demand as demand_module
 from primrosereel.routing import _ledger as ledger_module
@@ -59,6 +61,7 @@
     members: members_module.Members
     shards: shards_module.Shards
     leave_callbacks: leave_callbacks_module.LeaveCallbacks
+    unsent_places: unsent_places_module.UnsentPlaces
     pool: pool_module.ConnectionPool
     response_memory: response_memory_module.ResponseMemory
     log: Any
@@ -81,6 +84,10 @@
     avoided_runners: dict[ids.RunnerId, tuple[states.Role, float]] = (
         dataclasses.field(default_factory=dict)
     )
+    # Called after each change of a runner's availability.
+    availability_changed: Callable[[availability.Transition], None] = (
+        lambda _: None
+    )
     # Called when this instance's use of the engines changed.
     uses_changed: Callable[[], None] = lambda: None
     # Called when peers should be told which prompts crash runners.
--- a/primrosereel/gateway/_orders.py
+++ b/primrosereel/gateway/_orders.py
@@ -7,6 +7,7 @@
 from primrosereel import _ids as ids
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _http as http
+from primrosereel.gateway import _runner_signs as runner_signs
 from primrosereel.routing import _demand as demand
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _model as model
@@ -15,7 +16,10 @@
 __all__ = ['Orders']
 
 SAMPLE_INTERVAL_S = 0.5
-RESPONSE_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 1.0
+# Longer than a sound runner is silent: an order that is given up may have been
+# accepted.
+RESPONSE_TIMEOUT_S = 2.0
 MAX_RESPONSE_BYTES = 65536
 # The time allowed for running work to finish before a change of role starts.
 FINISH_RUNNING_S = 4.0
@@ -104,7 +108,7 @@
         runner = context.runners.get(switch.runner)
         if not accepted:
             context.stop_avoiding_runner(switch.runner)
-            if runner is not None:
+            if runner is not None and self._accepts(switch):
                 runner.observe_failure(now)
         context.count('orders')
         context.log.info(
@@ -116,6 +120,12 @@
         )
         return accepted
 
+    def _accepts(self, switch: roles.RoleSwitch) -> bool:
+        context = self._context
+        return context.runners.availability.accepts(
+            switch.runner, context.clock()
+        )
+
     async def _send(self, switch: roles.RoleSwitch, token: int) -> str:
         context = self._context
         method, target, headers, body = context.dialect.role_order(
@@ -126,11 +136,16 @@
         try:
             with anyio.fail_after(RESPONSE_TIMEOUT_S):
                 connection = await http.connect(
-                    switch.address, RESPONSE_TIMEOUT_S
+                    switch.address, CONNECT_TIMEOUT_S
                 )
+                if not self._accepts(switch):
+                    return 'the runner takes no orders now'
                 head = await connection.send_request(
                     http.OutgoingRequest(method, target, headers, body)
                 )
+                runner = context.runners.get(switch.runner)
+                if runner is not None:
+                    runner_signs.observe_answer(context, runner, head)
                 await connection.read_body(MAX_RESPONSE_BYTES)
             return f'status {head.status}'
         except (http.HttpError, TimeoutError) as error:
--- a/primrosereel/gateway/_peer_datagram.py
+++ b/primrosereel/gateway/_peer_datagram.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from primrosereel import _ids as ids
+from primrosereel.gateway import _runner_notices as runner_notices
 from primrosereel.routing import _demand as demand
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _prompt_quarantine as prompt_quarantine
@@ -37,7 +38,6 @@
     change_known: bool = False
     since: int = 0
     content: bytes = b''
-    outage_ended_age_ms: int | None = None
     era: int | None = None
 
 
@@ -77,6 +77,9 @@
     suspects: list[Suspect] = []
     # The version in force, 0 without one.
     configuration_version: int = 0
+    runners: list[runner_notices.RunnerNotice] = []
+    # For how long in ms the sender has had the store without interruption.
+    store_in_touch_ms: int | None = None
 
 
 def encode_notice(
@@ -85,7 +88,6 @@
     """Encode what is known of the store, with ages for times."""
     if notice is None:
         return None
-    ended_at = notice.outage_ended_at
     return StoreNotice(
         notice.revision,
         math.ceil(1000 * (now - notice.confirmed_at)),
@@ -93,14 +95,12 @@
         notice.change_known,
         notice.since,
         notice.content,
-        None if ended_at is None else int(1000 * (now - ended_at)),
         notice.era,
     )
 
 
 def decode_notice(notice: StoreNotice, now: float) -> shared_watch.Notice:
     """Decode what a peer knows of the store."""
-    ended_age_ms = notice.outage_ended_age_ms
     return shared_watch.Notice(
         notice.revision,
         # A negative age would keep this instance from polling.
@@ -109,7 +109,6 @@
         notice.change_known,
         notice.since,
         notice.content,
-        None if ended_age_ms is None else now - ended_age_ms / 1000,
         None if notice.era is None else ids.StoreEra(notice.era),
     )
 
--- a/primrosereel/gateway/_peers.py
+++ b/primrosereel/gateway/_peers.py
@@ -19,7 +19,9 @@
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _crash_reports as crash_reports_module
 from primrosereel.gateway import _peer_datagram as peer_datagram
+from primrosereel.gateway import _runner_notices as runner_notices
 from primrosereel.gateway import _store_reader as store_reader
+from primrosereel.routing import _availability as availability
 from primrosereel.routing import _shared_watch as shared_watch
 
 __all__ = ['Peers']
@@ -41,6 +43,10 @@
 # The number of runners that a gossip datagram lists, those with the most free
 # memory.
 GOSSIP_RUNNERS = 16
+# Sources that only this instance has; an entry is read by all instances.
+OWN_SOURCES = frozenset(
+    {availability.Source.ANSWER, availability.Source.REFUSAL}
+)
 # For how long another shard is still sent updates after its engines were used.
 OTHER_SHARD_UPDATE_S = 3.0
 
@@ -60,6 +66,10 @@
         # Whether the next datagram goes to all members, with the evidence
         # about prompts that crash runners.
         self._crash_evidence_unsent = False
+        # Whether the next datagram tells what runners said of themselves, and
+        # whether it goes to all members.
+        self._runner_notices_unsent = False
+        self._leaving_unsent = False
         # Content of the store that is sent with the next datagram.
         self._unsent_notice: shared_watch.Notice | None = None
         self._members = context.members
@@ -90,6 +100,22 @@
         self._crash_evidence_unsent = True
         self._changed.set()
 
+    def send_runner_notices(self, transition: availability.Transition) -> None:
+        """Tell peers of a change of a runner's availability.
+
+        What a runner said to this instance only is told at once: that it
+        leaves to all instances, that it backs off to those that use the same
+        runners. What the store said is told with the next datagram, for
+        instances that are without the store.
+        """
+        if transition.source is availability.Source.PEER:
+            return
+        self._runner_notices_unsent = True
+        if transition.source in OWN_SOURCES:
+            if transition.new is availability.Availability.LEAVING:
+                self._leaving_unsent = True
+            self._changed.set()
+
     async def run(self) -> None:
         """Exchange datagrams until cancelled."""
         own_address = self._context.settings.peer
@@ -114,13 +140,18 @@
                     self._crash_evidence_unsent,
                     False,
                 )
-                if tell_all:
+                if tell_all or self._leaving_unsent:
                     targets |= {member.host for member in self._members}
+                scope = runner_notices.Scope.NONE
+                if self._runner_notices_unsent:
+                    scope = runner_notices.Scope.NEW
+                self._runner_notices_unsent = self._leaving_unsent = False
                 await self._send(
                     socket,
                     targets,
                     notice=notice,
                     with_crash_evidence=tell_all,
+                    scope=scope,
                 )
 
     async def _send_heartbeats(self, socket: anyio.abc.UDPSocket) -> None:
@@ -138,7 +169,11 @@
                 del self._incarnations[host]
             seed_hosts = {seed.host for seed in context.settings.seeds}
             targets = shard_hosts | self._other_shard_hosts()
-            await self._send(socket, targets | seed_hosts - known_hosts)
+            await self._send(
+                socket,
+                targets | seed_hosts - known_hosts,
+                scope=runner_notices.Scope.NEW,
+            )
             await self._gossip(socket, now)
             searching = (
                 not known_hosts and now - started_at < SEARCH_DURATION_S
@@ -159,6 +194,7 @@
             self._gossip_members(now),
             free_memory,
             with_crash_evidence=True,
+            scope=runner_notices.Scope.ALL,
         )
 
     async def _update_new_members(self, socket: anyio.abc.UDPSocket) -> None:
@@ -175,6 +211,7 @@
                 new_members,
                 self._gossip_members(now),
                 with_crash_evidence=True,
+                scope=runner_notices.Scope.ALL,
             )
 
     def _update_shards(self) -> None:
@@ -244,11 +281,13 @@
         free_memory: Iterable[tuple[str, int]] = (),
         notice: shared_watch.Notice | None = None,
         with_crash_evidence: bool = False,
+        scope: runner_notices.Scope = runner_notices.Scope.NONE,
     ) -> None:
         context = self._context
         own_address = context.settings.peer
         assert own_address is not None
         self._sequence += 1
+        now = context.clock()
         data = self._encoder.encode(
             peer_datagram.Datagram(
                 peer_datagram.DATAGRAM_VERSION,
@@ -276,6 +315,10 @@
                 ),
                 self._suspects() if with_crash_evidence else [],
                 context.table.version if context.table is not None else 0,
+                runner_notices.encode(
+                    context.runners.availability, scope, now
+                ),
+                runner_notices.in_touch_ms(self._reader.in_touch_since, now),
             )
         )
         for host in sorted(set(targets) - {own_address.host}):
@@ -352,10 +395,25 @@
                 peer_datagram.decode_evidence(suspect, now)
                 for suspect in datagram.suspects
             )
+        self._receive_runner_notices(datagram, now)
         context.ledger.apply(peer_datagram.peer_report(datagram), now)
         if context.places.waiting_count:
             context.places.admit(now)
 
+    def _receive_runner_notices(
+        self, datagram: peer_datagram.Datagram, now: float
+    ) -> None:
+        if datagram.store_in_touch_ms is not None:
+            self._reader.peer_in_touch(
+                ids.InstanceId(datagram.instance),
+                now - max(0, datagram.store_in_touch_ms) / 1000,
+            )
+        notices, unknown = runner_notices.decode(datagram.runners)
+        for notice in notices:
+            self._context.runners.availability.receive(notice, now)
+        if unknown:
+            self._context.count('peers.unknown_runner_notices')
+
     def _add_new_member(self, host: str) -> None:
         """Schedule a datagram to a discovered or restarted member."""
         self._new_members.add(host)
--- a/primrosereel/gateway/_plain.py
+++ b/primrosereel/gateway/_plain.py
@@ -4,6 +4,7 @@
 
 from primrosereel import _ids as ids
 from primrosereel import _states as states
+from primrosereel.gateway import _admission as admission
 from primrosereel.gateway import _callers as callers
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _http as http
@@ -83,6 +84,9 @@
                 Retry.CONNECT_FAILED, runner, str(error)
             )
             return None
+        except upstream.Withdrawn:
+            exchange.may_have_run = may_have_run_before
+            return None
         except upstream.Rejected as error:
             exchange.may_have_run = may_have_run_before
             runner.observe_rejection(self._context.clock())
@@ -96,7 +100,7 @@
                 Retry.PLAIN_IDEMPOTENT, runner, str(error)
             )
         if scope.cancelled_caught:
-            runner.observe_failure(self._context.clock())
+            runner.observe_silence(started_at, self._context.clock())
             exchange.record_failed_attempt(
                 Retry.PLAIN_IDEMPOTENT, runner, 'timeout'
             )
@@ -128,8 +132,11 @@
                 await response.connection.close()
             raise
         now = self._context.clock()
-        await self._context.pool.put(
-            response.connection, response.head.keep_alive_s, now
+        await upstream.keep_connection(
+            self._context,
+            runner,
+            response.connection,
+            response.head.keep_alive_s,
         )
         if not response.facts.signed or response.facts.encoded:
             raise http.BrokenResponse(
@@ -196,5 +203,12 @@
                 return exchange.failure(Reason.UPSTREAM_TIMEOUT, 504)
             return exchange.failure(Reason.UPSTREAM_FAILED, 502)
         if exchange.remaining_s < MIN_REMAINING_S:
-            self._refusal_reason = Reason.DEADLINE
+            return exchange.refusal(Reason.DEADLINE, RETRY_AFTER_S)
+        refused = admission.refusal_while_backing_off(
+            exchange, states.Role.PLAIN
+        )
+        if refused is not None:
+            return exchange.refusal(
+                refused.reason, refused.retry_after_s, refused.detail
+            )
         return exchange.refusal(self._refusal_reason, RETRY_AFTER_S)
--- a/primrosereel/gateway/_prompt.py
+++ b/primrosereel/gateway/_prompt.py
@@ -7,6 +7,7 @@
 from primrosereel import _states as states
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _http as http
+from primrosereel.gateway import _runner_signs as runner_signs
 from primrosereel.gateway import _upstream as upstream
 from primrosereel.routing import _model as model
 from primrosereel.routing import _runners as runners
@@ -31,6 +32,7 @@
     """The handle of a prompt's KV cache at a prefill runner."""
 
     name: str
+    runner: runners.Runner
     connection: http.HttpConnection
     keep_alive_s: float | None
     expires_at: float
@@ -85,12 +87,17 @@
         except upstream.NotSent as error:
             self._record_failure(runner, Retry.CONNECT_FAILED, str(error))
             return True
+        except upstream.Withdrawn:
+            return True
         except upstream.Rejected as error:
             return self._handle_rejection(runner, error)
         except http.BrokenResponse as error:
             self._record_failure(runner, Retry.PREFILL_FAILED, str(error))
         except TimeoutError:
-            self._record_failure(runner, Retry.PREFILL_FAILED, 'timeout')
+            runner.observe_silence(now, self._context.clock())
+            exchange.record_failed_attempt(
+                Retry.PREFILL_FAILED, runner, 'timeout'
+            )
         return False
 
     def _record_failure(
@@ -151,6 +158,7 @@
         handle_ttl_s = engine.handle_ttl_s if engine is not None else 0.0
         self._handle = Handle(
             result.handle,
+            runner,
             response.connection,
             response.head.keep_alive_s,
             now + HANDLE_USABLE_SHARE * handle_ttl_s,
@@ -183,8 +191,11 @@
         """
         handle, self._handle = self._handle, None
         if handle is not None:
-            await self._context.pool.put(
-                handle.connection, handle.keep_alive_s, self._context.clock()
+            await upstream.keep_connection(
+                self._context,
+                handle.runner,
+                handle.connection,
+                handle.keep_alive_s,
             )
 
     async def free(self) -> None:
@@ -192,6 +203,10 @@
         handle, self._handle = self._handle, None
         if handle is None:
             return
+        if runner_signs.backs_off(self._context, handle.runner):
+            # The handle expires by itself.
+            await handle.connection.close()
+            return
         self._context.count('prefill.freed')
         with (
             anyio.CancelScope(shield=True),
@@ -218,7 +233,10 @@
             if not connection.reusable or connection.has_input():
                 await connection.close()
                 connection = await http.connect(address, FREE_TIMEOUT_S)
-            await connection.send_request(request)
+            head = await connection.send_request(request)
+            runner_signs.observe_answer(
+                self._context, handle.runner, head, connection.reused
+            )
             await connection.read_body(MAX_RESPONSE_BYTES)
         finally:
             with anyio.CancelScope(shield=True):
--- a/primrosereel/gateway/_store_reader.py
+++ b/primrosereel/gateway/_store_reader.py
@@ -15,14 +15,13 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
-import math
 from typing import Any
 
 import anyio
 
+from primrosereel import _ids as ids
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _ports as ports
-from primrosereel.routing import _entry_order as entry_order
 from primrosereel.routing import _model as model
 from primrosereel.routing import _runner_list as runner_list
 from primrosereel.routing import _shared_watch as shared_watch
@@ -61,7 +60,6 @@
         self._runner_list = runner_list.RunnerList(context.runners)
         self._watch_state = shared_watch.SharedWatch(context.random)
         self._history = store_history.StoreHistory()
-        self._entry_order = entry_order.EntryOrder()
         self._unreadable_era = ''
         # The history that was read last, and whether it was watched since.
         self._history_read = 0
@@ -151,12 +149,10 @@
         self._note_store_recovered()
         listings = []
         for change in state.changes:
-            if change.runner is not None:
-                ordered = self._without_older_entry(change.runner)
-                if ordered.listing is not None:
-                    listings.append(ordered.listing)
-                    if self._synchronized:
-                        self._note_listing(ordered, change.revision)
+            if change.runner is not None and change.runner.listing:
+                listings.append(change.runner.listing)
+                if self._synchronized:
+                    self._note_listing(change.runner, change.revision)
             self._apply_table(change)
         self._runner_list.apply_snapshot(listings, self._context.clock())
         self._watch_state.snapshot_read(state.revision, self._context.clock())
@@ -196,37 +192,12 @@
     ) -> None:
         for change in changes:
             if change.runner is not None:
-                ordered = self._without_older_entry(change.runner)
-                self._note_listing(ordered, change.revision)
-                self._runner_list.apply_change(ordered, now)
+                self._note_listing(change.runner, change.revision)
+                self._runner_list.apply_change(change.runner, now)
             self._apply_table(change)
             if change.unreadable:
                 self._context.count('store.unreadable')
 
-    def _without_older_entry(
-        self, change: runner_list.ListingChange
-    ) -> runner_list.ListingChange:
-        """Return a change; the known entry instead of an older one."""
-        new = change.listing
-        if new is None:
-            self._entry_order.forget(change.runner)
-            return change
-        runner = self._context.runners.get(change.runner)
-        known = runner.listing if runner is not None else None
-        is_older = self._entry_order.is_older(new, known, self._history.number)
-        if known is None or not is_older:
-            return change
-        self._context.count('store.entries_ignored')
-        self._context.log.info(
-            'runner entry ignored',
-            runner=new.runner,
-            born_ms=new.born_ms,
-            sequence=new.sequence,
-            known_born_ms=known.born_ms,
-            known_sequence=known.sequence,
-        )
-        return runner_list.ListingChange(change.runner, known)
-
     async def _wait_until_due(self) -> None:
         """Wait until the own knowledge of the store is too old."""
         clock = self._context.clock
@@ -254,13 +225,16 @@
         if not SHARES_WATCH:
             return None
         notice = self._watch_state.notice()
-        if notice is None:
-            return None
-        notice = notice._replace(era=self._history.era)
-        ended_at = self._runner_list.outage_ended_at
-        if not math.isfinite(ended_at):
-            return notice
-        return notice._replace(outage_ended_at=ended_at)
+        return notice and notice._replace(era=self._history.era)
+
+    @property
+    def in_touch_since(self) -> float:
+        """Since when the store has answered; infinite while it does not."""
+        return self._runner_list.in_touch_since
+
+    def peer_in_touch(self, peer: ids.InstanceId, since: float) -> None:
+        """Record since when a peer has had the store."""
+        self._runner_list.peer_in_touch(peer, since, self._context.clock())
 
     def receive_notice(self, notice: shared_watch.Notice) -> None:
         """Use what a peer knows of the store."""
@@ -291,8 +265,6 @@
     ) -> None:
         now = self._context.clock()
         self._runner_list.store_recovered(now)
-        if notice.outage_ended_at is not None:
-            self._runner_list.outage_ended(notice.outage_ended_at)
         if use is shared_watch.NoticeUse.COMPLETES:
             try:
                 changes = self._store.decode(notice.content)
@@ -316,6 +288,8 @@
         """
         runner = self._context.runners.get(change.runner)
         new = change.listing
+        if new is not None and self._is_outdated(new):
+            return
         if new is None or new.leaving:
             self._context.leave_callbacks.runner_leaves(change.runner)
         if new is None:
@@ -340,6 +314,23 @@
             revision=revision,
         )
 
+    def _is_outdated(self, new: model.RunnerListing) -> bool:
+        """Tell whether an entry is ignored; count and log it."""
+        context = self._context
+        if not self._runner_list.ignores(new, context.clock()):
+            return False
+        known = context.runners.availability.record(new.runner).version
+        context.count('store.entries_ignored')
+        context.log.info(
+            'runner entry ignored',
+            runner=new.runner,
+            born_ms=new.born_ms,
+            sequence=new.sequence,
+            known_born_ms=known.born_ms,
+            known_sequence=known.sequence,
+        )
+        return True
+
     async def _call(
         self, call: Callable[[], Awaitable[ports.StoreState]]
     ) -> ports.StoreState:
@@ -414,7 +405,7 @@
         )
 
     def _note_store_lost(self, detail: str) -> None:
-        self._runner_list.store_lost()
+        self._runner_list.store_lost(self._context.clock())
         if self._available:
             self._available = False
             self._context.log.warning('store lost', detail=detail)
--- a/primrosereel/routing/_decode_places.py
+++ b/primrosereel/routing/_decode_places.py
@@ -83,17 +83,22 @@
     # The prompt was prefilled for a runner that then rejected the request.
     # Its KV cache lasts for less than a second.
     prefilled: bool = False
+    # The request lost its place before it was sent, as its runner takes no
+    # more requests. It goes before the others of its priority.
+    displaced: bool = False
     on_admitted: Callable[[], None] = lambda: None
 
     def rank(self, now: float) -> tuple[bool, int, float]:
         """Return the sort key by which tickets get places, lowest first."""
         if self.prefilled:
             return False, PREFILLED_PRIORITY, self.arrived_at
+        if self.displaced:
+            return False, self.priority, -math.inf
         return self.is_late(now), self.priority, self.arrived_at
 
     def is_late(self, now: float) -> bool:
         """Tell whether the request misses its target even if it starts now."""
-        return now > self.latest_start(now)
+        return not self.displaced and now > self.latest_start(now)
 
 
 class _MeanDuration:
@@ -185,9 +190,11 @@
 
     def add(self, ticket: Ticket, now: float) -> None:
         """Queue a ticket and admit the waiting tickets that fit."""
-        if not ticket.prefilled and not ticket.is_late(now):
+        is_new = not ticket.prefilled and not ticket.displaced
+        if is_new and not ticket.is_late(now):
             self._arrivals.add(ticket.tokens, now)
-        self._waiting.append(ticket)
+        if ticket not in self._waiting:
+            self._waiting.append(ticket)
         self.admit(now)
 
     def withdraw(self, ticket: Ticket) -> None:
@@ -216,9 +223,9 @@
                 continue
             runner = None
             if self._ledger.is_first(_queue_head(ticket, now), now):
-                runner = self.choose(ticket, now) or self._choose_spillover(
-                    ticket, now
-                )
+                runner = self.choose(ticket, now)
+                if runner is None or runner.availability.is_missing:
+                    runner = self._choose_spillover(ticket, now) or runner
             if runner is None:
                 blocked.add(ticket.service)
                 continue
@@ -250,7 +257,7 @@
             if self._fits(runner, ticket, now)
         ]
         return min(
-            candidates,
+            self._table.preferred(candidates, now),
             key=lambda runner: self._cost(runner, ticket, now),
             default=None,
         )
@@ -258,7 +265,7 @@
     def free_memory(self, now: float) -> list[tuple[ids.RunnerId, int]]:
         """Return the free memory of the shard's decode runners, most first.
 
-        Suspect and full runners are left out.
+        Suspect, full and missing runners are left out.
         """
         free = [
             (
@@ -266,8 +273,10 @@
                 int(self._capacity(runner) - self._use(runner, now).tokens),
             )
             for service in self._engines
-            for runner in self._table.ready(service, states.Role.DECODE)
-            if runner.is_available(now) and self._table.owned(runner)
+            for runner in self._table.ready(service, states.Role.DECODE, now)
+            if runner.is_available(now)
+            and not runner.availability.preference(now)
+            and self._table.owned(runner)
         ]
         return sorted(free, key=lambda entry: -entry[1])
 
@@ -296,14 +305,14 @@
         candidates = [
             runner
             for runner in self._table.foreign(
-                ticket.service, states.Role.DECODE, ticket.excluded
+                ticket.service, states.Role.DECODE, now, ticket.excluded
             )
             if runner.is_available(now)
             and self._reported_free_tokens(runner, now) >= needed_tokens
         ]
         if not candidates:
             return None
-        runner = self._random.choice(candidates)
+        runner = self._random.choice(self._table.preferred(candidates, now))
         tokens, reported_at = self._foreign_free_memory[runner.runner_id]
         self._foreign_free_memory[runner.runner_id] = (
             tokens - ticket.tokens,
@@ -325,9 +334,13 @@
             f'{runner.runner_id} {use.requests} requests {use.tokens} tokens'
             + ('' if now >= runner.full_until else ' full')
             + (' suspect' if runner.is_suspect(now) else '')
-            for runner in self._table.ready(service, states.Role.DECODE)
+            for runner in self._table.ready(service, states.Role.DECODE, now)
             for use in (self._use(runner, now),)
         ]
+        parts += [
+            f'{runner.runner_id} {runner.availability.state_at(now).value}'
+            for runner in self._table.barred(service, states.Role.DECODE, now)
+        ]
         return (
             f'{len(self._waiting)} requests waiting here, '
             f'{self._ledger.waiting_tokens(now)} tokens waiting at '
@@ -375,7 +388,7 @@
     def _candidates(self, ticket: Ticket, now: float) -> list[runners.Runner]:
         """Return the ready runners; only available ones if there are any."""
         ready = self._table.ready(
-            ticket.service, states.Role.DECODE, ticket.excluded
+            ticket.service, states.Role.DECODE, now, ticket.excluded
         )
         return [
             runner for runner in ready if runner.is_available(now)
--- a/primrosereel/routing/_placement.py
+++ b/primrosereel/routing/_placement.py
@@ -19,6 +19,7 @@
 OTHER_ZONE_COST = 0.15
 SUSPECT_COST = 50.0
 FULL_COST = 5.0
+SILENT_COST = 5.0
 FAILURE_COST = 4.0
 COLD_COST = 1.0
 TIE_BREAK_JITTER = 0.05
@@ -46,6 +47,7 @@
         random: random_module.Random,
     ) -> None:
         self._table = table
+        self._availability = table.availability
         self._availability_zone = availability_zone
         self._random = random
 
@@ -56,9 +58,13 @@
         now: float,
     ) -> runners.Runner | None:
         """Return the runner with the lowest cost."""
-        candidates = self._table.ready(service, states.Role.PLAIN, excluded)
+        candidates = self._table.ready(
+            service, states.Role.PLAIN, now, excluded
+        )
         if not candidates:
             return None
+        if self._availability.has_spare:
+            candidates = self._without_spare(candidates, now)
         fastest = min(
             (runner.latency_s for runner in candidates if runner.latency_s),
             default=None,
@@ -67,6 +73,15 @@
             candidates, key=lambda runner: self._cost(runner, fastest, now)
         )
 
+    def _without_spare(
+        self, ready: list[runners.Runner], now: float
+    ) -> list[runners.Runner]:
+        """Leave out spare runners while another one is available."""
+        preferred = self._table.preferred(ready, now)
+        if any(runner.is_available(now) for runner in preferred):
+            return preferred
+        return ready
+
     def _cost(
         self, runner: runners.Runner, fastest: float | None, now: float
     ) -> float:
@@ -85,6 +100,8 @@
             cost += SUSPECT_COST * (1 + runner.failures)
         if now < runner.full_until:
             cost += FULL_COST
+        if runner.is_silent(now):
+            cost += SILENT_COST
         if runner.listing.cold_s > 0:
             cost += COLD_COST
         cost += FAILURE_COST * runner.failure_rate
@@ -110,5 +127,7 @@
         now: float,
     ) -> runners.Runner | None:
         """Return a random ready runner."""
-        candidates = self._table.ready(service, states.Role.PLAIN, excluded)
+        candidates = self._table.ready(
+            service, states.Role.PLAIN, now, excluded
+        )
         return self._random.choice(candidates) if candidates else None
--- a/primrosereel/routing/_prefill_plan.py
+++ b/primrosereel/routing/_prefill_plan.py
@@ -104,7 +104,9 @@
         least_tokens = min(
             (
                 self._local_prefill_tokens(runner, now)
-                for runner in self._table.ready(service, states.Role.DECODE)
+                for runner in self._table.ready(
+                    service, states.Role.DECODE, now
+                )
             ),
             default=0,
         )
@@ -123,11 +125,12 @@
     def _available_prefill(
         self, service: ids.ServiceId, now: float
     ) -> list[runners.Runner]:
-        return [
+        available = [
             runner
-            for runner in self._table.ready(service, states.Role.PREFILL)
+            for runner in self._table.ready(service, states.Role.PREFILL, now)
             if runner.is_available(now)
         ]
+        return self._table.preferred(available, now)
 
     def choose(
         self, decode: runners.Runner, tokens: int, now: float
--- a/primrosereel/routing/_runners.py
+++ b/primrosereel/routing/_runners.py
@@ -8,7 +8,9 @@
 
 from primrosereel import _ids as ids
 from primrosereel import _states as states
+from primrosereel.routing import _availability as availability_module
 from primrosereel.routing import _model as model
+from primrosereel.routing import _timeouts as timeouts
 
 __all__ = ['Runner', 'RunnerTable']
 
@@ -29,6 +31,9 @@
 MIN_FULL_S = 0.25
 MAX_FULL_S = 3.0
 
+# How long another runner is preferred to one that did not answer in time.
+SILENT_S = 0.5
+
 # Weight of a new observation in a runner's moving averages.
 LATENCY_SAMPLE_WEIGHT = 0.3
 FAILURE_SAMPLE_WEIGHT = 0.25
@@ -39,6 +44,10 @@
     """A runner's listing, and this instance's observations of it."""
 
     listing: model.RunnerListing
+    # Whether it takes new requests; shared with the table of availability.
+    availability: availability_module.AvailabilityRecord = dataclasses.field(
+        default_factory=availability_module.AvailabilityRecord
+    )
     in_flight: int = 0
     # Tokens of own requests: reserved KV cache memory at a decode runner,
     # unfinished prompt tokens at a prefill runner.
@@ -58,6 +67,11 @@
     rejections: int = 0
     suspect_until: float = -math.inf
     full_until: float = -math.inf
+    # When the runner last answered, and since and until when it counts as
+    # silent.
+    answered_at: float = -math.inf
+    silent_since: float = -math.inf
+    silent_until: float = -math.inf
 
     @property
     def runner_id(self) -> ids.RunnerId:
@@ -91,8 +105,16 @@
         return self.failures >= DOWN_FAILURES and self.is_suspect(now)
 
     def is_available(self, now: float) -> bool:
-        """Tell whether the runner is neither suspect nor full."""
-        return not self.is_suspect(now) and now >= self.full_until
+        """Tell whether the runner is not suspect, full or silent."""
+        return (
+            not self.is_suspect(now)
+            and now >= self.full_until
+            and not self.is_silent(now)
+        )
+
+    def is_silent(self, now: float) -> bool:
+        """Tell whether the runner did not answer in time just now."""
+        return now < self.silent_until
 
     def observe_report(
         self, report: model.LoadReport | None, now: float
@@ -105,6 +127,25 @@
         total = report.running + report.waiting
         self.peer_requests = max(0.0, total - self.in_flight)
 
+    def observe_answer(self, now: float) -> None:
+        """Record that the runner answered, whatever the answer is."""
+        self.answered_at = now
+        self.silent_until = -math.inf
+
+    def observe_silence(self, since: float, now: float) -> None:
+        """Record that the runner did not answer a request sent at ``since``.
+
+        A sound runner may be silent for about a second. The silences of
+        requests that follow each other are one, and a longer one is a failure.
+        """
+        if self.silent_since <= self.answered_at or (
+            since > self.silent_until + timeouts.SOUND_SILENCE_S
+        ):
+            self.silent_since = max(since, self.answered_at)
+        self.silent_until = now + SILENT_S
+        if now - self.silent_since >= timeouts.SOUND_SILENCE_S:
+            self.observe_failure(now)
+
     def observe_success(self, seconds: float, now: float) -> None:
         """Record a complete response and its duration."""
         self.failures = 0
@@ -153,14 +194,19 @@
 class RunnerTable:
     """All runners of the platform's list by id.
 
-    ``owns`` tells whether the engines of a zone belong to the own shard.
+    ``owns`` tells whether the engines of a zone belong to the own shard, and
+    ``availability`` which runners take new requests.
     """
 
     def __init__(
         self,
         owns: Callable[[ids.AvailabilityZone], bool] = lambda _: True,
+        availability: availability_module.AvailabilityTable | None = None,
     ) -> None:
         self._owns = owns
+        if availability is None:
+            availability = availability_module.AvailabilityTable()
+        self._availability = availability
         self._runners: dict[ids.RunnerId, Runner] = {}
 
     def __len__(self) -> int:
@@ -169,72 +215,191 @@
     def __iter__(self) -> Iterator[Runner]:
         return iter(self._runners.values())
 
+    @property
+    def availability(self) -> availability_module.AvailabilityTable:
+        """Which runners take new requests, and why others do not."""
+        return self._availability
+
     def get(self, runner_id: ids.RunnerId) -> Runner | None:
         """Return a runner; None if it is not listed."""
         return self._runners.get(runner_id)
 
-    def put(self, listing: model.RunnerListing) -> None:
-        """Add or update a runner's listing.
+    def put(
+        self,
+        listing: model.RunnerListing,
+        now: float = 0.0,
+        history: int | None = None,
+    ) -> None:
+        """Add or update a runner's listing; ignore one that is outdated.
+
+        ``history`` is that of the store from which it was read.
 
         A runner that restarted under its id or moved to another address is a
         new one: observations of the old run are dropped.
         """
+        version = availability_module.RunVersion(
+            listing.born_ms, listing.sequence
+        )
+        if not self._availability.observe_entry(
+            listing.runner, version, listing.leaving, now, history
+        ):
+            return
         for other in list(self._runners.values()):
             if _replaces(listing, other.listing):
-                del self._runners[other.runner_id]
+                self.remove(
+                    other.runner_id,
+                    now,
+                    source=availability_module.Source.ENTRY,
+                )
+        record = self._availability.record(listing.runner)
         runner = self._runners.get(listing.runner)
         if runner is None or _is_new_run(runner.listing, listing):
-            self._runners[listing.runner] = Runner(listing)
+            self._runners[listing.runner] = Runner(listing, record)
         else:
             runner.listing = listing
+            runner.availability = record
 
-    def remove(self, runner_id: ids.RunnerId) -> None:
-        """Remove a runner that is no longer listed."""
-        self._runners.pop(runner_id, None)
+    def remove(
+        self,
+        runner_id: ids.RunnerId,
+        now: float = 0.0,
+        missing_until: float = -math.inf,
+        source: availability_module.Source = (
+            availability_module.Source.REMOVAL
+        ),
+        history: int | None = None,
+    ) -> None:
+        """Remove a runner that is no longer listed.
+
+        Until ``missing_until`` it may register again, and is kept as missing.
+        """
+        self._availability.observe_removal(
+            runner_id, now, missing_until, source, history
+        )
+        if not now < missing_until:
+            self._runners.pop(runner_id, None)
+
+    def expire(self, now: float) -> list[ids.RunnerId]:
+        """Remove missing runners that did not register again.
+
+        Return the removed runners.
+        """
+        self._availability.expire(now)
+        removed = sorted(
+            runner.runner_id
+            for runner in self._runners.values()
+            if runner.availability.is_removed
+        )
+        for runner_id in removed:
+            del self._runners[runner_id]
+        return removed
+
+    def accepting_count(self, now: float) -> int:
+        """Return how many listed runners take new requests."""
+        return sum(
+            runner.availability.accepts(now)
+            for runner in self._runners.values()
+        )
+
+    def preferred(self, candidates: list[Runner], now: float) -> list[Runner]:
+        """Return the candidates to choose from; the others are spare.
+
+        Spare are runners that refused a request of a peer, and after them
+        those whose entry is missing.
+        """
+        if not self._availability.has_spare or not candidates:
+            return candidates
+        best = min(
+            runner.availability.preference(now) for runner in candidates
+        )
+        return [
+            runner
+            for runner in candidates
+            if runner.availability.preference(now) == best
+        ]
 
     def ready(
         self,
         service: ids.ServiceId,
         role: states.Role,
+        now: float,
         excluded: Collection[ids.RunnerId] = (),
     ) -> list[Runner]:
         """Return the runners of a service that accept new requests.
 
         Engines of other shards are returned only if the own shard has none.
         """
-        listed = self._listed(service, role, excluded)
+        listed = self._accepting(service, role, now, excluded)
         if role is states.Role.PLAIN:
             return listed
         return [r for r in listed if self.owned(r)] or listed
 
+    def staying(
+        self, service: ids.ServiceId, role: states.Role, now: float
+    ) -> list[Runner]:
+        """Return the runners of the own shard that do not leave.
+
+        Those that back off for some time are among them.
+        """
+        return [
+            runner
+            for runner in self._runners.values()
+            if runner.listing.service == service
+            and runner.listing.role is role
+            and runner.availability.accepts_from < math.inf
+            and now < runner.availability.accepts_until
+            and self.owned(runner)
+        ]
+
+    def barred(
+        self, service: ids.ServiceId, role: states.Role, now: float
+    ) -> list[Runner]:
+        """Return the runners of a service that take no new requests."""
+        return [
+            runner
+            for runner in self._runners.values()
+            if runner.listing.service == service
+            and runner.listing.role is role
+            and not runner.availability.accepts(now)
+        ]
+
     def foreign(
         self,
         service: ids.ServiceId,
         role: states.Role,
+        now: float,
         excluded: Collection[ids.RunnerId] = (),
     ) -> list[Runner]:
         """Return the engines of other shards that accept new requests."""
-        listed = self._listed(service, role, excluded)
+        listed = self._accepting(service, role, now, excluded)
         return [runner for runner in listed if not self.owned(runner)]
 
     def owned(self, runner: Runner) -> bool:
         """Tell whether a runner belongs to the own shard."""
         return self._owns(runner.listing.availability_zone)
 
-    def _listed(
+    def _accepting(
         self,
         service: ids.ServiceId,
         role: states.Role,
+        now: float,
         excluded: Collection[ids.RunnerId],
     ) -> list[Runner]:
-        return [
+        accepting = [
             runner
             for runner in self._runners.values()
             if runner.listing.service == service
             and runner.listing.role is role
-            and not runner.listing.leaving
+            and runner.availability.accepts_from <= now
             and runner.runner_id not in excluded
         ]
+        if not self._availability.has_spare:
+            return accepting
+        return [
+            runner
+            for runner in accepting
+            if now < runner.availability.accepts_until
+        ]
 
 
 def _replaces(new: model.RunnerListing, old: model.RunnerListing) -> bool:
--- a/primrosereel/routing/_shared_watch.py
+++ b/primrosereel/routing/_shared_watch.py
@@ -32,10 +32,8 @@
     routing changed after ``unchanged_since``; ``change_known`` tells whether
     something changed just then, or the sender read a snapshot of that
     revision. ``content`` holds the relevant changes after the revision
-    ``since``; it is empty if they are not part of the notice.
-    ``outage_ended_at`` is when the sender reached the store again after an
-    outage, None if it knows of none. Revisions are those of the history with
-    ``era``.
+    ``since``; it is empty if they are not part of the notice. Revisions are
+    those of the history with ``era``.
     """
 
     revision: int
@@ -44,7 +42,6 @@
     change_known: bool = False
     since: int = 0
     content: bytes = b''
-    outage_ended_at: float | None = None
     era: ids.StoreEra | None = None
 
 
--- a/tests/property/test_gateway_store_return.py
+++ b/tests/property/test_gateway_store_return.py
@@ -5,11 +5,11 @@
 import pytest
 
 from primrosereel import _ids as ids
-from primrosereel import _states as states
 from primrosereel import platform
 from primrosereel.gateway import _ports as ports
 from primrosereel.gateway import _store_reader as store_reader
-from primrosereel.routing import _entry_order as entry_order
+from primrosereel.routing import _availability as availability
+from primrosereel.routing import _availability_record as availability_record
 from primrosereel.routing import _model as model
 from primrosereel.routing import _peer_versions as peer_versions
 from primrosereel.routing import _store_history as store_history
@@ -280,20 +280,6 @@
     run(scenario)
 
 
-def listing(born_ms, sequence):
-    return model.RunnerListing(
-        ids.RunnerId('r1'),
-        ids.ServiceId('s'),
-        model.Address('127.0.0.1', 1),
-        ids.AvailabilityZone('a'),
-        states.Role.PLAIN,
-        1,
-        False,
-        born_ms=born_ms,
-        sequence=sequence,
-    )
-
-
 @pytest.mark.parametrize(
     ('known', 'new', 'older'),
     [
@@ -315,13 +301,16 @@
     The order holds between histories only: within one the store's own order
     does, so that a runner whose clock went back can be listed.
     """
-    order = entry_order.EntryOrder()
-    before, after = listing(*known), listing(*new)
-    assert not order.is_older(before, None, 1)
-    assert order.is_older(after, before, 2) is older
-    same = entry_order.EntryOrder()
-    assert not same.is_older(before, None, 1)
-    assert not same.is_older(after, before, 1)
+    before, after = (availability.RunVersion(*entry) for entry in (known, new))
+    assert availability_record.is_older(after, before) is older
+    assert not availability_record.is_older(after, before, follows=True)
+    for history, ignored in ((2, older), (1, False)):
+        table = availability.AvailabilityTable()
+        assert table.observe_entry(ids.RunnerId('r1'), before, False, 0.0, 1)
+        listed = table.observe_entry(
+            ids.RunnerId('r1'), after, False, 1.0, history
+        )
+        assert listed is not ignored
 
 
 def test_streams_leave_a_runner_that_drains_while_history_is_lost():
