Check five times a second whether all runners of a waiting request back off

The check goes through all runners of the service, and each waiting request made it 20 times a second beside the search for a place. A request now learns of it within 0.2 s; the tests of test_gateway_back_off.py pass as before.

--- a/primrosereel/gateway/_admission.py
+++ b/primrosereel/gateway/_admission.py
@@ -20,7 +20,8 @@
 
 # How often waiting requests are checked even if no change was signalled.
 RECHECK_INTERVAL_S = 0.05
-# How often peers are sent the waiting requests.
+# How often peers are sent the waiting requests, and how often it is checked
+# whether all runners back off.
 PEER_UPDATE_INTERVAL_S = 0.2
 # Retry-After is lengthened by up to this share at random, so that refused
 # callers don't all return at once.
@@ -133,10 +134,11 @@
             ):
                 with anyio.move_on_after(RECHECK_INTERVAL_S):
                     await admitted.wait()
-                if context.clock() >= next_update_at:
-                    next_update_at = context.clock() + PEER_UPDATE_INTERVAL_S
-                    context.uses_changed()
                 context.places.admit(context.clock())
+                if context.clock() < next_update_at:
+                    continue
+                next_update_at = context.clock() + PEER_UPDATE_INTERVAL_S
+                context.uses_changed()
                 backing_off = _backs_off_beyond(
                     exchange, ticket, started_at + limit_s
                 )
