Honour a runner's Retry-After for up to two minutes

A runner that asked for 40 s was asked again after 30 s, by all requests that arrived before its next refusal; more than two of them in that time are too many. The bound is there for values that make no sense, not for long ones, and two minutes is also how long a runner that left is remembered.

--- a/primrosereel/routing/_availability.py
+++ b/primrosereel/routing/_availability.py
@@ -40,7 +40,7 @@
 # Runners register again within about two seconds after an outage of the store.
 REREGISTRATION_S = 2.0
 # A runner that wants no requests for longer is asked again after this time.
-MAX_BACK_OFF_S = 30.0
+MAX_BACK_OFF_S = 120.0
 # How long it is remembered, and told to peers, that a runner left. A store
 # that was restored from a copy lists it again.
 TOMBSTONE_S = 120.0
