Ignore entries of the store that are nested too deeply

What callers saw: from one entry of another writer on, no instance put a later configuration into force, and runners that came or left were not seen. An instance that started then never got ready.

Cause: msgspec raises RecursionError for JSON that is nested about 1,000 levels deep, also in a field that is not decoded. It is no ValueError, so it ended the whole answer of the store instead of marking one entry as unreadable. The reader was restarted, watched from the same revision and met the entry again.

Such a value now counts as unreadable, as other bytes that cannot be decoded.

--- a/primrosereel/platform/_store.py
+++ b/primrosereel/platform/_store.py
@@ -294,7 +294,13 @@
     try:
         body = base64.b64decode(item.value, validate=True)
         return msgspec.json.decode(body, type=value_type)
-    except (binascii.Error, ValueError, msgspec.DecodeError):
+    except (
+        binascii.Error,
+        ValueError,
+        msgspec.DecodeError,
+        RecursionError,
+    ):
+        # A value that is nested too deeply raises RecursionError.
         return None
 
 
