Refuse settings that are nested too deeply

What callers saw: after SIGHUP with such a settings file the process ended, with all requests in progress.

Cause: tomllib raises RecursionError for text that is nested too deeply, which is no ValueError. SIGHUP is handled outside the parts that are restarted after an error.

Such settings are now refused like others that cannot be read; the ones in force stay.

--- a/primrosereel/platform/_settings.py
+++ b/primrosereel/platform/_settings.py
@@ -75,7 +75,8 @@
         return result.Success(
             _to_gateway_settings(msgspec.convert(document, _File))
         )
-    except (ValueError, TypeError, OverflowError) as error:
+    except (ValueError, TypeError, OverflowError, RecursionError) as error:
+        # Text that is nested too deeply raises RecursionError.
         return result.Failure(str(error))
 
 
--- a/tests/property/test_gateway_nested_input.py
+++ b/tests/property/test_gateway_nested_input.py
@@ -1,13 +1,17 @@
 """Input from outside that is nested deeper than a decoder can follow."""
 
 import pytest
+from returns import pipeline
 
+from primrosereel import platform
 from tests import gateway_fleet
+from tests.property import test_fuzz_platform
 
 run = gateway_fleet.run_scenario
 # Decoders raise RecursionError long before this depth.
 DEPTH = 5000
 NESTED_JSON = b'{"other":' + b'[' * DEPTH + b']' * DEPTH + b'}'
+NESTED_TOML = b'\n[other]\nx = ' + b'[' * DEPTH + b']' * DEPTH
 
 
 @pytest.mark.parametrize('key', ['servers/s3', 'op/config'])
@@ -33,3 +37,14 @@
         assert not fleet.log.named('part failed')
 
     run(scenario)
+
+
+def test_nested_settings_are_refused():
+    """Guards against a reload that ends the process.
+
+    SIGHUP is handled outside the parts that are restarted after an error.
+    """
+    settings = platform.read_settings(
+        test_fuzz_platform.SETTINGS + NESTED_TOML
+    )
+    assert not pipeline.is_successful(settings)
