Ignore entries of runners whose id is no header value

What callers saw: a call that no runner had been sent got 502 instead of an answer of a runner that was ready; before it got no answer.

Cause: a runner's id is the key of its entry and is sent to it in a header. The key of another writer's entry may have control characters or spaces at its ends, and h11 raises LocalProtocolError for such a value. No handler of failed attempts expects it, so the runner was neither avoided nor replaced by another one.

Such an entry names no runner to use and is counted as unreadable.

--- a/primrosereel/platform/_store.py
+++ b/primrosereel/platform/_store.py
@@ -310,7 +310,9 @@
     entry = _decode_value(item, _Runner)
     if entry is None or entry.state not in LEAVING_BY_STATE:
         return None
-    if entry.stage not in ROLES_BY_STAGE or entry.slots < 1 or not runner:
+    if entry.stage not in ROLES_BY_STAGE or entry.slots < 1:
+        return None
+    if not _is_header_value(runner):
         return None
     try:
         address = settings.parse_address(entry.address)
@@ -330,6 +332,11 @@
     )
 
 
+def _is_header_value(text: str) -> bool:
+    """Tell whether a text can be sent in a header, as a runner's id is."""
+    return bool(text) and text.isprintable() and text == text.strip()
+
+
 def _decode_table(item: _Item) -> table_module.RoutingTable | None:
     configuration = _decode_value(item, _Configuration)
     if configuration is None:
