Count answers of engines that are nested too deeply as failed

What callers saw: a request whose engine sent such an answer waited until its time limit instead of being retried, as the adapter delivered nothing.

Cause: msgspec raises RecursionError for JSON that is nested about 1,000 levels deep. The adapter of the daemon handles MsgspecError only; its call ended with 'adapter call failed', without the message on which the core waits.

Evidence: test_nested_answer_counts_as_a_failed_call failed on for a prefill, a stream and a load report with 'RecursionError: maximum recursion depth exceeded while deserializing an object'. That the request waits is from the code and from the test of the same adapter in test_fuzz_engine.py.

Such an answer is now handled as others that cannot be decoded.

--- a/primrosereel/daemon/_engine.py
+++ b/primrosereel/daemon/_engine.py
@@ -30,6 +30,8 @@
 
 Error = states.UpstreamError
 
+# JSON that is nested too deeply raises RecursionError.
+DECODE_ERRORS = (msgspec.MsgspecError, RecursionError)
 STATUS_ERRORS = {
     404: Error.NOT_FOUND,
     410: Error.KV_GONE,
@@ -218,7 +220,7 @@
             result = msgspec.json.decode(
                 response.content, type=engine_wire.PrefillResponse
             )
-        except (httpx.HTTPError, msgspec.MsgspecError) as error:
+        except (httpx.HTTPError, *DECODE_ERRORS) as error:
             return _classify(error)
         if result.request_id != body['request_id']:
             return Error.PROTOCOL
@@ -236,7 +238,7 @@
             except httpx.HTTPError as failure:
                 error = _classify(failure)
             except (
-                msgspec.MsgspecError,
+                *DECODE_ERRORS,
                 sse.LineTooLong,
                 engine_wire.ProtocolError,
             ):
@@ -314,7 +316,7 @@
             return None
         try:
             return msgspec.json.decode(response.content, type=response_type)
-        except msgspec.MsgspecError:
+        except DECODE_ERRORS:
             return None
 
     async def _poll_load(self, effect, address, deliver) -> None:
@@ -419,6 +421,6 @@
         return Error.CONNECT
     if isinstance(error, httpx.TimeoutException):
         return Error.TIMEOUT
-    if isinstance(error, (httpx.RemoteProtocolError, msgspec.MsgspecError)):
+    if isinstance(error, (httpx.RemoteProtocolError, *DECODE_ERRORS)):
         return Error.PROTOCOL
     return Error.BROKEN
