Answer a stream whose time limit is reached at its first event

What callers saw: a stream whose time limit was reached as its first event arrived got neither the event nor 504; the connection was closed. From the code, a stop may do the same, as it ends the time limits of all requests at once.

Cause: the head counted as sent before it was written. The send gives the event loop a turn first, where the end of the time limit cancels it. The response could then not be replaced by a refusal any more.

A limit that was reached is now noticed in front of the head, and the send of the head is shielded, for 0.05 s at most: a caller that does not read cannot hold the request.

--- a/primrosereel/gateway/_event_stream.py
+++ b/primrosereel/gateway/_event_stream.py
@@ -5,6 +5,7 @@
 import math
 
 import anyio
+import anyio.lowlevel
 
 from primrosereel.gateway import _callers as callers
 from primrosereel.gateway import _context as context_module
@@ -17,6 +18,10 @@
 
 __all__ = ['EventStream']
 
+# How long the head of a response may take to be sent beyond a time limit. It
+# only waits for callers that do not read.
+SEND_HEAD_S = 0.05
+
 
 class EventStream:
     """Forwards the events of decode runners to a caller.
@@ -161,11 +166,16 @@
     async def _send_head(self, head: http.ResponseHead) -> None:
         """Send the response head to the caller, once.
 
-        It is the head of the first runner whose stream is forwarded.
+        It is the head of the first runner whose stream is forwarded. A time
+        limit that is reached meanwhile ends the request either before it, so
+        that the caller can still get a refusal, or after it.
         """
-        if not self._head_sent:
-            self._head_sent = True
-            self._exchange.time_limit.start_answer()
+        if self._head_sent:
+            return
+        await anyio.lowlevel.checkpoint_if_cancelled()
+        self._head_sent = True
+        self._exchange.time_limit.start_answer()
+        with anyio.move_on_after(SEND_HEAD_S, shield=True):
             await self._caller.send_head(
                 callers.Reply(head.status, head.reason, head.headers)
             )
