Refuse settings with bounds that are negative or not finite

What callers saw: after a reload of settings with such a grace, a planned stop cut the requests in progress without an answer.

Cause: TOML has nan and inf, and the fields of the bounds took any number. No comparison with nan is true, so the time for requests in progress was over as it began; a negative pause between calls of the store is none.

Such settings are now refused with the name of the field, and the ones in force stay.

--- a/primrosereel/platform/_settings.py
+++ b/primrosereel/platform/_settings.py
@@ -1,5 +1,6 @@
 """Reads the TOML settings file that the platform puts on each machine."""
 
+import math
 import os
 import pathlib
 import tomllib
@@ -82,6 +83,7 @@
 
 def _to_gateway_settings(file: _File) -> settings.GatewaySettings:
     bounds = file.bounds
+    _check_bounds(bounds)
     return settings.GatewaySettings(
         instance=ids.InstanceId(file.node_name),
         availability_zone=ids.AvailabilityZone(file.zone),
@@ -103,6 +105,13 @@
     )
 
 
+def _check_bounds(bounds: _Bounds) -> None:
+    """Raise ValueError for a bound that is negative or not finite."""
+    for name, value in msgspec.to_builtins(bounds).items():
+        if not 0 <= value < math.inf:
+            raise ValueError(f'bounds.{name}: {value} is not from 0 on')
+
+
 def _peer_address(file: _File) -> model.Address | None:
     """Return the address for peers, on the first port of the internal range.
 
