--- a/primrosereel/platform/_settings.py
+++ b/primrosereel/platform/_settings.py
@@ -1,5 +1,6 @@
 """Reads the TOML settings file that the platform puts on each machine."""
 
+import math
 import os
 import pathlib
 import tomllib
@@ -75,12 +76,14 @@
         return result.Success(
             _to_gateway_settings(msgspec.convert(document, _File))
         )
-    except (ValueError, TypeError, OverflowError) as error:
+    except (ValueError, TypeError, OverflowError, RecursionError) as error:
+        # Text that is nested too deeply raises RecursionError.
         return result.Failure(str(error))
 
 
 def _to_gateway_settings(file: _File) -> settings.GatewaySettings:
     bounds = file.bounds
+    _check_bounds(bounds)
     return settings.GatewaySettings(
         instance=ids.InstanceId(file.node_name),
         availability_zone=ids.AvailabilityZone(file.zone),
@@ -102,6 +105,13 @@
     )
 
 
+def _check_bounds(bounds: _Bounds) -> None:
+    """Raise ValueError for a bound that is negative or not finite."""
+    for name, value in msgspec.to_builtins(bounds).items():
+        if not 0 <= value < math.inf:
+            raise ValueError(f'bounds.{name}: {value} is not from 0 on')
+
+
 def _peer_address(file: _File) -> model.Address | None:
     """Return the address for peers, on the first port of the internal range.
 
--- a/primrosereel/platform/_store.py
+++ b/primrosereel/platform/_store.py
@@ -294,7 +294,13 @@
     try:
         body = base64.b64decode(item.value, validate=True)
         return msgspec.json.decode(body, type=value_type)
-    except (binascii.Error, ValueError, msgspec.DecodeError):
+    except (
+        binascii.Error,
+        ValueError,
+        msgspec.DecodeError,
+        RecursionError,
+    ):
+        # A value that is nested too deeply raises RecursionError.
         return None
 
 
@@ -304,7 +310,9 @@
     entry = _decode_value(item, _Runner)
     if entry is None or entry.state not in LEAVING_BY_STATE:
         return None
-    if entry.stage not in ROLES_BY_STAGE or entry.slots < 1 or not runner:
+    if entry.stage not in ROLES_BY_STAGE or entry.slots < 1:
+        return None
+    if not _is_header_value(runner):
         return None
     try:
         address = settings.parse_address(entry.address)
@@ -324,6 +332,11 @@
     )
 
 
+def _is_header_value(text: str) -> bool:
+    """Tell whether a text can be sent in a header, as a runner's id is."""
+    return bool(text) and text.isprintable() and text == text.strip()
+
+
 def _decode_table(item: _Item) -> table_module.RoutingTable | None:
     configuration = _decode_value(item, _Configuration)
     if configuration is None:
