Let a peer that read a newer entry contradict that a runner is gone

A trial of three instances with random readings and notices found one that kept a sound runner barred: it was without the store and heard of a removal, and the peer that read the next entry had not read the removal, so it told nothing. Contact with the store is not evaluated at each datagram while no runner is missing.

--- a/primrosereel/routing/_availability.py
+++ b/primrosereel/routing/_availability.py
@@ -304,12 +304,15 @@
     ) -> None:
         """Apply that a peer knows a runner to be gone.
 
-        An entry that was read here since then says that it lives.
+        An entry that was read here since then says that it lives, and peers
+        are told so.
         """
         record = self._records.get(runner_id)
         if record is None or born_ms != record.version.born_ms:
             return
         if now - age_s <= record.entry_seen_at:
+            if record.state is Availability.READY:
+                self._tell_return(runner_id, record, record.entry_seen_at)
             return
         self._advance(runner_id, record, now)
         self._apply(runner_id, record, Event.REMOVED, Source.PEER, now, age_s)
--- a/primrosereel/routing/_availability_notices.py
+++ b/primrosereel/routing/_availability_notices.py
@@ -42,7 +42,7 @@
                 runner_id,
                 record.version.born_ms,
                 record.state,
-                max(0.0, now - record.since),
+                max(0.0, now - _told_since(record)),
                 max(0.0, record.back_off_until - now),
             )
             for runner_id, record in self._records.items()
@@ -80,6 +80,11 @@
         return now - record.returned_at < RETURN_TOLD_S
 
 
+def _told_since(record: AvailabilityRecord) -> float:
+    """Return since when what is told of a runner holds."""
+    return record.since if record.state in TOLD else record.returned_at
+
+
 def _is_tombstone(record: AvailabilityRecord) -> bool:
     """Tell whether only the memory of a runner is left."""
     unlisted = record.entry_seen_at == -math.inf
--- a/primrosereel/routing/_runner_list.py
+++ b/primrosereel/routing/_runner_list.py
@@ -120,6 +120,8 @@
 
     def _update_missing(self, now: float) -> None:
         """Apply what is now known of when missing entries may come back."""
-        self._table.availability.set_missing_until(
-            self._contact.removals_real_from(now), now
-        )
+        availability_table = self._table.availability
+        if availability_table.has_spare:
+            availability_table.set_missing_until(
+                self._contact.removals_real_from(now), now
+            )
--- a/tests/property/test_availability.py
+++ b/tests/property/test_availability.py
@@ -209,6 +209,22 @@
     assert receiver.accepts(RUNNER, 4.2)
 
 
+def test_peer_that_saw_a_newer_entry_contradicts():
+    """Guards against a word of a runner's end that spreads after its return.
+
+    The peer read the entry later, and not the removal before it.
+    """
+    witness, receiver = known_table()[0], known_table()[0]
+    witness.observe_entry(RUNNER, Version(10, 6), False, 3.0)
+    for table in (receiver, witness):
+        gone = availability.Notice(RUNNER, 10, Availability.GONE, 1.5)
+        table.receive(gone, 4.0)
+    assert not receiver.accepts(RUNNER, 4.0)
+    for notice in witness.notices(4.5):
+        receiver.receive(notice, 4.5)
+    assert receiver.accepts(RUNNER, 4.5)
+
+
 def test_memory_of_runners_that_left_is_bounded():
     """Guards against memory that grows with each runner that ever left."""
     table, _ = known_table(max_tombstones=3, tombstone_s=60.0)
