--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -14,7 +14,6 @@
 
 from primrosereel import _ids as ids
 from primrosereel import _registry as registry
-from primrosereel.gateway import _availability_log as availability_log
 from primrosereel.gateway import _callers as callers
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _crash_reports as crash_reports_module
@@ -24,12 +23,14 @@
 from primrosereel.gateway import _pool as pool_module
 from primrosereel.gateway import _ports as ports
 from primrosereel.gateway import _response_memory as response_memory
+from primrosereel.gateway import _runner_changes as runner_changes
 from primrosereel.gateway import _server as server_module
 from primrosereel.gateway import _settings as settings_module
 from primrosereel.gateway import _status as status
 from primrosereel.gateway import _store_client as store_client
 from primrosereel.gateway import _store_reader as store_reader
 from primrosereel.gateway import _time_limits as time_limits
+from primrosereel.gateway import _unsent_places as unsent_places
 from primrosereel.routing import _availability as availability_module
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _members as members_module
@@ -141,6 +142,7 @@
             ),
             shards=shards,
             leave_callbacks=leave_callbacks.LeaveCallbacks(self._part_failed),
+            unsent_places=unsent_places.UnsentPlaces(),
             pool=pool_module.ConnectionPool(),
             response_memory=response_memory.ResponseMemory(
                 settings.memory_bytes
@@ -149,6 +151,7 @@
             quarantine=prompt_quarantine.PromptQuarantine(random_source),
             time_limits=time_limits.TimeLimits(clock),
         )
+        self._runner_changes = runner_changes.RunnerChanges(self._context)
         crash_reports = crash_reports_module.CrashReports(self._context)
         self._reader = store_reader.StoreReader(
             self._context, make_store(store_client.StoreClient(settings.store))
@@ -158,6 +161,7 @@
         self._orders = orders.Orders(self._context)
         self._context.uses_changed = self._peers.notify_uses_changed
         self._context.crash_evidence_changed = self._peers.send_crash_evidence
+        self._context.availability_changed = self._peers.send_runner_notices
         self._context.send_store_notice = self._peers.send_store_notice
         self._end_at = math.inf
         self._max_instances_seen = INSTANCES_PER_SEED * max(
@@ -201,6 +205,7 @@
                 self._maintain,
                 self._peers.run,
                 self._context.leave_callbacks.run,
+                self._context.pool.run,
             ]
             if self._policy.balances_roles:
                 parts.append(self._orders.run)
@@ -245,7 +250,7 @@
         self, transition: availability_module.Transition
     ) -> None:
         """Act on a change of a runner's availability."""
-        availability_log.record(self._context, transition)
+        self._runner_changes.apply(transition)
 
     def _readiness_page(self) -> callers.Reply:
         return callers.Reply(200 if self.ready else 503)
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -9,10 +9,12 @@
 from primrosereel.gateway import _callers as callers
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _crash_reports as crash_reports_module
+from primrosereel.gateway import _decode_connection as decode_connection
 from primrosereel.gateway import _event_stream as event_stream
 from primrosereel.gateway import _held_place as held_place
 from primrosereel.gateway import _http as http
 from primrosereel.gateway import _prompt as prompt_module
+from primrosereel.gateway import _runner_signs as runner_signs
 from primrosereel.gateway import _stream_move as stream_move
 from primrosereel.gateway import _upstream as upstream
 from primrosereel.routing import _decode_places as decode_places
@@ -33,7 +35,6 @@
 SWITCH_AVOID_SHARE = 0.35
 # Decode runners that may reject a request before it is refused.
 MAX_REJECTIONS = 4
-MAX_CONNECT_ATTEMPTS = 4
 RETRY_AFTER_S = 0.5
 
 
@@ -72,7 +73,9 @@
         self._place = held_place.HeldPlace(exchange)
         self._prompt = prompt_module.Prompt(exchange)
         self._rejections = 0
-        self._connection: http.HttpConnection | None = None
+        self._connection = decode_connection.DecodeConnection(
+            exchange, self._place
+        )
         # The decode runner that is currently prefilling the prompt itself.
         self._local_prefill_runner: runners.Runner | None = None
         # The move of the current stream, and the completed move whose copy
@@ -87,7 +90,8 @@
         try:
             with exchange.time_limit.enforce():
                 self._crash_reports.check(exchange)
-                await self._acquire_place()
+                if not await self._connection.open():
+                    raise RequestEnded(self._refusal(Reason.NO_RUNNER))
                 self._crash_reports.check(exchange)
                 await self._prefill()
                 return await self._stream_until_complete()
@@ -101,9 +105,7 @@
             if self._move is not None:
                 await self._move.close()
             await self._prompt.free()
-            if self._connection is not None:
-                with anyio.CancelScope(shield=True):
-                    await self._connection.close()
+            await self._connection.close()
 
     def _count_request(self) -> None:
         exchange = self._exchange
@@ -124,44 +126,6 @@
         await self._caller.reply(reply)
         return True
 
-    async def _acquire_place(self) -> None:
-        """Acquire a place at a reachable decode runner.
-
-        The connection is opened before the prefill, so that no prompt is
-        prefilled for an unreachable runner.
-        """
-        for _ in range(MAX_CONNECT_ATTEMPTS):
-            runner = await self._place.acquire()
-            try:
-                self._connection = await upstream.connect(
-                    self._exchange, runner
-                )
-                return
-            except upstream.NotSent as error:
-                self._record_connect_failure(runner, str(error))
-        raise RequestEnded(self._refusal(Reason.NO_RUNNER))
-
-    def _record_connect_failure(
-        self, runner: runners.Runner, detail: str
-    ) -> None:
-        runner.observe_failure(self._context.clock())
-        self._exchange.record_failed_attempt(
-            Retry.CONNECT_FAILED, runner, detail
-        )
-        self._place.exclude(runner)
-
-    async def _decode_connection(
-        self, runner: runners.Runner
-    ) -> http.HttpConnection:
-        """Return the connection opened earlier, or a new one if it closed."""
-        connection, self._connection = self._connection, None
-        if connection is not None:
-            same_address = connection.address == runner.listing.address
-            if same_address and not connection.has_input():
-                return connection
-            await connection.close()
-        return await upstream.connect(self._exchange, runner)
-
     async def _handle_timeout(self) -> bool:
         if self._stream.head_sent:
             self._exchange.failure(Reason.UPSTREAM_TIMEOUT, 0)
@@ -252,6 +216,11 @@
         """Return 503 only if no earlier attempt may have run."""
         if self._exchange.may_have_run:
             return self._exchange.failure(reason, 502)
+        refused = admission.refusal_while_backing_off(
+            self._exchange, states.Role.DECODE
+        )
+        if refused is not None:
+            return self._admission_reply(refused)
         return self._exchange.refusal(reason, RETRY_AFTER_S)
 
     def _handle_broken_stream(
@@ -297,7 +266,9 @@
         move = self._move = self._new_move(runner)
         try:
             with self._context.leave_callbacks.registered(
-                runner.runner_id, move.run
+                runner.runner_id,
+                move.run,
+                runner_signs.has_left(self._context, runner),
             ):
                 await self._forward_events(response, runner, started_at)
         except (http.BrokenResponse, events.SequenceError) as error:
@@ -353,7 +324,10 @@
             self._set_local_prefill_runner(runner)
         try:
             with anyio.move_on_after(self._first_event_s()):
-                connection = await self._decode_connection(runner)
+                connection = await self._connection.take(runner)
+                if connection is None:
+                    exchange.may_have_run = may_have_run_before
+                    return None
                 response = await upstream.open_response(
                     exchange, runner, options, connection
                 )
@@ -364,7 +338,7 @@
                 return response
         except upstream.NotSent as error:
             exchange.may_have_run = may_have_run_before
-            self._record_connect_failure(runner, str(error))
+            self._connection.record_failure(runner, str(error))
         except upstream.Rejected as error:
             exchange.may_have_run = may_have_run_before
             self._handle_rejection(runner, handle is not None, error)
@@ -386,18 +360,19 @@
     ) -> None:
         exchange = self._exchange
         now = self._context.clock()
+        backs_off = runner_signs.backs_off(self._context, runner)
         self._rejections += 1
         if rejected.head.status == upstream.MISDIRECTED:
             reason = Retry.RUNNER_REPLACED
             self._place.exclude(runner)
-        elif with_handle and self._handle_is_gone(runner):
+        elif with_handle and not backs_off and self._handle_is_gone(runner):
             reason = Retry.KV_CACHE_GONE
             self._prompt.invalidate_handle()
         else:
             reason = Retry.ENGINE_FULL
             runner.observe_rejection(now)
             self._place.give_up()
-            if not with_handle and runner.idle:
+            if not with_handle and not backs_off and runner.idle:
                 self._avoid_switching(runner, now)
         exchange.record_failed_attempt(reason, runner, str(rejected))
         if not self._context.budget.try_spend(exchange.service, now):
--- a/primrosereel/gateway/_peer_datagram.py
+++ b/primrosereel/gateway/_peer_datagram.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from primrosereel import _ids as ids
+from primrosereel.gateway import _runner_notices as runner_notices
 from primrosereel.routing import _demand as demand
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _prompt_quarantine as prompt_quarantine
@@ -76,6 +77,9 @@
     suspects: list[Suspect] = []
     # The version in force, 0 without one.
     configuration_version: int = 0
+    runners: list[runner_notices.RunnerNotice] = []
+    # For how long in ms the sender has had the store without interruption.
+    store_in_touch_ms: int | None = None
 
 
 def encode_notice(
--- a/primrosereel/gateway/_stream_move.py
+++ b/primrosereel/gateway/_stream_move.py
@@ -11,6 +11,7 @@
 
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _http as http
+from primrosereel.gateway import _runner_signs as runner_signs
 from primrosereel.routing import _decode_places as decode_places
 from primrosereel.routing import _runners as runners
 
@@ -19,7 +20,9 @@
 # The interval between two attempts to find a place, and how long to try.
 PLACE_RETRY_INTERVAL_S = 0.2
 PLACE_SEARCH_LIMIT_S = 6.0
-CALL_TIMEOUT_S = 1.5
+# The time limit of each of the two calls, longer than the silence of a sound
+# runner: a call that is given up may have stopped the stream.
+CALL_TIMEOUT_S = 2.0
 FREE_TIMEOUT_S = 0.5
 MAX_RESPONSE_BYTES = 65536
 
@@ -71,7 +74,9 @@
         """Release the target's place and free a copy that was not used."""
         self.end()
         unused_copy, self._unused_copy = self._unused_copy, None
-        if unused_copy is None:
+        if unused_copy is None or runner_signs.backs_off(
+            self._context, self._source
+        ):
             return
         method, target = self._context.dialect.free_handle(unused_copy)
         self._context.count('streams.copies_freed')
@@ -141,7 +146,10 @@
         until = context.clock() + PLACE_SEARCH_LIMIT_S
         while not self._ended and context.clock() < until:
             runner = context.places.choose(self._ticket, context.clock())
-            if runner is not None and self.first_event_sent:
+            may_call = self.first_event_sent and not runner_signs.backs_off(
+                context, self._source
+            )
+            if runner is not None and may_call:
                 if not context.budget.try_spend(
                     self._exchange.service, context.clock()
                 ):
@@ -159,15 +167,16 @@
         """
         target = self.target
         assert target is not None
-        with anyio.fail_after(CALL_TIMEOUT_S):
-            status = await self._copy_to(target, last=False)
-            if status != 200 or self._ended:
-                return f'copy: status {status}'
-            self._stopping = True
-            status = await self._copy_to(target, last=True)
-            if status == 200:
-                self.handle = self._unused_copy
-            return f'stop: status {status}'
+        status = await self._copy_to(target, last=False)
+        if status != 200 or self._ended:
+            return f'copy: status {status}'
+        if not target.availability.accepts(self._context.clock()):
+            return 'the target takes no more requests'
+        self._stopping = True
+        status = await self._copy_to(target, last=True)
+        if status == 200:
+            self.handle = self._unused_copy
+        return f'stop: status {status}'
 
     async def _copy_to(self, runner: runners.Runner, last: bool) -> int:
         """Copy the stream to a runner, and keep the handle of the copy."""
@@ -178,9 +187,10 @@
             runner.listing.address,
             last,
         )
-        status, response_body = await self._send_to_source(
-            http.OutgoingRequest(method, target, headers, body)
-        )
+        with anyio.fail_after(CALL_TIMEOUT_S):
+            status, response_body = await self._send_to_source(
+                http.OutgoingRequest(method, target, headers, body)
+            )
         if status == 200:
             self._unused_copy = dialect.move_result(
                 self._source.listing.address, response_body
@@ -199,6 +209,7 @@
         connection = await http.connect(address, CALL_TIMEOUT_S)
         try:
             head = await connection.send_request(request)
+            runner_signs.observe_answer(self._context, self._source, head)
             return head.status, await connection.read_body(MAX_RESPONSE_BYTES)
         finally:
             with anyio.CancelScope(shield=True):
--- a/primrosereel/gateway/_upstream.py
+++ b/primrosereel/gateway/_upstream.py
@@ -9,6 +9,7 @@
 from primrosereel.gateway import _callers as callers
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _http as http
+from primrosereel.gateway import _runner_signs as runner_signs
 from primrosereel.routing import _model as model
 from primrosereel.routing import _runners as runners
 
@@ -16,10 +17,12 @@
     'NotSent',
     'OpenResponse',
     'Rejected',
+    'Withdrawn',
     'build_request',
     'connect',
     'connect_or_reuse',
     'count_in_flight',
+    'keep_connection',
     'open_response',
     'refuses_connections',
 ]
@@ -42,6 +45,10 @@
     """No connection was established, so nothing was sent to the runner."""
 
 
+class Withdrawn(Exception):
+    """The runner takes no more requests, and the request was not sent."""
+
+
 @dataclasses.dataclass(slots=True)
 class OpenResponse:
     """A response whose body has not been read."""
@@ -107,12 +114,21 @@
 async def connect_or_reuse(
     exchange: context_module.Exchange, runner: runners.Runner
 ) -> http.HttpConnection:
-    """Return an idle connection to a runner, or a new one."""
+    """Return an idle connection to a runner, or a new one.
+
+    Raises NotSent if none is established, and Withdrawn if the runner has
+    begun to leave or to back off meanwhile.
+    """
     context = exchange.context
-    idle = await context.pool.get(
+    connection = await context.pool.get(
         runner.listing.address, context.clock(), exchange.facts.request_id
     )
-    return idle or await connect(exchange, runner)
+    if connection is None:
+        connection = await connect(exchange, runner)
+    if not runner.availability.accepts(context.clock()):
+        await connection.close()
+        raise Withdrawn(runner.runner_id)
+    return connection
 
 
 async def open_response(
@@ -129,8 +145,9 @@
     context = exchange.context
     try:
         head = await connection.send_request(build_request(exchange, options))
-        facts = context.dialect.response_facts(head.status, head.headers)
-        runner.observe_report(facts.load, context.clock())
+        facts = runner_signs.observe_answer(
+            context, runner, head, connection.reused
+        )
         if head.status == MISDIRECTED:
             runner.observe_replaced(context.clock())
         if not facts.not_run:
@@ -143,5 +160,18 @@
         with anyio.CancelScope(shield=True):
             await connection.close()
         raise
-    await context.pool.put(connection, head.keep_alive_s, context.clock())
+    await keep_connection(context, runner, connection, head.keep_alive_s)
     raise Rejected(head)
+
+
+async def keep_connection(
+    context: context_module.Context,
+    runner: runners.Runner,
+    connection: http.HttpConnection,
+    keep_alive_s: float | None,
+) -> None:
+    """Keep a connection for other requests, or close that to one leaving."""
+    if runner_signs.has_left(context, runner):
+        await connection.close()
+    else:
+        await context.pool.put(connection, keep_alive_s, context.clock())
--- a/primrosereel/platform/_dialect.py
+++ b/primrosereel/platform/_dialect.py
@@ -1,6 +1,8 @@
 """Headers of requests and responses, and HTTP calls to runners."""
 
+from collections.abc import Mapping
 from collections.abc import Sequence
+import re
 from typing import TypeVar
 
 import msgspec
@@ -23,6 +25,9 @@
 # Present when the runner did not run the request; the value is ignored.
 NOT_RUN = b'not-executed'
 LOAD = b'instance-load'
+LEAVING = b'server-leaving'
+LEAVING_VALUE = b'1'
+RETRY_AFTER = b'retry-after'
 
 # Headers that only the router sets, or that only a runner's response has;
 # they are removed from a caller's request.
@@ -33,6 +38,7 @@
         NOT_RUN,
         SIGNATURE,
         LOAD,
+        LEAVING,
         b'expect-instance',
         b'expect-version',
         b'instance-id',
@@ -50,6 +56,10 @@
 # Longer lists of parts, and longer ids, are not decoded.
 MAX_PROMPT_PARTS = 64
 MAX_PART_ID_LENGTH = 32
+# Seconds as decimal digits; dates are not accepted. A longer value is not
+# decoded, and a large one is bounded where it is used.
+RETRY_AFTER_SECONDS = re.compile(rb'[0-9]{1,40}(\.[0-9]{1,40})?')
+UNAVAILABLE = 503
 
 
 class _PrefillBody(msgspec.Struct, rename='camel'):
@@ -121,6 +131,7 @@
         """Decode the headers of a runner's response."""
         values = {name.lower(): value for name, value in headers}
         request_id = values.get(REQUEST_ID)
+        signs = _RunnerSigns(status, headers, values)
         return model.ResponseFacts(
             request_id=None
             if request_id is None
@@ -129,6 +140,9 @@
             not_run=NOT_RUN in values or status == 421,
             encoded=b'content-encoding' in values,
             load=_parse_load(values.get(LOAD)),
+            leaving=signs.leaving,
+            retry_after_s=signs.retry_after_s,
+            invalid_headers=tuple(signs.invalid_headers),
         )
 
     def prefill_result(
@@ -191,6 +205,53 @@
         return b'DELETE', b'/v1/kv-handle/' + name.encode()
 
 
+class _RunnerSigns:
+    """What the headers of a response say of the runner's availability.
+
+    ``Retry-After`` counts only in a refusal with status 503. A value that
+    cannot be decoded and a header that is repeated are ignored, and their
+    names are kept in ``invalid_headers``.
+    """
+
+    def __init__(
+        self,
+        status: int,
+        headers: Headers,
+        values: Mapping[bytes, bytes],
+    ) -> None:
+        self._headers = headers
+        self._values = values
+        self.leaving = False
+        self.retry_after_s: float | None = None
+        self.invalid_headers: list[str] = []
+        leaving = self._only_value(LEAVING)
+        if leaving == LEAVING_VALUE:
+            self.leaving = True
+        elif leaving is not None:
+            self.invalid_headers.append(LEAVING.decode())
+        if status == UNAVAILABLE:
+            self.retry_after_s = self._seconds()
+
+    def _seconds(self) -> float | None:
+        value = self._only_value(RETRY_AFTER)
+        if value is None:
+            return None
+        if RETRY_AFTER_SECONDS.fullmatch(value) is None:
+            self.invalid_headers.append(RETRY_AFTER.decode())
+            return None
+        return float(value)
+
+    def _only_value(self, name: bytes) -> bytes | None:
+        """Return the value of a header; None if it is absent or repeated."""
+        if name not in self._values:
+            return None
+        number = sum(key.lower() == name for key, _ in self._headers)
+        if number > 1:
+            self.invalid_headers.append(name.decode())
+            return None
+        return self._values[name].strip()
+
+
 def _json_headers(runner: ids.RunnerId) -> list[tuple[bytes, bytes]]:
     return [
         (b'Content-Type', b'application/json'),
