--- a/primrosereel/routing/_placement.py
+++ b/primrosereel/routing/_placement.py
@@ -100,7 +100,7 @@
             cost += SUSPECT_COST * (1 + runner.failures)
         if now < runner.full_until:
             cost += FULL_COST
-        if runner.is_silent(now):
+        if now < runner.silent_until:
             cost += SILENT_COST
         if runner.listing.cold_s > 0:
             cost += COLD_COST
--- a/primrosereel/routing/_runners.py
+++ b/primrosereel/routing/_runners.py
@@ -107,15 +107,11 @@
     def is_available(self, now: float) -> bool:
         """Tell whether the runner is not suspect, full or silent."""
         return (
-            not self.is_suspect(now)
+            now >= self.suspect_until
             and now >= self.full_until
-            and not self.is_silent(now)
+            and now >= self.silent_until
         )
 
-    def is_silent(self, now: float) -> bool:
-        """Tell whether the runner did not answer in time just now."""
-        return now < self.silent_until
-
     def observe_report(
         self, report: model.LoadReport | None, now: float
     ) -> None:
