Close the response of a stream that ends as its handle is used

What runners see: a request that had got its final answer, such as 504, was worked on for nobody until its last event, and held engine memory that the router counted as free.

Cause: a decode runner has responded when the connection of the prefill runner is kept or closed. A cancellation in that moment, by the time limit or a caller that leaves, left the response open, as nothing else refers to it.

Evidence: test_time_limit_as_the_handle_is_used_ends_the_run failed on: "assert [{}, {}, {'r1': 5}, {}, {}] == [{}, {}, {'r1': 2}, {}, {}]", three events more after the answer.

The connection of the response is now closed, shielded, if that step is left by any exception.

--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -334,7 +334,7 @@
                 exchange.attempts += attempts
                 if resume_from is not None:
                     resume_from.copy_used()
-                await self._prompt.handle_used()
+                await self._note_handle_used(response)
                 return response
         except upstream.NotSent as error:
             exchange.may_have_run = may_have_run_before
@@ -352,6 +352,19 @@
             raise StreamBroken('no response in time')
         return None
 
+    async def _note_handle_used(self, response: upstream.OpenResponse) -> None:
+        """Record that a runner fetched the KV cache as it responded.
+
+        The response is closed if this is cancelled, so that the runner does
+        not work on for a request that has ended.
+        """
+        try:
+            await self._prompt.handle_used()
+        except BaseException:
+            with anyio.CancelScope(shield=True):
+                await response.connection.close()
+            raise
+
     def _handle_rejection(
         self,
         runner: runners.Runner,
--- a/tests/property/test_gateway_time_limit.py
+++ b/tests/property/test_gateway_time_limit.py
@@ -1,9 +1,12 @@
 """A request whose time limit is reached while its answer begins."""
 
+import anyio
 import pytest
 
+from primrosereel.gateway import _prompt as prompt
 from primrosereel.routing import _events as events
 from tests import gateway_fleet
+from tests.property import test_gateway_moves as moves
 
 run = gateway_fleet.run_scenario
 
@@ -34,3 +37,39 @@
         assert not fleet.log.named('request unanswered')
 
     run(scenario)
+
+
+def test_time_limit_as_the_handle_is_used_ends_the_run(monkeypatch):
+    """Guards against a runner that works on after the final answer.
+
+    The connection of the response stayed open if the request ended while
+    that of the prefill runner was closed.
+    """
+
+    async def scenario(fleet):
+        moves.make_streams_long(fleet)
+        prefill = fleet.runners['p1']
+        prefill_once = prefill._prefill
+        handle_used = prompt.Prompt.handle_used
+
+        async def prefill_and_close(request):
+            answer = await prefill_once(request)
+            answer.headers.append((b'Connection', b'close'))
+            return answer
+
+        async def end_and_use_handle(used):
+            for limit in fleet.gateway._context.time_limits._enforced:
+                limit._scope.cancel()
+            await handle_used(used)
+
+        monkeypatch.setattr(prefill, '_prefill', prefill_and_close)
+        monkeypatch.setattr(prompt.Prompt, 'handle_used', end_and_use_handle)
+        reply = await fleet.ask('/once/1', 'r1', method='POST', **moves.STREAM)
+        assert (reply.status, reply.complete) == (504, True)
+        await anyio.sleep(2 * moves.EVENT_S)
+        sent = [runner.last_event_ids for runner in fleet.runners.values()]
+        before = [dict(ids) for ids in sent]
+        await anyio.sleep(4 * moves.EVENT_S)
+        assert [dict(ids) for ids in sent] == before
+
+    run(scenario)
