Free the copy of a moved stream whose target does not continue it

What operators see: engine memory at a runner that leaves stays held by the copy of a stream that went on elsewhere, until the handle expires.

Cause: a request closes its move when it ends, which frees an unused copy. If the target rejects the copy or fails, the next attempt starts a move of its own, and the one that knows the copy is forgotten.

Evidence: test_copy_is_freed_when_its_target_does_not_continue failed on for a rejection and for a reset with "assert [] == ['/v1/kv-handle/copy1']".

The move is now closed as soon as an attempt ends without a response, before another one replaces it.

--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -248,7 +248,7 @@
         started_at = self._context.clock()
         self._stream.start_attempt()
         try:
-            response = await self._open_response(runner)
+            response = await self._open_response_or_free(runner)
             if response is None:
                 return False
             self._exchange.record_step('head_s', started_at)
@@ -257,6 +257,22 @@
             self._set_local_prefill_runner(None)
         return True
 
+    async def _open_response_or_free(
+        self, runner: runners.Runner
+    ) -> upstream.OpenResponse | None:
+        """Return a runner's response; None if it did not run the request.
+
+        Without a response, the copy that the runner was to continue from is
+        freed, as the next attempt starts with a move of its own.
+        """
+        response = None
+        try:
+            response = await self._open_response(runner)
+        finally:
+            if response is None and self._move is not None:
+                await self._move.close()
+        return response
+
     async def _forward_and_close(
         self,
         response: upstream.OpenResponse,
--- a/tests/property/test_gateway_moves.py
+++ b/tests/property/test_gateway_moves.py
@@ -104,6 +104,35 @@
     run(scenario)
 
 
+@pytest.mark.parametrize('fault', [Fault.HANDLE_GONE, Fault.RESET_BEFORE_RUN])
+def test_copy_is_freed_when_its_target_does_not_continue(fault):
+    """Guards against a copy that holds engine memory until it expires.
+
+    The move of the next attempt replaced the one that knew the copy.
+    """
+
+    async def scenario(fleet):
+        make_streams_long(fleet)
+        async with fleet.client() as client:
+            source, target = await start_stream(fleet, client, '/ask/1')
+            target.faults.append(fault)
+            source.options.copy_s = 0.2
+            fleet.list_runner(source.options.runner, 'draining')
+            await fleet.wait_for(lambda: bool(source.moves))
+            # Continues the stream after the target has failed.
+            await fleet.add_runner('d3', 'llm', 'decode', events=EVENTS)
+            reply = await client.receive()
+        assert reply.complete
+        await fleet.wait_for(lambda: not fleet.gateway.engine_uses(), 2.0)
+        assert [
+            request.path
+            for request in source.requests
+            if request.method == 'DELETE'
+        ] == ['/v1/kv-handle/copy1']
+
+    run(scenario)
+
+
 def test_stream_is_not_moved_without_a_free_place():
     """Guards against a stream that is stopped with nowhere to continue.
 
