Go on after an error in a status page or in a reload

What operators see: the process ends, with all requests in progress, after a readiness check, a read of the metrics or a SIGHUP that meets a fault in the router.

Cause: the connections of the status pages and the receiver of signals run in the main task group, outside the parts that are restarted after an error.

Such an error is now logged as part failed and counted in internal_errors. The readiness page answers 503, as an instance that cannot tell whether it is ready should get no new connections, and the metrics page 500.

--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -49,6 +49,10 @@
 ACCEPT_RETRY_S = 0.1
 DEFAULT_POLICY = 'expected-completion'
 METRICS_PATH = b'/metrics'
+# The status of a page that could not be built. The platform sends an instance
+# that cannot tell whether it is ready no new connections.
+READINESS_FAILED = 503
+METRICS_FAILED = 500
 # After a stop request, the platform still sends new connections until two
 # readiness checks have failed.
 ACCEPT_WHILE_DRAINING_S = 2.5
@@ -214,6 +218,8 @@
             check = status.StatusServer(
                 {self._context.dialect.readiness_path: self._readiness_page},
                 clock,
+                self._part_failed,
+                READINESS_FAILED,
             )
             tasks.start_soon(
                 self._listen,
@@ -223,7 +229,10 @@
             )
             if self._metrics_address is not None:
                 pages = status.StatusServer(
-                    {METRICS_PATH: self._metrics_page}, clock
+                    {METRICS_PATH: self._metrics_page},
+                    clock,
+                    self._part_failed,
+                    METRICS_FAILED,
                 )
                 tasks.start_soon(
                     self._listen,
@@ -319,7 +328,7 @@
             async for number in signals:
                 if number == signal.SIGHUP:
                     self._log.info('reload asked for')
-                    self._apply_settings()
+                    self._try_to_apply_settings()
                     continue
                 self._log.info('stop asked for', signal=number.name)
                 self._stop_requested.set()
@@ -344,7 +353,14 @@
             await self._reader.remove_missing_runners()
             await self._context.pool.close_expired(clock())
             self._update_budget_share()
+            self._try_to_apply_settings()
+
+    def _try_to_apply_settings(self) -> None:
+        """Apply changed settings; an error leaves the process running."""
+        try:
             self._apply_settings()
+        except Exception as error:
+            self._part_failed(error)
 
     def _apply_settings(self) -> None:
         """Apply changed settings.
--- a/primrosereel/gateway/_status.py
+++ b/primrosereel/gateway/_status.py
@@ -15,13 +15,23 @@
 
 
 class StatusServer:
-    """Serves the given pages by path."""
+    """Serves the given pages by path.
+
+    A page that raises an exception is answered with ``failure_status``, and
+    ``on_error`` gets the exception.
+    """
 
     def __init__(
-        self, pages: Mapping[bytes, Page], clock: Callable[[], float]
+        self,
+        pages: Mapping[bytes, Page],
+        clock: Callable[[], float],
+        on_error: Callable[[Exception], None],
+        failure_status: int,
     ) -> None:
         self._pages = pages
         self._clock = clock
+        self._on_error = on_error
+        self._failure_status = failure_status
 
     async def serve_connection(self, stream: anyio.abc.SocketStream) -> None:
         """Serve requests until the connection closes."""
@@ -38,9 +48,18 @@
                     return
         except (callers.CallerDisconnected, h11.LocalProtocolError):
             return
+        except Exception as error:
+            # It would end the listener and the process.
+            self._on_error(error)
         finally:
             await connection.close()
 
     def _page_reply(self, request: callers.CallerRequest) -> callers.Reply:
         page = self._pages.get(request.target.partition(b'?')[0])
-        return callers.Reply(404) if page is None else page()
+        if page is None:
+            return callers.Reply(404)
+        try:
+            return page()
+        except Exception as error:
+            self._on_error(error)
+            return callers.Reply(self._failure_status)
