Count datagrams and prefill bodies that are nested too deeply as unreadable

What callers saw: a stream whose prefill runner sent such a body was refused with 503 instead of being prefilled by its decode runner. For a datagram, the exchange with all peers was started anew.

Cause: msgspec raises RecursionError for data that is nested about 1,000 levels deep, also in a field that is not decoded. It is no DecodeError.

Evidence: test_nested_prefill_body_lets_the_decode_runner_prefill failed on with "assert (503, True) == (200, True)", and test_nested_datagram_does_not_end_the_exchange_with_peers with a TimeoutError while it waited for the datagram after it.

Both are now handled like other data that cannot be decoded.

--- a/primrosereel/gateway/_peers.py
+++ b/primrosereel/gateway/_peers.py
@@ -352,7 +352,7 @@
         async for data, (host, _) in socket:
             try:
                 datagram = self._decoder.decode(data)
-            except msgspec.DecodeError:
+            except (msgspec.DecodeError, RecursionError):
                 self._context.count('peers.unreadable')
                 continue
             if datagram.version == peer_datagram.DATAGRAM_VERSION:
--- a/primrosereel/platform/_dialect.py
+++ b/primrosereel/platform/_dialect.py
@@ -265,7 +265,7 @@
     """Decode a response with a KV handle; None if it is not valid."""
     try:
         response = msgspec.json.decode(body, type=body_type)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return None
     name = response.kv_handle
     return response if name.isascii() and name.isalnum() else None
