--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -248,7 +248,7 @@
         started_at = self._context.clock()
         self._stream.start_attempt()
         try:
-            response = await self._open_response(runner)
+            response = await self._open_response_or_free(runner)
             if response is None:
                 return False
             self._exchange.record_step('head_s', started_at)
@@ -257,6 +257,22 @@
             self._set_local_prefill_runner(None)
         return True
 
+    async def _open_response_or_free(
+        self, runner: runners.Runner
+    ) -> upstream.OpenResponse | None:
+        """Return a runner's response; None if it did not run the request.
+
+        Without a response, the copy that the runner was to continue from is
+        freed, as the next attempt starts with a move of its own.
+        """
+        response = None
+        try:
+            response = await self._open_response(runner)
+        finally:
+            if response is None and self._move is not None:
+                await self._move.close()
+        return response
+
     async def _forward_and_close(
         self,
         response: upstream.OpenResponse,
@@ -334,7 +350,7 @@
                 exchange.attempts += attempts
                 if resume_from is not None:
                     resume_from.copy_used()
-                await self._prompt.handle_used()
+                await self._note_handle_used(response)
                 return response
         except upstream.NotSent as error:
             exchange.may_have_run = may_have_run_before
@@ -352,6 +368,19 @@
             raise StreamBroken('no response in time')
         return None
 
+    async def _note_handle_used(self, response: upstream.OpenResponse) -> None:
+        """Record that a runner fetched the KV cache as it responded.
+
+        The response is closed if this is cancelled, so that the runner does
+        not work on for a request that has ended.
+        """
+        try:
+            await self._prompt.handle_used()
+        except BaseException:
+            with anyio.CancelScope(shield=True):
+                await response.connection.close()
+            raise
+
     def _handle_rejection(
         self,
         runner: runners.Runner,
