Lose no connection that arrives as the listener closes

Cause: an accept that is cancelled while a connection is ready takes it from the kernel and drops it, and those that wait in the backlog are reset as the listener closes.

Only the wait for a connection can be cancelled now, and accepting does not yield. What has arrived by then is accepted and answered: a process that stops refuses it with 503.

--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -18,6 +18,7 @@
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _crash_reports as crash_reports_module
 from primrosereel.gateway import _leave_callbacks as leave_callbacks
+from primrosereel.gateway import _listener as listener_module
 from primrosereel.gateway import _orders as orders
 from primrosereel.gateway import _peers as peers
 from primrosereel.gateway import _pool as pool_module
@@ -42,11 +43,8 @@
 
 __all__ = ['Gateway', 'Options', 'clock']
 
-BACKLOG = 512
 MAINTENANCE_INTERVAL_S = 0.5
 RESTART_DELAY_S = 0.5
-# The pause after a connection could not be accepted.
-ACCEPT_RETRY_S = 0.1
 DEFAULT_POLICY = 'expected-completion'
 METRICS_PATH = b'/metrics'
 # The status of a page that could not be built. The platform sends an instance
@@ -293,32 +291,15 @@
         handler: Callable[[anyio.abc.SocketStream], Awaitable[None]],
         connections: anyio.abc.TaskGroup,
     ) -> None:
-        """Accept connections until cancelled.
+        """Accept connections until cancelled; they outlast the listener."""
+        await listener_module.Listener(
+            address, handler, connections, self._accept_failed
+        ).run()
 
-        They are served in the group ``connections`` and outlast the listener.
-        A connection that cannot be accepted, as no file descriptor is left,
-        must not end the others.
-        """
-        listener = await anyio.create_tcp_listener(
-            local_host=address.host,
-            local_port=address.port,
-            backlog=BACKLOG,
-            reuse_port=False,
-        )
-        async with listener:
-            while True:
-                try:
-                    await listener.serve(handler, connections)
-                except* OSError as errors:
-                    self._accept_failed(address, errors)
-                await anyio.sleep(ACCEPT_RETRY_S)
-
-    def _accept_failed(
-        self, address: model.Address, errors: BaseExceptionGroup[OSError]
-    ) -> None:
+    def _accept_failed(self, address: model.Address, error: OSError) -> None:
         self._context.count('connections.not_accepted')
         self._log.error(
-            'accept failed', address=str(address), detail=repr(errors)
+            'accept failed', address=str(address), detail=repr(error)
         )
 
     async def _wait_for_signal(self) -> None:
