End a graceful stop with status 0 although signals are repeated

What operators saw: a gateway that got SIGTERM or SIGHUP again at the very end of its stop ended with the status of the signal (fault soak: -15 after 2.2 s, -1 after 2.95 s), which looks like a failed stop.

Cause: the handlers are removed when everything else has ended, and until the process is gone a signal has its default action.

The signals are blocked before the handlers are removed, and threads of the executor never receive them.

--- a/primrosereel/cmd/gateway.py
+++ b/primrosereel/cmd/gateway.py
@@ -4,7 +4,10 @@
 """
 
 import argparse
+import asyncio
+from concurrent import futures
 import pathlib
+import signal
 import sys
 from typing import Any
 
@@ -21,6 +24,8 @@
 __all__ = ['main']
 
 EXIT_BAD_SETTINGS = 2
+# Signals that are handled while the gateway runs.
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 def _parser() -> argparse.ArgumentParser:
@@ -101,11 +106,28 @@
             options.policy,
             options.metrics_port,
             _Reloader(path, body, log).read,
+            _block_signals,
         ),
     )
-    anyio.run(gateway.run, backend='asyncio')
+    anyio.run(_run, gateway, backend='asyncio')
     return 0
 
 
+def _block_signals() -> None:
+    """Block the handled signals in the calling thread.
+
+    Their default action would end a process that has just stopped gracefully
+    with the status of the signal.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+
+
+async def _run(gateway: composition.Gateway) -> None:
+    """Run the gateway; only the main thread receives signals."""
+    executor = futures.ThreadPoolExecutor(initializer=_block_signals)
+    asyncio.get_running_loop().set_default_executor(executor)
+    await gateway.run()
+
+
 if __name__ == '__main__':
     sys.exit(main())
--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -78,12 +78,14 @@
     """Options of the command line; port 0 disables the metrics page.
 
     ``reload`` returns the current settings, or None if they are unchanged or
-    invalid.
+    invalid. ``before_exit`` is called when all is stopped but the handling of
+    signals.
     """
 
     policy: str = DEFAULT_POLICY
     metrics_port: int = 0
     reload: Callable[[], settings_module.GatewaySettings | None] = lambda: None
+    before_exit: Callable[[], None] = lambda: None
 
 
 DEFAULT_OPTIONS = Options()
@@ -102,6 +104,7 @@
     ) -> None:
         self._settings = settings
         self._reload = options.reload
+        self._before_exit = options.before_exit
         self._metrics_address = None
         if options.metrics_port:
             self._metrics_address = model.Address(
@@ -251,6 +254,7 @@
                 listening.cancel_scope.cancel()
             await self._finish_requests()
             self._log.info('stopped', active=self._context.active)
+            self._before_exit()
             tasks.cancel_scope.cancel()
 
     def _availability_changed(
