Keep the address of the store until the process is started anew

What operators see: after a reload of settings with another address of the store, settings in force was logged, and the old store was still used.

Cause: the client of the store is built once, at the start. The address was not among the settings that need a new process.

The old value is now kept, and the change logged as settings need a new process.

--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -365,13 +365,13 @@
     def _apply_settings(self) -> None:
         """Apply changed settings.
 
-        Changes of the instance name and of the addresses to listen on need a
-        restart.
+        Changes of the instance name, of the store's address and of the
+        addresses to listen on need a restart.
         """
         new = self._reload()
         if new is None or new == self._settings:
             return
-        kept = ('instance', 'callers', 'readiness', 'peer')
+        kept = ('instance', 'callers', 'readiness', 'store', 'peer')
         kept_values = {name: getattr(self._settings, name) for name in kept}
         if any(getattr(new, name) != kept_values[name] for name in kept):
             self._log.warning('settings need a new process', kept=kept)
--- a/tests/property/test_gateway_settings.py
+++ b/tests/property/test_gateway_settings.py
@@ -1,9 +1,13 @@
-"""Settings that cannot be kept are refused."""
+"""Settings that cannot be kept are refused, or need a new process."""
+
+import dataclasses
 
 import pytest
 from returns import pipeline
 
 from primrosereel import platform
+from primrosereel.routing import _model as model
+from tests import gateway_fleet
 from tests.property import test_fuzz_platform
 
 
@@ -21,3 +25,20 @@
     parsed = platform.read_settings(b'\n'.join(lines))
     assert not pipeline.is_successful(parsed)
     assert name.decode() in parsed.failure()
+
+
+@gateway_fleet.with_fleet
+async def test_changed_store_address_needs_a_new_process(fleet):
+    """Guards against an address that is logged as in force and not used.
+
+    The client of the store is built once, at the start.
+    """
+    gateway = fleet.gateway
+    old = gateway._settings
+    store = model.Address('127.0.0.1', gateway_fleet.free_port())
+    new = dataclasses.replace(old, store=store, retry_slack=7.0)
+    gateway._reload = lambda: new
+    await fleet.wait_for(lambda: gateway._settings.retry_slack == 7.0)
+    assert gateway._settings.store == old.store
+    line = fleet.log.named('settings need a new process')[0]
+    assert 'store' in line['kept']
