Test the moves of streams from runners that a whole reading lacks

A review suspected that streams of a runner that vanished in a whole reading of the store are not moved, as remove_missing_runners starts no callbacks.

--- a/tests/property/test_gateway_moves.py
+++ b/tests/property/test_gateway_moves.py
@@ -4,6 +4,7 @@
 import pytest
 
 from primrosereel.standin import _listed_runner as listed_runner
+from primrosereel.standin import _metadata_store as metadata_store
 from tests import gateway_fleet
 from tests.property import test_gateway
 
@@ -60,6 +61,38 @@
     run(scenario)
 
 
+@pytest.mark.parametrize('outage', [False, True])
+def test_stream_is_moved_from_a_runner_that_a_whole_reading_lacks(outage):
+    """Guards against streams that are cut when their runner vanishes.
+
+    The entry was removed together with the history that says so. After an
+    outage of the store, the runner is missing before it counts as gone.
+    """
+
+    async def scenario(fleet):
+        make_streams_long(fleet)
+        for runner in test_gateway.decode_runners(fleet):
+            runner.options.events = 3 * EVENTS // 2
+        async with fleet.client() as client:
+            source, _ = await start_stream(fleet, client, '/once/1')
+            if outage:
+                fleet.store.mode = metadata_store.StoreMode.RESET
+            fleet.store.delete(f'servers/{source.options.runner}')
+            fleet.store.forget_history()
+            if outage:
+                await fleet.wait_for(lambda: fleet.log.named('store lost'))
+                fleet.store.mode = metadata_store.StoreMode.UP
+            reply = await client.receive()
+        assert reply.complete
+        (line,) = fleet.log.named('stream moved')
+        assert line['source'] == source.options.runner
+        changes = fleet.log.named('runner availability changed')
+        assert [change['old'] for change in changes if change['new'] == 'gone']
+        assert any(change['old'] == 'missing' for change in changes) == outage
+
+    run(scenario)
+
+
 @pytest.mark.parametrize(
     ('path', 'complete'), [('/ask/1', True), ('/once/1', False)]
 )
