Move the handling of rejections into a module of its own

What a rejection says of the runner, the handle and the place is a part that needs nothing of the stream. No behaviour changes; the tests of gateway, moves, rejections, orders and back-offs pass.

--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -14,6 +14,7 @@
 from primrosereel.gateway import _held_place as held_place
 from primrosereel.gateway import _http as http
 from primrosereel.gateway import _prompt as prompt_module
+from primrosereel.gateway import _rejections as rejections
 from primrosereel.gateway import _runner_signs as runner_signs
 from primrosereel.gateway import _stream_move as stream_move
 from primrosereel.gateway import _upstream as upstream
@@ -29,12 +30,6 @@
 Retry = states.RetryReason
 
 MAX_RESPONSE_BYTES = 1024 * 1024
-# An idle runner that rejects a request without a KV handle is assumed to be
-# changing its role, and is avoided for this share of the time that a change
-# takes. The order may have come from an instance that no longer runs.
-SWITCH_AVOID_SHARE = 0.35
-# Decode runners that may reject a request before it is refused.
-MAX_REJECTIONS = 4
 RETRY_AFTER_S = 0.5
 
 
@@ -72,7 +67,9 @@
         )
         self._place = held_place.HeldPlace(exchange)
         self._prompt = prompt_module.Prompt(exchange)
-        self._rejections = 0
+        self._rejections = rejections.Rejections(
+            exchange, self._place, self._prompt
+        )
         self._connection = decode_connection.DecodeConnection(
             exchange, self._place
         )
@@ -180,7 +177,7 @@
             raise RequestEnded(self._refusal(Reason.UPSTREAM_FAILED))
         if self._place.runner is not None:
             return self._place.runner
-        if self._rejections >= MAX_REJECTIONS:
+        if self._rejections.exhausted:
             raise RequestEnded(self._refusal(Reason.NO_CAPACITY))
         return await self._place.acquire_another(self._place_wait_s())
 
@@ -387,50 +384,9 @@
         with_handle: bool,
         rejected: upstream.Rejected,
     ) -> None:
-        exchange = self._exchange
-        now = self._context.clock()
-        backs_off = runner_signs.backs_off(self._context, runner)
-        self._rejections += 1
-        if rejected.head.status == upstream.MISDIRECTED:
-            reason = Retry.RUNNER_REPLACED
-            self._place.exclude(runner)
-        elif with_handle and not backs_off and self._handle_is_gone(runner):
-            reason = Retry.KV_CACHE_GONE
-            self._prompt.invalidate_handle()
-        else:
-            reason = Retry.ENGINE_FULL
-            runner.observe_rejection(now)
-            self._place.give_up()
-            if not with_handle and not backs_off and runner.idle:
-                self._avoid_switching(runner, now)
-        exchange.record_failed_attempt(reason, runner, str(rejected))
-        if not self._context.budget.try_spend(exchange.service, now):
+        if not self._rejections.handle(runner, with_handle, rejected):
             raise RequestEnded(self._refusal(Reason.RETRY_BUDGET))
 
-    def _handle_is_gone(self, runner: runners.Runner) -> bool:
-        """Tell whether a runner rejected a handle and not the request.
-
-        A runner that has been full or is nearly full rejects the request; the
-        handle can still be used elsewhere.
-        """
-        return runner.rejections == 0 and self._place.has_room_for_another(
-            runner
-        )
-
-    def _avoid_switching(self, runner: runners.Runner, now: float) -> None:
-        """Avoid an idle runner that rejected a request without a handle."""
-        engine = self._exchange.engine
-        avoid_s = SWITCH_AVOID_SHARE * engine.switch_s if engine else 0.0
-        self._context.count('runners.switching')
-        self._context.log.info(
-            'runner taken to change its role',
-            runner=runner.runner_id,
-            request=self._exchange.facts.request_id,
-            report=runner.report,
-            avoided_s=round(avoid_s, 2),
-        )
-        self._context.avoid_runner(runner.runner_id, now + avoid_s)
-
     def _first_event_s(self) -> float:
         route = self._exchange.route
         may_repeat = (
