Open the callers' port of a daemon before its readiness can be read

Cause: callers and operators have a server each, and both start at the same time. /readyz is served by the operators' server, which could open its port first.

--- a/primrosereel/daemon/_composition.py
+++ b/primrosereel/daemon/_composition.py
@@ -3,6 +3,7 @@
 import importlib.util
 import random
 import signal
+import socket
 import ssl
 import sys
 from typing import Any
@@ -29,7 +30,9 @@
 from primrosereel.daemon import _plain_upstream as plain_upstream
 from primrosereel.daemon import _platform as platform
 
-__all__ = ['Daemon', 'serve']
+__all__ = ['Daemon', 'open_listener', 'serve']
+
+BACKLOG = 512
 
 METRICS_FLUSH_INTERVAL_S = 1.0
 # How long the servers wait for connections to close after the drain.
@@ -216,6 +219,8 @@
     def _caller_config(self) -> hypercorn.Config:
         settings = self._settings.callers
         config = self._server_config(settings.address)
+        # The readiness page has a server of its own, which may start first.
+        config.bind = [f'fd://{open_listener(settings.address)}']
         config.h11_max_incomplete_size = settings.max_header_bytes * 2
         config.h2_max_header_list_size = settings.max_header_bytes * 2
         if settings.tls is not None:
@@ -256,6 +261,20 @@
         sys.modules['sniffio'] = None  # type: ignore[assignment]
 
 
+def open_listener(address: str) -> int:
+    """Listen on an address; return the file descriptor of the socket.
+
+    Connections are queued until a server accepts them.
+    """
+    host, _, port = address.rpartition(':')
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    listening = socket.create_server(
+        (host.strip('[]'), int(port)), family=family, backlog=BACKLOG
+    )
+    listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return listening.detach()
+
+
 async def serve(settings: settings_module.Settings) -> None:
     """Run a daemon until it has drained and stopped."""
     _disable_sniffio_import()
