Return no port twice to the processes of a fleet

Cause: free_port picks a port at random and gives it back, and the process that is to use it starts later. The next call can pick it again: with about 25 ports of 12,000 for a fleet that is to be expected in one of 40 starts.

Ports are remembered and not returned again. Two processes that choose ports at the same time can still collide.

--- a/primrosereel/bench/_fleet.py
+++ b/primrosereel/bench/_fleet.py
@@ -39,6 +39,8 @@
 LAST_PORT = 32_000
 PORT_ATTEMPTS = 100
 
+_returned_ports: set[int] = set()
+
 
 class FleetError(RuntimeError):
     """A process did not start, or a condition was not met in time."""
@@ -48,16 +50,20 @@
     """Return a port of the loopback address that is free at present.
 
     The port is below the ephemeral range of Linux (32768 and up), so that no
-    outgoing connection takes it before the listening process starts.
+    outgoing connection takes it before the listening process starts. It is
+    not returned again, as the first process may not listen yet.
     """
     for _ in range(PORT_ATTEMPTS):
         port = random.randrange(FIRST_PORT, LAST_PORT)
+        if port in _returned_ports:
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind((HOST, port))
             except OSError:
                 continue
-            return port
+        _returned_ports.add(port)
+        return port
     raise FleetError('no free port found on the loopback address')
 
 
--- a/tests/soak/ports.py
+++ b/tests/soak/ports.py
@@ -12,13 +12,21 @@
 LAST_PORT = 31_999
 HOST_COUNT = 12
 
+_returned_ports = set()
+
 
 def free_port():
-    """Return a port that is free on all hosts, for TCP and UDP."""
+    """Return a port that is free on all hosts, for TCP and UDP.
+
+    It is not returned again, as the first process may not listen yet.
+    """
     hosts = [f'127.0.0.{n + 1}' for n in range(HOST_COUNT)]
     while True:
         port = random.randint(FIRST_PORT, LAST_PORT)
+        if port in _returned_ports:
+            continue
         if all(_is_free(host, port) for host in hosts):
+            _returned_ports.add(port)
             return port
 
 
