Give up no answer that has begun for the close of another connection

Callers got 502, or a second run of their request at another runner, although the runner had answered in time: the limit of the first event also covered the time in which the prefill runner's connection is kept or closed. If it ended there, the answer was discarded and its attempt was counted twice, so that a request with two attempts was not sent again.

The limit now covers the connection, the request and the head only. The new test failed before: (502, True) == (200, True).

--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -335,6 +335,7 @@
         exchange.may_have_run = True
         if handle is None:
             self._set_local_prefill_runner(runner)
+        response: upstream.OpenResponse | None = None
         try:
             with anyio.move_on_after(self._first_event_s()):
                 connection = await self._connection.take(runner)
@@ -344,26 +345,26 @@
                 response = await upstream.open_response(
                     exchange, runner, options, connection
                 )
-                exchange.attempts += attempts
-                if resume_from is not None:
-                    resume_from.copy_used()
-                await self._note_handle_used(response)
-                return response
         except upstream.NotSent as error:
             exchange.may_have_run = may_have_run_before
             self._connection.record_failure(runner, str(error))
+            return None
         except upstream.Rejected as error:
             exchange.may_have_run = may_have_run_before
             self._handle_rejection(runner, handle is not None, error)
+            return None
         except http.BrokenResponse as error:
             exchange.attempts += attempts
             runner.observe_failure(self._context.clock())
             raise StreamBroken(str(error)) from error
-        else:
-            exchange.attempts += attempts
+        exchange.attempts += attempts
+        if response is None:
             runner.observe_failure(self._context.clock())
             raise StreamBroken('no response in time')
-        return None
+        if resume_from is not None:
+            resume_from.copy_used()
+        await self._note_handle_used(response)
+        return response
 
     async def _note_handle_used(self, response: upstream.OpenResponse) -> None:
         """Record that a runner fetched the KV cache as it responded.
--- a/tests/property/test_gateway_time_limit.py
+++ b/tests/property/test_gateway_time_limit.py
@@ -5,6 +5,7 @@
 
 from primrosereel.gateway import _prompt as prompt
 from primrosereel.routing import _events as events
+from primrosereel.routing import _timeouts as timeouts
 from tests import gateway_fleet
 from tests.property import test_gateway_moves as moves
 
@@ -73,3 +74,31 @@
         assert [dict(ids) for ids in sent] == before
 
     run(scenario)
+
+
+def test_attempt_is_counted_once_if_the_first_event_limit_ends(monkeypatch):
+    """Guards against a sound answer that is given up for a slow close.
+
+    The limit of the first event ended while the connection of the prefill
+    runner was kept for others, after the answer had begun. The answer was
+    discarded, and its attempt counted twice.
+    """
+    first_event_s = 0.3
+
+    async def scenario(fleet):
+        handle_used = prompt.Prompt.handle_used
+
+        async def handle_used_slowly(used):
+            await anyio.sleep(2 * first_event_s)
+            await handle_used(used)
+
+        monkeypatch.setattr(prompt.Prompt, 'handle_used', handle_used_slowly)
+        monkeypatch.setattr(
+            timeouts, 'first_event_s', lambda route: first_event_s
+        )
+        reply = await fleet.ask('/ask/1', 'r1', method='POST', **moves.STREAM)
+        assert (reply.status, reply.complete) == (200, True)
+        [served] = fleet.log.named('served')
+        assert served['attempts'] == 1
+
+    run(scenario)
