Log closes of callers' connections that can cost an answer

The end of an idle connection was not logged, nor that a connection was closed while the kernel held bytes of its caller, which TCP answers with a reset. So the logs could not tell an answer that is lost at the gateway's own close from a caller that closed, nor how many connections one change of the limits closes. Both get a line and a counter, and the metrics page the number of open connections. No logic is changed.

--- a/primrosereel/gateway/_callers.py
+++ b/primrosereel/gateway/_callers.py
@@ -89,6 +89,22 @@
         # The current wait for a request.
         self._waiting: anyio.CancelScope | None = None
         self._closed = False
+        self._closed_as_idle = False
+        self._unread_bytes = 0
+
+    @property
+    def closed_as_idle(self) -> bool:
+        """Whether the connection ended as no request came in time."""
+        return self._closed_as_idle
+
+    @property
+    def unread_bytes(self) -> int:
+        """The bytes of the caller that were not read before the close.
+
+        TCP answers them with a reset, and the caller may lose a response that
+        it has not read yet.
+        """
+        return self._unread_bytes
 
     @property
     def answer_started(self) -> bool:
@@ -159,6 +175,7 @@
         with anyio.move_on_after(LAST_READ_S):
             await self._receive()
             return True
+        self._closed_as_idle = True
         return False
 
     def _limit_head(self, max_bytes: int) -> None:
@@ -281,6 +298,7 @@
             with anyio.move_on_after(0.05):
                 if self._parser.our_state in (h11.DONE, h11.MUST_CLOSE):
                     await self._stream.send_eof()
+            self._unread_bytes = http.unread_bytes(self._stream)
             await anyio.aclose_forcefully(self._stream)
 
     def _response_head(
--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -271,6 +271,7 @@
         now = clock()
         metrics = context.metrics
         metrics.gauge('active_requests', context.active)
+        metrics.gauge('caller_connections', self._server.open_connections)
         metrics.gauge('waiting_requests', context.places.waiting_count)
         metrics.gauge('runners', len(context.runners))
         metrics.gauge(
--- a/primrosereel/gateway/_http.py
+++ b/primrosereel/gateway/_http.py
@@ -4,11 +4,14 @@
 decides whether it may be sent again.
 """
 
+import array
 import collections
 from collections.abc import AsyncIterator
 import dataclasses
+import fcntl
 import select
 import socket
+import termios
 
 import anyio
 import anyio.abc
@@ -27,6 +30,7 @@
     'ResponseHead',
     'connect',
     'set_socket_options',
+    'unread_bytes',
 ]
 
 READ_BYTES = 65536
@@ -105,6 +109,18 @@
         raw.setsockopt(socket.IPPROTO_TCP, option, UNACKNOWLEDGED_TIMEOUT_MS)
 
 
+def unread_bytes(stream: anyio.abc.SocketStream) -> int:
+    """Return how many bytes the kernel holds that were not read yet."""
+    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    waiting = array.array('i', [0])
+    try:
+        fcntl.ioctl(raw.fileno(), termios.FIONREAD, waiting)
+    except (OSError, ValueError):
+        # The socket is closed.
+        return 0
+    return waiting[0]
+
+
 async def connect(
     address: model.Address, timeout_s: float
 ) -> 'HttpConnection':
--- a/primrosereel/gateway/_server.py
+++ b/primrosereel/gateway/_server.py
@@ -52,6 +52,29 @@
         finally:
             self._connections.discard(connection)
             await connection.close()
+            self._record_close(connection)
+
+    def _record_close(self, connection: callers.CallerConnection) -> None:
+        """Log and count a close that can cost a caller an answer."""
+        context = self._context
+        version = context.table.version if context.table else 0
+        if connection.closed_as_idle:
+            context.count('connections.closed_idle')
+            context.log.info(
+                'idle connection closed',
+                version=version,
+                limit_s=self._limits().idle_timeout_s,
+                open_connections=len(self._connections),
+            )
+        if connection.unread_bytes:
+            context.count('connections.closed_unread')
+            context.log.info(
+                'connection closed with unread bytes',
+                version=version,
+                unread_bytes=connection.unread_bytes,
+                answered=connection.answered,
+                idle=connection.closed_as_idle,
+            )
 
     def _limits(self) -> model.CallerLimits:
         """Return the limits in force."""
