Keep an answer that the caller has not read when a connection closes

Callers saw a closed connection and no answer, or a part of one, where they still sent while the gateway closed: the rest of a body that was refused early (413, 408, 400), or a next request that crossed the close of an idle connection or the end of a stop.

CallerConnection.close sent the end of its stream and closed at once. TCP answers bytes that are unread at a close, or arrive after it, with a reset, and the reset discards what the caller has not read yet.

The sending side is now shut down first, and what still arrives is discarded until the caller closes, so there are no unread bytes when the socket is closed.

--- a/primrosereel/gateway/_callers.py
+++ b/primrosereel/gateway/_callers.py
@@ -8,6 +8,7 @@
 import h11
 
 from primrosereel.gateway import _http as http
+from primrosereel.gateway import _lingering_close as lingering_close
 from primrosereel.routing import _model as model
 
 __all__ = ['CallerConnection', 'CallerDisconnected', 'CallerRequest', 'Reply']
@@ -77,10 +78,12 @@
         stream: anyio.abc.SocketStream,
         limits: Callable[[], model.CallerLimits],
         clock: Callable[[], float],
+        lingering: lingering_close.LingeringCloses,
     ) -> None:
         self._stream = stream
         self._limits = limits
         self._clock = clock
+        self._lingering = lingering
         self._max_header_bytes = limits().max_header_bytes
         self._parser = self._new_parser()
         self._read_ahead_bytes = 0
@@ -290,16 +293,25 @@
         return True
 
     async def close(self) -> None:
-        """Close the connection; an unfinished response ends incomplete."""
+        """Close the connection; an unfinished response ends incomplete.
+
+        The caller gets time to read a complete one.
+        """
         if self._closed:
             return
         self._closed = True
-        with anyio.CancelScope(shield=True):
-            with anyio.move_on_after(0.05):
-                if self._parser.our_state in (h11.DONE, h11.MUST_CLOSE):
-                    await self._stream.send_eof()
+        try:
+            if self._parser.our_state in (
+                h11.IDLE,
+                h11.DONE,
+                h11.MUST_CLOSE,
+            ):
+                await self._stream.send_eof()
+                await self._lingering.discard_input(self._stream)
+        finally:
             self._unread_bytes = http.unread_bytes(self._stream)
-            await anyio.aclose_forcefully(self._stream)
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(self._stream)
 
     def _response_head(
         self, reply: Reply, headers: http.Headers
--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -272,6 +272,9 @@
         metrics = context.metrics
         metrics.gauge('active_requests', context.active)
         metrics.gauge('caller_connections', self._server.open_connections)
+        metrics.gauge(
+            'lingering_connections', self._server.lingering_connections
+        )
         metrics.gauge('waiting_requests', context.places.waiting_count)
         metrics.gauge('runners', len(context.runners))
         metrics.gauge(
@@ -399,11 +402,15 @@
     async def _finish_requests(self) -> None:
         """Close connections until none is left on which a request is read.
 
-        Their time limits end before ``_end_at``. What is left then is cut.
+        Their time limits end before ``_end_at``. What is left then is cut;
+        callers that have their answers only delay the end for a short time.
         """
         while anyio.current_time() < self._end_at:
             self._server.close_idle()
             await anyio.sleep(STOP_POLL_INTERVAL_S)
-            if not self._server.open_connections:
+            if not (
+                self._server.open_connections
+                or self._server.lingering_connections
+            ):
                 return
         self._log.error('requests cut', active=self._context.active)
--- a/primrosereel/gateway/_server.py
+++ b/primrosereel/gateway/_server.py
@@ -9,6 +9,7 @@
 from primrosereel.gateway import _crash_reports as crash_reports_module
 from primrosereel.gateway import _generation as generation
 from primrosereel.gateway import _http as http
+from primrosereel.gateway import _lingering_close as lingering_close
 from primrosereel.gateway import _plain as plain
 from primrosereel.routing import _model as model
 from primrosereel.routing import _table as table_module
@@ -31,12 +32,13 @@
         self._crash_reports = crash_reports
         self._started_at = context.clock()
         self._connections: set[callers.CallerConnection] = set()
+        self._lingering = lingering_close.LingeringCloses()
 
     async def serve_connection(self, stream: anyio.abc.SocketStream) -> None:
         """Serve one connection until it closes."""
         http.set_socket_options(stream)
         connection = callers.CallerConnection(
-            stream, self._limits, self._context.clock
+            stream, self._limits, self._context.clock, self._lingering
         )
         self._connections.add(connection)
         try:
@@ -83,9 +85,14 @@
 
     @property
     def open_connections(self) -> int:
-        """The callers' connections that are not closed."""
+        """The callers' connections that may carry a request."""
         return len(self._connections)
 
+    @property
+    def lingering_connections(self) -> int:
+        """The connections whose callers may still read their last answer."""
+        return len(self._lingering)
+
     def close_after_replies(self) -> None:
         """Have the next response on each connection announce its end."""
         for connection in self._connections:
--- a/primrosereel/gateway/_status.py
+++ b/primrosereel/gateway/_status.py
@@ -7,6 +7,7 @@
 import h11
 
 from primrosereel.gateway import _callers as callers
+from primrosereel.gateway import _lingering_close as lingering_close
 from primrosereel.routing import _model as model
 
 __all__ = ['StatusServer']
@@ -32,11 +33,12 @@
         self._clock = clock
         self._on_error = on_error
         self._failure_status = failure_status
+        self._lingering = lingering_close.LingeringCloses()
 
     async def serve_connection(self, stream: anyio.abc.SocketStream) -> None:
         """Serve requests until the connection closes."""
         connection = callers.CallerConnection(
-            stream, model.CallerLimits, self._clock
+            stream, model.CallerLimits, self._clock, self._lingering
         )
         try:
             while True:
--- a/primrosereel/standin/_listed_runner.py
+++ b/primrosereel/standin/_listed_runner.py
@@ -77,7 +77,8 @@
     """Properties of a runner; ``stage`` is None for a plain one.
 
     A stream has ``events`` events, one every ``event_s``. ``work_s`` is the
-    duration of a prefill or a plain call, ``copy_s`` that of a copy. A decode
+    duration of a prefill or a plain call, ``copy_s`` that of a copy. The body
+    of a plain answer has at least ``answer_bytes`` bytes. A decode
     runner crashes when it begins a stream whose prompt has ``deadly_part``,
     and is back ``restart_s`` later. ``retry_after`` is the text of the header
     ``Retry-After`` in refusals of the fault ``BACK_OFF``.
@@ -90,6 +91,7 @@
     event_s: float = 0.01
     work_s: float = 0.01
     copy_s: float = 0.0
+    answer_bytes: int = 0
     slots: int = 8
     deadly_part: str | None = None
     restart_s: float = 0.3
@@ -276,6 +278,7 @@
         if fault is Fault.UNSIGNED:
             return raw_http.Answer(200, [], b'not from the runner')
         body = f'answer to {request_id}'.encode()
+        body = body.ljust(self.options.answer_bytes, b'.')
         trailing = b''
         if fault is Fault.SECOND_ANSWER:
             trailing = _second_answer(request_id)
