Refuse entries of the store with numbers that no true entry has

A number of an entry was taken as it came, of any size. An entry that another writer left with the state `draining` and a `born` of 2^64 or more, or below -2^63, made the notice of the leaving runner impossible to encode: each datagram to peers failed until the runner was forgotten, and the exchange was restarted again and again. Other numbers replaced those of a true entry: 10^30 slots, or a sequence that no later entry of the run reaches, after which the runner stayed out of use once the store was restored.

The ranges are in primrosereel/_numbers.py, and are checked where an entry is decoded, so that no later step meets such a number. An entry whose only fault is a number says nothing: the last good entry of the runner stays in force until the store removes the entry. One that cannot be read names no runner, as before. Both are counted, and logged once with the key and the field.

--- /dev/null
+++ b/primrosereel/_numbers.py
@@ -0,0 +1,64 @@
+"""Ranges of numbers that come from outside, for typed decoding.
+
+Every number of the store, a runner, a caller or a peer gets its range where
+it is decoded, so that no later step meets one that it cannot encode, add,
+compare or wait for. The bounds are far above any number in use::
+
+    class Page(msgspec.Struct):
+        at: numbers.Revision
+
+    msgspec.json.decode(b'{"at": -1}', type=Page)  # raises ValidationError
+"""
+
+from typing import Annotated
+
+import msgspec
+
+__all__ = [
+    'MAX_DURATION_MS',
+    'MAX_TOKENS',
+    'MAX_WHOLE',
+    'Attempts',
+    'Bytes',
+    'DurationMs',
+    'DurationS',
+    'PositiveMs',
+    'Priority',
+    'Rate',
+    'Revision',
+    'Slots',
+    'Tokens',
+    'UnixMs',
+    'Weight',
+    'Whole',
+]
+
+# Whole numbers up to here have an exact floating-point value, and sums of a
+# thousand of them fit 64 bits.
+MAX_WHOLE = 2**53 - 1
+# The end of the year 9999.
+MAX_UNIX_MS = 253_402_300_799_999
+# About 31 years.
+MAX_DURATION_MS = 1e12
+MAX_DURATION_S = 1e9
+MAX_SLOTS = 1_000_000
+MAX_TOKENS = 1_000_000_000
+MAX_BYTES = 2**40
+MAX_ATTEMPTS = 1_000_000
+MAX_PRIORITY = 1_000_000
+MAX_WEIGHT = 1e9
+MAX_RATE = 1e15
+
+Whole = Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE)]
+Revision = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+UnixMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_UNIX_MS)]
+DurationMs = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_MS)]
+DurationS = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_S)]
+PositiveMs = Annotated[float, msgspec.Meta(gt=0, le=MAX_DURATION_MS)]
+Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+Tokens = Annotated[int, msgspec.Meta(ge=0, le=MAX_TOKENS)]
+Bytes = Annotated[int, msgspec.Meta(ge=0, le=MAX_BYTES)]
+Attempts = Annotated[int, msgspec.Meta(ge=1, le=MAX_ATTEMPTS)]
+Priority = Annotated[int, msgspec.Meta(ge=0, le=MAX_PRIORITY)]
+Weight = Annotated[float, msgspec.Meta(ge=0, le=MAX_WEIGHT)]
+Rate = Annotated[float, msgspec.Meta(ge=0, le=MAX_RATE)]
--- a/primrosereel/gateway/_ports.py
+++ b/primrosereel/gateway/_ports.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 import dataclasses
+import enum
 from typing import NamedTuple
 from typing import Protocol
 
@@ -12,6 +13,7 @@
 from primrosereel.routing import _table as table_module
 
 __all__ = [
+    'EntryFault',
     'HistoryLost',
     'HttpCall',
     'MetadataStore',
@@ -67,17 +69,27 @@
     """An answer is from before a return of the store that is known."""
 
 
+class EntryFault(enum.Enum):
+    """Why an entry cannot be used."""
+
+    UNREADABLE = 'unreadable'
+    # It is well formed but for a number that no true entry has.
+    OUT_OF_RANGE = 'out_of_range'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreChange:
     """One store entry: a runner, a configuration, or an unrelated entry.
 
-    ``unreadable`` marks an entry that could not be read. ``revision`` is that
-    of the entry's last change.
+    ``fault`` is None if the entry could be read, and ``detail`` names the
+    field that it is due to. ``revision`` is that of the entry's last change.
     """
 
+    key: str = ''
     runner: runner_list.ListingChange | None = None
     table: table_module.RoutingTable | None = None
-    unreadable: bool = False
+    fault: EntryFault | None = None
+    detail: str = ''
     revision: int = 0
 
 
--- a/primrosereel/gateway/_store_reader.py
+++ b/primrosereel/gateway/_store_reader.py
@@ -21,6 +21,7 @@
 
 from primrosereel import _ids as ids
 from primrosereel.gateway import _context as context_module
+from primrosereel.gateway import _entry_faults as entry_faults
 from primrosereel.gateway import _ports as ports
 from primrosereel.routing import _model as model
 from primrosereel.routing import _runner_list as runner_list
@@ -60,6 +61,7 @@
         self._runner_list = runner_list.RunnerList(context.runners)
         self._watch_state = shared_watch.SharedWatch(context.random)
         self._history = store_history.StoreHistory()
+        self._entry_faults = entry_faults.EntryFaults(context)
         self._unreadable_era = ''
         # The history that was read last, and whether it was watched since.
         self._history_read = 0
@@ -148,13 +150,17 @@
         state = await self._call(self._store.read)
         self._note_store_recovered()
         listings = []
+        kept = []
         for change in state.changes:
+            self._entry_faults.observe(change)
+            if change.runner is not None and change.runner.out_of_range:
+                kept.append(change.runner.runner)
             if change.runner is not None and change.runner.listing:
                 listings.append(change.runner.listing)
                 if self._synchronized:
                     self._note_listing(change.runner, change.revision)
             self._apply_table(change)
-        self._runner_list.apply_snapshot(listings, self._context.clock())
+        self._runner_list.apply_snapshot(listings, self._context.clock(), kept)
         self._watch_state.snapshot_read(state.revision, self._context.clock())
         self._history_read, self._watched = self._history.number, False
         self._synchronized = True
@@ -191,12 +197,11 @@
         self, changes: Iterable[ports.StoreChange], now: float
     ) -> None:
         for change in changes:
+            self._entry_faults.observe(change)
             if change.runner is not None:
                 self._note_listing(change.runner, change.revision)
                 self._runner_list.apply_change(change.runner, now)
             self._apply_table(change)
-            if change.unreadable:
-                self._context.count('store.unreadable')
 
     async def _wait_until_due(self) -> None:
         """Wait until the own knowledge of the store is too old."""
@@ -286,6 +291,8 @@
 
         A change that does not affect routing is not logged.
         """
+        if change.out_of_range:
+            return
         runner = self._context.runners.get(change.runner)
         new = change.listing
         if new is not None and self._is_outdated(new):
--- a/primrosereel/platform/_entries.py
+++ b/primrosereel/platform/_entries.py
@@ -1,18 +1,24 @@
 """Decodes the values of the platform's entries."""
 
 import base64
-import binascii
 import hashlib
+import re
+from typing import TypeVar
 
 import msgspec
 
 from primrosereel import _ids as ids
+from primrosereel import _numbers as numbers
 from primrosereel import _states as states
+from primrosereel.gateway import _ports as ports
 from primrosereel.platform import _settings as settings
 from primrosereel.routing import _model as model
 from primrosereel.routing import _table as table_module
 
-__all__ = ['decode_listing', 'decode_table']
+__all__ = ['EntryError', 'decode_listing', 'decode_table']
+
+Fault = ports.EntryFault
+Body = TypeVar('Body', bound=msgspec.Struct)
 
 ROUTE_KINDS = {
     'idempotent': model.RouteKind.IDEMPOTENT,
@@ -24,6 +30,7 @@
     'prefill': states.Role.PREFILL,
     'decode': states.Role.DECODE,
 }
+JSON_NUMBER = re.compile(rb'-?[0-9][0-9.eE+-]*')
 LEAVING_BY_STATE = {'ready': False, 'draining': True}
 
 
@@ -83,46 +90,71 @@
     address: str
     zone: str
     state: str
-    slots: int
-    sequence: int
+    slots: numbers.Slots
+    sequence: numbers.Whole
     version: str = ''
-    cold_remaining_ms: float = 0
+    cold_remaining_ms: numbers.DurationMs = 0
     stage: str | None = None
     # Start time of the runner in Unix milliseconds.
-    born: int = 0
+    born: numbers.UnixMs = 0
 
 
-def _decode_value(value: str | None, value_type):
-    if value is None:
-        return None
-    try:
-        body = base64.b64decode(value, validate=True)
-        return msgspec.json.decode(body, type=value_type)
-    except (
-        binascii.Error,
-        ValueError,
-        msgspec.DecodeError,
-        RecursionError,
-    ):
-        # A value that is nested too deeply raises RecursionError.
-        return None
+class _AnyNumbers(msgspec.Struct, rename='camel'):
+    """A runner's entry whose numbers are of any size."""
+
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: msgspec.Raw
+    sequence: msgspec.Raw
+    version: str = ''
+    cold_remaining_ms: msgspec.Raw = msgspec.Raw(b'0')
+    stage: str | None = None
+    born: msgspec.Raw = msgspec.Raw(b'0')
+
+    def has_numbers(self) -> bool:
+        """Tell whether all values that must be numbers are numbers."""
+        values = (
+            self.slots,
+            self.sequence,
+            self.cold_remaining_ms,
+            self.born,
+        )
+        return all(
+            JSON_NUMBER.fullmatch(bytes(value)) is not None for value in values
+        )
+
+
+class EntryError(Exception):
+    """An entry cannot be used; the text says why."""
+
+    def __init__(self, detail: str, fault: Fault = Fault.UNREADABLE) -> None:
+        super().__init__(detail)
+        self.fault = fault
 
 
 def decode_listing(
     runner: ids.RunnerId, value: str | None
-) -> model.RunnerListing | None:
-    """Decode a runner's entry; None if it names no runner to use."""
-    entry = _decode_value(value, _Runner)
-    if entry is None or entry.state not in LEAVING_BY_STATE:
-        return None
-    if entry.stage not in ROLES_BY_STAGE or entry.slots < 1:
-        return None
-    if not _is_header_value(runner):
-        return None
+) -> model.RunnerListing:
+    """Decode a runner's entry; raise EntryError for one that is not valid."""
+    body = _decode_text(value)
+    try:
+        entry = _decode_body(body, _Runner)
+    except EntryError as error:
+        # Raises another error if the numbers are not the only fault.
+        shape = _decode_body(body, _AnyNumbers)
+        _check_runner(runner, shape)
+        if shape.has_numbers():
+            raise EntryError(str(error), Fault.OUT_OF_RANGE) from error
+        raise
+    _check_runner(runner, entry)
     try:
         address = settings.parse_address(entry.address)
-    except ValueError:
-        return None
+    except settings.PortOutOfRange as error:
+        raise EntryError(str(error), Fault.OUT_OF_RANGE) from error
+    except ValueError as error:
+        raise EntryError(str(error)) from error
     return model.RunnerListing(
         runner,
         ids.ServiceId(entry.service),
@@ -137,20 +169,45 @@
     )
 
 
+def _decode_text(value: str | None) -> bytes:
+    if value is None:
+        raise EntryError('no value')
+    try:
+        return base64.b64decode(value, validate=True)
+    except ValueError as error:
+        raise EntryError(str(error)) from error
+
+
+def _decode_body(body: bytes, body_type: type[Body]) -> Body:
+    try:
+        return msgspec.json.decode(body, type=body_type)
+    except (ValueError, RecursionError) as error:
+        # A value that is nested too deeply raises RecursionError.
+        raise EntryError(str(error)) from error
+
+
+def _check_runner(runner: ids.RunnerId, entry: _Runner | _AnyNumbers) -> None:
+    """Raise EntryError for an entry that names no runner to use."""
+    if not _is_header_value(runner):
+        raise EntryError('the id cannot be sent in a header')
+    if entry.state not in LEAVING_BY_STATE:
+        raise EntryError('the state is not known')
+    if entry.stage not in ROLES_BY_STAGE:
+        raise EntryError('the stage is not known')
+
+
 def _is_header_value(text: str) -> bool:
     """Tell whether a text can be sent in a header, as a runner's id is."""
     return bool(text) and text.isprintable() and text == text.strip()
 
 
-def decode_table(value: str | None) -> table_module.RoutingTable | None:
-    """Decode a configuration; None if it cannot be used."""
-    configuration = _decode_value(value, _Configuration)
-    if configuration is None:
-        return None
+def decode_table(value: str | None) -> table_module.RoutingTable:
+    """Decode a configuration; raise EntryError for one that is not valid."""
+    configuration = _decode_body(_decode_text(value), _Configuration)
     if any(
         route.route_type not in ROUTE_KINDS for route in configuration.routes
     ):
-        return None
+        raise EntryError('the type of a route is not known')
     limits = configuration.limits
     return table_module.RoutingTable(
         configuration.version,
--- a/primrosereel/platform/_settings.py
+++ b/primrosereel/platform/_settings.py
@@ -12,13 +12,17 @@
 from primrosereel.gateway import _settings as settings
 from primrosereel.routing import _model as model
 
-__all__ = ['read_settings', 'settings_path']
+__all__ = ['PortOutOfRange', 'read_settings', 'settings_path']
 
 PATH_VARIABLE = 'PRIMROSEREEL_CONFIG'
 BYTES_PER_MB = 1024 * 1024
 DEFAULT_PATH = '/etc/primrosereel/settings.toml'
 
 
+class PortOutOfRange(ValueError):
+    """The port of an address is a number that no port has."""
+
+
 class _Listen(msgspec.Struct, rename='camel'):
     frontend: str
     ready: str
@@ -129,5 +133,5 @@
         raise ValueError(f'{text!r} is not IP:PORT')
     number = int(port)
     if not 0 < number < 65536:
-        raise ValueError(f'{text!r}: the port is not from 1 to 65535')
+        raise PortOutOfRange(f'{text!r}: the port is not from 1 to 65535')
     return model.Address(host, number)
--- a/primrosereel/platform/_store.py
+++ b/primrosereel/platform/_store.py
@@ -1,5 +1,6 @@
 """Reads the platform's metadata store."""
 
+import dataclasses
 from typing import NamedTuple
 import urllib.parse
 
@@ -189,19 +190,38 @@
 
 
 def _decode_change(item: _Item) -> ports.StoreChange:
-    """Decode an item; ``unreadable`` marks one that cannot be decoded."""
+    """Decode an item; ``fault`` says why one cannot be used."""
+    change = ports.StoreChange(item.key, revision=item.revision)
     if item.key.startswith(RUNNER_PREFIX):
-        runner = ids.RunnerId(item.key[len(RUNNER_PREFIX) :])
-        value = None if item.deleted else item.value
-        listing = entries.decode_listing(runner, value)
-        return ports.StoreChange(
-            runner=runner_list.ListingChange(runner, listing),
-            unreadable=listing is None and not item.deleted,
-            revision=item.revision,
-        )
-    if item.key == CONFIGURATION_KEY and not item.deleted:
+        return _decode_runner(item, change)
+    if item.key != CONFIGURATION_KEY or item.deleted:
+        return change
+    try:
         table = entries.decode_table(item.value)
-        return ports.StoreChange(
-            table=table, unreadable=table is None, revision=item.revision
+    except entries.EntryError as error:
+        return dataclasses.replace(
+            change, fault=error.fault, detail=str(error)
+        )
+    return dataclasses.replace(change, table=table)
+
+
+def _decode_runner(
+    item: _Item, change: ports.StoreChange
+) -> ports.StoreChange:
+    runner = ids.RunnerId(item.key[len(RUNNER_PREFIX) :])
+    if item.deleted:
+        removal = runner_list.ListingChange(runner, None)
+        return dataclasses.replace(change, runner=removal)
+    try:
+        listing = entries.decode_listing(runner, item.value)
+    except entries.EntryError as error:
+        out_of_range = error.fault is ports.EntryFault.OUT_OF_RANGE
+        return dataclasses.replace(
+            change,
+            runner=runner_list.ListingChange(runner, None, out_of_range),
+            fault=error.fault,
+            detail=str(error),
         )
-    return ports.StoreChange(revision=item.revision)
+    return dataclasses.replace(
+        change, runner=runner_list.ListingChange(runner, listing)
+    )
--- a/primrosereel/routing/_runner_list.py
+++ b/primrosereel/routing/_runner_list.py
@@ -5,6 +5,7 @@
 store tells them apart; while it cannot be told, the runner is missing.
 """
 
+from collections.abc import Collection
 from typing import NamedTuple
 
 from primrosereel import _ids as ids
@@ -19,11 +20,13 @@
 class ListingChange(NamedTuple):
     """A change of one entry; ``listing`` is None for a removed entry.
 
-    An entry that cannot be decoded counts as removed.
+    An entry that cannot be decoded counts as removed. One with a number
+    ``out_of_range`` says nothing: the last good entry stays in force.
     """
 
     runner: ids.RunnerId
     listing: model.RunnerListing | None
+    out_of_range: bool = False
 
 
 class RunnerList:
@@ -87,6 +90,8 @@
         source: availability.Source = availability.Source.REMOVAL,
     ) -> None:
         """Apply the change of one entry."""
+        if change.out_of_range:
+            return
         if change.listing is not None:
             self._table.put(change.listing, now, self._history)
         else:
@@ -99,10 +104,17 @@
             )
 
     def apply_snapshot(
-        self, listings: list[model.RunnerListing], now: float
+        self,
+        listings: list[model.RunnerListing],
+        now: float,
+        kept: Collection[ids.RunnerId] = (),
     ) -> None:
-        """Apply a complete list."""
-        listed = {listing.runner for listing in listings}
+        """Apply a complete list.
+
+        ``kept`` are runners whose entries are out of range. They are listed,
+        so that those that are known stay.
+        """
+        listed = {listing.runner for listing in listings} | set(kept)
         for listing in listings:
             self.apply_change(ListingChange(listing.runner, listing), now)
         for runner in list(self._table):
--- a/tests/property/test_fuzz_platform.py
+++ b/tests/property/test_fuzz_platform.py
@@ -127,7 +127,7 @@
     """Guards against a runner that is listed from an invalid entry."""
     (change,) = read([item(ENTRY | {field: value})]).changes
     if change.runner.listing is None:
-        assert change.unreadable
+        assert change.fault is not None
         return
     assert change.runner.listing.slots >= 1
     assert 0 < change.runner.listing.address.port < 65536
--- /dev/null
+++ b/tests/property/test_gateway_odd_numbers.py
@@ -0,0 +1,124 @@
+"""Numbers of another writer's entries that no true entry has."""
+
+import json
+
+import anyio
+import pytest
+
+from tests import gateway_fleet
+from tests.property import test_gateway_runner_notices as peer_scenarios
+
+run = gateway_fleet.run_scenario
+
+
+def odd_entry(fleet, name, field, number, state='ready'):
+    """Return an entry with a number that is given as JSON text."""
+    entry = fleet.runners[name].entry(state) | {field: 'NUMBER'}
+    return json.dumps(entry).replace('"NUMBER"', number).encode()
+
+
+async def read_all(fleet):
+    """Wait until all that was written to the store has been read."""
+    name = f'mark{len(fleet.runners)}'
+    await fleet.add_runner(name, 'plain')
+    table = fleet.gateway._context.runners
+    await fleet.wait_for(lambda: table.get(name) is not None)
+
+
+def counted(fleet, line):
+    body, _ = fleet.gateway._context.metrics.render()
+    return line in body
+
+
+@pytest.mark.parametrize('born', [2**64, 10**30, -(2**63) - 1])
+def test_start_of_a_run_out_of_range_does_not_end_the_exchange(born):
+    """Guards against a notice of a leaving runner that cannot be encoded.
+
+    Each datagram to peers failed until the runner was forgotten.
+    """
+
+    async def scenario(fleet, other, *_):
+        entry = odd_entry(fleet, 's1', 'born', str(born), 'draining')
+        fleet.store.put('servers/odd', entry)
+        await read_all(fleet)
+        fleet.runners['s2'].leaving = True
+        await peer_scenarios.leaving.ask_plain(fleet)
+        await anyio.sleep(0.2)
+        assert not fleet.log.named('part failed')
+
+    peer_scenarios.run_with_peer(scenario)
+
+
+@pytest.mark.parametrize(
+    ('field', 'number'),
+    [
+        ('born', '18446744073709551616'),
+        ('born', '-1'),
+        ('sequence', '1' + '0' * 30),
+        ('sequence', '-1'),
+        ('slots', '1' + '0' * 30),
+        ('slots', '0'),
+        ('slots', '2.5'),
+        ('coldRemainingMs', '1e999'),
+        ('coldRemainingMs', '-1'),
+        ('coldRemainingMs', '1e300'),
+        ('address', '"127.0.0.1:65536"'),
+    ],
+)
+def test_entry_out_of_range_leaves_the_last_good_one(field, number):
+    """Guards against another writer's number that replaces a true entry."""
+
+    async def scenario(fleet):
+        table = fleet.gateway._context.runners
+        good = table.get('s1').listing
+        odd = odd_entry(fleet, 's1', field, number)
+        for _ in range(2):
+            fleet.store.put('servers/s1', odd)
+            await read_all(fleet)
+            assert table.get('s1').listing == good
+        (line,) = fleet.log.named('store entry unusable')
+        assert line['key'] == 'servers/s1'
+        assert counted(fleet, b'store_total{reason="out_of_range"} 2.0')
+        # All entries are read anew.
+        fleet.store.forget_history()
+        fleet.store.put('servers/s2', odd_entry(fleet, 's2', 'slots', '9'))
+        await fleet.wait_for(lambda: table.get('s2').listing.slots == 9)
+        assert table.get('s1').listing == good
+        fleet.store.delete('servers/s1')
+        await fleet.wait_for(lambda: table.get('s1') is None)
+
+    run(scenario)
+
+
+def test_entry_out_of_range_names_no_new_runner():
+    """Guards against a runner that only another writer's entry names."""
+
+    async def scenario(fleet):
+        entry = odd_entry(fleet, 's1', 'slots', '1' + '0' * 30)
+        fleet.store.put('servers/odd', entry)
+        await read_all(fleet)
+        assert fleet.gateway._context.runners.get('odd') is None
+
+    run(scenario)
+
+
+@pytest.mark.parametrize('sequence', [10**30])
+def test_true_entry_is_used_after_an_odd_sequence(sequence):
+    """Guards against a sequence that no true entry reaches again.
+
+    After a return of the store from a copy the sequence tells which entry of
+    a run is older.
+    """
+
+    async def scenario(fleet):
+        table = fleet.gateway._context.runners
+        copy = fleet.store.copy()
+        odd = odd_entry(fleet, 's1', 'sequence', str(sequence))
+        fleet.store.put('servers/s1', odd)
+        fleet.list_runner('s1', sequence=2, slots=7)
+        await read_all(fleet)
+        fleet.store.restore(copy)
+        fleet.list_runner('s1', sequence=3, slots=8)
+        await fleet.wait_for(lambda: table.get('s1').listing.slots == 8)
+
+    run(scenario)
