--- a/primrosereel/platform/_settings.py
+++ b/primrosereel/platform/_settings.py
@@ -3,6 +3,7 @@
 import math
 import os
 import pathlib
+import re
 import tomllib
 
 import msgspec
@@ -16,6 +17,8 @@
 
 PATH_VARIABLE = 'PRIMROSEREEL_CONFIG'
 BYTES_PER_MB = 1024 * 1024
+# Decimal digits alone: ``int`` accepts spaces, signs and underscores too.
+PORT = re.compile('[0-9]{1,5}')
 DEFAULT_PATH = '/etc/primrosereel/settings.toml'
 
 
@@ -128,8 +131,8 @@
 
 def parse_address(text: str) -> model.Address:
     """Parse ``IP:PORT``; raise ValueError for any other text."""
-    host, separator, port = text.rpartition(':')
-    if not separator or not host or not port.isascii():
+    host, _, port = text.rpartition(':')
+    if not host or PORT.fullmatch(port) is None:
         raise ValueError(f'{text!r} is not IP:PORT')
     number = int(port)
     if not 0 < number < 65536:
--- a/tests/property/test_gateway_odd_numbers.py
+++ b/tests/property/test_gateway_odd_numbers.py
@@ -122,3 +122,18 @@
         await fleet.wait_for(lambda: table.get('s1').listing.slots == 8)
 
     run(scenario)
+
+
+@pytest.mark.parametrize('port', [' 80', '8_0', '+80', '٨٠'])
+def test_port_is_written_in_plain_digits(port):
+    """Guards against a runner listed at an address that no runner writes."""
+
+    async def scenario(fleet):
+        fleet.store.put(
+            'servers/odd',
+            fleet.runners['s1'].entry() | {'address': f'127.0.0.1:{port}'},
+        )
+        await read_all(fleet)
+        assert fleet.gateway._context.runners.get('odd') is None
+
+    run(scenario)
