Keep the last good configuration for one with a number out of range

A configuration was put into force with any numbers. With a timeoutMs of 0 or less all requests of a route were refused, with weights whose sum is infinite each request failed with an internal error (random.choices accepts none), and with a kvCacheTokens of 401 digits no stream was placed (the memory could not be compared with a share of it).

Every number of the configuration now has its range where it is decoded, and a configuration outside of it is handled like any other that cannot be read.

--- a/primrosereel/_numbers.py
+++ b/primrosereel/_numbers.py
@@ -22,6 +22,7 @@
     'Bytes',
     'DurationMs',
     'DurationS',
+    'HeadBytes',
     'PositiveMs',
     'Priority',
     'Rate',
@@ -58,6 +59,7 @@
 Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 Tokens = Annotated[int, msgspec.Meta(ge=0, le=MAX_TOKENS)]
 Bytes = Annotated[int, msgspec.Meta(ge=0, le=MAX_BYTES)]
+HeadBytes = Annotated[int, msgspec.Meta(ge=1, le=MAX_BYTES)]
 Attempts = Annotated[int, msgspec.Meta(ge=1, le=MAX_ATTEMPTS)]
 Priority = Annotated[int, msgspec.Meta(ge=0, le=MAX_PRIORITY)]
 Weight = Annotated[float, msgspec.Meta(ge=0, le=MAX_WEIGHT)]
--- a/primrosereel/platform/_entries.py
+++ b/primrosereel/platform/_entries.py
@@ -36,7 +36,7 @@
 
 class _Split(msgspec.Struct):
     service: str
-    weight: float
+    weight: numbers.Weight
 
 
 class _Route(msgspec.Struct, rename='camel'):
@@ -44,42 +44,42 @@
     host: str
     prefix: str
     route_type: str
-    timeout_ms: float
-    target_latency_ms: float = 1000
-    priority: int = 5
-    max_attempts: int = 1
+    timeout_ms: numbers.PositiveMs
+    target_latency_ms: numbers.DurationMs = 1000
+    priority: numbers.Priority = 5
+    max_attempts: numbers.Attempts = 1
     service: str | None = None
     traffic_split: list[_Split] = []
     resumable: bool = False
-    gap_target_ms: float | None = None
+    gap_target_ms: numbers.DurationMs | None = None
 
 
 class _Engine(msgspec.Struct, rename='camel'):
-    slots: int = 1
-    kv_cache_tokens: int = 0
-    kv_token_bytes: float = 0
-    link_mbps: float = 0
-    handle_ttl_s: float = 0.5
-    stage_switch_s: float = 6.0
+    slots: numbers.Slots = 1
+    kv_cache_tokens: numbers.Whole = 0
+    kv_token_bytes: numbers.Rate = 0
+    link_mbps: numbers.Rate = 0
+    handle_ttl_s: numbers.DurationS = 0.5
+    stage_switch_s: numbers.DurationS = 6.0
     moves: bool = False
 
 
 class _Service(msgspec.Struct, rename='camel'):
     name: str
     health_path: str = '/health'
-    max_connections: int = 100
+    max_connections: numbers.Whole = 100
     engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct, rename='camel'):
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 4194304
-    header_timeout_ms: float = 3000
-    idle_timeout_ms: float = 15000
+    max_header_bytes: numbers.HeadBytes = 16384
+    max_body_bytes: numbers.Bytes = 4194304
+    header_timeout_ms: numbers.PositiveMs = 3000
+    idle_timeout_ms: numbers.PositiveMs = 15000
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: numbers.Whole
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
