Refuse answers of the store with a revision out of range

A watch was continued from whatever revision an answer named, of any size. test_revision_out_of_range_makes_an_answer_unusable failed before with a time-out: the answer was used. Such an answer now counts as one that cannot be decoded: the call is made again. Callers saw nothing of it with our stand-in, whose watches from unknown revisions end with a lost history; another store may refuse such a call each time.

--- a/primrosereel/platform/_store.py
+++ b/primrosereel/platform/_store.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from primrosereel import _ids as ids
+from primrosereel import _numbers as numbers
 from primrosereel.gateway import _ports as ports
 from primrosereel.platform import _entries as entries
 from primrosereel.routing import _runner_list as runner_list
@@ -29,19 +30,19 @@
 
     key: str
     value: str | None = None
-    revision: int = 0
+    revision: numbers.Revision = 0
     deleted: bool = False
 
 
 class _Page(msgspec.Struct, rename='camel'):
     items: list[_Item]
     has_more: bool
-    at: int
+    at: numbers.Revision
 
 
 class _Events(msgspec.Struct):
     events: list[_Item]
-    at: int
+    at: numbers.Revision
 
 
 class _Target(NamedTuple):
--- a/tests/property/test_gateway_odd_numbers.py
+++ b/tests/property/test_gateway_odd_numbers.py
@@ -137,3 +137,30 @@
         assert fleet.gateway._context.runners.get('odd') is None
 
     run(scenario)
+
+
+@pytest.mark.parametrize('at', [-1, 2**63, 10**30])
+def test_revision_out_of_range_makes_an_answer_unusable(at, monkeypatch):
+    """Guards against a watch from a revision that the store never had."""
+
+    async def scenario(fleet):
+        true_answer = fleet.store._answer
+
+        async def answer(request):
+            reply = await true_answer(request)
+            if request.path == '/v1/kv-watch' and reply.body:
+                body = json.loads(reply.body) | {'at': at}
+                reply.body = json.dumps(body).encode()
+            return reply
+
+        with monkeypatch.context() as patch:
+            patch.setattr(fleet.store, '_answer', answer)
+            fleet.list_runner('s1', sequence=2, slots=5)
+            await fleet.wait_for(lambda: bool(fleet.log.named('store lost')))
+        watched_from = fleet.gateway._reader._watch_state.revision
+        assert watched_from <= fleet.store._revision
+        table = fleet.gateway._context.runners
+        fleet.list_runner('s1', sequence=3, slots=6)
+        await fleet.wait_for(lambda: table.get('s1').listing.slots == 6, 2.0)
+
+    run(scenario)
