--- /dev/null
+++ b/primrosereel/platform/_entries.py
@@ -0,0 +1,266 @@
+"""Decodes the values of the platform's entries."""
+
+import base64
+import hashlib
+import re
+from typing import TypeVar
+
+import msgspec
+
+from primrosereel import _ids as ids
+from primrosereel import _numbers as numbers
+from primrosereel import _states as states
+from primrosereel.gateway import _ports as ports
+from primrosereel.platform import _settings as settings
+from primrosereel.routing import _model as model
+from primrosereel.routing import _table as table_module
+
+__all__ = ['EntryError', 'decode_listing', 'decode_table']
+
+Fault = ports.EntryFault
+Body = TypeVar('Body', bound=msgspec.Struct)
+
+ROUTE_KINDS = {
+    'idempotent': model.RouteKind.IDEMPOTENT,
+    'non_idempotent': model.RouteKind.NON_IDEMPOTENT,
+    'streaming': model.RouteKind.STREAMING,
+}
+ROLES_BY_STAGE = {
+    None: states.Role.PLAIN,
+    'prefill': states.Role.PREFILL,
+    'decode': states.Role.DECODE,
+}
+JSON_NUMBER = re.compile(rb'-?[0-9][0-9.eE+-]*')
+LEAVING_BY_STATE = {'ready': False, 'draining': True}
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: numbers.Weight
+
+
+class _Route(msgspec.Struct, rename='camel'):
+    name: str
+    host: str
+    prefix: str
+    route_type: str
+    timeout_ms: numbers.PositiveMs
+    target_latency_ms: numbers.DurationMs = 1000
+    priority: numbers.Priority = 5
+    max_attempts: numbers.Attempts = 1
+    service: str | None = None
+    traffic_split: list[_Split] = []
+    resumable: bool = False
+    gap_target_ms: numbers.DurationMs | None = None
+
+
+class _Engine(msgspec.Struct, rename='camel'):
+    slots: numbers.Slots = 1
+    kv_cache_tokens: numbers.Whole = 0
+    kv_token_bytes: numbers.Rate = 0
+    link_mbps: numbers.Rate = 0
+    handle_ttl_s: numbers.DurationS = 0.5
+    stage_switch_s: numbers.DurationS = 6.0
+    moves: bool = False
+
+
+class _Service(msgspec.Struct, rename='camel'):
+    name: str
+    health_path: str = '/health'
+    max_connections: numbers.Whole = 100
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, rename='camel'):
+    max_header_bytes: numbers.HeadBytes = 16384
+    max_body_bytes: numbers.Bytes = 4194304
+    header_timeout_ms: numbers.PositiveMs = 3000
+    idle_timeout_ms: numbers.PositiveMs = 15000
+
+
+class _Configuration(msgspec.Struct):
+    version: numbers.Whole
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Runner(msgspec.Struct, rename='camel'):
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: numbers.Slots
+    sequence: numbers.Whole
+    version: str = ''
+    cold_remaining_ms: numbers.DurationMs = 0
+    stage: str | None = None
+    # Start time of the runner in Unix milliseconds.
+    born: numbers.UnixMs = 0
+
+
+class _AnyNumbers(msgspec.Struct, rename='camel'):
+    """A runner's entry whose numbers are of any size."""
+
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: msgspec.Raw
+    sequence: msgspec.Raw
+    version: str = ''
+    cold_remaining_ms: msgspec.Raw = msgspec.Raw(b'0')
+    stage: str | None = None
+    born: msgspec.Raw = msgspec.Raw(b'0')
+
+    def has_numbers(self) -> bool:
+        """Tell whether all values that must be numbers are numbers."""
+        values = (
+            self.slots,
+            self.sequence,
+            self.cold_remaining_ms,
+            self.born,
+        )
+        return all(
+            JSON_NUMBER.fullmatch(bytes(value)) is not None for value in values
+        )
+
+
+class EntryError(Exception):
+    """An entry cannot be used; the text says why."""
+
+    def __init__(self, detail: str, fault: Fault = Fault.UNREADABLE) -> None:
+        super().__init__(detail)
+        self.fault = fault
+
+
+def decode_listing(
+    runner: ids.RunnerId, value: str | None
+) -> model.RunnerListing:
+    """Decode a runner's entry; raise EntryError for one that is not valid."""
+    body = _decode_text(value)
+    try:
+        entry = _decode_body(body, _Runner)
+    except EntryError as error:
+        # Raises another error if the numbers are not the only fault.
+        shape = _decode_body(body, _AnyNumbers)
+        _check_runner(runner, shape)
+        if shape.has_numbers():
+            raise EntryError(str(error), Fault.OUT_OF_RANGE) from error
+        raise
+    _check_runner(runner, entry)
+    try:
+        address = settings.parse_address(entry.address)
+    except settings.PortOutOfRange as error:
+        raise EntryError(str(error), Fault.OUT_OF_RANGE) from error
+    except ValueError as error:
+        raise EntryError(str(error)) from error
+    return model.RunnerListing(
+        runner,
+        ids.ServiceId(entry.service),
+        address,
+        ids.AvailabilityZone(entry.zone),
+        ROLES_BY_STAGE[entry.stage],
+        entry.slots,
+        LEAVING_BY_STATE[entry.state],
+        entry.cold_remaining_ms / 1000,
+        entry.born,
+        entry.sequence,
+    )
+
+
+def _decode_text(value: str | None) -> bytes:
+    if value is None:
+        raise EntryError('no value')
+    try:
+        return base64.b64decode(value, validate=True)
+    except ValueError as error:
+        raise EntryError(str(error)) from error
+
+
+def _decode_body(body: bytes, body_type: type[Body]) -> Body:
+    try:
+        return msgspec.json.decode(body, type=body_type)
+    except (ValueError, RecursionError) as error:
+        # A value that is nested too deeply raises RecursionError.
+        raise EntryError(str(error)) from error
+
+
+def _check_runner(runner: ids.RunnerId, entry: _Runner | _AnyNumbers) -> None:
+    """Raise EntryError for an entry that names no runner to use."""
+    if not _is_header_value(runner):
+        raise EntryError('the id cannot be sent in a header')
+    if entry.state not in LEAVING_BY_STATE:
+        raise EntryError('the state is not known')
+    if entry.stage not in ROLES_BY_STAGE:
+        raise EntryError('the stage is not known')
+
+
+def _is_header_value(text: str) -> bool:
+    """Tell whether a text can be sent in a header, as a runner's id is."""
+    return bool(text) and text.isprintable() and text == text.strip()
+
+
+def decode_table(value: str | None) -> table_module.RoutingTable:
+    """Decode a configuration; raise EntryError for one that is not valid."""
+    configuration = _decode_body(_decode_text(value), _Configuration)
+    if any(
+        route.route_type not in ROUTE_KINDS for route in configuration.routes
+    ):
+        raise EntryError('the type of a route is not known')
+    limits = configuration.limits
+    return table_module.RoutingTable(
+        configuration.version,
+        map(_to_route, configuration.routes),
+        map(_to_service, configuration.services),
+        model.CallerLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms / 1000,
+            limits.idle_timeout_ms / 1000,
+        ),
+        hashlib.sha256((value or '').encode()).hexdigest(),
+    )
+
+
+def _to_route(route: _Route) -> model.Route:
+    targets = route.traffic_split
+    if route.service is not None:
+        targets = [_Split(route.service, 1.0)]
+    gap_ms = route.gap_target_ms
+    return model.Route(
+        route.name,
+        route.host,
+        route.prefix,
+        ROUTE_KINDS[route.route_type],
+        tuple(
+            model.WeightedService(ids.ServiceId(t.service), t.weight)
+            for t in targets
+        ),
+        route.timeout_ms / 1000,
+        route.target_latency_ms / 1000,
+        route.max_attempts,
+        route.priority,
+        route.resumable,
+        None if gap_ms is None else gap_ms / 1000,
+    )
+
+
+def _to_service(service: _Service) -> model.Service:
+    engine = None
+    if service.engine is not None:
+        engine = model.Engine(
+            service.engine.slots,
+            service.engine.kv_cache_tokens,
+            service.engine.kv_token_bytes,
+            service.engine.link_mbps,
+            service.engine.handle_ttl_s,
+            service.engine.stage_switch_s,
+            service.engine.moves,
+        )
+    return model.Service(
+        ids.ServiceId(service.name),
+        service.health_path,
+        service.max_connections,
+        engine,
+    )
--- a/primrosereel/platform/_settings.py
+++ b/primrosereel/platform/_settings.py
@@ -3,6 +3,7 @@
 import math
 import os
 import pathlib
+import re
 import tomllib
 
 import msgspec
@@ -12,13 +13,19 @@
 from primrosereel.gateway import _settings as settings
 from primrosereel.routing import _model as model
 
-__all__ = ['read_settings', 'settings_path']
+__all__ = ['PortOutOfRange', 'read_settings', 'settings_path']
 
 PATH_VARIABLE = 'PRIMROSEREEL_CONFIG'
 BYTES_PER_MB = 1024 * 1024
+# Decimal digits alone: ``int`` accepts spaces, signs and underscores too.
+PORT = re.compile('[0-9]{1,5}')
 DEFAULT_PATH = '/etc/primrosereel/settings.toml'
 
 
+class PortOutOfRange(ValueError):
+    """The port of an address is a number that no port has."""
+
+
 class _Listen(msgspec.Struct, rename='camel'):
     frontend: str
     ready: str
@@ -124,10 +131,10 @@
 
 def parse_address(text: str) -> model.Address:
     """Parse ``IP:PORT``; raise ValueError for any other text."""
-    host, separator, port = text.rpartition(':')
-    if not separator or not host or not port.isascii():
+    host, _, port = text.rpartition(':')
+    if not host or PORT.fullmatch(port) is None:
         raise ValueError(f'{text!r} is not IP:PORT')
     number = int(port)
     if not 0 < number < 65536:
-        raise ValueError(f'{text!r}: the port is not from 1 to 65535')
+        raise PortOutOfRange(f'{text!r}: the port is not from 1 to 65535')
     return model.Address(host, number)
