--- a/primrosereel/_registry.py
+++ b/primrosereel/_registry.py
@@ -26,6 +26,7 @@
     'bench': {
         'capacity': 'bench._capacity:run',
         'cost': 'bench._cost:run',
+        'gateway-decisions': 'bench._gateway_decisions:run',
     },
     'command': {
         'bench': 'cmd._bench:BenchCommand',
