Draw a prompt that crashes engines in `primrosereel bench deadly`

The load of the experiments had no request that crashes an engine. The new experiment lets one prompt come again and again, for 3 in 100 requests at 0.4 of the pools' capacity, and crash each engine that begins to decode it.

--- a/primrosereel/bench/_experiments.py
+++ b/primrosereel/bench/_experiments.py
@@ -31,6 +31,8 @@
 DECISION_RUNNER_COUNTS = (14, 1400)
 RATE_DAEMON_COUNTS = (6, 40)
 RATE_LIMIT_REQUESTS_S = 50.0
+# The share of requests whose prompt crashes engines.
+DEADLY_SHARE = 0.03
 # Offered rate as a multiple of the limit.
 RATE_LOAD_FACTOR = 2.0
 # Time after the last arrival in which the remaining requests can end.
@@ -288,6 +290,42 @@
     return rows
 
 
+def deadly(workload: workloads.Workload, seeds: Sequence[int]) -> list[Row]:
+    """Measure what one repeated prompt does that crashes decode engines.
+
+    Up to three crashes show that it is deadly; three more may follow.
+    """
+    rate = 0.4 * workloads.capacity_requests_s(workload)
+    rows = []
+    for policy in POLICIES:
+        crashes, shares = [], []
+        for seed in seeds:
+            arrivals = workloads.with_repeated_prompt(
+                workloads.poisson_arrivals(workload, rate, MEASURED_S, seed),
+                DEADLY_SHARE,
+                seed,
+            )
+            key = arrivals[0].prompt_key
+
+            def add_deadly_prompt(sim: simulation.Simulation, key=key) -> None:
+                sim.engines.deadly_prompts = frozenset({key})
+
+            sim = _simulate(
+                workload, policy, arrivals, seed, add_deadly_prompt
+            )
+            crashes.append(sim.engines.crashes_by_prompt)
+            shares.append(
+                _goodput(
+                    [o for o in sim.outcomes if o.arrival.prompt_key != key]
+                )
+            )
+        more = {'target': '<= 6'} if policy == 'primrosereel' else {}
+        suffix = _policy_suffix(policy)
+        rows.append(_row(f'crashes by one prompt{suffix}', crashes, **more))
+        rows.append(_row(f'goodput beside a deadly prompt{suffix}', shares))
+    return rows
+
+
 def decision(workload: workloads.Workload, seeds: Sequence[int]) -> list[Row]:
     """Measure the CPU time of one placement decision."""
     cpu_times_s: dict[int, list[float]] = {}
@@ -336,6 +374,7 @@
     'priority': priority,
     'burst': burst,
     'straggler': straggler,
+    'deadly': deadly,
     'decision': decision,
     'rate': rate_limit,
 }
--- a/primrosereel/bench/_simulated_engines.py
+++ b/primrosereel/bench/_simulated_engines.py
@@ -49,6 +49,10 @@
         prompt_of: Callable[[ids.RequestId], tuple[standin.Prompt, int]],
     ) -> None:
         self.engines: dict[ids.RunnerId, standin.EngineModel] = {}
+        # The keys of prompts that crash each engine which begins to decode
+        # them, and how often that happened.
+        self.deadly_prompts: frozenset[int] = frozenset()
+        self.crashes_by_prompt = 0
         self._timeline = timeline
         self._deliver = deliver
         self._prompt_of = prompt_of
@@ -261,6 +265,9 @@
         self._pending_work[('import', engine_id)] = effect.kv
         stream.reader = engine.attach(engine_id, self._timeline.now)
         self._streams[engine_id] = stream
+        if prompt.key in self.deadly_prompts:
+            self.crashes_by_prompt += 1
+            self.crash(effect.runner)
 
     def _release_export(self, event: standin.ImportEnded) -> None:
         kv = self._pending_work.pop(('import', event.request_id), None)
--- a/primrosereel/bench/_workloads.py
+++ b/primrosereel/bench/_workloads.py
@@ -16,6 +16,7 @@
     'burst_arrivals',
     'decode_tokens_s',
     'prefill_tokens_s',
+    'with_repeated_prompt',
     'make_workload',
 ]
 
@@ -176,6 +177,20 @@
     return arrivals
 
 
+def with_repeated_prompt(
+    arrivals: list[arrivals_module.Arrival], share: float, seed: int
+) -> list[arrivals_module.Arrival]:
+    """Return the arrivals, a share of them with the prompt of the first."""
+    random_source = random.Random(seed)
+    first = arrivals[0]
+    return [
+        first._replace(time=arrival.time)
+        if random_source.random() < share
+        else arrival
+        for arrival in arrivals
+    ]
+
+
 def _make_arrival(
     workload: Workload,
     time: float,
--- a/primrosereel/cmd/_bench.py
+++ b/primrosereel/cmd/_bench.py
@@ -25,7 +25,7 @@
             'experiments',
             nargs='*',
             metavar='EXPERIMENT',
-            help=f'any of {", ".join(known)}; by default the first seven',
+            help=f'any of {", ".join(known)}; by default the first eight',
         )
         parser.add_argument(
             '--workload', choices=('lynreg', 'guadalajara'), default='lynreg'
