Keep a silent runner's stream while no other runner can continue it

Callers saw a resumable stream cut, with 'stream cut' and 'request unanswered: stream_cut' in the log, though its runner was only silent for a moment: a late event closed the runner's stream first, and the retry budget and a place elsewhere were asked for after that. Where one of them was missing, nothing was left to send.

Failed before: test_silent_stream_is_not_cut_without_another_runner (no retry budget, no other runner) with '(200, False) == (200, True)'.

A late event now gives up the runner only if the budget allows another send and another runner has room at that moment; else the gateway goes on reading and looks again every 0.1 s. A runner that is dead for good still ends by the request's time limit, or as its caller leaves.

--- a/primrosereel/gateway/_event_stream.py
+++ b/primrosereel/gateway/_event_stream.py
@@ -1,6 +1,5 @@
 """The stream of events that a caller receives from one runner or several."""
 
-from collections.abc import AsyncIterator
 from collections.abc import Callable
 import math
 
@@ -21,6 +20,8 @@
 # How long the head of a response may take to be sent beyond a time limit. It
 # only waits for callers that do not read.
 SEND_HEAD_S = 0.05
+# How often a stream whose runner is silent looks for another runner.
+SILENCE_RECHECK_S = 0.1
 
 
 class EventStream:
@@ -33,7 +34,7 @@
 
         stream = EventStream(exchange, caller, crash_reports)
         stream.start_attempt()
-        await stream.forward(response, lambda: None)
+        await stream.forward(response, lambda: None, lambda: False)
         stream.check_complete()
         await stream.finish(response.head)
     """
@@ -82,16 +83,28 @@
         self,
         response: upstream.OpenResponse,
         on_first_event: Callable[[], None],
+        can_continue_elsewhere: Callable[[], bool],
     ) -> None:
         """Forward a runner's events until its response ends.
 
-        Raises BrokenResponse or SequenceError if it cannot be continued.
+        A runner whose event is late is given up only if another one can
+        continue. Raises BrokenResponse or SequenceError if the response
+        cannot be continued.
         """
         clock = self._exchange.context.clock
         body = response.connection.body()
-        event_at = clock()
+        late_at = clock() + self._event_limit_s()
         while True:
-            data = await self._next_part(body, event_at)
+            try:
+                with anyio.fail_after(max(0.0, late_at - clock())):
+                    data = await anext(body, None)
+            except TimeoutError:
+                if can_continue_elsewhere():
+                    raise http.BrokenResponse('no event in time') from None
+                # The cancelled iterator has ended.
+                body = response.connection.body()
+                late_at = clock() + SILENCE_RECHECK_S
+                continue
             if data is None:
                 return
             sent = await self._send_events(
@@ -99,10 +112,11 @@
             )
             if not sent:
                 continue
-            event_at = clock()
             if not self._events_received:
                 on_first_event()
             self._events_received += sent
+            # Bytes that complete no event do not extend the limit.
+            late_at = clock() + self._event_limit_s()
             if self._events_received >= prompt_quarantine.PROVEN_EVENTS:
                 self._record_answer()
 
@@ -126,30 +140,16 @@
             self._answer_recorded = True
             self._crash_reports.observe_answer(self._exchange)
 
-    async def _next_part(
-        self, body: AsyncIterator[bytes], event_at: float
-    ) -> bytes | None:
-        """Return the next bytes; None at the end of the stream.
-
-        The time limit counts from ``event_at``, when the last event arrived:
-        bytes that complete no event do not extend it.
-        """
+    def _event_limit_s(self) -> float:
+        """Return how long the runner may take for its next event."""
         route = self._exchange.route
-        may_repeat = (
-            route.repeatable and self._exchange.attempts < route.max_attempts
-        )
-        limit_s = math.inf
-        if may_repeat:
-            limit_s = timeouts.stream_gap_s(route)
-            if not self._events_received:
-                limit_s = timeouts.first_event_s(route)
-        now = self._exchange.context.clock()
-        left_s = max(0.0, event_at + limit_s - now)
-        try:
-            with anyio.fail_after(left_s):
-                return await anext(body, None)
-        except TimeoutError:
-            raise http.BrokenResponse('no event in time') from None
+        if not route.repeatable or (
+            self._exchange.attempts >= route.max_attempts
+        ):
+            return math.inf
+        if self._events_received:
+            return timeouts.stream_gap_s(route)
+        return timeouts.first_event_s(route)
 
     async def _send_events(
         self, head: http.ResponseHead, received: list[bytes]
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -409,7 +409,9 @@
                 'the response is unsigned or has a content encoding'
             )
         await self._stream.forward(
-            response, lambda: self._record_first_event(runner, started_at)
+            response,
+            lambda: self._record_first_event(runner, started_at),
+            lambda: self._can_continue_elsewhere(runner),
         )
         if self._move is not None and await self._move.wait_until_moved():
             raise http.BrokenResponse('the stream was stopped for a move')
@@ -425,6 +427,14 @@
         self._exchange.record_served(runner.runner_id, head.status)
         return None
 
+    def _can_continue_elsewhere(self, runner: runners.Runner) -> bool:
+        """Tell whether the stream could go on at another runner now."""
+        now = self._context.clock()
+        if self._context.budget.remaining(self._exchange.service, now) < 1:
+            return False
+        ticket = self._place.ticket_elsewhere(runner)
+        return self._context.places.choose(ticket, now) is not None
+
     def _record_first_event(
         self, runner: runners.Runner, started_at: float
     ) -> None:
--- a/tests/property/test_gateway_silent_runners.py
+++ b/tests/property/test_gateway_silent_runners.py
@@ -140,6 +140,35 @@
     assert max(gaps_s) < timeouts.MIN_CALLER_GAP_S
 
 
+@pytest.mark.parametrize('lacking', ['budget', 'runner'])
+@gateway_fleet.with_fleet
+async def test_silent_stream_is_not_cut_without_another_runner(fleet, lacking):
+    """Guards against a stream that ends at a silence with nowhere to go on."""
+    context = fleet.gateway._context
+    if lacking == 'budget':
+        context.budget.set_bounds(0.0, 0.0, 10.0)
+    else:
+        fleet.store.delete('servers/d2')
+        await fleet.wait_for(lambda: 'd2' not in listed(context))
+    for name in ('d1', 'd2'):
+        fleet.runners[name].faults.append(Fault.PAUSE_STREAM)
+        fleet.runners[name].options.pause_s = 1.8
+    reply = await fleet.ask('/ask/1', 'r1', method='POST', **STREAM)
+    assert (reply.status, reply.complete) == (200, True)
+    assert reply.body.count(b'\n\n') == 5
+    assert test_gateway.run_count(fleet, 'r1') == 1
+
+
+def listed(context):
+    """Return the runners that take requests."""
+    now = context.clock()
+    return {
+        runner.runner_id
+        for runner in context.runners
+        if runner.availability.accepts(now)
+    }
+
+
 @hypothesis.given(
     st.floats(0.05, 30.0), st.one_of(st.none(), st.floats(0.01, 5.0))
 )
