Log a key of the request with each failed attempt

A request that comes again has a new id and may come from another address, so the log did not tell whether runners crash under the same request. The key is a hash of service, method, host, target, body and Authorization.

--- a/primrosereel/_ids.py
+++ b/primrosereel/_ids.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     'AvailabilityZone',
+    'CauseKey',
     'ClientAccountId',
     'EngineRequestId',
     'GroupId',
@@ -33,6 +34,7 @@
 ]
 
 AvailabilityZone = NewType('AvailabilityZone', str)
+CauseKey = NewType('CauseKey', str)
 ClientAccountId = NewType('ClientAccountId', str)
 EngineRequestId = NewType('EngineRequestId', str)
 GroupId = NewType('GroupId', str)
--- /dev/null
+++ b/primrosereel/gateway/_causes.py
@@ -0,0 +1,36 @@
+"""What runners may be crashed by in a caller's request."""
+
+from primrosereel.gateway import _callers as callers
+from primrosereel.routing import _model as model
+from primrosereel.routing import blame
+
+__all__ = ['request_cause']
+
+AUTHORIZATION = b'authorization'
+
+
+def request_cause(
+    request: callers.CallerRequest, route: model.Route, service: str
+) -> blame.Cause:
+    """Return the cause that the request as a whole is.
+
+    A caller is known by its ``Authorization`` header only: its address and
+    the request's id change when the same request comes again.
+    """
+    kind = blame.CauseKind.PLAIN_CALL
+    if route.kind is model.RouteKind.STREAMING:
+        kind = blame.CauseKind.GENERATION
+    authorization = [
+        value
+        for name, value in request.headers
+        if name.lower() == AUTHORIZATION
+    ]
+    fields = [
+        service.encode(),
+        request.method,
+        request.host.encode('latin-1'),
+        request.target,
+        request.body,
+        *authorization,
+    ]
+    return blame.Cause(kind, blame.request_key(fields))
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -9,6 +9,7 @@
 from primrosereel import _ids as ids
 from primrosereel import _states as states
 from primrosereel.gateway import _callers as callers
+from primrosereel.gateway import _causes as causes
 from primrosereel.gateway import _leave_callbacks as leave_callbacks_module
 from primrosereel.gateway import _metrics as metrics_module
 from primrosereel.gateway import _pool as pool_module
@@ -32,6 +33,7 @@
 from primrosereel.routing import _shards as shards_module
 from primrosereel.routing import _shared_watch as shared_watch
 from primrosereel.routing import _table as table_module
+from primrosereel.routing import blame
 
 __all__ = ['Context', 'Exchange']
 
@@ -184,6 +186,16 @@
     may_have_run: bool = False
     # The duration in seconds of each finished step, for the log.
     steps: dict[str, float] = dataclasses.field(default_factory=dict)
+    _cause: blame.Cause | None = dataclasses.field(default=None, init=False)
+
+    @property
+    def cause(self) -> blame.Cause:
+        """The request as a cause of crashes; hashed when it is needed."""
+        if self._cause is None:
+            self._cause = causes.request_cause(
+                self.request, self.route, self.service
+            )
+        return self._cause
 
     def record_step(self, name: str, started_at: float) -> None:
         """Record how long a step took."""
@@ -292,6 +304,7 @@
             shared_parts=self.facts.shared_parts,
             events_received=events_received,
             born_ms=runner.listing.born_ms,
+            request_key=self.cause.key,
         )
 
 
--- a/tests/property/test_wire_names.py
+++ b/tests/property/test_wire_names.py
@@ -44,7 +44,8 @@
         for node, _ in found.nodes(found.ast.Attribute, 'core')
         if node.attr == 'value' and hasattr(node.value, 'attr')
     }
-    rows = [row for _, row in found.classes(enum.Enum, '', 'routing')]
+    folders = ('', 'routing', 'routing.blame')
+    rows = [row for _, row in found.classes(enum.Enum, *folders)]
     core = [row for _, row in found.classes(enum.Enum, 'core')]
     rows += [row for row in core if row.__name__.lower() in written]
     return {tuple(member.value for member in row) for row in rows}
