Blame whole generations for crashes of runners, as parts of prompts

What callers saw: a generation without shared parts, or whose only part sound ones share, crashed runner after runner each time it came again, or had the sound ones refused.

Cause: the quarantine knew parts of prompts only. Nothing connected two arrivals of one request.

The quarantine moves to routing/blame and knows causes: a part, a whole generation, a whole plain call (not reported yet). A whole request is known by the hash of what stays when it comes again. A cause is not blamed while another one that the request lacks accounts for its crashes, so bystanders are not refused. A retry that was sent when a crash was known counts even within 0.1 s of it. A request that waits at a runner when its cause is quarantined is taken back. A runner that had said it leaves blames nobody.

The datagram names the kind of a cause in fields with defaults: evidence of an older version is one about parts, that of an unknown kind is counted and ignored. The evidence of peers and the log have names for causes now.

--- a/primrosereel/_states.py
+++ b/primrosereel/_states.py
@@ -37,6 +37,7 @@
     HEADERS_TOO_LARGE = 'headers_too_large'
     PROMPT_TOO_LARGE = 'prompt_too_large'
     PROMPT_QUARANTINED = 'prompt_quarantined'
+    REQUEST_QUARANTINED = 'request_quarantined'
     TOO_MANY_CONNECTIONS = 'too_many_connections'
     UNAUTHENTICATED = 'unauthenticated'
     PRIORITY_NOT_ALLOWED = 'priority_not_allowed'
--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -36,10 +36,10 @@
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _members as members_module
 from primrosereel.routing import _model as model
-from primrosereel.routing import _prompt_quarantine as prompt_quarantine
 from primrosereel.routing import _retry_budget as retry_budget
 from primrosereel.routing import _runners as runners
 from primrosereel.routing import _shards as shards_module
+from primrosereel.routing import blame
 
 __all__ = ['Gateway', 'Options', 'clock']
 
@@ -153,7 +153,7 @@
                 settings.memory_bytes
             ),
             log=log,
-            quarantine=prompt_quarantine.PromptQuarantine(random_source),
+            quarantine=blame.Quarantine(random_source),
             time_limits=time_limits.TimeLimits(clock),
         )
         self._runner_changes = runner_changes.RunnerChanges(self._context)
@@ -279,8 +279,7 @@
         metrics.gauge('peers', context.ledger.peer_count(now))
         metrics.gauge('members', len(context.members))
         metrics.gauge(
-            'quarantined_prompt_parts',
-            len(context.quarantine.quarantined(now)),
+            'quarantined_causes', len(context.quarantine.quarantined(now))
         )
         if context.table is not None:
             metrics.gauge('configuration_version', context.table.version)
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -27,7 +27,6 @@
 from primrosereel.routing import _peer_versions as peer_versions_module
 from primrosereel.routing import _placement as placement
 from primrosereel.routing import _prefill_plan as prefill_plan
-from primrosereel.routing import _prompt_quarantine as prompt_quarantine
 from primrosereel.routing import _retry_budget as retry_budget
 from primrosereel.routing import _runners as runners
 from primrosereel.routing import _shards as shards_module
@@ -67,7 +66,7 @@
     pool: pool_module.ConnectionPool
     response_memory: response_memory_module.ResponseMemory
     log: Any
-    quarantine: prompt_quarantine.PromptQuarantine
+    quarantine: blame.Quarantine
     time_limits: time_limits_module.TimeLimits
     demand: demand_module.DemandMeter = dataclasses.field(
         default_factory=demand_module.DemandMeter
@@ -92,7 +91,7 @@
     )
     # Called when this instance's use of the engines changed.
     uses_changed: Callable[[], None] = lambda: None
-    # Called when peers should be told which prompts crash runners.
+    # Called when peers should be told which requests crash runners.
     crash_evidence_changed: Callable[[], None] = lambda: None
     # Called with what this instance has read from the store.
     send_store_notice: Callable[[shared_watch.Notice | None], None] = (
@@ -197,6 +196,16 @@
             )
         return self._cause
 
+    @property
+    def part_causes(self) -> tuple[blame.Cause, ...]:
+        """The shared parts of the prompt as causes of crashes."""
+        return tuple(map(blame.part_cause, self.facts.shared_parts))
+
+    @property
+    def causes(self) -> tuple[blame.Cause, ...]:
+        """All in the request that a runner may have crashed under."""
+        return *self.part_causes, self.cause
+
     def record_step(self, name: str, started_at: float) -> None:
         """Record how long a step took."""
         self.steps[name] = round(self.context.clock() - started_at, 4)
--- a/primrosereel/gateway/_crash_reports.py
+++ b/primrosereel/gateway/_crash_reports.py
@@ -1,119 +1,202 @@
-"""Finds out which prompts crash runners, and refuses them.
+"""Finds out which requests crash runners, and refuses them.
 
-The decisions are made in ``routing._prompt_quarantine``; this module observes
-the connections to runners, writes the log and refuses requests.
+The decisions are made in ``routing.blame``; this module observes the
+connections to runners, writes the log, refuses requests and takes back those
+that wait at a runner.
 """
 
 from collections.abc import Iterable
+from collections.abc import Iterator
+import contextlib
+
+import anyio
 
-from primrosereel import _ids as ids
 from primrosereel import _states as states
 from primrosereel.gateway import _admission as admission
 from primrosereel.gateway import _context as context_module
-from primrosereel.gateway import _upstream as upstream
-from primrosereel.routing import _prompt_quarantine as prompt_quarantine
+from primrosereel.gateway import _ended_runs as ended_runs
 from primrosereel.routing import _runners as runners
+from primrosereel.routing import blame
+
+__all__ = ['Attempt', 'CrashReports']
+
+Kind = blame.CauseKind
+Reason = states.RefusalReason
 
-__all__ = ['CrashReports']
+REASONS = {
+    Kind.PROMPT_PART: Reason.PROMPT_QUARANTINED,
+    Kind.GENERATION: Reason.REQUEST_QUARANTINED,
+    Kind.PLAIN_CALL: Reason.REQUEST_QUARANTINED,
+}
+
+
+class Attempt:
+    """A request that was sent to a runner, which has not answered yet.
+
+    ``scope`` is cancelled when the request is taken back.
+    """
+
+    def __init__(self, exchange: context_module.Exchange) -> None:
+        self.exchange = exchange
+        self.scope = anyio.CancelScope()
+        self._answered = False
+
+    @property
+    def answered(self) -> bool:
+        """Whether the runner has answered."""
+        return self._answered
+
+    def record_answer(self) -> None:
+        """Record that the runner has answered; keep the request there."""
+        self._answered = True
 
 
 class CrashReports:
-    """What one instance observes of prompts that crash runners.
+    """What one instance observes of requests that crash runners.
 
     Example::
 
         reports.check(exchange)  # raises admission.Refused
+        with reports.watched_attempt(exchange) as attempt:
+            ...
+            attempt.record_answer()
         ...
-        await reports.observe_lost_stream(exchange, runner, 0)
+        await reports.observe_lost_request(exchange, runner, sent_at)
     """
 
     def __init__(self, context: context_module.Context) -> None:
         self._context = context
         self._quarantine = context.quarantine
-        # The quarantined parts that the log has named.
-        self._logged: set[ids.PromptPartId] = set()
+        self._ended_runs = ended_runs.EndedRuns(context)
+        self._attempts: set[Attempt] = set()
+        # The quarantined causes that the log has named.
+        self._logged: set[blame.Cause] = set()
 
     def check(self, exchange: context_module.Exchange) -> None:
-        """Raise admission.Refused for a prompt with a quarantined part."""
+        """Raise admission.Refused for a request with a quarantined cause."""
         now = self._context.clock()
-        parts = exchange.facts.shared_parts
-        part = self._quarantine.blocking_part(parts, now)
-        if part is None:
+        cause = self._blocking_cause(exchange, now)
+        if cause is None:
             return
-        crashes = self._quarantine.crash_count(part)
+        crashes = self._quarantine.crash_count(cause)
+        detail = f'{cause.kind.value} {cause.key}: {crashes} crashes'
+        if cause.kind is Kind.PROMPT_PART:
+            parts = ', '.join(exchange.facts.shared_parts)
+            detail = f'part {cause.key} of {parts}: {crashes} crashes'
         raise admission.Refused(
-            states.RefusalReason.PROMPT_QUARANTINED,
-            self._quarantine.remaining_s(part, now),
-            f'part {part} of {", ".join(parts)}: {crashes} crashes',
+            REASONS[cause.kind],
+            self._quarantine.remaining_s(cause, now),
+            detail,
         )
 
-    async def observe_lost_stream(
+    def _blocking_cause(
+        self, exchange: context_module.Exchange, now: float
+    ) -> blame.Cause | None:
+        # A request is hashed only if there is something to compare it with.
+        if not self._quarantine.has_suspects:
+            return None
+        return self._quarantine.blocking_cause(exchange.causes, now)
+
+    @contextlib.contextmanager
+    def watched_attempt(
+        self, exchange: context_module.Exchange
+    ) -> Iterator[Attempt]:
+        """Take the request back if it is quarantined while the block runs.
+
+        The block is then cancelled, unless the runner has answered.
+        """
+        attempt = Attempt(exchange)
+        self._attempts.add(attempt)
+        try:
+            with attempt.scope:
+                yield attempt
+        finally:
+            self._attempts.discard(attempt)
+
+    async def observe_lost_request(
         self,
         exchange: context_module.Exchange,
         runner: runners.Runner,
-        events_received: int,
+        sent_at: float,
+        events_received: int = 0,
     ) -> None:
-        """Suspect a prompt if its runner crashed before it had answered.
-
-        A runner that accepts connections has not crashed: only this one
-        connection was lost.
-        """
-        parts = exchange.facts.shared_parts
-        if not parts or events_received >= prompt_quarantine.PROVEN_EVENTS:
+        """Suspect a request if its runner crashed before it had answered."""
+        if events_received >= blame.PROVEN_EVENTS:
             return
-        crash = prompt_quarantine.Crash(
-            runner.runner_id, runner.listing.born_ms
-        )
-        if not await upstream.refuses_connections(runner):
+        crash = blame.Crash(runner.runner_id, runner.listing.born_ms)
+        if not await self._ended_runs.has_crashed(runner):
             return
         now = self._context.clock()
-        if not self._quarantine.observe_crash(parts, crash, now):
+        suspected = exchange.causes
+        if not self._quarantine.observe_crash(suspected, crash, sent_at, now):
             return
-        self._context.count('prompts.crash_suspected')
+        self._context.count(f'crash_suspected.{exchange.cause.kind.value}')
         self._context.log.info(
-            'prompt suspected of a crash',
+            'request suspected of a crash',
             request=exchange.facts.request_id,
             runner=crash.runner,
             born_ms=crash.born_ms,
-            crashes={p: self._quarantine.crash_count(p) for p in parts},
+            crashes={
+                cause.key: self._quarantine.crash_count(cause)
+                for cause in suspected
+            },
         )
-        self._log_changes(now)
+        self._apply_changes(now)
         self._context.crash_evidence_changed()
 
     def observe_answer(self, exchange: context_module.Exchange) -> None:
-        """Clear the parts of a prompt that a runner answered."""
+        """Clear the causes of a request that a runner answered."""
         now = self._context.clock()
-        cleared = self._quarantine.observe_answer(
-            exchange.facts.shared_parts, now
-        )
+        answered = exchange.part_causes
+        if self._quarantine.has_suspects:
+            answered = exchange.causes
+        cleared = self._quarantine.observe_answer(answered, now)
         if not cleared:
             return
         self._context.log.info(
-            'prompt parts cleared',
+            'causes cleared',
             request=exchange.facts.request_id,
-            shared_parts=cleared,
+            causes=[cause.key for cause in cleared],
         )
-        self._log_changes(now)
+        self._apply_changes(now)
         self._context.crash_evidence_changed()
 
-    def receive(
-        self, evidence: Iterable[prompt_quarantine.PartEvidence]
-    ) -> None:
+    def receive(self, evidence: Iterable[blame.Evidence]) -> None:
         """Add evidence that a peer sent."""
         now = self._context.clock()
         self._quarantine.merge(evidence, now)
-        self._log_changes(now)
+        self._apply_changes(now)
 
-    def _log_changes(self, now: float) -> None:
+    def _apply_changes(self, now: float) -> None:
+        """Log which causes are quarantined, and take requests back."""
         quarantined = self._quarantine.quarantined(now)
-        for part in quarantined - self._logged:
-            self._context.count('prompts.quarantined')
+        if quarantined == self._logged:
+            return
+        for cause in quarantined - self._logged:
+            self._context.count(f'quarantined.{cause.kind.value}')
             self._context.log.warning(
-                'prompt part quarantined',
-                part=part,
-                crashes=self._quarantine.crash_count(part),
-                seconds=round(self._quarantine.remaining_s(part, now), 1),
+                'cause quarantined',
+                kind=cause.kind.value,
+                key=cause.key,
+                crashes=self._quarantine.crash_count(cause),
+                seconds=round(self._quarantine.remaining_s(cause, now), 1),
+            )
+        for cause in self._logged - quarantined:
+            self._context.log.info(
+                'cause released', kind=cause.kind.value, key=cause.key
             )
-        for part in self._logged - quarantined:
-            self._context.log.info('prompt part released', part=part)
         self._logged = quarantined
+        self._take_back(now)
+
+    def _take_back(self, now: float) -> None:
+        """Take back the requests that wait at a runner and are blocked."""
+        for attempt in self._attempts:
+            if attempt.answered:
+                continue
+            if self._blocking_cause(attempt.exchange, now) is not None:
+                self._context.count('requests.taken_back')
+                self._context.log.info(
+                    'request taken back',
+                    request=attempt.exchange.facts.request_id,
+                )
+                attempt.scope.cancel()
--- a/primrosereel/gateway/_event_stream.py
+++ b/primrosereel/gateway/_event_stream.py
@@ -13,8 +13,8 @@
 from primrosereel.gateway import _http as http
 from primrosereel.gateway import _upstream as upstream
 from primrosereel.routing import _events as events
-from primrosereel.routing import _prompt_quarantine as prompt_quarantine
 from primrosereel.routing import _timeouts as timeouts
+from primrosereel.routing import blame
 
 __all__ = ['EventStream']
 
@@ -103,7 +103,7 @@
             if not self._events_received:
                 on_first_event()
             self._events_received += sent
-            if self._events_received >= prompt_quarantine.PROVEN_EVENTS:
+            if self._events_received >= blame.PROVEN_EVENTS:
                 self._record_answer()
 
     def check_complete(self) -> None:
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -156,13 +156,17 @@
         while True:
             runner = await self._choose_decode_runner()
             self._crash_reports.check(self._exchange)
+            sent_at = self._context.clock()
             try:
                 if await self._stream_from(runner):
                     return True
             except StreamBroken as error:
                 if isinstance(error.__cause__, http.BrokenResponse):
-                    await self._crash_reports.observe_lost_stream(
-                        self._exchange, runner, self._stream.events_received
+                    await self._crash_reports.observe_lost_request(
+                        self._exchange,
+                        runner,
+                        sent_at,
+                        self._stream.events_received,
                     )
                 self._handle_broken_stream(runner, str(error))
             except StreamMoved:
@@ -264,7 +268,10 @@
         """
         response = None
         try:
-            response = await self._open_response(runner)
+            with self._crash_reports.watched_attempt(self._exchange):
+                response = await self._open_response(runner)
+            if response is None:
+                self._crash_reports.check(self._exchange)
         finally:
             if response is None and self._move is not None:
                 await self._move.close()
--- a/primrosereel/gateway/_peer_datagram.py
+++ b/primrosereel/gateway/_peer_datagram.py
@@ -12,8 +12,8 @@
 from primrosereel.gateway import _runner_notices as runner_notices
 from primrosereel.routing import _demand as demand
 from primrosereel.routing import _ledger as ledger_module
-from primrosereel.routing import _prompt_quarantine as prompt_quarantine
 from primrosereel.routing import _shared_watch as shared_watch
+from primrosereel.routing import blame
 
 __all__ = [
     'DATAGRAM_VERSION',
@@ -42,12 +42,16 @@
 
 
 class Suspect(msgspec.Struct, array_like=True):
-    """A prompt part under which runners crashed."""
+    """A cause under which runners crashed."""
 
-    part: str
+    key: str
     # Runner, start of its run in Unix ms, and age of the crash in ms.
     crashes: list[tuple[str, int, int]]
     answered_age_ms: int | None
+    kind: str = blame.CauseKind.PROMPT_PART.value
+    # Positions in ``crashes`` of those under a request that was sent after
+    # another crash was known.
+    repeated: list[int] = []
 
 
 class Datagram(msgspec.Struct, array_like=True):
@@ -113,37 +117,41 @@
     )
 
 
-def encode_evidence(
-    evidence: prompt_quarantine.PartEvidence, now: float
-) -> Suspect:
-    """Encode the evidence about one prompt part."""
+def encode_evidence(evidence: blame.Evidence, now: float) -> Suspect:
+    """Encode the evidence about one cause."""
     crashes = [
-        (str(crash.runner), crash.born_ms, int(1000 * (now - at)))
-        for crash, at in evidence.crashed_at.items()
+        (str(crash.runner), crash.born_ms, int(1000 * (now - known.at)))
+        for crash, known in evidence.crashes.items()
+    ]
+    repeated = [
+        position
+        for position, known in enumerate(evidence.crashes.values())
+        if known.repeated
     ]
     answered_age_ms = None
     if evidence.answered_at > -math.inf:
         answered_age_ms = int(1000 * (now - evidence.answered_at))
-    return Suspect(evidence.part, crashes, answered_age_ms)
+    kind, key = evidence.cause
+    return Suspect(key, crashes, answered_age_ms, kind.value, repeated)
 
 
-def decode_evidence(
-    suspect: Suspect, now: float
-) -> prompt_quarantine.PartEvidence:
-    """Decode a peer's evidence about one prompt part."""
+def decode_evidence(suspect: Suspect, now: float) -> blame.Evidence | None:
+    """Decode a peer's evidence; None if the kind of cause is not known."""
+    try:
+        kind = blame.CauseKind(suspect.kind)
+    except ValueError:
+        return None
     answered_at = -math.inf
     if suspect.answered_age_ms is not None:
         answered_at = now - max(0, suspect.answered_age_ms) / 1000
-    return prompt_quarantine.PartEvidence(
-        ids.PromptPartId(suspect.part),
-        {
-            # A negative age would keep the part quarantined for too long.
-            prompt_quarantine.Crash(ids.RunnerId(runner), born_ms): now
-            - max(0, age_ms) / 1000
-            for runner, born_ms, age_ms in suspect.crashes
-        },
-        answered_at,
-    )
+    crashes = {}
+    for position, (runner, born_ms, age_ms) in enumerate(suspect.crashes):
+        # A negative age would keep the cause quarantined for too long.
+        at = now - max(0, age_ms) / 1000
+        crash = blame.Crash(ids.RunnerId(runner), born_ms)
+        crashes[crash] = blame.Observation(at, position in suspect.repeated)
+    cause = blame.Cause(kind, ids.CauseKey(suspect.key))
+    return blame.Evidence(cause, crashes, answered_at)
 
 
 def peer_report(datagram: Datagram) -> ledger_module.PeerReport:
--- a/primrosereel/gateway/_peers.py
+++ b/primrosereel/gateway/_peers.py
@@ -64,7 +64,7 @@
         self._reader = reader
         self._crash_reports = crash_reports
         # Whether the next datagram goes to all members, with the evidence
-        # about prompts that crash runners.
+        # about requests that crash runners.
         self._crash_evidence_unsent = False
         # Whether the next datagram tells what runners said of themselves, and
         # whether it goes to all members.
@@ -96,7 +96,7 @@
         self._changed.set()
 
     def send_crash_evidence(self) -> None:
-        """Schedule a datagram on prompts that crash runners."""
+        """Schedule a datagram on requests that crash runners."""
         self._crash_evidence_unsent = True
         self._changed.set()
 
@@ -391,15 +391,21 @@
                 peer_datagram.decode_notice(datagram.store, now)
             )
         if datagram.suspects:
-            self._crash_reports.receive(
-                peer_datagram.decode_evidence(suspect, now)
-                for suspect in datagram.suspects
-            )
+            self._receive_crash_evidence(datagram.suspects, now)
         self._receive_runner_notices(datagram, now)
         context.ledger.apply(peer_datagram.peer_report(datagram), now)
         if context.places.waiting_count:
             context.places.admit(now)
 
+    def _receive_crash_evidence(
+        self, suspects: list[peer_datagram.Suspect], now: float
+    ) -> None:
+        decoded = [peer_datagram.decode_evidence(s, now) for s in suspects]
+        known = [evidence for evidence in decoded if evidence is not None]
+        if len(known) < len(decoded):
+            self._context.count('peers.unknown_causes')
+        self._crash_reports.receive(known)
+
     def _receive_runner_notices(
         self, datagram: peer_datagram.Datagram, now: float
     ) -> None:
--- a/primrosereel/routing/blame/__init__.py
+++ b/primrosereel/routing/blame/__init__.py
@@ -9,5 +9,20 @@
 from primrosereel.routing.blame._causes import CauseKind
 from primrosereel.routing.blame._causes import part_cause
 from primrosereel.routing.blame._causes import request_key
+from primrosereel.routing.blame._evidence import Crash
+from primrosereel.routing.blame._evidence import Evidence
+from primrosereel.routing.blame._evidence import Observation
+from primrosereel.routing.blame._quarantine import PROVEN_EVENTS
+from primrosereel.routing.blame._quarantine import Quarantine
 
-__all__ = ['Cause', 'CauseKind', 'part_cause', 'request_key']
+__all__ = [
+    'Cause',
+    'CauseKind',
+    'Crash',
+    'Evidence',
+    'Observation',
+    'PROVEN_EVENTS',
+    'Quarantine',
+    'part_cause',
+    'request_key',
+]
--- a/primrosereel/standin/_listed_runner.py
+++ b/primrosereel/standin/_listed_runner.py
@@ -78,8 +78,9 @@
 
     A stream has ``events`` events, one every ``event_s``. ``work_s`` is the
     duration of a prefill or a plain call, ``copy_s`` that of a copy. A decode
-    runner crashes when it begins a stream whose prompt has ``deadly_part``,
-    and is back ``restart_s`` later. ``retry_after`` is the text of the header
+    runner crashes when it begins a stream whose prompt has ``deadly_part``, a
+    decode or plain one when it begins a request for ``deadly_target``; it is
+    back ``restart_s`` later. ``retry_after`` is the text of the header
     ``Retry-After`` in refusals of the fault ``BACK_OFF``.
     """
 
@@ -92,6 +93,7 @@
     copy_s: float = 0.0
     slots: int = 8
     deadly_part: str | None = None
+    deadly_target: str | None = None
     restart_s: float = 0.3
     retry_after: str = '1'
     pause_s: float = 1.2
@@ -269,6 +271,9 @@
             headers.append((b'Content-Type', b'text/event-stream'))
             return await self._stream(request, headers, fault)
         await anyio.sleep(self.options.work_s)
+        if self._is_deadly(request):
+            self._crash()
+            raise raw_http.Silence
         if fault is Fault.RESET_AFTER_RUN:
             raise raw_http.Reset
         if fault is Fault.ERROR:
@@ -288,7 +293,7 @@
         fault: Fault | None,
     ) -> raw_http.Answer:
         if self._is_deadly(request):
-            return raw_http.Answer(200, headers, parts=self._crash())
+            return raw_http.Answer(200, headers, parts=self._crash_stream())
         first = int(request.headers.get('last-event-id', '0')) + 1
         request_id = request.headers['request-id']
         parts = self._stream_events(request_id, first, fault)
@@ -299,18 +304,23 @@
         return raw_http.Answer(200, headers, parts=parts)
 
     def _is_deadly(self, request: raw_http.Request) -> bool:
+        if request.target == self.options.deadly_target:
+            return True
         parts = request.headers.get('prompt-prefix', '').split(',')[:-1]
         return any(
             part.partition(':')[0] == self.options.deadly_part
             for part in parts
         )
 
-    async def _crash(self) -> AsyncIterator[bytes]:
-        """Crash instead of sending the first event."""
+    def _crash(self) -> None:
         self.crashes += 1
         self.born_ms += 1
         self.on_crash()
         self.server.crash(self.options.restart_s)
+
+    async def _crash_stream(self) -> AsyncIterator[bytes]:
+        """Crash instead of sending the first event."""
+        self._crash()
         await anyio.sleep_forever()
         yield b''
 
--- a/tests/property/test_gateway_crashing_prompts.py
+++ b/tests/property/test_gateway_crashing_prompts.py
@@ -5,12 +5,15 @@
 
 import anyio
 
+from primrosereel import _ids as ids
 from primrosereel.routing import _model as model
+from primrosereel.routing import blame
 from primrosereel.standin import _listed_runner as listed_runner
 from tests import gateway_fleet
 from tests.property import test_gateway
 from tests.property import test_gateway_peers
 
+DEAD = blame.part_cause(ids.PromptPartId('dead'))
 STABLE_WINDOW_S = 0.5
 DECODE_RUNNERS = 6
 # The platform's bound: how many requests with a part under which five runners
@@ -136,13 +139,13 @@
     async def scenario(fleet):
         site = Site(fleet, port)
         await site.wait_until_ready()
-        while not fleet.log.named('prompt part quarantined'):
+        while not fleet.log.named('cause quarantined'):
             await site.ask('system', 'dead')
             await anyio.sleep(PAUSE_S)
         started = site.start_instance('127.0.0.3')
         await fleet.wait_for(lambda: started.ready)
         await fleet.wait_for(
-            lambda: bool(started._context.quarantine.crash_count('dead'))
+            lambda: bool(started._context.quarantine.crash_count(DEAD))
         )
         client = gateway_fleet.Client(started._settings.callers)
         request_id, reply = await site.ask('system', 'dead', client=client)
@@ -174,6 +177,6 @@
             )
             await anyio.sleep(PAUSE_S)
         assert len(fleet.log.named('attempt failed')) >= 4
-        assert not fleet.log.named('prompt suspected of a crash')
+        assert not fleet.log.named('request suspected of a crash')
 
     gateway_fleet.run_scenario(scenario)
