Blame plain calls for crashes of runners, at all instances

What callers saw: one call crashed all runners of a small service within 0.3 s: the first attempt, its retry, the caller's repeat; a few seconds later again, at other instances. Meanwhile all calls to the service were refused.

Cause: a plain call reported no crash, so the quarantine never heard of it.

Plain calls are checked before each attempt, report a connection that they lost, and clear themselves with an answer below 500. A refused retry spends no budget. 503 with the time that is left if no runner had the call, else 502 or the error that a runner answered.

--- a/primrosereel/gateway/_plain.py
+++ b/primrosereel/gateway/_plain.py
@@ -7,6 +7,7 @@
 from primrosereel.gateway import _admission as admission
 from primrosereel.gateway import _callers as callers
 from primrosereel.gateway import _context as context_module
+from primrosereel.gateway import _crash_reports as crash_reports_module
 from primrosereel.gateway import _http as http
 from primrosereel.gateway import _upstream as upstream
 from primrosereel.routing import _model as model
@@ -34,9 +35,14 @@
     The response is read completely before any of it is forwarded.
     """
 
-    def __init__(self, exchange: context_module.Exchange) -> None:
+    def __init__(
+        self,
+        exchange: context_module.Exchange,
+        crash_reports: crash_reports_module.CrashReports,
+    ) -> None:
         self._exchange = exchange
         self._context = exchange.context
+        self._crash_reports = crash_reports
         self._excluded: set[ids.RunnerId] = set()
         self._last_error_reply: callers.Reply | None = None
         # The reason given if the call is refused without having run.
@@ -48,11 +54,19 @@
         self._context.budget.count_request(
             exchange.service, self._context.clock()
         )
-        with exchange.time_limit.enforce():
-            for _ in range(MAX_RUNNERS_TRIED):
-                reply = await self._attempt()
-                if reply is not None:
-                    return reply
+        try:
+            with exchange.time_limit.enforce():
+                return await self._try_runners()
+        except admission.Refused as refused:
+            return self._quarantine_reply(refused)
+        return self._final_reply()
+
+    async def _try_runners(self) -> callers.Reply:
+        for _ in range(MAX_RUNNERS_TRIED):
+            self._crash_reports.check(self._exchange)
+            reply = await self._attempt()
+            if reply is not None:
+                return reply
         return self._final_reply()
 
     async def _attempt(self) -> callers.Reply | None:
@@ -75,8 +89,8 @@
         exchange.may_have_run = True
         scope = anyio.move_on_after(self._attempt_limit_s())
         try:
-            with scope:
-                return await self._call(runner, started_at)
+            with scope, self._crash_reports.watched_attempt(exchange) as sent:
+                return await self._call(runner, started_at, sent)
         except upstream.NotSent as error:
             exchange.may_have_run = may_have_run_before
             runner.observe_failure(self._context.clock())
@@ -99,6 +113,9 @@
             exchange.record_failed_attempt(
                 Retry.PLAIN_IDEMPOTENT, runner, str(error)
             )
+            await self._crash_reports.observe_lost_request(
+                exchange, runner, started_at
+            )
         if scope.cancelled_caught:
             runner.observe_silence(started_at, self._context.clock())
             exchange.record_failed_attempt(
@@ -107,7 +124,10 @@
         return self._retry_if_repeatable()
 
     async def _call(
-        self, runner: runners.Runner, started_at: float
+        self,
+        runner: runners.Runner,
+        started_at: float,
+        sent: crash_reports_module.Attempt,
     ) -> callers.Reply | None:
         exchange = self._exchange
         connection = await upstream.connect_or_reuse(exchange, runner)
@@ -131,6 +151,7 @@
             with anyio.CancelScope(shield=True):
                 await response.connection.close()
             raise
+        sent.record_answer()
         now = self._context.clock()
         await upstream.keep_connection(
             self._context,
@@ -157,6 +178,7 @@
         reply = callers.Reply(head.status, head.reason, head.headers, body)
         if head.status < 500 and head.status not in NOT_RUN_STATUSES:
             runner.observe_success(seconds, self._context.clock())
+            self._crash_reports.observe_answer(self._exchange)
             self._exchange.record_served(runner.runner_id, head.status)
             return reply
         runner.observe_error()
@@ -175,6 +197,7 @@
         return timeouts.plain_attempt_s(exchange.remaining_s, attempts_left)
 
     def _retry_if_repeatable(self) -> callers.Reply | None:
+        self._crash_reports.check(self._exchange)
         if not self._exchange.route.repeatable:
             return self._final_reply()
         return self._retry()
@@ -192,6 +215,20 @@
             return self._final_reply()
         return None
 
+    def _quarantine_reply(self, refused: admission.Refused) -> callers.Reply:
+        """Return the reply to a request that crashes runners.
+
+        It states that the request did not run only if no runner had it.
+        """
+        exchange = self._exchange
+        if self._last_error_reply is not None:
+            return self._last_error_reply
+        if exchange.may_have_run:
+            return exchange.failure(refused.reason, 502)
+        return exchange.refusal(
+            refused.reason, refused.retry_after_s, refused.detail
+        )
+
     def _final_reply(self) -> callers.Reply:
         """Return the reply when no runner is tried any more."""
         exchange = self._exchange
--- a/primrosereel/gateway/_server.py
+++ b/primrosereel/gateway/_server.py
@@ -162,7 +162,8 @@
                 exchange, connection, self._crash_reports
             )
             return await handler.serve()
-        await connection.reply(await plain.PlainCall(exchange).serve())
+        call = plain.PlainCall(exchange, self._crash_reports)
+        await connection.reply(await call.serve())
         return True
 
     def _record_error(
--- a/tests/property/test_gateway_crashing_calls.py
+++ b/tests/property/test_gateway_crashing_calls.py
@@ -8,9 +8,12 @@
 import pytest
 
 from primrosereel.routing import _model as model
+from primrosereel.standin import _listed_runner as listed_runner
 from tests import gateway_fleet
 from tests.property import test_gateway_peers
 
+Fault = listed_runner.Fault
+
 STABLE_WINDOW_S = 0.5
 RUNNERS = 6
 # The platform's bound: how many requests under which three runners crashed
@@ -26,6 +29,8 @@
     'Model': 'm',
     'Deadline_Ms': 4000,
 }
+IDEMPOTENT = ('/read/', {})
+NON_IDEMPOTENT = ('/file/', {'method': 'POST', 'body': b'form'})
 WITHOUT_PARTS = ('/ask/', GENERATION)
 NOT_RESUMABLE = ('/once/', GENERATION)
 WITH_SHARED_PART = ('/ask/', GENERATION | {'Prompt_Prefix': 'system:9,own:9'})
@@ -69,6 +74,29 @@
     def crashes(self):
         return sum(r.crashes for r in self._fleet.runners.values())
 
+    @property
+    def log(self):
+        """The log of the first instance."""
+        return self._fleet.log
+
+    def client(self):
+        """Return a caller of the first instance."""
+        return self._fleet.client()
+
+    async def wait_for(self, condition):
+        await self._fleet.wait_for(condition)
+
+    def slow_down_runners(self, work_s):
+        """Have plain runners take this long; return them."""
+        plain = [
+            runner
+            for runner in self._fleet.runners.values()
+            if runner.options.stage is None
+        ]
+        for runner in plain:
+            runner.options.work_s = work_s
+        return plain
+
     async def ask(self, name):
         """Send a request; return the reply."""
         self._sent += 1
@@ -102,11 +130,13 @@
 @pytest.mark.parametrize(
     ('prefix', 'request_headers'),
     [
+        IDEMPOTENT,
+        NON_IDEMPOTENT,
         WITHOUT_PARTS,
         NOT_RESUMABLE,
         WITH_SHARED_PART,
     ],
-    ids=['generation', 'not_resumable', 'shared_part'],
+    ids=['idempotent', 'once', 'generation', 'not_resumable', 'shared_part'],
 )
 def test_request_that_crashes_runners_is_refused_and_others_are_served(
     prefix, request_headers
@@ -137,3 +167,84 @@
         assert arrivals <= MAX_REQUESTS_AFTER_CRASHES
 
     run(scenario, prefix, request_headers)
+
+
+def test_calls_that_live_runners_fail_are_not_blamed():
+    """Guards against calls that are refused for errors and lost connections.
+
+    Runners fail the same call with a 500 or a reset, and go on.
+    """
+
+    async def scenario(fleet):
+        for fault in (Fault.ERROR, Fault.RESET_AFTER_RUN) * 3:
+            for name in ('s1', 's2'):
+                fleet.runners[name].faults.append(fault)
+            reply = await fleet.ask('/read/1', 'r1')
+            assert reply.status >= 500
+            await anyio.sleep(PAUSE_S)
+        assert not fleet.log.named('request suspected of a crash')
+        assert (await fleet.ask('/read/1', 'r2')).status == 200
+
+    gateway_fleet.run_scenario(scenario)
+
+
+def test_calls_at_runners_that_leave_are_not_blamed():
+    """Guards against a call that is refused after a planned stop.
+
+    Each runner says that it leaves, and ends while it still has the call.
+    """
+
+    async def scenario(fleet):
+        for name in ('s1', 's2'):
+            fleet.runners[name].options.work_s = 0.5
+            fleet.runners[name].options.restart_s = 10.0
+        for _ in range(2):
+            async with fleet.client() as client:
+                await client.send('/file/1', 'r1', 'POST')
+                await fleet.wait_for(lambda: bool(running(fleet)))
+                (runner,) = running(fleet)
+                fleet.list_runner(runner.options.runner, 'draining')
+                await fleet.wait_for(
+                    lambda runner=runner: (
+                        fleet.gateway._context.runners.get(
+                            runner.options.runner
+                        ).availability.said_leaving
+                    )
+                )
+                runner.server.crash(10.0)
+                assert (await client.receive()).status == 502
+                runner.requests.clear()
+        assert len(fleet.log.named('attempt failed')) == 2
+        assert not fleet.log.named('request suspected of a crash')
+
+    def running(fleet):
+        plain = (fleet.runners[name] for name in ('s1', 's2'))
+        return [r for r in plain if r.requests]
+
+    gateway_fleet.run_scenario(scenario)
+
+
+def test_call_that_waits_at_a_runner_is_taken_back_when_it_is_refused():
+    """Guards against a deadly call that crashes a runner when its turn comes.
+
+    It was sent before the call was known to crash runners.
+    """
+
+    async def scenario(site):
+        slow = site.slow_down_runners(2.0)
+        async with site.client() as client:
+            await client.send('/read/deadly', 'early')
+            await site.wait_for(lambda: any(r.requests for r in slow))
+            site.slow_down_runners(0.01)
+            # This instance uses other runners, as it knows that one is in use.
+            async with site.client() as other:
+                await other.ask('/read/deadly', 'late')
+            before = site.crashes
+            reply = await client.receive()
+        assert reply.status == 502
+        (taken_back,) = site.log.named('request taken back')
+        assert taken_back['request'] == 'early'
+        await anyio.sleep(2.0)
+        assert site.crashes == before
+
+    run(scenario, *IDEMPOTENT)
