Count crashes of prefill runners as evidence, too

What callers saw: a prompt that crashes runners took a prefill runner with each arrival, as well as the decode runner whose crash was counted.

Cause: a connection lost in a prefill was not looked into.

Evidence: test_crash_of_a_prefill_runner_counts_as_well failed before: 'assert 2 == 1' (crashes of the prefill runner).

An answer of a decode runner still clears the prompt, so one that crashes prefill runners only is not quarantined.

--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -66,7 +66,7 @@
             exchange, caller, crash_reports
         )
         self._place = held_place.HeldPlace(exchange)
-        self._prompt = prompt_module.Prompt(exchange)
+        self._prompt = prompt_module.Prompt(exchange, crash_reports)
         self._rejections = rejections.Rejections(
             exchange, self._place, self._prompt
         )
--- a/primrosereel/gateway/_prompt.py
+++ b/primrosereel/gateway/_prompt.py
@@ -6,6 +6,7 @@
 
 from primrosereel import _states as states
 from primrosereel.gateway import _context as context_module
+from primrosereel.gateway import _crash_reports as crash_reports_module
 from primrosereel.gateway import _http as http
 from primrosereel.gateway import _runner_signs as runner_signs
 from primrosereel.gateway import _upstream as upstream
@@ -41,9 +42,14 @@
 class Prompt:
     """The prefill of one request and the KV cache handle that it returned."""
 
-    def __init__(self, exchange: context_module.Exchange) -> None:
+    def __init__(
+        self,
+        exchange: context_module.Exchange,
+        crash_reports: crash_reports_module.CrashReports,
+    ) -> None:
         self._exchange = exchange
         self._context = exchange.context
+        self._crash_reports = crash_reports
         self._handle: Handle | None = None
         self._handle_invalid = False
 
@@ -93,6 +99,9 @@
             return self._handle_rejection(runner, error)
         except http.BrokenResponse as error:
             self._record_failure(runner, Retry.PREFILL_FAILED, str(error))
+            await self._crash_reports.observe_lost_request(
+                exchange, runner, now
+            )
         except TimeoutError:
             runner.observe_silence(now, self._context.clock())
             exchange.record_failed_attempt(
--- a/primrosereel/standin/_listed_runner.py
+++ b/primrosereel/standin/_listed_runner.py
@@ -79,8 +79,9 @@
     A stream has ``events`` events, one every ``event_s``. ``work_s`` is the
     duration of a prefill or a plain call, ``copy_s`` that of a copy. A decode
     runner crashes when it begins a stream whose prompt has ``deadly_part``, a
-    decode or plain one when it begins a request for ``deadly_target``; it is
-    back ``restart_s`` later. ``retry_after`` is the text of the header
+    decode or plain one when it begins a request for ``deadly_target``, a
+    prefill runner at the end of a prefill for ``deadly_prefill``; it is back
+    ``restart_s`` later. ``retry_after`` is the text of the header
     ``Retry-After`` in refusals of the fault ``BACK_OFF``.
     """
 
@@ -94,6 +95,7 @@
     slots: int = 8
     deadly_part: str | None = None
     deadly_target: str | None = None
+    deadly_prefill: str | None = None
     restart_s: float = 0.3
     retry_after: str = '1'
     pause_s: float = 1.2
@@ -246,6 +248,9 @@
         if self.options.stage != 'prefill':
             return raw_http.Answer(421)
         await anyio.sleep(self.options.work_s)
+        if request.target == self.options.deadly_prefill:
+            self._crash()
+            raise raw_http.Silence
         request_id = request.headers['request-id']
         self.prefills[request_id] += 1
         handle = f'h{len(self.prefills)}'
--- a/tests/property/test_gateway_crashing_calls.py
+++ b/tests/property/test_gateway_crashing_calls.py
@@ -74,6 +74,11 @@
     def crashes(self):
         return sum(r.crashes for r in self._fleet.runners.values())
 
+    @property
+    def runners(self):
+        """All runners by name."""
+        return self._fleet.runners
+
     @property
     def log(self):
         """The log of the first instance."""
@@ -169,6 +174,24 @@
     run(scenario, prefix, request_headers)
 
 
+def test_crash_of_a_prefill_runner_counts_as_well():
+    """Guards against a prompt that takes a prefill runner with each arrival.
+
+    It crashes the decode runner after it, and only that crash was counted.
+    """
+
+    async def scenario(site):
+        prefill = site.runners['p1']
+        prefill.options.deadly_prefill = '/once/deadly'
+        for _ in range(CRASHES):
+            await site.ask_deadly()
+            await anyio.sleep(prefill.options.restart_s + PAUSE_S)
+        assert prefill.crashes == 1
+        assert site.crashes <= CRASHES
+
+    run(scenario, *NOT_RESUMABLE)
+
+
 def test_calls_that_live_runners_fail_are_not_blamed():
     """Guards against calls that are refused for errors and lost connections.
 
