--- a/primrosereel/gateway/_event_stream.py
+++ b/primrosereel/gateway/_event_stream.py
@@ -12,8 +12,8 @@
 from primrosereel.gateway import _http as http
 from primrosereel.gateway import _upstream as upstream
 from primrosereel.routing import _events as events
-from primrosereel.routing import _prompt_quarantine as prompt_quarantine
 from primrosereel.routing import _timeouts as timeouts
+from primrosereel.routing import blame
 
 __all__ = ['EventStream']
 
@@ -117,7 +117,7 @@
             self._events_received += sent
             # Bytes that complete no event do not extend the limit.
             late_at = clock() + self._event_limit_s()
-            if self._events_received >= prompt_quarantine.PROVEN_EVENTS:
+            if self._events_received >= blame.PROVEN_EVENTS:
                 self._record_answer()
 
     def check_complete(self) -> None:
