Leave out the parts of a datagram with numbers out of range

The numbers of a datagram were taken as they came. The age of a member, or of an answer to a prompt, of 2^64 - 1 ms was told on with the next gossip as a number that cannot be encoded: the exchange with all peers failed and was started again. An age of -2^63 ms made a member that is never forgotten.

Each number of a datagram now has its range. A part outside of it, such as one runner's use, is left out and counted as peers.parts_unreadable; the rest of the datagram counts. What the sender derives from its clock or from sums is limited to the same ranges.

--- a/primrosereel/_numbers.py
+++ b/primrosereel/_numbers.py
@@ -18,6 +18,7 @@
     'MAX_DURATION_MS',
     'MAX_TOKENS',
     'MAX_WHOLE',
+    'AgeMs',
     'Attempts',
     'Bytes',
     'DurationMs',
@@ -25,13 +26,17 @@
     'HeadBytes',
     'PositiveMs',
     'Priority',
+    'QueueRank',
     'Rate',
     'Revision',
+    'Room',
     'Slots',
     'Tokens',
     'UnixMs',
     'Weight',
     'Whole',
+    'age_ms',
+    'whole',
 ]
 
 # Whole numbers up to here have an exact floating-point value, and sums of a
@@ -55,12 +60,27 @@
 UnixMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_UNIX_MS)]
 DurationMs = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_MS)]
 DurationS = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_S)]
+AgeMs = Annotated[int, msgspec.Meta(ge=0, le=int(MAX_DURATION_MS))]
 PositiveMs = Annotated[float, msgspec.Meta(gt=0, le=MAX_DURATION_MS)]
 Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 Tokens = Annotated[int, msgspec.Meta(ge=0, le=MAX_TOKENS)]
+# Free tokens; negative if more is in use than there is.
+Room = Annotated[int, msgspec.Meta(ge=-MAX_WHOLE, le=MAX_WHOLE)]
 Bytes = Annotated[int, msgspec.Meta(ge=0, le=MAX_BYTES)]
 HeadBytes = Annotated[int, msgspec.Meta(ge=1, le=MAX_BYTES)]
 Attempts = Annotated[int, msgspec.Meta(ge=1, le=MAX_ATTEMPTS)]
 Priority = Annotated[int, msgspec.Meta(ge=0, le=MAX_PRIORITY)]
+# A prompt that was prefilled ranks before all priorities.
+QueueRank = Annotated[int, msgspec.Meta(ge=-1, le=MAX_PRIORITY)]
 Weight = Annotated[float, msgspec.Meta(ge=0, le=MAX_WEIGHT)]
 Rate = Annotated[float, msgspec.Meta(ge=0, le=MAX_RATE)]
+
+
+def whole(value: float) -> int:
+    """Return the nearest number that decodes as ``Whole``."""
+    return round(min(max(value, 0), MAX_WHOLE))
+
+
+def age_ms(seconds: float) -> int:
+    """Return an age that decodes as ``AgeMs``, with milliseconds cut off."""
+    return int(min(max(1000 * seconds, 0.0), MAX_DURATION_MS))
--- a/primrosereel/gateway/_peer_datagram.py
+++ b/primrosereel/gateway/_peer_datagram.py
@@ -1,14 +1,19 @@
 """The datagram that gateways exchange, and its conversions.
 
-A field that is added goes last and has a default, so that programs of two
-versions understand each other.
+Numbers have ranges, so that what is told on can be encoded again. A part
+outside of them is left out, and the rest of the datagram counts. A field
+that is added goes last and has a default, so that programs of two versions
+understand each other.
 """
 
 import math
+import typing
+from typing import Any
 
 import msgspec
 
 from primrosereel import _ids as ids
+from primrosereel import _numbers as numbers
 from primrosereel.gateway import _runner_notices as runner_notices
 from primrosereel.routing import _demand as demand
 from primrosereel.routing import _ledger as ledger_module
@@ -18,6 +23,7 @@
 __all__ = [
     'DATAGRAM_VERSION',
     'Datagram',
+    'DatagramDecoder',
     'Suspect',
     'decode_evidence',
     'decode_notice',
@@ -27,18 +33,19 @@
 ]
 
 DATAGRAM_VERSION = 3
+AGE_UNIT_S = 0.001
 
 
 class StoreNotice(msgspec.Struct, array_like=True):
     """What the sender knows of the store; ages are in ms."""
 
-    revision: int
-    age_ms: int
-    unchanged_since: int
+    revision: numbers.Revision
+    age_ms: numbers.AgeMs
+    unchanged_since: numbers.Revision
     change_known: bool = False
-    since: int = 0
+    since: numbers.Revision = 0
     content: bytes = b''
-    era: int | None = None
+    era: numbers.Revision | None = None
 
 
 class Suspect(msgspec.Struct, array_like=True):
@@ -46,8 +53,8 @@
 
     part: str
     # Runner, start of its run in Unix ms, and age of the crash in ms.
-    crashes: list[tuple[str, int, int]]
-    answered_age_ms: int | None
+    crashes: list[tuple[str, numbers.UnixMs, numbers.AgeMs]]
+    answered_age_ms: numbers.AgeMs | None
 
 
 class Datagram(msgspec.Struct, array_like=True):
@@ -56,30 +63,100 @@
     version: int
     instance: str
     availability_zone: str
-    incarnation: int
-    sequence: int
+    incarnation: numbers.Whole
+    sequence: numbers.Whole
     # Runner, requests, KV cache tokens, and tokens of prompts that a decode
     # runner prefills itself.
-    uses: list[tuple[str, int, int, int]]
-    waiting_tokens: int
+    uses: list[tuple[str, numbers.Whole, numbers.Whole, numbers.Whole]]
+    waiting_tokens: numbers.Whole
     # Service, late, priority and age in ms of the first request that waits
     # for each service.
-    heads: list[tuple[str, bool, int, int]]
+    heads: list[tuple[str, bool, numbers.QueueRank, numbers.AgeMs]]
     leaving: bool = False
     # By zone, some members' hosts and how long ago in ms each was heard from.
-    members: dict[str, list[tuple[str, int]]] = {}
+    members: dict[str, list[tuple[str, numbers.AgeMs]]] = {}
     # Runners of the sender's shard and their free memory in tokens.
-    rooms: list[tuple[str, int]] = []
+    rooms: list[tuple[str, numbers.Room]] = []
     # Service, prompt tokens that arrive each second, and KV cache tokens that
     # its streams would take.
-    demands: list[tuple[str, int, int]] = []
+    demands: list[tuple[str, numbers.Whole, numbers.Whole]] = []
     store: StoreNotice | None = None
     suspects: list[Suspect] = []
     # The version in force, 0 without one.
-    configuration_version: int = 0
+    configuration_version: numbers.Whole = 0
     runners: list[runner_notices.RunnerNotice] = []
     # For how long in ms the sender has had the store without interruption.
-    store_in_touch_ms: int | None = None
+    store_in_touch_ms: numbers.AgeMs | None = None
+
+
+class DatagramDecoder:
+    """Decodes datagrams, without the parts that cannot be used.
+
+    Example::
+
+        datagram, left_out = decoder.decode(data)
+        if left_out:
+            count('peers.parts_unreadable')
+    """
+
+    def __init__(self) -> None:
+        self._decoder = msgspec.msgpack.Decoder(Datagram)
+
+    def decode(self, data: bytes) -> tuple[Datagram, int]:
+        """Return the datagram and the number of parts that were left out.
+
+        Raises DecodeError, or RecursionError for deep nesting, if the rest
+        is no datagram.
+        """
+        try:
+            return self._decoder.decode(data), 0
+        except msgspec.ValidationError:
+            return _decode_parts(data)
+
+
+def _decode_parts(data: bytes) -> tuple[Datagram, int]:
+    values = msgspec.msgpack.decode(data, type=list[Any])
+    fields = msgspec.structs.fields(Datagram)
+    usable: dict[str, Any] = {}
+    left_out = 0
+    for field, value in zip(fields, values, strict=False):
+        part, left_out_of_it = _usable_part(value, field.type)
+        left_out += left_out_of_it
+        if part is not msgspec.NODEFAULT:
+            usable[field.name] = part
+        elif field.required:
+            raise msgspec.ValidationError(f'{field.name} cannot be used')
+    if any(field.required and field.name not in usable for field in fields):
+        raise msgspec.ValidationError('the datagram is too short')
+    return Datagram(**usable), left_out
+
+
+def _usable_part(value: Any, part_type: Any) -> tuple[Any, int]:
+    """Return a field without the items that cannot be used, and their number.
+
+    The field is NODEFAULT if it cannot be divided into items.
+    """
+    try:
+        return msgspec.convert(value, part_type), 0
+    except msgspec.ValidationError:
+        item_types = typing.get_args(part_type)
+    if isinstance(value, list) and typing.get_origin(part_type) is list:
+        items = [_usable_part(item, item_types[0])[0] for item in value]
+        kept = [item for item in items if item is not msgspec.NODEFAULT]
+        return kept, len(items) - len(kept)
+    if isinstance(value, dict) and typing.get_origin(part_type) is dict:
+        parts = {
+            key: _usable_part(inner, item_types[1])
+            for key, inner in value.items()
+            if isinstance(key, str)
+        }
+        kept_parts = {
+            key: part
+            for key, (part, _) in parts.items()
+            if part is not msgspec.NODEFAULT
+        }
+        return kept_parts, max(1, sum(count for _, count in parts.values()))
+    return msgspec.NODEFAULT, 1
 
 
 def encode_notice(
@@ -90,7 +167,8 @@
         return None
     return StoreNotice(
         notice.revision,
-        math.ceil(1000 * (now - notice.confirmed_at)),
+        # Peers poll later if they take what is told for newer than it is.
+        numbers.age_ms(now - notice.confirmed_at + AGE_UNIT_S),
         notice.unchanged_since,
         notice.change_known,
         notice.since,
@@ -103,8 +181,7 @@
     """Decode what a peer knows of the store."""
     return shared_watch.Notice(
         notice.revision,
-        # A negative age would keep this instance from polling.
-        now - max(0, notice.age_ms) / 1000,
+        now - notice.age_ms / 1000,
         notice.unchanged_since,
         notice.change_known,
         notice.since,
@@ -118,12 +195,12 @@
 ) -> Suspect:
     """Encode the evidence about one prompt part."""
     crashes = [
-        (str(crash.runner), crash.born_ms, int(1000 * (now - at)))
+        (str(crash.runner), crash.born_ms, numbers.age_ms(now - at))
         for crash, at in evidence.crashed_at.items()
     ]
     answered_age_ms = None
     if evidence.answered_at > -math.inf:
-        answered_age_ms = int(1000 * (now - evidence.answered_at))
+        answered_age_ms = numbers.age_ms(now - evidence.answered_at)
     return Suspect(evidence.part, crashes, answered_age_ms)
 
 
@@ -133,13 +210,12 @@
     """Decode a peer's evidence about one prompt part."""
     answered_at = -math.inf
     if suspect.answered_age_ms is not None:
-        answered_at = now - max(0, suspect.answered_age_ms) / 1000
+        answered_at = now - suspect.answered_age_ms / 1000
     return prompt_quarantine.PartEvidence(
         ids.PromptPartId(suspect.part),
         {
-            # A negative age would keep the part quarantined for too long.
             prompt_quarantine.Crash(ids.RunnerId(runner), born_ms): now
-            - max(0, age_ms) / 1000
+            - age_ms / 1000
             for runner, born_ms, age_ms in suspect.crashes
         },
         answered_at,
--- a/primrosereel/gateway/_peers.py
+++ b/primrosereel/gateway/_peers.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from primrosereel import _ids as ids
+from primrosereel import _numbers as numbers
 from primrosereel import _states as states
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _crash_reports as crash_reports_module
@@ -84,7 +85,7 @@
         # Zones of other shards that are sent updates, and until when.
         self._other_zones_until: dict[ids.AvailabilityZone, float] = {}
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(peer_datagram.Datagram)
+        self._decoder = peer_datagram.DatagramDecoder()
 
     def notify_uses_changed(self) -> None:
         """Schedule a datagram: this instance's use of the engines changed."""
@@ -268,7 +269,7 @@
         random = self._context.random
         for host in self._members.sample(GOSSIP_MEMBERS, random):
             member = self._members[host]
-            age_ms = int(1000 * max(0.0, now - member.last_seen))
+            age_ms = numbers.age_ms(now - member.last_seen)
             hosts = sample.setdefault(member.availability_zone, [])
             hosts.append((host, age_ms))
         return sample
@@ -302,7 +303,7 @@
                         head.service,
                         head.late,
                         head.priority,
-                        int(1000 * head.age_s),
+                        numbers.age_ms(head.age_s),
                     )
                     for head in context.places.queue_heads(context.clock())
                 ],
@@ -344,17 +345,23 @@
             context.places.stream_s, context.clock()
         )
         return [
-            (service, round(d.prompt_tokens_per_s), round(d.kv_tokens))
+            (
+                service,
+                numbers.whole(d.prompt_tokens_per_s),
+                numbers.whole(d.kv_tokens),
+            )
             for service, d in demands.items()
         ]
 
     async def _receive(self, socket: anyio.abc.UDPSocket) -> None:
         async for data, (host, _) in socket:
             try:
-                datagram = self._decoder.decode(data)
+                datagram, left_out = self._decoder.decode(data)
             except (msgspec.DecodeError, RecursionError):
                 self._context.count('peers.unreadable')
                 continue
+            if left_out:
+                self._context.count('peers.parts_unreadable')
             if datagram.version == peer_datagram.DATAGRAM_VERSION:
                 self._apply_datagram(host, datagram)
 
@@ -406,7 +413,7 @@
         if datagram.store_in_touch_ms is not None:
             self._reader.peer_in_touch(
                 ids.InstanceId(datagram.instance),
-                now - max(0, datagram.store_in_touch_ms) / 1000,
+                now - datagram.store_in_touch_ms / 1000,
             )
         notices, unknown = runner_notices.decode(datagram.runners)
         for notice in notices:
--- a/primrosereel/gateway/_runner_notices.py
+++ b/primrosereel/gateway/_runner_notices.py
@@ -9,6 +9,7 @@
 import math
 
 from primrosereel import _ids as ids
+from primrosereel import _numbers as numbers
 from primrosereel.routing import _availability as availability
 
 __all__ = ['RunnerNotice', 'Scope', 'decode', 'encode', 'in_touch_ms']
@@ -18,7 +19,7 @@
 
 # Runner, start of its run in Unix ms, its availability, the age of what is
 # known and the rest of its back-off, both in ms.
-RunnerNotice = tuple[str, int, str, int, int]
+RunnerNotice = tuple[str, numbers.UnixMs, str, numbers.AgeMs, numbers.AgeMs]
 
 
 class Scope(enum.Enum):
@@ -40,8 +41,8 @@
             notice.runner,
             notice.born_ms,
             notice.availability.value,
-            int(1000 * min(notice.age_s, 1e6)),
-            int(1000 * notice.remaining_s),
+            numbers.age_ms(notice.age_s),
+            numbers.age_ms(notice.remaining_s),
         )
         for notice in table.notices(now)
         if scope is Scope.ALL
@@ -80,4 +81,4 @@
 
 def in_touch_ms(since: float, now: float) -> int | None:
     """Return for how long the sender has had the store; None without it."""
-    return int(1000 * (now - since)) if math.isfinite(since) else None
+    return numbers.age_ms(now - since) if math.isfinite(since) else None
