Tell peers of free memory when its size is not known

In a fleet that is divided into shards, an engine without kvCacheTokens in the configuration has unlimited memory, and gossip failed on it: the exchange with peers ended and was started again each second. test_engine_without_a_known_memory_does_not_end_the_exchange failed before with OverflowError: cannot convert float infinity to integer Such memory is now told as the largest number that a datagram may hold.

--- a/primrosereel/routing/_decode_places.py
+++ b/primrosereel/routing/_decode_places.py
@@ -18,6 +18,7 @@
 import random as random_module
 
 from primrosereel import _ids as ids
+from primrosereel import _numbers as numbers
 from primrosereel import _states as states
 from primrosereel.routing import _demand as demand
 from primrosereel.routing import _ledger as ledger_module
@@ -265,12 +266,16 @@
     def free_memory(self, now: float) -> list[tuple[ids.RunnerId, int]]:
         """Return the free memory of the shard's decode runners, most first.
 
-        Suspect, full and missing runners are left out.
+        Suspect, full and missing runners are left out. Memory of unknown
+        size counts as the largest number that can be told to peers.
         """
         free = [
             (
                 runner.runner_id,
-                int(self._capacity(runner) - self._use(runner, now).tokens),
+                int(
+                    min(self._capacity(runner), numbers.MAX_WHOLE)
+                    - self._use(runner, now).tokens
+                ),
             )
             for service in self._engines
             for runner in self._table.ready(service, states.Role.DECODE, now)
