Read numbers of headers as plain decimals within a range

Python's float() and int() accepted `1_0`, `+5` and `-0` as a deadline, the id of a last event or a token count. A token count went up to 10^15: one caller's request was told to peers as more load than the whole fleet could bear. A load report of 10^14 requests counted as it came, and a prefill of a negative number of tokens as done. An event id with a fraction, `2.7`, was taken for 2, so that a stream resumed after another event than the caller's.

A value that is not valid is ignored, as it was before.

--- a/primrosereel/_numbers.py
+++ b/primrosereel/_numbers.py
@@ -10,12 +10,14 @@
     msgspec.json.decode(b'{"at": -1}', type=Page)  # raises ValidationError
 """
 
+import re
 from typing import Annotated
 
 import msgspec
 
 __all__ = [
     'MAX_DURATION_MS',
+    'MAX_LOAD',
     'MAX_TOKENS',
     'MAX_WHOLE',
     'AgeMs',
@@ -36,6 +38,8 @@
     'Weight',
     'Whole',
     'age_ms',
+    'parse_decimal',
+    'parse_whole',
     'whole',
 ]
 
@@ -48,6 +52,8 @@
 MAX_DURATION_MS = 1e12
 MAX_DURATION_S = 1e9
 MAX_SLOTS = 1_000_000
+# Requests at one runner, and its slowness in percent.
+MAX_LOAD = 1_000_000
 MAX_TOKENS = 1_000_000_000
 MAX_BYTES = 2**40
 MAX_ATTEMPTS = 1_000_000
@@ -55,6 +61,10 @@
 MAX_WEIGHT = 1e9
 MAX_RATE = 1e15
 
+# As headers have them: ``float`` accepts signs, underscores and ``nan`` too.
+DECIMAL = re.compile(rb'[0-9]{1,15}(\.[0-9]{1,15})?')
+DIGITS = re.compile(rb'[0-9]{1,16}')
+
 Whole = Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE)]
 Revision = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 UnixMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_UNIX_MS)]
@@ -84,3 +94,21 @@
 def age_ms(seconds: float) -> int:
     """Return an age that decodes as ``AgeMs``, with milliseconds cut off."""
     return int(min(max(1000 * seconds, 0.0), MAX_DURATION_MS))
+
+
+def parse_decimal(text: bytes, most: float) -> float | None:
+    """Return a number of decimal digits from 0 to ``most``, else None."""
+    stripped = text.strip()
+    if DECIMAL.fullmatch(stripped) is None:
+        return None
+    number = float(stripped)
+    return number if number <= most else None
+
+
+def parse_whole(text: bytes, most: int = MAX_WHOLE) -> int | None:
+    """Return a whole number of digits from 0 to ``most``, else None."""
+    stripped = text.strip()
+    if DIGITS.fullmatch(stripped) is None:
+        return None
+    number = int(stripped)
+    return number if number <= most else None
--- a/primrosereel/platform/_dialect.py
+++ b/primrosereel/platform/_dialect.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from primrosereel import _ids as ids
+from primrosereel import _numbers as numbers
 from primrosereel import _states as states
 from primrosereel.routing import _model as model
 
@@ -64,7 +65,7 @@
 
 class _PrefillBody(msgspec.Struct, rename='camel'):
     kv_handle: str
-    tokens: int
+    tokens: numbers.Tokens
 
 
 class _MoveBody(msgspec.Struct, rename='camel'):
@@ -82,17 +83,17 @@
     def request_facts(self, headers: Headers) -> model.RequestFacts:
         """Decode a caller's headers; values that are not valid are ignored."""
         values = {name.lower(): value for name, value in headers}
-        deadline_ms = _parse_number(values.get(DEADLINE_MS))
+        deadline_ms = numbers.parse_decimal(
+            values.get(DEADLINE_MS, b''), numbers.MAX_DURATION_MS
+        )
         prompt, output = _parse_token_counts(values.get(TOKEN_USAGE, b''))
-        hint = _parse_number(values.get(LENGTH_HINT))
-        event_id = _parse_number(values.get(LAST_EVENT_ID))
         return model.RequestFacts(
             request_id=values.get(REQUEST_ID, b'').decode('latin-1'),
             deadline_s=None if deadline_ms is None else deadline_ms / 1000,
             prompt_tokens=prompt,
             output_tokens=output,
-            last_event_id=None if event_id is None else int(event_id),
-            length_hint=None if hint is None else int(hint),
+            last_event_id=numbers.parse_whole(values.get(LAST_EVENT_ID, b'')),
+            length_hint=_parse_tokens(values.get(LENGTH_HINT, b'')),
             shared_parts=_parse_shared_parts(values.get(PROMPT_PREFIX, b'')),
         )
 
@@ -275,28 +276,22 @@
     return value.decode('latin-1')
 
 
-def _parse_number(value: bytes | None) -> float | None:
-    """Return a number that is not negative and below 1e15, or None."""
-    if value is None or len(value) > 16:
-        return None
-    try:
-        number = float(value)
-    except ValueError:
-        return None
-    return number if 0 <= number < 1e15 else None
+def _parse_tokens(value: bytes) -> int | None:
+    number = numbers.parse_decimal(value, numbers.MAX_TOKENS)
+    return None if number is None else int(number)
 
 
 def _parse_token_counts(value: bytes) -> tuple[int, int]:
     """Return the token counts of prompt and output, or their defaults."""
     prompt, _, output = value.partition(b',')
-    prompt_tokens, output_tokens = _parse_number(prompt), _parse_number(output)
+    prompt_tokens, output_tokens = _parse_tokens(prompt), _parse_tokens(output)
     return (
         model.DEFAULT_PROMPT_TOKENS
         if prompt_tokens is None
-        else int(prompt_tokens),
+        else prompt_tokens,
         model.DEFAULT_OUTPUT_TOKENS
         if output_tokens is None
-        else int(output_tokens),
+        else output_tokens,
     )
 
 
@@ -320,9 +315,12 @@
     """
     if value is None:
         return None
-    numbers = [_parse_number(part.strip()) for part in value.split(b',')]
-    if len(numbers) < 3 or any(n is None for n in numbers[:4]):
+    parts = [
+        numbers.parse_decimal(part, numbers.MAX_LOAD)
+        for part in value.split(b',')
+    ]
+    if len(parts) < 3 or any(part is None for part in parts[:4]):
         return None
-    running, waiting, slots = (int(n or 0) for n in numbers[:3])
-    percent = numbers[3] if len(numbers) > 3 else 100.0
+    running, waiting, slots = (int(part or 0) for part in parts[:3])
+    percent = parts[3] if len(parts) > 3 else 100.0
     return model.LoadReport(running, waiting, slots, (percent or 100.0) / 100)
--- a/primrosereel/routing/_events.py
+++ b/primrosereel/routing/_events.py
@@ -6,6 +6,8 @@
 
 import dataclasses
 
+from primrosereel import _numbers as numbers
+
 __all__ = ['EventSplitter', 'StreamProgress', 'SequenceError']
 
 ID_FIELD = b'id:'
@@ -86,8 +88,5 @@
     """Return the id of an event; None without a numeric id."""
     for line in event.splitlines():
         if line.startswith(ID_FIELD):
-            try:
-                return int(line[len(ID_FIELD) :])
-            except ValueError:
-                return None
+            return numbers.parse_whole(line[len(ID_FIELD) :])
     return None
