Refuse settings with a number out of its range

A port of 65536 or 0, a negative memory, no file descriptors or a grace of 1e300 s were accepted, and a process failed when it first used them.

--- a/primrosereel/_numbers.py
+++ b/primrosereel/_numbers.py
@@ -25,7 +25,10 @@
     'Bytes',
     'DurationMs',
     'DurationS',
+    'FileDescriptors',
     'HeadBytes',
+    'MemoryMb',
+    'Port',
     'PositiveMs',
     'Priority',
     'QueueRank',
@@ -56,6 +59,7 @@
 MAX_LOAD = 1_000_000
 MAX_TOKENS = 1_000_000_000
 MAX_BYTES = 2**40
+MAX_PORT = 65535
 MAX_ATTEMPTS = 1_000_000
 MAX_PRIORITY = 1_000_000
 MAX_WEIGHT = 1e9
@@ -78,6 +82,9 @@
 Room = Annotated[int, msgspec.Meta(ge=-MAX_WHOLE, le=MAX_WHOLE)]
 Bytes = Annotated[int, msgspec.Meta(ge=0, le=MAX_BYTES)]
 HeadBytes = Annotated[int, msgspec.Meta(ge=1, le=MAX_BYTES)]
+MemoryMb = Annotated[float, msgspec.Meta(gt=0, le=MAX_BYTES)]
+FileDescriptors = Annotated[int, msgspec.Meta(ge=1, le=MAX_BYTES)]
+Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
 Attempts = Annotated[int, msgspec.Meta(ge=1, le=MAX_ATTEMPTS)]
 Priority = Annotated[int, msgspec.Meta(ge=0, le=MAX_PRIORITY)]
 # A prompt that was prefilled ranks before all priorities.
--- a/primrosereel/platform/_settings.py
+++ b/primrosereel/platform/_settings.py
@@ -1,6 +1,5 @@
 """Reads the TOML settings file that the platform puts on each machine."""
 
-import math
 import os
 import pathlib
 import re
@@ -10,6 +9,7 @@
 from returns import result
 
 from primrosereel import _ids as ids
+from primrosereel import _numbers as numbers
 from primrosereel.gateway import _settings as settings
 from primrosereel.routing import _model as model
 
@@ -33,27 +33,27 @@
 
 
 class _Limits(msgspec.Struct, rename='camel'):
-    memory_mb: float = 128
-    file_descriptors: int = 1024
+    memory_mb: numbers.MemoryMb = 128
+    file_descriptors: numbers.FileDescriptors = 1024
 
 
 class _Bounds(msgspec.Struct, rename='camel'):
     """Time limits and retry budget; each field has a default."""
 
-    drain_ms: float = 2000
-    grace_s: float = 8
-    config_apply_ms: float = 2000
-    retry_budget_ratio: float = 0.2
-    budget_window_s: float = 10
-    retry_budget_slack: float = 50
-    reuse_after_s: float = 2
-    lease_ms: float = 3000
-    stable_window_ms: float = 3000
+    drain_ms: numbers.DurationMs = 2000
+    grace_s: numbers.DurationS = 8
+    config_apply_ms: numbers.DurationMs = 2000
+    retry_budget_ratio: numbers.Weight = 0.2
+    budget_window_s: numbers.DurationS = 10
+    retry_budget_slack: numbers.Weight = 50
+    reuse_after_s: numbers.DurationS = 2
+    lease_ms: numbers.DurationMs = 3000
+    stable_window_ms: numbers.DurationMs = 3000
 
 
 class _Platform(msgspec.Struct, rename='camel'):
     address: str
-    history_s: float = 20
+    history_s: numbers.DurationS = 20
 
 
 class _File(msgspec.Struct, rename='camel'):
@@ -64,7 +64,7 @@
     region: str = ''
     ip: str = ''
     seeds: list[str] = []
-    internal_port_range: list[int] = []
+    internal_port_range: list[numbers.Port] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
@@ -90,7 +90,6 @@
 
 def _to_gateway_settings(file: _File) -> settings.GatewaySettings:
     bounds = file.bounds
-    _check_bounds(bounds)
     return settings.GatewaySettings(
         instance=ids.InstanceId(file.node_name),
         availability_zone=ids.AvailabilityZone(file.zone),
@@ -112,13 +111,6 @@
     )
 
 
-def _check_bounds(bounds: _Bounds) -> None:
-    """Raise ValueError for a bound that is negative or not finite."""
-    for name, value in msgspec.to_builtins(bounds).items():
-        if not 0 <= value < math.inf:
-            raise ValueError(f'bounds.{name}: {value} is not from 0 on')
-
-
 def _peer_address(file: _File) -> model.Address | None:
     """Return the address for peers, on the first port of the internal range.
 
--- a/tests/property/test_gateway_settings.py
+++ b/tests/property/test_gateway_settings.py
@@ -42,3 +42,36 @@
     assert gateway._settings.store == old.store
     line = fleet.log.named('settings need a new process')[0]
     assert 'store' in line['kept']
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'named'),
+    [
+        (b'[7000, 7015]', b'[0, 7015]', 'internalPortRange'),
+        (b'[7000, 7015]', b'[65536, 7015]', 'internalPortRange'),
+        (b'[7000, 7015]', b'[-1, 7015]', 'internalPortRange'),
+        (b'graceS = 6', b'graceS = 1e300', 'graceS'),
+        (b'graceS = 6', b'retryBudgetSlack = 1e300', 'retryBudgetSlack'),
+        (b'[bounds]', b'[limits]\nmemoryMb = -1\n[bounds]', 'memoryMb'),
+        (b'[bounds]', b'[limits]\nmemoryMb = nan\n[bounds]', 'memoryMb'),
+        (
+            b'[bounds]',
+            b'[limits]\nfileDescriptors = 0\n[bounds]',
+            'fileDescriptors',
+        ),
+        (
+            b'[bounds]',
+            b'[limits]\nfileDescriptors = 1' + b'0' * 30 + b'\n[bounds]',
+            'fileDescriptors',
+        ),
+        (b'address = "127.0.0.1:1003"', b'address = "127.0.0.1: 3"', 'PORT'),
+    ],
+)
+def test_numbers_out_of_range_are_refused(old, new, named):
+    """Guards against a process that stops at its first use of a setting."""
+    assert old in test_fuzz_platform.SETTINGS
+    parsed = platform.read_settings(
+        test_fuzz_platform.SETTINGS.replace(old, new)
+    )
+    assert not pipeline.is_successful(parsed)
+    assert named in parsed.failure()
