Try runners that refuse connections with one connect at a time

When the runners of a small service crashed, each request of an instance connected to each of them again, was refused with Retry-After 0.25 s whatever the outage, and its caller came back as often as it could.

A runner that refuses a connect is now down until a trial succeeds, it answers, or another run registers at its address. One connect tries it for calls, places, prefills, moves, frees and orders, after 0.5 s to 2 s. If all runners of a service are down, callers are refused at once, and Retry-After is what is left of the outage as observed lately, plus a jitter that spreads the callers. A refused connect no longer makes a runner suspect: that kept a runner that was back unused for up to 4 s while others were available.

--- a/primrosereel/gateway/_admission.py
+++ b/primrosereel/gateway/_admission.py
@@ -15,7 +15,7 @@
     'Refused',
     'acquire_another_place',
     'acquire_place',
-    'refusal_while_backing_off',
+    'refusal_without_runner',
 ]
 
 # How often waiting requests are checked even if no change was signalled.
@@ -78,9 +78,9 @@
         on_admitted=admitted.set,
     )
     if not context.runners.ready(exchange.service, states.Role.DECODE, now):
-        raise refusal_while_backing_off(
-            exchange, states.Role.DECODE
-        ) or Refused(states.RefusalReason.NO_RUNNER, MIN_RETRY_AFTER_S)
+        raise refusal_without_runner(exchange, states.Role.DECODE) or Refused(
+            states.RefusalReason.NO_RUNNER, MIN_RETRY_AFTER_S
+        )
     limit_s = min(timeouts.place_wait_s(exchange.route), exchange.remaining_s)
     places.add(ticket, now)
     if ticket.runner is None:
@@ -124,7 +124,7 @@
 ) -> None:
     """Wait for a place; withdraw the ticket and refuse if none is free."""
     context = exchange.context
-    backing_off: Refused | None = None
+    without_runner: Refused | None = None
     started_at = context.clock()
     next_update_at = started_at + PEER_UPDATE_INTERVAL_S
     try:
@@ -139,10 +139,10 @@
                     continue
                 next_update_at = context.clock() + PEER_UPDATE_INTERVAL_S
                 context.uses_changed()
-                backing_off = _backs_off_beyond(
+                without_runner = _without_runner_beyond(
                     exchange, ticket, started_at + limit_s
                 )
-                if backing_off is not None:
+                if without_runner is not None:
                     break
     except BaseException:
         _withdraw(exchange, ticket)
@@ -151,7 +151,7 @@
     if ticket.runner is None:
         _withdraw(exchange, ticket)
         wait_s = context.places.expected_wait_s(ticket, context.clock())
-        raise backing_off or _no_capacity(exchange, wait_s)
+        raise without_runner or _no_capacity(exchange, wait_s)
 
 
 def _withdraw(
@@ -180,7 +180,41 @@
     return now + exchange.context.places.expected_wait_s(ticket, now) > until
 
 
-def refusal_while_backing_off(
+def refusal_without_runner(
+    exchange: context_module.Exchange, role: states.Role
+) -> Refused | None:
+    """Return the refusal of a request if no runner takes it now.
+
+    None if one may, or if nothing tells when one will.
+    """
+    return _refusal_while_backing_off(exchange, role) or _refusal_while_down(
+        exchange, role
+    )
+
+
+def _refusal_while_down(
+    exchange: context_module.Exchange, role: states.Role
+) -> Refused | None:
+    """Return the refusal of a request if all its runners are down."""
+    context = exchange.context
+    retry_after_s = context.runners.retry_after_s(
+        exchange.service, role, context.clock()
+    )
+    if retry_after_s is None:
+        return None
+    return Refused(
+        states.RefusalReason.NO_RUNNER,
+        _rounded_up(retry_after_s),
+        'all runners refuse connections',
+    )
+
+
+def _rounded_up(retry_after_s: float) -> float:
+    """Return a time in hundredths of a second, as callers are told it."""
+    return math.ceil(100 * retry_after_s) / 100
+
+
+def _refusal_while_backing_off(
     exchange: context_module.Exchange, role: states.Role
 ) -> Refused | None:
     """Return the refusal of a request if all its runners back off.
@@ -203,19 +237,17 @@
     retry_after_s = max(MIN_RETRY_AFTER_S, back_off_s) * _jitter(context)
     return Refused(
         states.RefusalReason.RUNNERS_BACKING_OFF,
-        # Callers are told hundredths of a second, which must not be rounded
-        # down.
-        math.ceil(100 * retry_after_s) / 100,
+        _rounded_up(retry_after_s),
         f'all runners back off, the first one for {back_off_s:.2f} s',
     )
 
 
-def _backs_off_beyond(
+def _without_runner_beyond(
     exchange: context_module.Exchange,
     ticket: decode_places.Ticket,
     until: float,
 ) -> Refused | None:
-    """Return the refusal of a waiting request if all its runners back off.
+    """Return the refusal of a waiting request if no runner takes it in time.
 
     A prompt that was prefilled would be lost, so its request waits for a
     runner that takes requests again in time.
@@ -225,7 +257,7 @@
         exchange.service, states.Role.DECODE, now
     ):
         return None
-    refused = refusal_while_backing_off(exchange, states.Role.DECODE)
+    refused = refusal_without_runner(exchange, states.Role.DECODE)
     if refused is None or not ticket.prefilled:
         return refused
     return refused if now + refused.retry_after_s > until else None
--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -36,6 +36,7 @@
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _members as members_module
 from primrosereel.routing import _model as model
+from primrosereel.routing import _outages as outages_module
 from primrosereel.routing import _prompt_quarantine as prompt_quarantine
 from primrosereel.routing import _retry_budget as retry_budget
 from primrosereel.routing import _runners as runners
@@ -121,6 +122,7 @@
             availability_module.AvailabilityTable(
                 on_transition=self._availability_changed
             ),
+            outages_module.Outages(random_source),
         )
         ledger = ledger_module.Ledger(shards.owns)
         self._context = context_module.Context(
@@ -276,6 +278,7 @@
         metrics.gauge(
             'runners_accepting', context.runners.accepting_count(now)
         )
+        metrics.gauge('runners_down', len(context.runners.outages))
         metrics.gauge('peers', context.ledger.peer_count(now))
         metrics.gauge('members', len(context.members))
         metrics.gauge(
--- a/primrosereel/gateway/_decode_connection.py
+++ b/primrosereel/gateway/_decode_connection.py
@@ -49,6 +49,9 @@
                 failures += 1
                 self.record_failure(runner, str(error))
                 continue
+            except upstream.Withdrawn:
+                self._place.exclude(runner)
+                continue
             if self._place.holds(runner):
                 self._connection = connection
                 return True
@@ -69,7 +72,11 @@
                 await connection.close()
                 connection = None
         if connection is None:
-            connection = await upstream.connect(self._exchange, runner)
+            try:
+                connection = await upstream.connect(self._exchange, runner)
+            except upstream.Withdrawn:
+                self._place.exclude(runner)
+                return None
         if not self._place.confirm(runner):
             await connection.close()
             return None
@@ -77,8 +84,6 @@
 
     def record_failure(self, runner: runners.Runner, detail: str) -> None:
         """Record that the runner cannot be reached; use others."""
-        context = self._exchange.context
-        runner.observe_failure(context.clock())
         self._exchange.record_failed_attempt(
             states.RetryReason.CONNECT_FAILED, runner, detail
         )
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -213,7 +213,7 @@
         """Return 503 only if no earlier attempt may have run."""
         if self._exchange.may_have_run:
             return self._exchange.failure(reason, 502)
-        refused = admission.refusal_while_backing_off(
+        refused = admission.refusal_without_runner(
             self._exchange, states.Role.DECODE
         )
         if refused is not None:
--- a/primrosereel/gateway/_orders.py
+++ b/primrosereel/gateway/_orders.py
@@ -7,6 +7,7 @@
 from primrosereel import _ids as ids
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _http as http
+from primrosereel.gateway import _runner_connect as runner_connect
 from primrosereel.gateway import _runner_signs as runner_signs
 from primrosereel.routing import _demand as demand
 from primrosereel.routing import _ledger as ledger_module
@@ -126,6 +127,14 @@
             switch.runner, context.clock()
         )
 
+    async def _connect(self, switch: roles.RoleSwitch) -> http.HttpConnection:
+        runner = self._context.runners.get(switch.runner)
+        if runner is None or runner.listing.address != switch.address:
+            return await http.connect(switch.address, CONNECT_TIMEOUT_S)
+        return await runner_connect.connect(
+            self._context, runner, CONNECT_TIMEOUT_S
+        )
+
     async def _send(self, switch: roles.RoleSwitch, token: int) -> str:
         context = self._context
         method, target, headers, body = context.dialect.role_order(
@@ -135,9 +144,7 @@
         connection = None
         try:
             with anyio.fail_after(RESPONSE_TIMEOUT_S):
-                connection = await http.connect(
-                    switch.address, CONNECT_TIMEOUT_S
-                )
+                connection = await self._connect(switch)
                 if not self._accepts(switch):
                     return 'the runner takes no orders now'
                 head = await connection.send_request(
--- a/primrosereel/gateway/_plain.py
+++ b/primrosereel/gateway/_plain.py
@@ -79,7 +79,6 @@
                 return await self._call(runner, started_at)
         except upstream.NotSent as error:
             exchange.may_have_run = may_have_run_before
-            runner.observe_failure(self._context.clock())
             exchange.record_failed_attempt(
                 Retry.CONNECT_FAILED, runner, str(error)
             )
@@ -204,9 +203,7 @@
             return exchange.failure(Reason.UPSTREAM_FAILED, 502)
         if exchange.remaining_s < MIN_REMAINING_S:
             return exchange.refusal(Reason.DEADLINE, RETRY_AFTER_S)
-        refused = admission.refusal_while_backing_off(
-            exchange, states.Role.PLAIN
-        )
+        refused = admission.refusal_without_runner(exchange, states.Role.PLAIN)
         if refused is not None:
             return exchange.refusal(
                 refused.reason, refused.retry_after_s, refused.detail
--- a/primrosereel/gateway/_prompt.py
+++ b/primrosereel/gateway/_prompt.py
@@ -7,6 +7,7 @@
 from primrosereel import _states as states
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _http as http
+from primrosereel.gateway import _runner_connect as runner_connect
 from primrosereel.gateway import _runner_signs as runner_signs
 from primrosereel.gateway import _upstream as upstream
 from primrosereel.routing import _model as model
@@ -85,14 +86,19 @@
                 self._context.uses_changed()
                 await self._request_prefill(runner, now, tokens_ahead)
         except upstream.NotSent as error:
-            self._record_failure(runner, Retry.CONNECT_FAILED, str(error))
+            exchange.record_failed_attempt(
+                Retry.CONNECT_FAILED, runner, str(error)
+            )
             return True
         except upstream.Withdrawn:
             return True
         except upstream.Rejected as error:
             return self._handle_rejection(runner, error)
         except http.BrokenResponse as error:
-            self._record_failure(runner, Retry.PREFILL_FAILED, str(error))
+            runner.observe_failure(self._context.clock())
+            exchange.record_failed_attempt(
+                Retry.PREFILL_FAILED, runner, str(error)
+            )
         except TimeoutError:
             runner.observe_silence(now, self._context.clock())
             exchange.record_failed_attempt(
@@ -100,12 +106,6 @@
             )
         return False
 
-    def _record_failure(
-        self, runner: runners.Runner, reason: states.RetryReason, detail: str
-    ) -> None:
-        runner.observe_failure(self._context.clock())
-        self._exchange.record_failed_attempt(reason, runner, detail)
-
     def _handle_rejection(
         self, runner: runners.Runner, rejected: upstream.Rejected
     ) -> bool:
@@ -232,7 +232,9 @@
         try:
             if not connection.reusable or connection.has_input():
                 await connection.close()
-                connection = await http.connect(address, FREE_TIMEOUT_S)
+                connection = await runner_connect.connect(
+                    self._context, handle.runner, FREE_TIMEOUT_S
+                )
             head = await connection.send_request(request)
             runner_signs.observe_answer(
                 self._context, handle.runner, head, connection.reused
--- a/primrosereel/gateway/_runner_signs.py
+++ b/primrosereel/gateway/_runner_signs.py
@@ -7,6 +7,7 @@
 
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _http as http
+from primrosereel.gateway import _runner_connect as runner_connect
 from primrosereel.routing import _availability as availability
 from primrosereel.routing import _model as model
 from primrosereel.routing import _runners as runners
@@ -32,6 +33,7 @@
     facts = context.dialect.response_facts(head.status, head.headers)
     now = context.clock()
     runner.observe_answer(now)
+    runner_connect.observe_return(context, runner)
     runner.observe_report(facts.load, now)
     for name in facts.invalid_headers:
         context.count(f'runner_headers.invalid_{name}')
--- a/primrosereel/gateway/_stream_move.py
+++ b/primrosereel/gateway/_stream_move.py
@@ -11,6 +11,7 @@
 
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _http as http
+from primrosereel.gateway import _runner_connect as runner_connect
 from primrosereel.gateway import _runner_signs as runner_signs
 from primrosereel.routing import _decode_places as decode_places
 from primrosereel.routing import _runners as runners
@@ -206,7 +207,9 @@
         """
         address = self._source.listing.address
         request.headers.append((b'Host', str(address).encode()))
-        connection = await http.connect(address, CALL_TIMEOUT_S)
+        connection = await runner_connect.connect(
+            self._context, self._source, CALL_TIMEOUT_S
+        )
         try:
             head = await connection.send_request(request)
             runner_signs.observe_answer(self._context, self._source, head)
--- a/primrosereel/gateway/_upstream.py
+++ b/primrosereel/gateway/_upstream.py
@@ -9,6 +9,7 @@
 from primrosereel.gateway import _callers as callers
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _http as http
+from primrosereel.gateway import _runner_connect as runner_connect
 from primrosereel.gateway import _runner_signs as runner_signs
 from primrosereel.routing import _model as model
 from primrosereel.routing import _runners as runners
@@ -46,7 +47,7 @@
 
 
 class Withdrawn(Exception):
-    """The runner takes no more requests, and the request was not sent."""
+    """The runner takes no requests now, and the request was not sent."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -90,12 +91,20 @@
 async def connect(
     exchange: context_module.Exchange, runner: runners.Runner
 ) -> http.HttpConnection:
-    """Open a connection to a runner; raise NotSent if that fails."""
-    exchange.context.count('connections.opened')
+    """Open a connection to a runner.
+
+    Raises NotSent if that fails, and Withdrawn if it is not tried, as the
+    runner refuses connections.
+    """
+    limit_s = min(CONNECT_TIMEOUT_S, max(exchange.remaining_s, 0.001))
     try:
-        limit_s = min(CONNECT_TIMEOUT_S, max(exchange.remaining_s, 0.001))
-        return await http.connect(runner.listing.address, limit_s)
+        return await runner_connect.connect(exchange.context, runner, limit_s)
+    except runner_connect.NotTried as error:
+        raise Withdrawn(str(error)) from error
+    except http.ConnectRefused as error:
+        raise NotSent(str(error)) from error
     except http.ConnectFailed as error:
+        runner.observe_failure(exchange.context.clock())
         raise NotSent(str(error)) from error
 
 
@@ -117,7 +126,7 @@
     """Return an idle connection to a runner, or a new one.
 
     Raises NotSent if none is established, and Withdrawn if the runner has
-    begun to leave or to back off meanwhile.
+    begun to leave or to back off meanwhile, or refuses connections.
     """
     context = exchange.context
     connection = await context.pool.get(
--- a/primrosereel/routing/_placement.py
+++ b/primrosereel/routing/_placement.py
@@ -63,7 +63,7 @@
         )
         if not candidates:
             return None
-        if self._availability.has_spare:
+        if self._availability.has_spare or self._table.outages:
             candidates = self._without_spare(candidates, now)
         fastest = min(
             (runner.latency_s for runner in candidates if runner.latency_s),
--- a/primrosereel/routing/_roles.py
+++ b/primrosereel/routing/_roles.py
@@ -191,12 +191,18 @@
         return [
             runner
             for runner in self._table.staying(service, role, now)
-            if not (
-                runner.is_down(now)
-                and now - runner.failing_since >= patience_s
-            )
+            if not self._is_lost(runner, now - patience_s, now)
         ]
 
+    def _is_lost(
+        self, runner: runners.Runner, down_before: float, now: float
+    ) -> bool:
+        """Tell whether a runner has been down since before a time."""
+        down_since = self._table.down_since(runner)
+        if runner.is_down(now):
+            down_since = min(runner.failing_since, down_since or math.inf)
+        return down_since is not None and down_since <= down_before
+
     def order_failed(
         self, service: ids.ServiceId, runner_id: ids.RunnerId, now: float
     ) -> None:
--- a/primrosereel/routing/_runners.py
+++ b/primrosereel/routing/_runners.py
@@ -5,11 +5,13 @@
 from collections.abc import Iterator
 import dataclasses
 import math
+import random as random_module
 
 from primrosereel import _ids as ids
 from primrosereel import _states as states
 from primrosereel.routing import _availability as availability_module
 from primrosereel.routing import _model as model
+from primrosereel.routing import _outages as outages_module
 from primrosereel.routing import _timeouts as timeouts
 
 __all__ = ['Runner', 'RunnerTable']
@@ -191,18 +193,23 @@
     """All runners of the platform's list by id.
 
     ``owns`` tells whether the engines of a zone belong to the own shard, and
-    ``availability`` which runners take new requests.
+    ``availability`` which runners take new requests. Runners that refuse
+    connections are in ``outages``.
     """
 
     def __init__(
         self,
         owns: Callable[[ids.AvailabilityZone], bool] = lambda _: True,
         availability: availability_module.AvailabilityTable | None = None,
+        outages: outages_module.Outages | None = None,
     ) -> None:
         self._owns = owns
         if availability is None:
             availability = availability_module.AvailabilityTable()
         self._availability = availability
+        if outages is None:
+            outages = outages_module.Outages(random_module.Random())
+        self._outages = outages
         self._runners: dict[ids.RunnerId, Runner] = {}
 
     def __len__(self) -> int:
@@ -216,6 +223,11 @@
         """Which runners take new requests, and why others do not."""
         return self._availability
 
+    @property
+    def outages(self) -> outages_module.Outages:
+        """Which runners refuse connections, and when they are tried."""
+        return self._outages
+
     def get(self, runner_id: ids.RunnerId) -> Runner | None:
         """Return a runner; None if it is not listed."""
         return self._runners.get(runner_id)
@@ -251,8 +263,10 @@
         runner = self._runners.get(listing.runner)
         if runner is None or _is_new_run(runner.listing, listing):
             self._runners[listing.runner] = Runner(listing, record)
+            self._outages.observe_return(listing.address, now)
         else:
             runner.listing = listing
+            self._outages.observe_entry(listing.address, now)
             runner.availability = record
 
     def remove(
@@ -301,18 +315,41 @@
         """Return the candidates to choose from; the others are spare.
 
         Spare are runners that refused a request of a peer, and after them
-        those whose entry is missing.
+        those whose entry is missing. A runner that refused connections and is
+        to be tried again goes before all others, as it is tried only once.
         """
-        if not self._availability.has_spare or not candidates:
+        if self._availability.has_spare and candidates:
+            best = min(
+                runner.availability.preference(now) for runner in candidates
+            )
+            candidates = [
+                runner
+                for runner in candidates
+                if runner.availability.preference(now) == best
+            ]
+        if not self._outages:
             return candidates
-        best = min(
-            runner.availability.preference(now) for runner in candidates
-        )
-        return [
+        due = [
             runner
             for runner in candidates
-            if runner.availability.preference(now) == best
+            if self._outages.is_due(runner.listing.address, now)
         ]
+        return due or candidates
+
+    def down_since(self, runner: Runner) -> float | None:
+        """Return since when a runner refuses connections; None if not."""
+        return self._outages.since(runner.listing.address)
+
+    def retry_after_s(
+        self, service: ids.ServiceId, role: states.Role, now: float
+    ) -> float | None:
+        """Return when callers may return if all runners are down.
+
+        None if a runner can be tried, or if none refuses connections.
+        """
+        if not self._outages or self.ready(service, role, now):
+            return None
+        return self._outages.retry_after_s(service, role, now)
 
     def ready(
         self,
@@ -389,6 +426,12 @@
             and runner.availability.accepts_from <= now
             and runner.runner_id not in excluded
         ]
+        if self._outages:
+            accepting = [
+                runner
+                for runner in accepting
+                if self._outages.may_connect(runner.listing.address, now)
+            ]
         if not self._availability.has_spare:
             return accepting
         return [
