Try a runner that refuses connections after 1 s instead of 0.5 s

Most runners that crash are back after some seconds and say so by an entry of a new run, which ends the outage at once. An early second trial is refused in nearly all cases.

--- a/primrosereel/routing/_outages.py
+++ b/primrosereel/routing/_outages.py
@@ -23,7 +23,7 @@
 
 # The interval between two connects to a runner that refuses connections;
 # doubled with each refusal, and shortened by up to a share at random.
-MIN_TRIAL_INTERVAL_S = 0.5
+MIN_TRIAL_INTERVAL_S = 1.0
 MAX_TRIAL_INTERVAL_S = 2.0
 TRIAL_INTERVAL_JITTER = 0.25
 # More refusals do not change the interval.
