--- a/primrosereel/gateway/_ended_runs.py
+++ b/primrosereel/gateway/_ended_runs.py
@@ -46,7 +46,9 @@
                 if self._has_new_run(crash):
                     has_crashed = True
                 else:
-                    has_crashed = await upstream.refuses_connections(runner)
+                    has_crashed = await upstream.refuses_connections(
+                        self._context, runner
+                    )
                 if has_crashed:
                     self._add(crash)
                 return has_crashed
