Let the stand-in of a runner crash by a whole request

Until now a decode runner crashed by a part of its prompt only. A runner also crashes when it begins to run one of `deadly_requests`, known by method, target and body: a plain call without any answer, a generation before its first event. It is back after `restart_s` with another `born`. `crash` can be called for other reasons as well, and gets the request that caused the crash.

--- a/primrosereel/standin/_listed_runner.py
+++ b/primrosereel/standin/_listed_runner.py
@@ -13,13 +13,14 @@
 import enum
 import math
 from typing import Any
+from typing import NamedTuple
 
 import anyio
 import msgspec
 
 from primrosereel.standin import _raw_http as raw_http
 
-__all__ = ['Fault', 'ListedRunner', 'RunnerOptions']
+__all__ = ['DeadlyRequest', 'Fault', 'ListedRunner', 'RunnerOptions']
 
 NOT_EXECUTED_HEADER = (b'Not-Executed', b'1')
 LEAVING_HEADER = (b'Server-Leaving', b'1')
@@ -72,15 +73,24 @@
 )
 
 
+class DeadlyRequest(NamedTuple):
+    """A request that crashes each runner that begins to run it."""
+
+    method: str
+    target: str
+    body: bytes
+
+
 @dataclasses.dataclass(slots=True)
 class RunnerOptions:
     """Properties of a runner; ``stage`` is None for a plain one.
 
     A stream has ``events`` events, one every ``event_s``. ``work_s`` is the
-    duration of a prefill or a plain call, ``copy_s`` that of a copy. A decode
-    runner crashes when it begins a stream whose prompt has ``deadly_part``,
-    and is back ``restart_s`` later. ``retry_after`` is the text of the header
-    ``Retry-After`` in refusals of the fault ``BACK_OFF``.
+    duration of a prefill or a plain call, ``copy_s`` that of a copy. A runner
+    crashes when it begins to run one of ``deadly_requests``, or a stream whose
+    prompt has ``deadly_part``, and is back ``restart_s`` later.
+    ``retry_after`` is the text of the header ``Retry-After`` in refusals of
+    the fault ``BACK_OFF``.
     """
 
     runner: str
@@ -92,6 +102,7 @@
     copy_s: float = 0.0
     slots: int = 8
     deadly_part: str | None = None
+    deadly_requests: frozenset[DeadlyRequest] = frozenset()
     restart_s: float = 0.3
     retry_after: str = '1'
     pause_s: float = 1.2
@@ -269,6 +280,9 @@
             headers.append((b'Content-Type', b'text/event-stream'))
             return await self._stream(request, headers, fault)
         await anyio.sleep(self.options.work_s)
+        if self._is_deadly(request):
+            self.crash(request)
+            raise raw_http.Silence
         if fault is Fault.RESET_AFTER_RUN:
             raise raw_http.Reset
         if fault is Fault.ERROR:
@@ -288,7 +302,9 @@
         fault: Fault | None,
     ) -> raw_http.Answer:
         if self._is_deadly(request):
-            return raw_http.Answer(200, headers, parts=self._crash())
+            return raw_http.Answer(
+                200, headers, parts=self._crash_in_stream(request)
+            )
         first = int(request.headers.get('last-event-id', '0')) + 1
         request_id = request.headers['request-id']
         parts = self._stream_events(request_id, first, fault)
@@ -299,18 +315,30 @@
         return raw_http.Answer(200, headers, parts=parts)
 
     def _is_deadly(self, request: raw_http.Request) -> bool:
+        whole = DeadlyRequest(request.method, request.target, request.body)
+        if whole in self.options.deadly_requests:
+            return True
         parts = request.headers.get('prompt-prefix', '').split(',')[:-1]
         return any(
             part.partition(':')[0] == self.options.deadly_part
             for part in parts
         )
 
-    async def _crash(self) -> AsyncIterator[bytes]:
-        """Crash instead of sending the first event."""
+    def crash(self, request: raw_http.Request | None = None) -> None:
+        """End all connections; come back as a new run of the runner.
+
+        ``request`` is the one that caused the crash, if one did.
+        """
         self.crashes += 1
         self.born_ms += 1
         self.on_crash()
         self.server.crash(self.options.restart_s)
+
+    async def _crash_in_stream(
+        self, request: raw_http.Request
+    ) -> AsyncIterator[bytes]:
+        """Crash instead of sending the first event."""
+        self.crash(request)
         await anyio.sleep_forever()
         yield b''
 
--- /dev/null
+++ b/tests/property/test_listed_runner.py
@@ -0,0 +1,49 @@
+"""Requests that crash the stand-in of a runner."""
+
+import anyio
+import pytest
+
+from primrosereel.routing import _model as model
+from primrosereel.standin import _listed_runner as listed_runner
+from tests import gateway_fleet
+
+DEADLY = listed_runner.DeadlyRequest('POST', '/x/1', b'deadly')
+SOUND = (
+    ('GET', DEADLY.target, DEADLY.body),
+    (DEADLY.method, '/x/2', DEADLY.body),
+    (DEADLY.method, DEADLY.target, b'sound'),
+)
+
+
+@pytest.mark.parametrize('stage', [None, 'decode'])
+def test_runner_crashes_by_a_whole_request_only(stage):
+    """Guards against a stand-in that another request crashes as well."""
+    options = listed_runner.RunnerOptions(
+        'r1',
+        'any',
+        stage,
+        deadly_requests=frozenset({DEADLY}),
+        restart_s=0.2,
+    )
+
+    async def ask(runner, method, target, body):
+        address = model.Address('127.0.0.1', runner.server.port)
+        async with gateway_fleet.Client(address) as client:
+            return await client.ask(target, 'r', method, body)
+
+    async def main():
+        runner = listed_runner.ListedRunner(options)
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(runner.server.serve)
+            born_ms = runner.born_ms
+            for request in SOUND:
+                assert (await ask(runner, *request)).complete
+            assert not (await ask(runner, *DEADLY)).complete
+            with pytest.raises(OSError):
+                await ask(runner, *SOUND[0])
+            await anyio.sleep(2 * options.restart_s)
+            assert (await ask(runner, *SOUND[0])).complete
+            assert (runner.crashes, runner.born_ms) == (1, born_ms + 1)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
