Draw requests that crash runners, and odd entries, in the soak

The soak drew prompts with a deadly part for some decode runners, and nothing checked how often they reached runners. One request in twelve now crashes the runners that begin to run it, in one to three ways a run: by a part, or as a whole request on a route of each kind, at any process, also for 6 s after the faults. Sound requests share its path or its body. All runners crash; one that did refuses connections for 0.3 to 3 s, also behind a link, and is back as a new run. Runners also crash for other reasons, and another writer leaves odd entries in the store: numbers out of range, deep nesting, ports that are none.

The new check counts what reaches runners, sent by processes in touch, later than the stable window after the third crash by a request (the fifth by a part): three at most. The evidence counts anew after a start around which no other process ran calmly, as nobody can have passed it on. Tests on records written by hand show that the check finds what it is for. Sound requests are asked for while the deadly ones still come; nine of ten have to be served.

Up to 24 processes can be started by hand (was 12).

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -3,10 +3,9 @@
 import argparse
 import sys
 
+from tests.soak import ports
 from tests.soak import soak
 
-MAX_PROCESSES = 12
-
 
 def main():
     """Run every seed; return 1 if any of them caused a violation."""
@@ -18,7 +17,7 @@
         '--processes',
         type=int,
         default=soak.DEFAULT_PROCESSES,
-        choices=range(1, MAX_PROCESSES + 1),
+        choices=range(1, ports.HOST_COUNT + 1),
         metavar='N',
     )
     parser.add_argument(
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -9,11 +9,11 @@
 import anyio
 
 from tests import gateway_fleet
+from tests.soak import deadly
 
 __all__ = [
     'ANSWER_TIMEOUT_S',
     'AT_MOST_ONCE_PATHS',
-    'DEADLY_PART',
     'EVENTS_PER_STREAM',
     'PATHS',
     'STREAM_PATHS',
@@ -28,9 +28,10 @@
 DEADLINE_MS = 4000
 # Twice the deadline: a gateway that has not answered by then never does.
 ANSWER_TIMEOUT_S = 8.0
-# The share of requests whose prompts crash the decode runner.
-DEADLY_SHARE = 0.04
-DEADLY_PART = 'dead'
+# The share of requests that crash runners, and of sound ones that have the
+# body of such a request.
+DEADLY_SHARE = 0.08
+DEADLY_BODY_SHARE = 0.1
 ADDED_ROUTE_SHARE = 0.2
 LEAVE_SHARE = 0.1
 BODY_SHARE = 0.5
@@ -50,13 +51,14 @@
 
     ``sent_at`` is when its last byte was written, ``ended_at`` when its answer
     or its connection ended. ``left`` is set if the caller left before that.
+    ``cause`` is why the request crashes runners, or None.
     """
 
     request_id: str
     path: str
     process: Any
     body: bytes = b''
-    deadly: bool = False
+    cause: deadly.Cause | None = None
     on_kept_connection: bool = False
     sent_at: float = math.inf
     ended_at: float = math.inf
@@ -93,7 +95,7 @@
 class Callers:
     """Sends requests to the processes and records the attempts."""
 
-    def __init__(self, seed, processes, operator, outcomes):
+    def __init__(self, seed, processes, operator, outcomes, causes):
         self.attempts = []
         # Bytes that arrived on connections on which no request was open.
         self.unasked = []
@@ -102,6 +104,8 @@
         self._processes = processes
         self._operator = operator
         self._outcomes = outcomes
+        # Why requests of this run crash runners.
+        self._causes = causes
         self._stopped = False
 
     async def run(self, seconds):
@@ -141,6 +145,12 @@
         await self.ask_once(attempt)
         return attempt.outcome == '200'
 
+    async def ask_deadly(self):
+        """Send a request of each cause to some process."""
+        for cause in self._causes:
+            process = self._random.choice(self._processes)
+            await self.ask_once(self._new_deadly(process, cause, self._random))
+
     async def ask_once(self, attempt, may_leave=False):
         """Send a request on a new connection."""
         try:
@@ -181,13 +191,35 @@
     def _draw(self, process, random=None):
         """Return a random request to a process."""
         random = random or self._random
+        if random.random() < DEADLY_SHARE:
+            cause = random.choice(self._causes)
+            return self._new_deadly(process, cause, random)
         path = random.choice(PATHS)
         if random.random() < ADDED_ROUTE_SHARE and self._operator.routes:
             path = f'{random.choice(self._operator.routes).prefix}1'
         attempt = self._new_attempt(process, path)
-        attempt.deadly = random.random() < DEADLY_SHARE
         if path == '/file/1' and random.random() < BODY_SHARE:
             attempt.body = random.randbytes(random.randint(1, MAX_BODY_BYTES))
+        elif random.random() < DEADLY_BODY_SHARE and self._is_sound(path):
+            attempt.body = deadly.BODY
+        return attempt
+
+    def _is_sound(self, path):
+        """Return whether the body of deadly requests is sound with a path."""
+        return all(
+            deadly.REQUESTS[cause].target != path
+            for cause in self._causes
+            if cause in deadly.REQUESTS
+        )
+
+    def _new_deadly(self, process, cause, random):
+        """Return a request that crashes runners."""
+        request = deadly.REQUESTS.get(cause)
+        path = request.target if request else random.choice(STREAM_PATHS)
+        attempt = self._new_attempt(process, path)
+        attempt.cause = cause
+        if request:
+            attempt.body = request.body
         return attempt
 
     def _new_attempt(self, process, path):
@@ -211,7 +243,9 @@
             self._outcomes[attempt.outcome] += 1
 
     async def _send(self, client, attempt):
-        parts = ['system'] + [DEADLY_PART] * attempt.deadly
+        parts = ['system']
+        if attempt.cause is deadly.Cause.PART:
+            parts.append(deadly.PART)
         prefix = ''.join(f'{part}:100,' for part in parts)
         data = client.encode(
             attempt.path,
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -1,6 +1,7 @@
 """What must hold in a soak run, checked on the records of its end."""
 
 from tests.soak import answer_checks
+from tests.soak import crash_checks
 from tests.soak import leaving_checks
 
 __all__ = ['check_all']
@@ -15,6 +16,7 @@
     leaving_checks.check_left_runners,
     leaving_checks.check_leaving_answers,
     leaving_checks.check_back_off,
+    crash_checks.check_crashes,
 )
 
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,7 +7,9 @@
 
 from primrosereel.standin import _metadata_store as metadata_store
 from tests.soak import links
+from tests.soak import odd_entries
 from tests.soak import operator as operator_module
+from tests.soak import ports
 from tests.soak import processes as processes_module
 from tests.soak import runners as runners_module
 
@@ -89,6 +91,8 @@
             self._pause_runner,
             self._remove_runner,
             self._remove_runner_unseen,
+            self._crash_runners,
+            self._write_odd_entries,
             self._change_configuration_in_series,
         )
         count = self._random.randint(MIN_KINDS, MAX_KINDS)
@@ -323,6 +327,35 @@
         self._stand_ins.runners[name].restart()
         self._operator.publish_runner(name, 'ready')
 
+    async def _crash_runners(self):
+        """Crash some runners for another reason than their requests."""
+        names = self._random.sample(
+            list(self._stand_ins.runners), self._random.randint(1, 4)
+        )
+        for name in names:
+            if self._stand_ins.runners[name].is_up:
+                self._stand_ins.runners[name].crash()
+            await anyio.sleep(self._random.uniform(0.0, 0.4))
+
+    # Another writer of the store.
+
+    async def _write_odd_entries(self):
+        """Write entries that no runner writes, some of them over others."""
+        names = self._random.sample(list(self._stand_ins.runners), 4)
+        overwritten = names[: self._random.randint(0, 2)]
+        added = {f'odd-{name}': name for name in names[2:]}
+        for key in (*overwritten, *added):
+            name = added.get(key, key)
+            entry = self._stand_ins.runners[name].entry()
+            entry['address'] = f'127.0.0.1:{ports.free_port()}'
+            text = odd_entries.draw(self._random, entry)
+            self._store.put(f'servers/{key}', text)
+        await anyio.sleep(self._random.uniform(0.5, 3.0))
+        for key in added:
+            self._store.delete(f'servers/{key}')
+        for name in overwritten:
+            self._operator.write_runner(name)
+
     # Configuration.
 
     async def _operate(self, end):
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -6,6 +6,7 @@
 import anyio
 import anyio.abc
 
+from tests.soak import ports
 from tests.soak import spans
 
 __all__ = ['Link', 'Mode']
@@ -40,6 +41,9 @@
         self._target = target
         self._scopes = set()
         self._disturbance = None
+        self._listening = anyio.CancelScope()
+        # The pause before the link listens again after a close.
+        self._closed_s = None
 
     def set_mode(self, mode):
         """Change the mode; a reset also closes the open connections."""
@@ -53,12 +57,29 @@
             for scope in list(self._scopes):
                 scope.cancel()
 
+    def close(self, seconds):
+        """Close all connections and refuse new ones for some seconds.
+
+        This is what a process in touch sees of a runner that is down.
+        """
+        self._closed_s = seconds
+        self._listening.cancel()
+
     async def serve(self, *, task_status=anyio.TASK_STATUS_IGNORED):
-        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
-        self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
-        task_status.started()
-        async with listener:
-            await listener.serve(self._connection)
+        self.port = ports.free_port()
+        while True:
+            listener = await anyio.create_tcp_listener(
+                local_host='127.0.0.1', local_port=self.port
+            )
+            task_status.started()
+            task_status = anyio.TASK_STATUS_IGNORED
+            with anyio.CancelScope() as self._listening:
+                async with listener:
+                    await listener.serve(self._connection)
+            if self._closed_s is None:
+                return
+            await anyio.sleep(self._closed_s)
+            self._closed_s = None
 
     async def _connection(self, client):
         with anyio.CancelScope() as scope:
--- a/tests/soak/ports.py
+++ b/tests/soak/ports.py
@@ -10,7 +10,8 @@
 # those could take a port while its process is down.
 FIRST_PORT = 20_000
 LAST_PORT = 31_999
-HOST_COUNT = 12
+# The most processes that a run can have.
+HOST_COUNT = 24
 
 _returned_ports = set()
 
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -73,6 +73,23 @@
             and not self.operator.disturbed.overlap(start, at)
         )
 
+    def all_restarted_at(self):
+        """Return the starts around which no other process ran calmly.
+
+        Nobody can have told the new process what the fleet had learned.
+        """
+        window_s = processes_module.STABLE_WINDOW_S
+        return [
+            start
+            for process in self.processes
+            for start in process.starts
+            if not any(
+                other.runs_calmly(start - window_s, start + window_s)
+                for other in self.processes
+                if other is not process
+            )
+        ]
+
     def log_events(self, process):
         """Yield the lines of a process's log, each with its time."""
         for line in process.log.read_text().splitlines():
--- a/tests/soak/runners.py
+++ b/tests/soak/runners.py
@@ -7,6 +7,7 @@
 
 from primrosereel.standin import _listed_runner as listed_runner
 from primrosereel.standin import _raw_http as raw_http
+from tests.soak import spans
 
 __all__ = ['BREAKING_FAULTS', 'Arrival', 'Fault', 'RecordingRunner']
 
@@ -44,11 +45,17 @@
     status: int = 0
     retry_after_s: float | None = None
     leaving: bool = False
+    # When the runner crashed under the request.
+    crashed_at: float = math.inf
 
     @property
     def request_id(self):
         return self.request.headers.get('request-id', '')
 
+    @property
+    def is_prefill(self):
+        return self.request.headers.get('stage') == 'prefill'
+
     @property
     def is_request(self):
         """Whether a caller's request was taken; no health check or call."""
@@ -66,7 +73,9 @@
     def __init__(self, options):
         super().__init__(options)
         self.arrivals = []
-        self.crashed_at = []
+        # The periods in which the runner was down after a crash.
+        self.down = spans.Spans()
+        self._up_at = -math.inf
 
     def restart(self):
         """Become a new incarnation, which is not leaving."""
@@ -75,16 +84,27 @@
 
     def is_down(self, start, end):
         """Return whether the runner was down at some moment of a time."""
-        return any(
-            start - self.options.restart_s <= at <= end
-            for at in self.crashed_at
-        )
+        return self.down.overlap(start, end)
+
+    @property
+    def is_up(self):
+        return anyio.current_time() > self._up_at
 
     def note_crash(self):
         """Record a crash; the runner that starts again is not leaving."""
-        self.crashed_at.append(anyio.current_time())
+        now = anyio.current_time()
+        self._up_at = now + self.options.restart_s
+        self.down.add(now, self._up_at)
         self.leaving = False
 
+    def crash(self, request=None):
+        if request is not None:
+            self._arrival(request).crashed_at = anyio.current_time()
+        super().crash(request)
+
+    def _arrival(self, request):
+        return next(a for a in reversed(self.arrivals) if a.request is request)
+
     async def _handle(self, request):
         arrival = Arrival(request, anyio.current_time(), self.born_ms)
         self.arrivals.append(arrival)
@@ -99,8 +119,5 @@
 
     async def _serve(self, request):
         if self.faults:
-            arrival = next(
-                a for a in reversed(self.arrivals) if a.request is request
-            )
-            arrival.fault = self.faults[0]
+            self._arrival(request).fault = self.faults[0]
         return await super()._serve(request)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -37,7 +37,10 @@
 RECOVERY_TIMEOUT_S = 12.0
 # The gateway avoids runners that failed for a few seconds.
 CALM_S = 5.0
-RECOVERY_REQUESTS_PER_PATH = 5
+# Requests that crash runners still come this often after the faults, for
+# longer than two stable windows.
+RECOVERY_ROUNDS = 16
+RECOVERY_GAP_S = 0.4
 MIN_SERVED_SHARE = 0.9
 
 
@@ -57,7 +60,7 @@
 
     async def run(self, folder):
         """Run load and faults, then the checks; logs go to the folder."""
-        self._stand_ins = stand_ins_module.StandIns(self.faults)
+        self._stand_ins = stand_ins_module.StandIns(self._seed, self.faults)
         async with anyio.create_task_group() as tasks:
             await self._stand_ins.start(tasks)
             try:
@@ -96,6 +99,7 @@
             self._processes,
             self._stand_ins.operator,
             self.outcomes,
+            self._stand_ins.causes,
         )
         injector = faults_module.FaultInjector(
             self._seed,
@@ -112,7 +116,10 @@
         self.violations += injector.violations
 
     async def _check_recovery(self):
-        """All processes are ready again, and sound requests are served."""
+        """All processes are ready again, and sound requests are served.
+
+        Requests that crash runners still come.
+        """
         for process in self._processes:
             if not await process.is_ready_within(RECOVERY_TIMEOUT_S):
                 self.violations.append(
@@ -120,13 +127,16 @@
                 )
                 return
         await anyio.sleep(CALM_S)
-        paths = callers_module.PATHS * RECOVERY_REQUESTS_PER_PATH
         served = 0
-        for path in paths:
-            served += await self._callers.ask_patiently(path)
-        if served < MIN_SERVED_SHARE * len(paths):
+        for _ in range(RECOVERY_ROUNDS):
+            await self._callers.ask_deadly()
+            for path in callers_module.PATHS:
+                served += await self._callers.ask_patiently(path)
+            await anyio.sleep(RECOVERY_GAP_S)
+        count = RECOVERY_ROUNDS * len(callers_module.PATHS)
+        if served < MIN_SERVED_SHARE * count:
             self.violations.append(
-                f'{served} of {len(paths)} requests succeeded after the faults'
+                f'{served} of {count} requests succeeded after the faults'
             )
 
     def _check_records(self):
--- a/tests/soak/spans.py
+++ b/tests/soak/spans.py
@@ -30,6 +30,10 @@
         span = self._spans[number]
         span[1] = min(span[1], anyio.current_time())
 
+    def add(self, start, end):
+        """Add a period whose end is known."""
+        self._spans.append([start, end])
+
     def mark(self):
         """Add a period without duration."""
         self.end(self.begin())
--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -1,14 +1,17 @@
 """The store, the runners and the links of a soak run."""
 
 import functools
+import random as random_module
 
 import anyio
 
 from primrosereel.standin import _listed_runner as listed_runner
 from primrosereel.standin import _metadata_store as metadata_store
 from tests.soak import callers
+from tests.soak import deadly
 from tests.soak import links as links_module
 from tests.soak import operator as operator_module
+from tests.soak import ports
 from tests.soak import runners as runners_module
 
 __all__ = ['StandIns']
@@ -18,16 +21,25 @@
     *((f'd{n}', 'llm', 'decode') for n in range(3)),
     *((f's{n}', 'plain', None) for n in range(3)),
 )
-# Decode runners without a link: while one is down after a crash, its port
-# refuses connections, as a process's does.
-UNLINKED_RUNNERS = (('e0', 'llm', 'decode'), ('e1', 'llm', 'decode'))
+# Runners without a link: nothing but their crashes disturbs connections.
+UNLINKED_RUNNERS = (
+    ('e0', 'llm', 'decode'),
+    ('e1', 'llm', 'decode'),
+    ('t0', 'plain', None),
+    ('t1', 'plain', None),
+)
 EVENT_S = 0.05
+# For how long the port of a crashed runner refuses connections.
+MIN_RESTART_S = 0.3
+MAX_RESTART_S = 3.0
 
 
 class StandIns:
     """A store, the operator who writes to it, runners and links to them."""
 
-    def __init__(self, counts):
+    def __init__(self, seed, counts):
+        self._random = random_module.Random(f'{seed} stand-ins')
+        self.causes = deadly.draw_causes(self._random)
         self.store = metadata_store.MetadataStore()
         self.runners = {}
         self.links = {}
@@ -57,21 +69,32 @@
             stage,
             events=callers.EVENTS_PER_STREAM,
             event_s=EVENT_S,
-            deadly_part=callers.DEADLY_PART,
+            deadly_part=deadly.PART,
+            deadly_requests=frozenset(
+                deadly.REQUESTS[cause]
+                for cause in self.causes
+                if cause in deadly.REQUESTS
+            ),
         )
         runner = runners_module.RecordingRunner(options)
         runner.on_crash = functools.partial(self._note_crash, name)
         self.runners[name] = runner
-        await tasks.start(runner.server.serve)
+        port = ports.free_port()
+        await tasks.start(functools.partial(runner.server.serve, port=port))
 
     def _note_crash(self, name):
         self._counts['runner crashed'] += 1
-        self.runners[name].note_crash()
-        self._tasks.start_soon(self._list_again, name)
+        runner = self.runners[name]
+        restart_s = self._random.uniform(MIN_RESTART_S, MAX_RESTART_S)
+        runner.options.restart_s = restart_s
+        runner.note_crash()
+        if name in self.links:
+            self.links[name].close(restart_s)
+        self._tasks.start_soon(self._list_again, name, restart_s)
 
-    async def _list_again(self, name):
+    async def _list_again(self, name, restart_s):
         """Write the entry of a runner once it has started again."""
-        await anyio.sleep(self.runners[name].options.restart_s)
+        await anyio.sleep(restart_s)
         self.operator.publish_runner(name, 'ready')
 
     def end_faults(self):
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -12,6 +12,8 @@
 from tests import gateway_fleet
 from tests.soak import answer_checks
 from tests.soak import callers
+from tests.soak import crash_checks
+from tests.soak import deadly
 from tests.soak import leaving_checks
 from tests.soak import operator
 from tests.soak import processes
@@ -91,6 +93,9 @@
     def store_regained_at(self, process):
         return []
 
+    def all_restarted_at(self):
+        return self.process.starts
+
 
 def halt(record, start, end):
     record.process.halted._spans.append([start, end])
@@ -175,3 +180,34 @@
         record.add(SENT_AT + 0.6 + number / 10, born_ms=born_ms)
     violations = list(leaving_checks.check_back_off(record))
     assert [v.request_id for v in violations] == [refused.request_id] * found
+
+
+@pytest.mark.parametrize(
+    ('crashes', 'requests', 'restarted', 'found'),
+    [
+        (3, 3, False, 0),
+        (3, 4, False, 1),
+        (2, 4, False, 0),
+        (3, 4, True, 0),
+    ],
+)
+def test_requests_after_the_third_crash_are_found(
+    crashes, requests, restarted, found
+):
+    """Guards against a check that misses a request which goes on crashing.
+
+    Evidence that no process has any more is not held against them.
+    """
+    record = Record()
+    for number in range(crashes):
+        sent_at = SENT_AT + number
+        record.add(sent_at, crashed_at=sent_at)
+    known_at = SENT_AT + crashes - 1 + processes.STABLE_WINDOW_S
+    if restarted:
+        record.process.starts.append(known_at - 1.0)
+    for number in range(requests):
+        record.add(known_at + 2.0 + number)
+    for attempt in record.attempts.values():
+        attempt.cause = deadly.Cause.CALL
+    record.add(known_at + 9.0)
+    assert len(list(crash_checks.check_crashes(record))) == found
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,8 +7,9 @@
 from tests.soak import soak
 
 SECONDS = 6.0
-# Together these runs have all kinds of faults.
-SEEDS = (46, 85)
+# Together these runs have all kinds of faults and of requests that crash
+# runners.
+SEEDS = (46, 85, 990)
 
 
 @pytest.mark.parametrize('seed', SEEDS)
