Continue a stopped stream at its source if its move is refused

Callers saw a stream cut, also one that may not run twice, when its runner left and the runner that it was moved to refused it, or when the call that stops it found no room for the rest of the copy. The source had stopped the stream but still held its memory; it was never asked, and the copy was freed.

The request now goes to the source with the source's handle and the id of the caller's last event, once, which counts as the same run. It is sent within half of the time of the source's drain only, so that no request reaches a runner beyond that bound, and a stream that went back is not stopped again. test_failed_move_does_not_rerun_a_non_resumable_stream now has the source refuse as well, as the stream would be whole otherwise; what it guards against (a second run) is unchanged.

--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -1,5 +1,6 @@
 """Generations: a prefill, then a stream of events from a decode runner."""
 
+import contextlib
 import math
 
 import anyio
@@ -195,7 +196,7 @@
 
     def _switch_to_copy(self, move: stream_move.StreamMove) -> runners.Runner:
         """Move the place to the runner with the copy; return that runner."""
-        runner = move.target
+        runner = move.next_runner
         assert runner is not None
         move.end()
         self._place.move_to(runner)
@@ -260,28 +261,52 @@
         """Return a runner's response; None if it did not run the request.
 
         Without a response, the copy that the runner was to continue from is
-        freed, as the next attempt starts with a move of its own.
+        freed, unless the source can continue from it: the next attempt starts
+        with a move of its own.
         """
+        move = self._resume_from
         response = None
         try:
             response = await self._open_response(runner)
+            if response is None and move is not None:
+                self._resume_at_source(move, runner)
         finally:
-            if response is None and self._move is not None:
+            if (
+                response is None
+                and self._resume_from is None
+                and self._move is not None
+            ):
                 await self._move.close()
         return response
 
+    def _resume_at_source(
+        self, move: stream_move.StreamMove, refused_by: runners.Runner
+    ) -> None:
+        """Continue a stopped stream at its source if that is possible."""
+        if move.at_source:
+            # It leaves, so it is not sent the request as a new run.
+            self._place.exclude(refused_by)
+        elif not self._rejections.exhausted and move.fall_back():
+            self._resume_from = move
+
     async def _forward_and_close(
         self,
         response: upstream.OpenResponse,
         runner: runners.Runner,
         started_at: float,
     ) -> None:
+        # A stream that went back to its source is not stopped again.
+        may_move = self._move is None or not self._move.at_source
         move = self._move = self._new_move(runner)
         try:
-            with self._context.leave_callbacks.registered(
-                runner.runner_id,
-                move.run,
-                runner_signs.has_left(self._context, runner),
+            with (
+                self._context.leave_callbacks.registered(
+                    runner.runner_id,
+                    move.run,
+                    runner_signs.has_left(self._context, runner),
+                )
+                if may_move
+                else contextlib.nullcontext()
             ):
                 await self._forward_events(response, runner, started_at)
         except (http.BrokenResponse, events.SequenceError) as error:
--- a/primrosereel/gateway/_stream_move.py
+++ b/primrosereel/gateway/_stream_move.py
@@ -4,7 +4,8 @@
 runner while the stream continues. Then the stream is stopped, the rest of the
 KV cache is copied, and the other runner continues after the last event that
 the caller received. This counts as the same run, so streams that may run only
-once can be moved as well.
+once can be moved as well. If the other runner does not take the stream, the
+source, which still holds the KV cache, continues it.
 """
 
 import anyio
@@ -25,13 +26,18 @@
 CALL_TIMEOUT_S = 2.0
 FREE_TIMEOUT_S = 0.5
 MAX_RESPONSE_BYTES = 65536
+# Share of the time within which a leaving runner may be sent requests, counted
+# from when this instance learned that it leaves: it learns so a little late.
+SOURCE_SHARE_OF_DRAIN = 0.5
+NO_ROOM = 503
 
 
 class StreamMove:
     """The move of one stream from a runner that leaves.
 
     ``target`` is the runner that holds the copy. ``handle`` is the handle of
-    the copy; it is set once the source has stopped the stream.
+    the copy; it is set once the source has stopped the stream. ``next_runner``
+    is to continue it: the target, or the source after ``fall_back``.
     """
 
     def __init__(
@@ -47,6 +53,8 @@
         self._done = anyio.Event()
         self._stopping = False
         self._ended = False
+        self._at_source = False
+        self._stopped = False
         # Set once the caller has the first event; there is no run to move
         # before that.
         self.first_event_sent = False
@@ -59,6 +67,44 @@
         """The runner that holds the copy."""
         return self._ticket.runner
 
+    @property
+    def next_runner(self) -> runners.Runner | None:
+        """The runner that is to continue the stream."""
+        return self._source if self._at_source else self.target
+
+    @property
+    def at_source(self) -> bool:
+        """Whether the source is to continue the stream itself."""
+        return self._at_source
+
+    def fall_back(self) -> bool:
+        """Let the source continue the stream; False if it cannot.
+
+        It is sent nothing once the time of its drain may be over.
+        """
+        context = self._context
+        now = context.clock()
+        record = context.runners.availability.record(self._source.runner_id)
+        source_until = (
+            record.since
+            + SOURCE_SHARE_OF_DRAIN * context.settings.runner_drain_s
+        )
+        if (
+            self._at_source
+            or self._unused_copy is None
+            or now >= source_until
+            or runner_signs.backs_off(context, self._source)
+        ):
+            return False
+        self._at_source = True
+        context.count('streams.back_at_source')
+        context.log.info(
+            'stream back at its source',
+            request=self._exchange.facts.request_id,
+            source=self._source.runner_id,
+        )
+        return True
+
     def end(self) -> None:
         """Record that the stream ended, and release the target's place."""
         self._ended = True
@@ -174,7 +220,7 @@
             return 'the target takes no more requests'
         self._stopping = True
         status = await self._copy_to(target, last=True)
-        if status == 200:
+        if self._stopped and (status == 200 or self.fall_back()):
             self.handle = self._unused_copy
         return f'stop: status {status}'
 
@@ -191,10 +237,15 @@
             status, response_body = await self._send_to_source(
                 http.OutgoingRequest(method, target, headers, body)
             )
-        if status == 200:
-            self._unused_copy = dialect.move_result(
+        if status == 200 or (last and status == NO_ROOM):
+            # A source that has stopped the stream names the handle also if
+            # there is no room for the rest of the copy.
+            handle = dialect.move_result(
                 self._source.listing.address, response_body
             )
+            if status == 200 or handle is not None:
+                self._unused_copy = handle
+                self._stopped = last
         return status
 
     async def _send_to_source(
--- a/primrosereel/standin/_listed_runner.py
+++ b/primrosereel/standin/_listed_runner.py
@@ -81,7 +81,9 @@
     of a plain answer has at least ``answer_bytes`` bytes. A decode
     runner crashes when it begins a stream whose prompt has ``deadly_part``,
     and is back ``restart_s`` later. ``retry_after`` is the text of the header
-    ``Retry-After`` in refusals of the fault ``BACK_OFF``.
+    ``Retry-After`` in refusals of the fault ``BACK_OFF``. With
+    ``refuses_stop`` the last call of a move stops its stream, but there is no
+    room for the rest of the copy.
     """
 
     runner: str
@@ -97,6 +99,7 @@
     restart_s: float = 0.3
     retry_after: str = '1'
     pause_s: float = 1.2
+    refuses_stop: bool = False
 
 
 class ListedRunner:
@@ -260,9 +263,9 @@
             return raw_http.Answer(421)
         request_id = request.headers['request-id']
         # A stream that continues from its copy counts as the same run.
-        if not request.headers.get('kv-source', '').endswith(
-            f'/{COPY_HANDLE}'
-        ):
+        if request.headers.get('kv-source', '').endswith(f'/{COPY_HANDLE}'):
+            self.stopped_streams.discard(request_id)
+        else:
             self.runs[request_id] += 1
         headers = self._response_headers(request_id)
         if self.options.stage == 'decode':
@@ -343,7 +346,9 @@
             'created': self.last_event_ids[move['id']],
         }
         close = [(b'Connection', b'close')]
-        return raw_http.Answer(200, close, msgspec.json.encode(body))
+        full = move['last'] and self.options.refuses_stop
+        status = 503 if full else 200
+        return raw_http.Answer(status, close, msgspec.json.encode(body))
 
     async def _stream_events(
         self, request_id: str, first: int, fault: Fault | None
--- a/tests/property/test_gateway_moves.py
+++ b/tests/property/test_gateway_moves.py
@@ -103,7 +103,8 @@
         make_streams_long(fleet)
         async with fleet.client() as client:
             source, target = await start_stream(fleet, client, path)
-            target.faults.append(Fault.HANDLE_GONE)
+            for runner in (source, target):
+                runner.faults.append(Fault.HANDLE_GONE)
             fleet.list_runner(source.options.runner, 'draining')
             reply = await client.receive()
         assert reply.complete == complete
@@ -112,6 +113,62 @@
     run(scenario)
 
 
+@pytest.mark.parametrize('path', ['/ask/1', '/once/1'])
+@pytest.mark.parametrize('refused_by', ['target', 'stop'])
+def test_stream_goes_on_at_its_source_if_its_move_is_refused(path, refused_by):
+    """Guards against a stream that is stopped for a move and then cut.
+
+    The source still holds the KV cache, and it counts as the same run.
+    """
+
+    async def scenario(fleet):
+        make_streams_long(fleet)
+        async with fleet.client() as client:
+            source, target = await start_stream(fleet, client, path)
+            if refused_by == 'target':
+                target.faults.append(Fault.HANDLE_GONE)
+            else:
+                source.options.refuses_stop = True
+            fleet.list_runner(source.options.runner, 'draining')
+            await fleet.wait_for(lambda: len(source.moves) == 2)
+            fleet.store.delete(f'servers/{target.options.runner}')
+            reply = await client.receive()
+        assert (reply.status, reply.complete) == (200, True)
+        numbers = [f'id: {n}\n'.encode() for n in range(1, EVENTS + 1)]
+        assert [reply.body.count(number) for number in numbers] == [1] * EVENTS
+        assert test_gateway.run_count(fleet, 'r1') == 1
+        # A stream that went back is not stopped again.
+        assert len(source.moves) == 2
+        address = f'127.0.0.1:{source.server.port}/copy1'
+        assert any(
+            request.headers.get('kv-source') == address
+            for request in source.requests
+        )
+        assert not fleet.gateway.engine_uses()
+
+    run(scenario, runner_drain_s=4.0)
+
+
+def test_source_that_has_left_is_not_sent_a_stopped_stream():
+    """Guards against a request to a runner beyond the bound of its drain."""
+
+    async def scenario(fleet):
+        make_streams_long(fleet)
+        async with fleet.client() as client:
+            source, target = await start_stream(fleet, client, '/once/1')
+            target.faults.append(Fault.HANDLE_GONE)
+            source.options.copy_s = 0.2
+            fleet.list_runner(source.options.runner, 'draining')
+            assert not (await client.receive()).complete
+        assert not any(
+            'kv-source' in request.headers
+            and request.headers['kv-source'].endswith('/copy1')
+            for request in source.requests
+        )
+
+    run(scenario)
+
+
 def test_copy_is_freed_when_its_caller_disconnects():
     """Guards against a copy that holds engine memory without a caller."""
 
