Do not take an answer for whole if its runner ended with it

Callers could get a part of an answer, or of a stream, that looked complete: an answer may come with neither a length nor chunks and end with its connection, and the system closes the connections of a runner that crashes as well.

At the end of such a body the runner's port is tried once. If it refuses connections, and the runner was not known to leave, the body is taken to lack its rest: a call that may be repeated and a resumable stream go on elsewhere, others fail visibly.

--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -440,6 +440,7 @@
         )
         if self._move is not None and await self._move.wait_until_moved():
             raise http.BrokenResponse('the stream was stopped for a move')
+        await upstream.check_end(self._context, runner, head)
         self._stream.check_complete()
         await self._stream.finish(head)
         facts = self._exchange.facts
--- a/primrosereel/gateway/_http.py
+++ b/primrosereel/gateway/_http.py
@@ -100,6 +100,12 @@
     headers: Headers
     keep_alive_s: float | None = None
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of the connection ends the body."""
+        names = {name.lower() for name, _ in self.headers}
+        return names.isdisjoint({b'content-length', b'transfer-encoding'})
+
 
 def set_socket_options(stream: anyio.abc.SocketStream) -> None:
     """Detect connections that are lost without a reset."""
--- a/primrosereel/gateway/_plain.py
+++ b/primrosereel/gateway/_plain.py
@@ -131,6 +131,7 @@
             with anyio.CancelScope(shield=True):
                 await response.connection.close()
             raise
+        await upstream.check_end(self._context, runner, response.head)
         now = self._context.clock()
         await upstream.keep_connection(
             self._context,
--- a/primrosereel/gateway/_upstream.py
+++ b/primrosereel/gateway/_upstream.py
@@ -19,6 +19,7 @@
     'Rejected',
     'Withdrawn',
     'build_request',
+    'check_end',
     'connect',
     'connect_or_reuse',
     'count_in_flight',
@@ -111,6 +112,27 @@
     return False
 
 
+async def check_end(
+    context: context_module.Context,
+    runner: runners.Runner,
+    head: http.ResponseHead,
+) -> None:
+    """Raise BrokenResponse if a body may lack its rest as its runner crashed.
+
+    The system closes the connections of a process that ends, which looks like
+    the end of a body without a length. A runner that leaves may have ended
+    after its last answer.
+    """
+    if (
+        head.ends_with_connection
+        and not runner_signs.has_left(context, runner)
+        and await refuses_connections(runner)
+    ):
+        raise http.BrokenResponse(
+            f'{runner.listing.address}: the runner ended with its response'
+        )
+
+
 async def connect_or_reuse(
     exchange: context_module.Exchange, runner: runners.Runner
 ) -> http.HttpConnection:
