Refuse a stream that a stop of the process would cut

Callers whose request waited for a place while its instance was stopped saw the head of a stream and then its cut: the place was given late in the grace and the request was still sent to a runner, whose work was lost.

Failed before: test_request_that_gets_its_place_late_in_a_stop_is_refused with '(200, False) == (503, True)'.

A request whose time a stop has shortened to less than half of the mean time of a stream is refused with 503 and Retry-After 0 before a place is asked for, and once more when the place is there. Nothing has run then, and another instance can serve it at once.

--- a/primrosereel/gateway/_admission.py
+++ b/primrosereel/gateway/_admission.py
@@ -15,6 +15,7 @@
     'Refused',
     'acquire_another_place',
     'acquire_place',
+    'check_time_until_stop',
     'refusal_while_backing_off',
 ]
 
@@ -29,6 +30,9 @@
 MIN_RETRY_AFTER_S = 0.2
 # Callers honour a Retry-After of up to this share of the time they have left.
 RETRY_AFTER_SHARE = 1 / 3
+# Share of a stream's mean duration that must be left before a stop. Streams
+# differ, and one that is refused has to begin elsewhere.
+MIN_STREAM_SHARE = 0.5
 
 
 class Refused(Exception):
@@ -55,6 +59,7 @@
     A request whose expected wait exceeds its wait limit is refused at once;
     its ``retry_after_s`` follows from the expected wait.
     """
+    check_time_until_stop(exchange)
     context = exchange.context
     places = context.places
     now = context.clock()
@@ -116,6 +121,20 @@
     context.uses_changed()
 
 
+def check_time_until_stop(exchange: context_module.Exchange) -> None:
+    """Refuse a request whose stream a stop of the process would cut.
+
+    Another instance can serve it at once.
+    """
+    needed_s = MIN_STREAM_SHARE * exchange.context.places.stream_s
+    if exchange.time_limit.is_shortened and exchange.remaining_s < needed_s:
+        raise Refused(
+            states.RefusalReason.DRAINING,
+            0.0,
+            f'{exchange.remaining_s:.2f} s are left before the stop',
+        )
+
+
 async def _wait(
     exchange: context_module.Exchange,
     ticket: decode_places.Ticket,
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -90,6 +90,7 @@
                 self._crash_reports.check(exchange)
                 if not await self._connection.open():
                     raise RequestEnded(self._refusal(Reason.NO_RUNNER))
+                admission.check_time_until_stop(exchange)
                 self._crash_reports.check(exchange)
                 await self._prefill()
                 return await self._stream_until_complete()
--- a/primrosereel/gateway/_time_limits.py
+++ b/primrosereel/gateway/_time_limits.py
@@ -79,6 +79,12 @@
         latest_end = self._limits.latest_end(self._answer_started)
         return min(self._deadline_at, latest_end) - self._limits.clock()
 
+    @property
+    def is_shortened(self) -> bool:
+        """Whether a stop ends the request before its own deadline."""
+        latest_end = self._limits.latest_end(self._answer_started)
+        return latest_end < self._deadline_at
+
     @contextlib.contextmanager
     def enforce(self) -> Iterator[anyio.CancelScope]:
         """Cancel the block when the time is over."""
--- a/tests/property/test_gateway_stop.py
+++ b/tests/property/test_gateway_stop.py
@@ -131,3 +131,30 @@
             assert reply.headers.get('connection') == 'close'
 
     run(scenario)
+
+
+def test_request_that_gets_its_place_late_in_a_stop_is_refused():
+    """Guards against a stream that is sent although a stop must cut it."""
+
+    async def scenario(fleet):
+        context = fleet.gateway._context
+        rows = [context.runners.get(name) for name in ('d1', 'd2')]
+        for row in rows:
+            fleet.runners[row.runner_id].options.event_s = 0.4
+            row.in_flight, row.tokens = 8, 20_000
+        async with fleet.client() as client:
+            headers = {'Token_Usage': '400,40', 'Deadline_Ms': 9000}
+            await client.send('/once/1', 'r1', 'POST', **headers)
+            await fleet.wait_for(lambda: context.places.waiting_count == 1)
+            fleet.gateway._stop_requested.set()
+            await anyio.sleep(1.0)
+            for row in rows:
+                row.in_flight = row.tokens = 0
+            reply = await client.receive()
+        assert (reply.status, reply.complete) == (503, True)
+        assert float(reply.headers['retry-after']) == 0
+        assert not any(r.runs['r1'] for r in fleet.runners.values())
+        (line,) = fleet.log.named('refused')
+        assert line['reason'] == 'draining'
+
+    run(scenario)
