Notice within the stable window that the store is back

After a cut or silence of the store, an instance could take longer than the stable window to know that the store was back, and routed by old entries meanwhile although all bounds held for it again.

A call that had been sent into the silence waited for half of the stable window and 0.7 s, the pause before the next one was 1 s whatever the window, and the answer to that one was held by the store for half of the window again.

Failed before: test_store_is_regained_within_the_stable_window[SILENT-2.2] and [SILENT-3.6] with TimeoutError (window 1.5 s).

While the store is away it is asked without a wait, so that a silent call ends after 0.7 s and an answer comes at once, and the pause is at most a third of the window.

--- a/primrosereel/gateway/_store_reader.py
+++ b/primrosereel/gateway/_store_reader.py
@@ -44,6 +44,9 @@
 WATCH_SHARE = 0.5
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
+# A call that is under way as the store returns, and this pause, must end
+# within the stable window.
+BACKOFF_SHARE = 1 / 3
 # An instance without a configuration cannot serve requests, so it retries
 # more often.
 MAX_INITIAL_BACKOFF_S = 0.2
@@ -88,8 +91,11 @@
         """How long the store is asked to wait for changes.
 
         A watch that waits tells peers nothing, so each of them would start
-        one as well.
+        one as well. While the store is away, an answer at once tells that it
+        is back.
         """
+        if not self._available:
+            return 0.0
         if SHARES_WATCH and self._has_peers:
             return 0.0
         return WATCH_SHARE * self._context.settings.stable_window_s
@@ -126,7 +132,10 @@
 
     async def _back_off(self) -> None:
         await anyio.sleep(self._backoff_s)
-        max_backoff_s = MAX_BACKOFF_S
+        max_backoff_s = min(
+            MAX_BACKOFF_S,
+            BACKOFF_SHARE * self._context.settings.stable_window_s,
+        )
         if self._context.table is None:
             max_backoff_s = MAX_INITIAL_BACKOFF_S
         self._backoff_s = min(2 * self._backoff_s, max_backoff_s)
--- a/tests/property/test_gateway_store.py
+++ b/tests/property/test_gateway_store.py
@@ -9,7 +9,7 @@
 
 Fault = listed_runner.Fault
 STREAM = {'Token_Usage': '400,40', 'Model': 'm', 'Deadline_Ms': 4000}
-
+STABLE_WINDOW_S = 1.5
 
 run = gateway_fleet.run_scenario
 
@@ -86,6 +86,29 @@
     run(scenario)
 
 
+@pytest.mark.parametrize('outage_s', [2.2, 2.9, 3.6])
+@pytest.mark.parametrize(
+    'mode', [metadata_store.StoreMode.SILENT, metadata_store.StoreMode.BUSY]
+)
+def test_store_is_regained_within_the_stable_window(mode, outage_s):
+    """Guards against an instance that learns late that the store is back.
+
+    Within this time after an outage an instance is expected to keep all
+    bounds again.
+    """
+
+    async def scenario(fleet):
+        fleet.store.mode = mode
+        await anyio.sleep(outage_s)
+        assert fleet.log.named('store lost')
+        fleet.store.mode = metadata_store.StoreMode.UP
+        await fleet.wait_for(
+            lambda: bool(fleet.log.named('store regained')), STABLE_WINDOW_S
+        )
+
+    run(scenario, stable_window_s=STABLE_WINDOW_S)
+
+
 @pytest.mark.parametrize(
     'value',
     [
