--- a/primrosereel/gateway/_plain.py
+++ b/primrosereel/gateway/_plain.py
@@ -150,6 +150,7 @@
             with anyio.CancelScope(shield=True):
                 await response.connection.close()
             raise
+        await upstream.check_end(self._context, runner, response.head)
         sent.record_answer()
         now = self._context.clock()
         await upstream.keep_connection(
