Blame no bystander for a crash whose cause is not quarantined yet

Only the instance that had retried the sound call knew that the second crash was independent of the first, so the sound call was quarantined and the deadly one, seen by two instances, was not.

Cause: only a quarantined cause could account for another one's crashes. A whole request accounts for them now if it was at each of them.

--- a/primrosereel/routing/blame/_quarantine.py
+++ b/primrosereel/routing/blame/_quarantine.py
@@ -169,10 +169,10 @@
     ) -> causes.Cause | None:
         """Return the cause for which a request must be refused, if any.
 
-        A cause does not block a request that lacks another quarantined cause
-        to which the crashes can be due. A cause that sound and crashing
-        requests share is then answered, and cleared, and so is a request that
-        was in flight beside the one that crashed the runners.
+        A cause does not block a request that lacks another cause to which the
+        crashes can be due. A cause that sound and crashing requests share is
+        then answered, and cleared, and so is a request that was in flight
+        beside the one that crashed the runners.
         """
         suspected = [
             cause
@@ -181,7 +181,7 @@
         ]
         if not suspected:
             return None
-        others = self.quarantined(now).difference(request_causes)
+        others = self._possible_causes(now).difference(request_causes)
         for cause in suspected:
             suspect = self._suspects[cause]
             if not any(
@@ -191,6 +191,21 @@
                 return cause
         return None
 
+    def _possible_causes(self, now: float) -> set[causes.Cause]:
+        """Return the causes that may account for crashes under others.
+
+        Parts have to be quarantined, as many prompts share them. A whole
+        request need not be: the instance that saw its crashes may not have
+        known yet that they are independent.
+        """
+        whole = {
+            cause
+            for cause, suspect in self._suspects.items()
+            if cause.kind is not causes.CauseKind.PROMPT_PART
+            and suspect.crashes
+        }
+        return whole | self.quarantined(now)
+
     def _suspect(self, cause: causes.Cause) -> evidence_module.Suspect:
         suspect = self._suspects.get(cause)
         if suspect is None:
--- a/tests/property/test_blame.py
+++ b/tests/property/test_blame.py
@@ -308,6 +308,21 @@
     assert quarantine.blocking_cause([X], now + STEP_S) is None
 
 
+def test_bystander_is_not_refused_for_crashes_that_several_instances_saw():
+    """Guards against a sound call that is blamed for the deadly one.
+
+    Only the instance that retried the sound call knew that the second crash
+    is independent of the first; the deadly one came to two instances.
+    """
+    first, second = make_quarantine(1), make_quarantine(2)
+    first.observe_crash([X], crash(1), 0.0, 0.01)
+    second.observe_crash([D], crash(1), 0.0, 0.01)
+    first.observe_crash([X], crash(2), 0.02, 0.04)
+    first.observe_crash([D], crash(2), 0.02, 0.04)
+    first.merge(second.evidence(0.05), 0.05)
+    assert first.blocking_cause([X], 0.05) is None
+
+
 def test_answer_to_a_bystander_tells_it_from_the_deadly_call():
     """Guards against a deadly call that hides behind a sound one."""
     quarantine = make_quarantine()
