--- a/primrosereel/gateway/_crash_reports.py
+++ b/primrosereel/gateway/_crash_reports.py
@@ -6,8 +6,6 @@
 """
 
 from collections.abc import Iterable
-from collections.abc import Iterator
-import contextlib
 
 import anyio
 
@@ -33,22 +31,48 @@
 class Attempt:
     """A request that was sent to a runner, which has not answered yet.
 
-    ``scope`` is cancelled when the request is taken back.
+    ``scope``, which the request runs in, is cancelled when it is taken back.
     """
 
-    def __init__(self, exchange: context_module.Exchange) -> None:
-        self.exchange = exchange
-        self.scope = anyio.CancelScope()
-        self._answered = False
+    __slots__ = ('_attempts', '_exchange', '_scope', '_taken_back')
+
+    def __init__(
+        self,
+        attempts: set['Attempt'],
+        exchange: context_module.Exchange,
+        scope: anyio.CancelScope,
+    ) -> None:
+        self._attempts = attempts
+        self._exchange = exchange
+        self._scope = scope
+        self._taken_back = False
+
+    @property
+    def exchange(self) -> context_module.Exchange:
+        """The request."""
+        return self._exchange
 
     @property
-    def answered(self) -> bool:
-        """Whether the runner has answered."""
-        return self._answered
+    def taken_back(self) -> bool:
+        """Whether the request was taken back from the runner."""
+        return self._taken_back
+
+    def __enter__(self) -> 'Attempt':
+        self._attempts.add(self)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.record_answer()
 
     def record_answer(self) -> None:
         """Record that the runner has answered; keep the request there."""
-        self._answered = True
+        self._attempts.discard(self)
+
+    def take_back(self) -> None:
+        """Cancel the request at the runner."""
+        self._taken_back = True
+        self._attempts.discard(self)
+        self._scope.cancel()
 
 
 class CrashReports:
@@ -57,7 +81,7 @@
     Example::
 
         reports.check(exchange)  # raises admission.Refused
-        with reports.watched_attempt(exchange) as attempt:
+        with scope, reports.watched_attempt(exchange, scope) as attempt:
             ...
             attempt.record_answer()
         ...
@@ -97,21 +121,15 @@
             return None
         return self._quarantine.blocking_cause(exchange.causes, now)
 
-    @contextlib.contextmanager
     def watched_attempt(
-        self, exchange: context_module.Exchange
-    ) -> Iterator[Attempt]:
-        """Take the request back if it is quarantined while the block runs.
+        self, exchange: context_module.Exchange, scope: anyio.CancelScope
+    ) -> Attempt:
+        """Return an attempt that is watched while its block runs.
 
-        The block is then cancelled, unless the runner has answered.
+        ``scope`` is cancelled if the request is quarantined meanwhile, unless
+        the runner has answered.
         """
-        attempt = Attempt(exchange)
-        self._attempts.add(attempt)
-        try:
-            with attempt.scope:
-                yield attempt
-        finally:
-            self._attempts.discard(attempt)
+        return Attempt(self._attempts, exchange, scope)
 
     async def observe_lost_request(
         self,
@@ -146,10 +164,12 @@
 
     def observe_answer(self, exchange: context_module.Exchange) -> None:
         """Clear the causes of a request that a runner answered."""
-        now = self._context.clock()
         answered = exchange.part_causes
         if self._quarantine.has_suspects:
             answered = exchange.causes
+        if not answered:
+            return
+        now = self._context.clock()
         cleared = self._quarantine.observe_answer(answered, now)
         if not cleared:
             return
@@ -190,13 +210,11 @@
 
     def _take_back(self, now: float) -> None:
         """Take back the requests that wait at a runner and are blocked."""
-        for attempt in self._attempts:
-            if attempt.answered:
-                continue
+        for attempt in list(self._attempts):
             if self._blocking_cause(attempt.exchange, now) is not None:
                 self._context.count('requests.taken_back')
                 self._context.log.info(
                     'request taken back',
                     request=attempt.exchange.facts.request_id,
                 )
-                attempt.scope.cancel()
+                attempt.take_back()
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -268,7 +268,11 @@
         """
         response = None
         try:
-            with self._crash_reports.watched_attempt(self._exchange):
+            scope = anyio.CancelScope()
+            with (
+                scope,
+                self._crash_reports.watched_attempt(self._exchange, scope),
+            ):
                 response = await self._open_response(runner)
             if response is None:
                 self._crash_reports.check(self._exchange)
--- a/primrosereel/gateway/_plain.py
+++ b/primrosereel/gateway/_plain.py
@@ -88,9 +88,10 @@
         may_have_run_before = exchange.may_have_run
         exchange.may_have_run = True
         scope = anyio.move_on_after(self._attempt_limit_s())
+        attempt = self._crash_reports.watched_attempt(exchange, scope)
         try:
-            with scope, self._crash_reports.watched_attempt(exchange) as sent:
-                return await self._call(runner, started_at, sent)
+            with scope, attempt:
+                return await self._call(runner, started_at, attempt)
         except upstream.NotSent as error:
             exchange.may_have_run = may_have_run_before
             runner.observe_failure(self._context.clock())
@@ -116,7 +117,7 @@
             await self._crash_reports.observe_lost_request(
                 exchange, runner, started_at
             )
-        if scope.cancelled_caught:
+        if scope.cancelled_caught and not attempt.taken_back:
             runner.observe_silence(started_at, self._context.clock())
             exchange.record_failed_attempt(
                 Retry.PLAIN_IDEMPOTENT, runner, 'timeout'
@@ -127,7 +128,7 @@
         self,
         runner: runners.Runner,
         started_at: float,
-        sent: crash_reports_module.Attempt,
+        attempt: crash_reports_module.Attempt,
     ) -> callers.Reply | None:
         exchange = self._exchange
         connection = await upstream.connect_or_reuse(exchange, runner)
@@ -151,7 +152,7 @@
             with anyio.CancelScope(shield=True):
                 await response.connection.close()
             raise
-        sent.record_answer()
+        attempt.record_answer()
         now = self._context.clock()
         await upstream.keep_connection(
             self._context,
