Refuse answers of the daemon's platform with numbers out of range

A list of instances was used with any revision and incarnations. With one of 10^30, or of 2^64, the heartbeats and updates to peers could not be encoded, and no later list replaced one with such a revision. A configuration's text was read with any number as its revision, `-5` and `1_0` among them.

The numbers now have ranges where they are decoded; a list or a text outside of them is a failed read, which is made again.

--- a/primrosereel/_numbers.py
+++ b/primrosereel/_numbers.py
@@ -38,6 +38,7 @@
     'Slots',
     'Tokens',
     'UnixMs',
+    'UnixS',
     'Weight',
     'Whole',
     'age_ms',
@@ -72,6 +73,7 @@
 Whole = Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE)]
 Revision = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 UnixMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_UNIX_MS)]
+UnixS = Annotated[float, msgspec.Meta(ge=0, le=MAX_UNIX_MS / 1000)]
 DurationMs = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_MS)]
 DurationS = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_S)]
 AgeMs = Annotated[int, msgspec.Meta(ge=0, le=int(MAX_DURATION_MS))]
--- a/primrosereel/daemon/_platform.py
+++ b/primrosereel/daemon/_platform.py
@@ -4,6 +4,7 @@
 import msgspec
 
 from primrosereel import _ids as ids
+from primrosereel import _numbers as numbers
 from primrosereel.core import _messages as messages
 from primrosereel.daemon import _protocols as protocols
 from primrosereel.daemon import _responses as responses
@@ -21,7 +22,7 @@
     """One entry of the instance list."""
 
     instance: ids.InstanceId
-    incarnation: ids.Incarnation
+    incarnation: numbers.Whole
     region: ids.Region
     availability_zone: ids.AvailabilityZone
     address: str
@@ -31,8 +32,8 @@
 class _InstanceListResponse(msgspec.Struct):
     """The response of the instance list."""
 
-    revision: int
-    as_of: float
+    revision: numbers.Revision
+    as_of: numbers.UnixS
     instances: list[_InstanceEntry]
 
 
@@ -61,8 +62,12 @@
                 deliver(messages.ConfigurationUnchanged())
                 return
             response.raise_for_status()
-            revision = int(response.headers[REVISION_HEADER])
-        except (httpx.HTTPError, KeyError, ValueError):
+        except httpx.HTTPError:
+            deliver(messages.ConfigurationFailed())
+            return
+        header = response.headers.get(REVISION_HEADER, '')
+        revision = numbers.parse_whole(header.encode('latin-1', 'replace'))
+        if revision is None:
             deliver(messages.ConfigurationFailed())
             return
         deliver(
@@ -94,7 +99,7 @@
         instances = tuple(
             messages.ListedInstance(
                 entry.instance,
-                entry.incarnation,
+                ids.Incarnation(entry.incarnation),
                 entry.region,
                 entry.availability_zone,
                 entry.address,
