Refuse answers of engines with numbers out of range

A load report, the size of a KV cache, the sequence numbers of cache events and a fencing token were taken from an engine as they came, of any size. A negative number of requests counted as one more place than the engine has, and a sequence number of 10^30 was asked for in the next poll.

test_load_out_of_range_is_a_failed_poll (10 cases), test_prefill_out_of_range_is_a_failed_prefill (6), the cases of cache events and test_fencing_token_out_of_range_is_ignored failed before, as the answers were delivered: assert [LoadReported(...)] == [LoadFailed(runner='d')]. Such an answer now counts as one that cannot be decoded: the call has failed.

--- a/primrosereel/daemon/_engine_wire.py
+++ b/primrosereel/daemon/_engine_wire.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from primrosereel import _ids as ids
+from primrosereel import _numbers as numbers
 
 __all__ = [
     'CacheEvents',
@@ -20,7 +21,7 @@
     """One token of a stream."""
 
     request_id: str
-    offset: int
+    offset: numbers.Whole
     token: str = ''
     finish: str | None = None
 
@@ -30,8 +31,8 @@
 
     handle: str
     runner: str
-    tokens: int
-    bytes: int
+    tokens: numbers.Whole
+    bytes: numbers.Whole
 
 
 class PrefillResponse(msgspec.Struct):
@@ -39,26 +40,27 @@
 
     request_id: str
     kv: KvBody
-    cached_tokens: int = 0
+    cached_tokens: numbers.Whole = 0
 
 
 class LoadResponse(msgspec.Struct):
     """The response to a load poll."""
 
-    busy: int
-    queued: int
-    free_pieces: int
-    backlog_tokens: int = 0
+    busy: numbers.Whole
+    queued: numbers.Whole
+    free_pieces: numbers.Whole
+    backlog_tokens: numbers.Whole = 0
     leaving: bool = False
-    incarnation: int = 0
-    age_s: float = 0.0
+    incarnation: numbers.Whole = 0
+    age_s: numbers.DurationS = 0.0
 
 
 class CacheEvents(msgspec.Struct):
     """The response to a poll of cache events."""
 
-    first: int
-    next: int
+    first: numbers.Whole
+    next: numbers.Whole
+    # Hashes of blocks; they are only compared with each other.
     stored: list[int] = []
     evicted: list[int] = []
 
@@ -85,7 +87,7 @@
     role: str
     models: list[str] = []
     adapters: list[str] = []
-    fencing_token: int = 0
+    fencing_token: numbers.Whole = 0
 
 
 class ProtocolError(Exception):
