Ignore what peers tell of a run whose entry an older run replaced

Another writer's entry for a runner, with the state `draining` and a start in the future, is followed by the runner's own entry, which holds again. A peer that had read only the first told that the run with the later start leaves. An instance that had read both took that for a newer run, and then ignored all entries of the true one as older: the runner got no requests from it.

test_peers_notice_of_a_replaced_run_does_not_bar_the_true_one failed before with: assert False (accepts('s1', 1.0)). An entry of an earlier start that follows in the store's own order now marks the later start as replaced, and notices of peers about that start are ignored until an entry names it again.

--- a/primrosereel/routing/_availability.py
+++ b/primrosereel/routing/_availability.py
@@ -207,6 +207,9 @@
         ``born_ms`` 0 stands for the known run.
         """
         record = self.record(runner_id)
+        if source is Source.PEER and 0 < born_ms == record.replaced_born_ms:
+            # The peer has not yet read the entry that replaced that run's.
+            return
         event = Event.SAID_LEAVING
         if born_ms > record.version.born_ms:
             record.start_run(born_ms)
--- a/primrosereel/routing/_availability_record.py
+++ b/primrosereel/routing/_availability_record.py
@@ -22,6 +22,9 @@
     """
 
     version: RunVersion = RunVersion(0)
+    # Start of a run whose entry was followed by one of an older run, as the
+    # entry of another writer is; 0 if there is none.
+    replaced_born_ms: int = 0
     # The history of the store in which the newest entry, or its removal, was
     # read; None if it is not known or others told of a newer run.
     history: int | None = None
@@ -94,6 +97,10 @@
 
     def start_run(self, born_ms: int) -> None:
         """Forget what was said of other runs."""
+        if born_ms < self.version.born_ms:
+            self.replaced_born_ms = self.version.born_ms
+        elif born_ms >= self.replaced_born_ms:
+            self.replaced_born_ms = 0
         self.version = RunVersion(born_ms)
         self.history = None
         self.back_off_until = self.hinted_until = -math.inf
--- a/tests/property/test_gateway_odd_numbers.py
+++ b/tests/property/test_gateway_odd_numbers.py
@@ -5,9 +5,17 @@
 import anyio
 import pytest
 
+from primrosereel import _ids as ids
+from primrosereel import _states as states
+from primrosereel.routing import _availability as availability
+from primrosereel.routing import _model as model
+from primrosereel.routing import _runner_list as runner_list
+from primrosereel.routing import _runners as runners
 from tests import gateway_fleet
 from tests.property import test_gateway_runner_notices as peer_scenarios
 
+Availability = availability.Availability
+
 run = gateway_fleet.run_scenario
 
 
@@ -164,3 +172,38 @@
         await fleet.wait_for(lambda: table.get('s1').listing.slots == 6, 2.0)
 
     run(scenario)
+
+
+def test_peers_notice_of_a_replaced_run_does_not_bar_the_true_one():
+    """Guards against a start in the future that bars a runner at peers.
+
+    A peer that had read another writer's entry, but not yet the true one
+    after it, told that the run of the odd entry leaves.
+    """
+    table = runners.RunnerTable()
+    listed = runner_list.RunnerList(table)
+    runner = ids.RunnerId('s1')
+
+    def read(born, leaving, sequence):
+        listing = model.RunnerListing(
+            runner,
+            ids.ServiceId('plain'),
+            model.Address('127.0.0.1', 80),
+            ids.AvailabilityZone('z'),
+            states.Role.PLAIN,
+            4,
+            leaving,
+            born_ms=born,
+            sequence=sequence,
+        )
+        listed.apply_change(runner_list.ListingChange(runner, listing), 1.0)
+
+    read(10**12, False, 1)
+    read(10**14, True, 1)
+    read(10**12, False, 2)
+    assert table.availability.accepts(runner, 1.0)
+    for state in (Availability.LEAVING, Availability.GONE):
+        notice = availability.Notice(runner, 10**14, state, 0.1)
+        table.availability.receive(notice, 1.0)
+        read(10**12, False, 3)
+        assert table.availability.accepts(runner, 1.0)
