--- a/primrosereel/gateway/_runner_changes.py
+++ b/primrosereel/gateway/_runner_changes.py
@@ -7,13 +7,12 @@
 
 from primrosereel.gateway import _availability_log as availability_log
 from primrosereel.gateway import _context as context_module
-from primrosereel.gateway import _runner_signs as runner_signs
 from primrosereel.routing import _availability as availability
 
 __all__ = ['RunnerChanges']
 
 # States in which a request that was not sent yet is placed anew.
-TAKES_NOTHING = runner_signs.LEFT | {availability.Availability.BACKING_OFF}
+TAKES_NOTHING = availability.BARRED | {availability.Availability.BACKING_OFF}
 
 
 class RunnerChanges:
@@ -26,7 +25,7 @@
         """Act on a transition; it is in force already."""
         context = self._context
         availability_log.record(context, transition)
-        if transition.new in runner_signs.LEFT:
+        if transition.new in availability.BARRED:
             context.leave_callbacks.runner_leaves(transition.runner)
             runner = context.runners.get(transition.runner)
             if runner is not None:
--- a/primrosereel/gateway/_runner_signs.py
+++ b/primrosereel/gateway/_runner_signs.py
@@ -11,11 +11,7 @@
 from primrosereel.routing import _model as model
 from primrosereel.routing import _runners as runners
 
-__all__ = ['LEFT', 'backs_off', 'has_left', 'observe_answer']
-
-LEFT = frozenset(
-    {availability.Availability.LEAVING, availability.Availability.GONE}
-)
+__all__ = ['backs_off', 'has_left', 'observe_answer']
 
 
 def observe_answer(
@@ -56,7 +52,7 @@
     state = context.runners.availability.state(
         runner.runner_id, context.clock()
     )
-    return state in LEFT
+    return state in availability.BARRED
 
 
 def backs_off(context: context_module.Context, runner: runners.Runner) -> bool:
--- a/primrosereel/routing/_availability.py
+++ b/primrosereel/routing/_availability.py
@@ -27,6 +27,7 @@
 from primrosereel.routing._availability_states import TRANSITIONS
 
 __all__ = [
+    'BARRED',
     'Availability',
     'AvailabilityBounds',
     'AvailabilityRecord',
