--- a/primrosereel/bench/_capacity_wire.py
+++ b/primrosereel/bench/_capacity_wire.py
@@ -19,6 +19,7 @@
 
 from primrosereel import _ids as ids
 from primrosereel.bench import _fleet as fleet
+from primrosereel.bench import _ports as ports
 from primrosereel.core import _messages as messages
 from primrosereel.daemon import _clock as clock
 from primrosereel.daemon import _engine as engine
@@ -41,7 +42,7 @@
         host, _, port = target.rpartition(':')
         self.byte_count = 0
         self._target = (host, int(port))
-        self.address = f'{fleet.HOST}:{fleet.free_port()}'
+        self.address = f'{fleet.HOST}:{ports.free_port()}'
 
     async def serve(self, *, task_status: Any) -> None:
         """Serve until cancelled."""
@@ -100,7 +101,7 @@
         server = peers.PeerServer(
             ids.InstanceId('b'), ids.Incarnation(1), lambda envelope: []
         )
-        address = f'{fleet.HOST}:{fleet.free_port()}'
+        address = f'{fleet.HOST}:{ports.free_port()}'
         await server.start(address)
         relay = CountingRelay(address)
         await group.start(relay.serve)
@@ -214,7 +215,7 @@
         'client_accounts': {},
     }
     harness = fleet.Fleet(text, daemons=0)
-    address = f'{fleet.HOST}:{fleet.free_port()}'
+    address = f'{fleet.HOST}:{ports.free_port()}'
     command = [
         sys.executable,
         '-m',
--- a/primrosereel/bench/_cost.py
+++ b/primrosereel/bench/_cost.py
@@ -16,6 +16,7 @@
 
 from primrosereel.bench import _fleet as fleet_module
 from primrosereel.bench import _load as load
+from primrosereel.bench import _ports as ports
 from primrosereel.bench import _texts as texts
 
 __all__ = ['cpu_seconds', 'resident_bytes', 'run']
@@ -92,7 +93,7 @@
         fleet.addresses[name]
         for name in fleet.text['services'][SERVICE]['runners']
     ]
-    listen = f'{fleet_module.HOST}:{fleet_module.free_port()}'
+    listen = f'{fleet_module.HOST}:{ports.free_port()}'
     command = [
         sys.executable,
         '-m',
--- a/primrosereel/bench/_fleet.py
+++ b/primrosereel/bench/_fleet.py
@@ -17,9 +17,7 @@
 import math
 import os
 import pathlib
-import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -28,45 +26,21 @@
 
 import httpx
 
-__all__ = ['DaemonProcess', 'Fleet', 'FleetError', 'Process', 'free_port']
+from primrosereel.bench import _ports as ports
 
-HOST = '127.0.0.1'
+__all__ = ['DaemonProcess', 'Fleet', 'FleetError', 'Process']
+
+HOST = ports.HOST
 OPERATOR_TOKEN = 'demo-operator'
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 15.0
 POLL_S = 0.05
-FIRST_PORT = 20_000
-LAST_PORT = 32_000
-PORT_ATTEMPTS = 100
-
-_returned_ports: set[int] = set()
 
 
 class FleetError(RuntimeError):
     """A process did not start, or a condition was not met in time."""
 
 
-def free_port() -> int:
-    """Return a port of the loopback address that is free at present.
-
-    The port is below the ephemeral range of Linux (32768 and up), so that no
-    outgoing connection takes it before the listening process starts. It is
-    not returned again, as the first process may not listen yet.
-    """
-    for _ in range(PORT_ATTEMPTS):
-        port = random.randrange(FIRST_PORT, LAST_PORT)
-        if port in _returned_ports:
-            continue
-        with socket.socket() as probe:
-            try:
-                probe.bind((HOST, port))
-            except OSError:
-                continue
-        _returned_ports.add(port)
-        return port
-    raise FleetError('no free port found on the loopback address')
-
-
 class Process:
     """One child process and its address."""
 
@@ -165,7 +139,10 @@
         # Chosen before the first daemon starts, because each daemon's
         # settings contain the addresses of all others.
         self._seed_addresses = (
-            {name: f'{HOST}:{free_port()}' for name in self._instance_names()}
+            {
+                name: f'{HOST}:{ports.free_port()}'
+                for name in self._instance_names()
+            }
             if seeds
             else {}
         )
@@ -337,7 +314,7 @@
         return pathlib.Path(self._folder.name) / name
 
     def _start_platform(self) -> None:
-        self._platform_address = f'{HOST}:{free_port()}'
+        self._platform_address = f'{HOST}:{ports.free_port()}'
         self._platform = self._start_standin(
             'platform', 'platform', self._platform_address, {}
         )
@@ -349,7 +326,7 @@
     def _start_runner(
         self, runner: str, runner_text: dict, service: dict
     ) -> None:
-        address = f'{HOST}:{free_port()}'
+        address = f'{HOST}:{ports.free_port()}'
         runner_text['address'] = self.addresses[runner] = address
         if service['kind'] == 'plain':
             self.runners[runner] = self._start_standin(
@@ -387,8 +364,10 @@
         return self.start_process(name, command)
 
     def _make_daemon(self, instance: str) -> DaemonProcess:
-        callers, operators = (f'{HOST}:{free_port()}' for _ in range(2))
-        peers = self._seed_addresses.get(instance) or f'{HOST}:{free_port()}'
+        callers, operators = (f'{HOST}:{ports.free_port()}' for _ in range(2))
+        peers = (
+            self._seed_addresses.get(instance) or f'{HOST}:{ports.free_port()}'
+        )
         availability_zone = self._availability_zones[
             len(self.daemons) % len(self._availability_zones)
         ]
--- a/tests/features/steps/tls.py
+++ b/tests/features/steps/tls.py
@@ -15,7 +15,7 @@
 import trustme
 
 from primrosereel import settings as settings_module
-from primrosereel.bench import _fleet as fleet
+from primrosereel.bench import _ports as ports_module
 from primrosereel.core import _messages as messages
 from primrosereel.daemon import _clock as clock
 from primrosereel.daemon import _composition as composition
@@ -140,7 +140,7 @@
 def given_daemon(context):
     """Run a daemon; record the responses that the steps compare."""
     tls = _tls(context, '127.0.0.1')
-    ports = [f'127.0.0.1:{fleet.free_port()}' for _ in range(4)]
+    ports = [f'127.0.0.1:{ports_module.free_port()}' for _ in range(4)]
     unreachable_url = f'http://{ports[3]}'
     digest = hashlib.sha256(TOKEN.encode()).hexdigest()
     settings = settings_module.Settings(
--- a/tests/features/steps/tool.py
+++ b/tests/features/steps/tool.py
@@ -15,7 +15,7 @@
 from behave import when
 import httpx
 
-from primrosereel.bench import _fleet as fleet
+from primrosereel.bench import _ports as ports_module
 from primrosereel.cmd import daemon
 from primrosereel.cmd import tool
 
@@ -120,7 +120,9 @@
     ports = {}
 
     def replace_address(match):
-        return ports.setdefault(match[0], f'127.0.0.1:{fleet.free_port()}')
+        return ports.setdefault(
+            match[0], f'127.0.0.1:{ports_module.free_port()}'
+        )
 
     target = _temporary_folder(context) / user
     (target / 'settings').mkdir(parents=True)
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -11,7 +11,7 @@
 
 from primrosereel import _ids as ids
 from primrosereel import platform
-from primrosereel.bench import _fleet as fleet_module
+from primrosereel.bench import _ports as ports
 from primrosereel.gateway import _composition as composition
 from primrosereel.gateway import _settings as settings
 from primrosereel.routing import _model as model
@@ -32,7 +32,7 @@
 
 HOST = operator_config.HOST
 configuration = operator_config.configuration
-free_port = fleet_module.free_port
+free_port = ports.free_port
 SCENARIO_LIMIT_S = 20.0
 
 
--- a/tests/property/test_daemon_listener.py
+++ b/tests/property/test_daemon_listener.py
@@ -3,7 +3,7 @@
 import os
 import socket
 
-from primrosereel.bench import _fleet as fleet
+from primrosereel.bench import _ports as ports
 from primrosereel.daemon import _composition as composition
 
 
@@ -12,7 +12,7 @@
 
     The readiness page has a server of its own, which could start first.
     """
-    port = fleet.free_port()
+    port = ports.free_port()
     descriptor = composition.open_listener(f'127.0.0.1:{port}')
     try:
         with socket.create_connection(('127.0.0.1', port), timeout=1.0):
--- a/tests/property/test_free_port.py
+++ b/tests/property/test_free_port.py
@@ -1,6 +1,6 @@
 """Ports for the processes of a fleet."""
 
-from primrosereel.bench import _fleet as fleet
+from primrosereel.bench import _ports as ports_module
 
 PORTS = 400
 
@@ -10,5 +10,5 @@
 
     The first one does not listen yet when the second port is chosen.
     """
-    ports = [fleet.free_port() for _ in range(PORTS)]
+    ports = [ports_module.free_port() for _ in range(PORTS)]
     assert len(set(ports)) == PORTS
--- a/tests/property/test_gateway_rejections.py
+++ b/tests/property/test_gateway_rejections.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 
-from primrosereel.bench import _fleet as fleet_module
+from primrosereel.bench import _ports as ports
 from primrosereel.routing import _model as model
 from primrosereel.standin import _listed_runner as listed_runner
 from tests import gateway_fleet
@@ -140,7 +140,7 @@
         table.get('p2').slowness = 1.5
         if fault == 'gone':
             row = table.get('p1')
-            port = fleet_module.free_port()
+            port = ports.free_port()
             row.listing = dataclasses.replace(
                 row.listing, address=model.Address('127.0.0.1', port)
             )
