--- a/primrosereel/platform/_entries.py
+++ b/primrosereel/platform/_entries.py
@@ -30,6 +30,7 @@
     'prefill': states.Role.PREFILL,
     'decode': states.Role.DECODE,
 }
+MAX_DETAIL_LENGTH = 200
 JSON_NUMBER = re.compile(rb'-?[0-9][0-9.eE+-]*')
 LEAVING_BY_STATE = {'ready': False, 'draining': True}
 
@@ -127,10 +128,13 @@
 
 
 class EntryError(Exception):
-    """An entry cannot be used; the text says why."""
+    """An entry cannot be used; the text says why.
+
+    Texts of another writer, which a detail may quote, can be of any length.
+    """
 
     def __init__(self, detail: str, fault: Fault = Fault.UNREADABLE) -> None:
-        super().__init__(detail)
+        super().__init__(detail[:MAX_DETAIL_LENGTH])
         self.fault = fault
 
 
--- a/primrosereel/platform/_settings.py
+++ b/primrosereel/platform/_settings.py
@@ -18,7 +18,7 @@
 PATH_VARIABLE = 'PRIMROSEREEL_CONFIG'
 BYTES_PER_MB = 1024 * 1024
 # Decimal digits alone: ``int`` accepts spaces, signs and underscores too.
-PORT = re.compile('[0-9]{1,5}')
+PORT = re.compile('[0-9]{1,20}')
 DEFAULT_PATH = '/etc/primrosereel/settings.toml'
 
 
--- a/tests/property/test_gateway_odd_numbers.py
+++ b/tests/property/test_gateway_odd_numbers.py
@@ -71,6 +71,8 @@
         ('coldRemainingMs', '-1'),
         ('coldRemainingMs', '1e300'),
         ('address', '"127.0.0.1:65536"'),
+        ('address', '"127.0.0.1:1234567890"'),
+        ('address', '"127.0.0.1:0"'),
     ],
 )
 def test_entry_out_of_range_leaves_the_last_good_one(field, number):
@@ -86,6 +88,7 @@
             assert table.get('s1').listing == good
         (line,) = fleet.log.named('store entry unusable')
         assert line['key'] == 'servers/s1'
+        assert len(line['detail']) <= 200
         assert counted(fleet, b'store_total{reason="out_of_range"} 2.0')
         # All entries are read anew.
         fleet.store.forget_history()
