--- a/primrosereel/gateway/_admission.py
+++ b/primrosereel/gateway/_admission.py
@@ -205,7 +205,7 @@
     return Refused(
         states.RefusalReason.NO_RUNNER,
         _rounded_up(retry_after_s),
-        'all runners refuse connections',
+        'no runner accepts connections',
     )
 
 
--- a/tests/property/test_gateway_runners_down.py
+++ b/tests/property/test_gateway_runners_down.py
@@ -27,6 +27,8 @@
         self.made = collections.Counter()
         self.most_at_once = collections.Counter()
         self.delay_s = 0.0
+        # Runners that do not answer connects.
+        self.dark = set()
         monkeypatch.setattr(http, 'connect', self._counted)
 
     async def _counted(self, address, timeout_s):
@@ -38,6 +40,9 @@
         )
         try:
             await anyio.sleep(self.delay_s)
+            if any(port == self._port(name) for name in self.dark):
+                await anyio.sleep(timeout_s)
+                raise http.ConnectFailed('timeout')
             return await self._connect(address, timeout_s)
         finally:
             self._open[port] -= 1
@@ -214,3 +219,18 @@
     reply = await fleet.ask('/read/1', 'r1')
     assert reply.status == 503
     assert 4.8 < float(reply.headers['retry-after']) < 7.6
+
+
+@gateway_fleet.with_fleet
+async def test_dark_runner_costs_its_neighbours_callers_no_time(
+    fleet, monkeypatch
+):
+    """Guards against requests that try a dark runner beside a sound one."""
+    connects = Connects(fleet, monkeypatch)
+    connects.dark.add('s1')
+    for _ in range(3):
+        for reply in await ask_many(fleet, 6):
+            assert reply.status == 200
+    connects.made.clear()
+    await ask_many(fleet, 10)
+    assert connects.to('s1') <= 1
