Split the decode places: tickets, memory in use, spillover

routing/_decode_places.py did four jobs. The order of requests is now in _tickets, the estimate of what is in use in _decode_memory, and the choice of a runner of another shard in _spillover. No behaviour changes.

--- a/primrosereel/routing/_decode_places.py
+++ b/primrosereel/routing/_decode_places.py
@@ -10,32 +10,24 @@
 ranks first uses a freed place; otherwise all of them would use it at once.
 """
 
-from collections.abc import Callable
-from collections.abc import Collection
 from collections.abc import Iterable
-import dataclasses
-import math
 import random as random_module
 
 from primrosereel import _ids as ids
 from primrosereel import _states as states
+from primrosereel.routing import _decode_memory as decode_memory
 from primrosereel.routing import _demand as demand
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _model as model
 from primrosereel.routing import _prefill_plan as prefill_plan
 from primrosereel.routing import _runners as runners
+from primrosereel.routing import _spillover as spillover
+from primrosereel.routing._tickets import queue_head
+from primrosereel.routing._tickets import Ticket
+from primrosereel.routing._tickets import tokens_needed
 
 __all__ = ['DecodePlaces', 'Ticket', 'tokens_needed']
 
-# Priority of a request whose prompt was prefilled and would be wasted; the
-# operators' priorities start at 0.
-PREFILLED_PRIORITY = -1
-
-# Share of an engine's KV cache memory that is reserved at most.
-USABLE_KV_SHARE = 0.97
-# Share of the output tokens that is reserved: a stream holds less than its
-# final length for most of its time.
-RESERVED_OUTPUT_SHARE = 0.6
 # Mean time that a stream holds its place, until the instance has observed it.
 DEFAULT_HOLD_S = 3.0
 # Weight of a new observation in the moving average of the holding time.
@@ -43,14 +35,6 @@
 # Time constant of the decaying rate of arriving tokens.
 ARRIVAL_DECAY_S = 2.0
 
-# Free memory that a runner of another shard needs for a spillover, as a
-# multiple of the request's size, and how long a report of it is valid.
-SPILLOVER_HEADROOM_FACTOR = 2.5
-FREE_MEMORY_VALID_S = 2.5
-
-# Assumed size of a request of which only the presence is known.
-UNSEEN_REQUEST_TOKENS = 4000
-
 # Cost terms; 1.0 is the cost of a runner whose whole memory is in use.
 OTHER_ZONE_COST = 0.04
 FAILURE_COST = 2.0
@@ -59,48 +43,6 @@
 TIE_BREAK_JITTER = 0.02
 
 
-def tokens_needed(facts: model.RequestFacts) -> int:
-    """Return the expected KV cache memory of a request, in tokens."""
-    output = facts.output_tokens
-    if facts.length_hint is not None:
-        output = min(output, facts.length_hint)
-    return facts.prompt_tokens + int(RESERVED_OUTPUT_SHARE * output)
-
-
-@dataclasses.dataclass(eq=False, slots=True)
-class Ticket:
-    """A request for a place; ``runner`` is set once it has one."""
-
-    service: ids.ServiceId
-    tokens: int
-    priority: int
-    arrived_at: float
-    # Returns the latest start time that still meets the latency target. It
-    # changes with the prompts that are waiting for prefill.
-    latest_start: Callable[[float], float]
-    excluded: Collection[ids.RunnerId] = ()
-    runner: runners.Runner | None = None
-    # The prompt was prefilled for a runner that then rejected the request.
-    # Its KV cache lasts for less than a second.
-    prefilled: bool = False
-    # The request lost its place before it was sent, as its runner takes no
-    # more requests. It goes before the others of its priority.
-    displaced: bool = False
-    on_admitted: Callable[[], None] = lambda: None
-
-    def rank(self, now: float) -> tuple[bool, int, float]:
-        """Return the sort key by which tickets get places, lowest first."""
-        if self.prefilled:
-            return False, PREFILLED_PRIORITY, self.arrived_at
-        if self.displaced:
-            return False, self.priority, -math.inf
-        return self.is_late(now), self.priority, self.arrived_at
-
-    def is_late(self, now: float) -> bool:
-        """Tell whether the request misses its target even if it starts now."""
-        return not self.displaced and now > self.latest_start(now)
-
-
 class _MeanDuration:
     """Moving average of a duration; plain average of the first samples."""
 
@@ -129,13 +71,12 @@
         self._availability_zone = availability_zone
         self._random = random
         self._waiting: list[Ticket] = []
-        self._engines: dict[ids.ServiceId, model.Engine] = {}
+        self._memory = decode_memory.DecodeMemory(ledger)
         self._hold = _MeanDuration(DEFAULT_HOLD_S)
         self._stream = _MeanDuration(DEFAULT_HOLD_S)
         self._suspended_until = 0.0
         self._arrivals = demand.DecayingRate(ARRIVAL_DECAY_S)
-        # Free tokens of runners of other shards, and when they were reported.
-        self._foreign_free_memory: dict[ids.RunnerId, tuple[int, float]] = {}
+        self._spillover = spillover.Spillover(table, random)
 
     @property
     def waiting_tokens(self) -> int:
@@ -155,7 +96,7 @@
     @property
     def known_foreign_runners(self) -> int:
         """Number of runners of other shards whose free memory is known."""
-        return len(self._foreign_free_memory)
+        return len(self._spillover)
 
     @property
     def waiting_count(self) -> int:
@@ -166,18 +107,14 @@
         self, services: dict[ids.ServiceId, model.Service]
     ) -> None:
         """Apply the engine capacities of a new configuration."""
-        self._engines = {
-            name: service.engine
-            for name, service in services.items()
-            if service.engine is not None
-        }
+        self._memory.set_services(services)
 
     def queue_heads(self, now: float) -> tuple[ledger_module.QueueHead, ...]:
         """Return the first waiting request of each service."""
         first: dict[ids.ServiceId, Ticket] = {}
         for ticket in sorted(self._waiting, key=lambda t: t.rank(now)):
             first.setdefault(ticket.service, ticket)
-        return tuple(_queue_head(ticket, now) for ticket in first.values())
+        return tuple(queue_head(ticket, now) for ticket in first.values())
 
     def observe_hold(self, hold_s: float, stream_s: float | None) -> None:
         """Update the mean times with those of a request that has ended.
@@ -222,10 +159,10 @@
             if ticket.service in blocked:
                 continue
             runner = None
-            if self._ledger.is_first(_queue_head(ticket, now), now):
+            if self._ledger.is_first(queue_head(ticket, now), now):
                 runner = self.choose(ticket, now)
                 if runner is None or runner.availability.is_missing:
-                    runner = self._choose_spillover(ticket, now) or runner
+                    runner = self._spillover.choose(ticket, now) or runner
             if runner is None:
                 blocked.add(ticket.service)
                 continue
@@ -254,7 +191,7 @@
         candidates = [
             runner
             for runner in self._candidates(ticket, now)
-            if self._fits(runner, ticket, now)
+            if self._memory.fits(runner, ticket.tokens, now)
         ]
         return min(
             self._table.preferred(candidates, now),
@@ -270,9 +207,12 @@
         free = [
             (
                 runner.runner_id,
-                int(self._capacity(runner) - self._use(runner, now).tokens),
+                int(
+                    self._memory.capacity(runner)
+                    - self._memory.use(runner, now).tokens
+                ),
             )
-            for service in self._engines
+            for service in self._memory.services
             for runner in self._table.ready(service, states.Role.DECODE, now)
             if runner.is_available(now)
             and not runner.availability.preference(now)
@@ -284,49 +224,7 @@
         self, free: Iterable[tuple[ids.RunnerId, int]], now: float
     ) -> None:
         """Store the free memory that another shard reported of its runners."""
-        for runner_id, (_, reported_at) in list(
-            self._foreign_free_memory.items()
-        ):
-            if now - reported_at > FREE_MEMORY_VALID_S:
-                del self._foreign_free_memory[runner_id]
-        for runner_id, tokens in free:
-            self._foreign_free_memory[runner_id] = tokens, now
-
-    def _choose_spillover(
-        self, ticket: Ticket, now: float
-    ) -> runners.Runner | None:
-        """Return a runner of another shard that reported enough free memory.
-
-        Other instances may choose from the same report at the same time. The
-        runner is therefore picked at random among those with free memory for
-        several such requests.
-        """
-        needed_tokens = SPILLOVER_HEADROOM_FACTOR * ticket.tokens
-        candidates = [
-            runner
-            for runner in self._table.foreign(
-                ticket.service, states.Role.DECODE, now, ticket.excluded
-            )
-            if runner.is_available(now)
-            and self._reported_free_tokens(runner, now) >= needed_tokens
-        ]
-        if not candidates:
-            return None
-        runner = self._random.choice(self._table.preferred(candidates, now))
-        tokens, reported_at = self._foreign_free_memory[runner.runner_id]
-        self._foreign_free_memory[runner.runner_id] = (
-            tokens - ticket.tokens,
-            reported_at,
-        )
-        return runner
-
-    def _reported_free_tokens(
-        self, runner: runners.Runner, now: float
-    ) -> float:
-        tokens, reported_at = self._foreign_free_memory.get(
-            runner.runner_id, (0, -math.inf)
-        )
-        return tokens if now - reported_at <= FREE_MEMORY_VALID_S else 0.0
+        self._spillover.learn(free, now)
 
     def describe(self, service: ids.ServiceId, now: float) -> str:
         """Return the state behind a decision about a service, for the log."""
@@ -335,7 +233,7 @@
             + ('' if now >= runner.full_until else ' full')
             + (' suspect' if runner.is_suspect(now) else '')
             for runner in self._table.ready(service, states.Role.DECODE, now)
-            for use in (self._use(runner, now),)
+            for use in (self._memory.use(runner, now),)
         ]
         parts += [
             f'{runner.runner_id} {runner.availability.state_at(now).value}'
@@ -357,8 +255,8 @@
         """
         used = free = 0.0
         for runner in self._candidates(ticket, now):
-            capacity = self._capacity(runner)
-            in_use = self._use(runner, now).tokens
+            capacity = self._memory.capacity(runner)
+            in_use = self._memory.use(runner, now).tokens
             used += in_use
             free += max(0.0, capacity - in_use)
         if not used and not free:
@@ -383,7 +281,7 @@
         self, runner: runners.Runner, tokens: int, now: float
     ) -> bool:
         """Tell whether a runner has memory for more tokens than are in use."""
-        return self._use(runner, now).tokens + tokens <= self._capacity(runner)
+        return self._memory.has_room(runner, tokens, now)
 
     def _candidates(self, ticket: Ticket, now: float) -> list[runners.Runner]:
         """Return the ready runners; only available ones if there are any."""
@@ -394,72 +292,11 @@
             runner for runner in ready if runner.is_available(now)
         ] or ready
 
-    def _fits(
-        self, runner: runners.Runner, ticket: Ticket, now: float
-    ) -> bool:
-        if now < runner.full_until:
-            return False
-        use = self._use(runner, now)
-        if use.requests >= runner.listing.slots:
-            return False
-        # An idle runner is tried with a request that is larger than its
-        # memory. One without requests that has tokens in use is avoided.
-        idle = not use.requests and not use.tokens
-        return idle or use.tokens + ticket.tokens <= self._capacity(runner)
-
-    def _use(self, runner: runners.Runner, now: float) -> ledger_module.Use:
-        others = self._ledger.peer_use(runner.runner_id, now)
-        use = ledger_module.Use(
-            runner.in_flight + others.requests,
-            runner.tokens + others.tokens,
-            runner.local_prefill_tokens + others.local_prefill_tokens,
-        )
-        missing = self._ledger.missing_count(now)
-        return (
-            self._with_unseen_instances(runner, use, missing, now)
-            if missing
-            else use
-        )
-
-    def _with_unseen_instances(
-        self,
-        runner: runners.Runner,
-        use: ledger_module.Use,
-        missing: int,
-        now: float,
-    ) -> ledger_module.Use:
-        """Add the estimated use of instances that went missing.
-
-        The runner's own load report counts, with a weight that decays with
-        its age. If more instances are missing than visible, each missing one
-        is assumed to use as much as a visible one, so that every side of a
-        partition keeps to its share.
-        """
-        requests, tokens, local_prefill_tokens = use
-        visible = self._ledger.peer_count(now) + 1
-        mean_tokens = tokens / requests if requests else UNSEEN_REQUEST_TOKENS
-        unseen = max(
-            0.0, runner.in_flight + runner.peer_requests_now(now) - requests
-        )
-        if missing > visible:
-            unseen = max(unseen, requests * missing / visible)
-        return ledger_module.Use(
-            requests + round(unseen),
-            tokens + int(unseen * mean_tokens),
-            local_prefill_tokens,
-        )
-
-    def _capacity(self, runner: runners.Runner) -> float:
-        engine = self._engines.get(runner.listing.service)
-        if engine is None or engine.kv_tokens <= 0:
-            return float('inf')
-        return USABLE_KV_SHARE * engine.kv_tokens
-
     def _cost(
         self, runner: runners.Runner, ticket: Ticket, now: float
     ) -> float:
-        use = self._use(runner, now)
-        capacity = self._capacity(runner)
+        use = self._memory.use(runner, now)
+        capacity = self._memory.capacity(runner)
         cost = (use.tokens + ticket.tokens) / capacity
         cost += use.requests / max(1, runner.listing.slots)
         cost += LOCAL_PREFILL_COST * prefill_plan.local_prefill_s(
@@ -471,10 +308,3 @@
         if runner.is_suspect(now):
             cost += 10.0 * (1 + runner.failures)
         return cost + TIE_BREAK_JITTER * self._random.random()
-
-
-def _queue_head(ticket: Ticket, now: float) -> ledger_module.QueueHead:
-    late, priority, _ = ticket.rank(now)
-    return ledger_module.QueueHead(
-        ticket.service, late, priority, now - ticket.arrived_at
-    )
