--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -4,7 +4,6 @@
 import enum
 
 import anyio
-import anyio.abc
 
 from tests.soak import ports
 from tests.soak import spans
@@ -67,12 +66,9 @@
 
     async def serve(self, *, task_status=anyio.TASK_STATUS_IGNORED):
         self.port = ports.free_port()
+        listener = await _listen(self.port)
+        task_status.started()
         while True:
-            listener = await anyio.create_tcp_listener(
-                local_host='127.0.0.1', local_port=self.port
-            )
-            task_status.started()
-            task_status = anyio.TASK_STATUS_IGNORED
             with anyio.CancelScope() as self._listening:
                 async with listener:
                     await listener.serve(self._connection)
@@ -80,6 +76,7 @@
                 return
             await anyio.sleep(self._closed_s)
             self._closed_s = None
+            listener = await _listen(self.port)
 
     async def _connection(self, client):
         with anyio.CancelScope() as scope:
@@ -120,3 +117,9 @@
                     continue
                 await sink.send(data)
         tasks.cancel_scope.cancel()
+
+
+async def _listen(port):
+    return await anyio.create_tcp_listener(
+        local_host='127.0.0.1', local_port=port
+    )
