--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -36,10 +36,11 @@
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _members as members_module
 from primrosereel.routing import _model as model
-from primrosereel.routing import _prompt_quarantine as prompt_quarantine
+from primrosereel.routing import _outages as outages_module
 from primrosereel.routing import _retry_budget as retry_budget
 from primrosereel.routing import _runners as runners
 from primrosereel.routing import _shards as shards_module
+from primrosereel.routing import blame
 
 __all__ = ['Gateway', 'Options', 'clock']
 
@@ -121,6 +122,7 @@
             availability_module.AvailabilityTable(
                 on_transition=self._availability_changed
             ),
+            outages_module.Outages(random_source),
         )
         ledger = ledger_module.Ledger(shards.owns)
         self._context = context_module.Context(
@@ -153,7 +155,7 @@
                 settings.memory_bytes
             ),
             log=log,
-            quarantine=prompt_quarantine.PromptQuarantine(random_source),
+            quarantine=blame.Quarantine(random_source),
             time_limits=time_limits.TimeLimits(clock),
         )
         self._runner_changes = runner_changes.RunnerChanges(self._context)
@@ -271,16 +273,20 @@
         now = clock()
         metrics = context.metrics
         metrics.gauge('active_requests', context.active)
+        metrics.gauge('caller_connections', self._server.open_connections)
+        metrics.gauge(
+            'lingering_connections', self._server.lingering_connections
+        )
         metrics.gauge('waiting_requests', context.places.waiting_count)
         metrics.gauge('runners', len(context.runners))
         metrics.gauge(
             'runners_accepting', context.runners.accepting_count(now)
         )
+        metrics.gauge('runners_down', len(context.runners.outages))
         metrics.gauge('peers', context.ledger.peer_count(now))
         metrics.gauge('members', len(context.members))
         metrics.gauge(
-            'quarantined_prompt_parts',
-            len(context.quarantine.quarantined(now)),
+            'quarantined_causes', len(context.quarantine.quarantined(now))
         )
         if context.table is not None:
             metrics.gauge('configuration_version', context.table.version)
@@ -398,11 +404,15 @@
     async def _finish_requests(self) -> None:
         """Close connections until none is left on which a request is read.
 
-        Their time limits end before ``_end_at``. What is left then is cut.
+        Their time limits end before ``_end_at``. What is left then is cut;
+        callers that have their answers only delay the end for a short time.
         """
         while anyio.current_time() < self._end_at:
             self._server.close_idle()
             await anyio.sleep(STOP_POLL_INTERVAL_S)
-            if not self._server.open_connections:
+            if not (
+                self._server.open_connections
+                or self._server.lingering_connections
+            ):
                 return
         self._log.error('requests cut', active=self._context.active)
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -9,6 +9,7 @@
 from primrosereel import _ids as ids
 from primrosereel import _states as states
 from primrosereel.gateway import _callers as callers
+from primrosereel.gateway import _causes as causes
 from primrosereel.gateway import _leave_callbacks as leave_callbacks_module
 from primrosereel.gateway import _metrics as metrics_module
 from primrosereel.gateway import _pool as pool_module
@@ -26,12 +27,12 @@
 from primrosereel.routing import _peer_versions as peer_versions_module
 from primrosereel.routing import _placement as placement
 from primrosereel.routing import _prefill_plan as prefill_plan
-from primrosereel.routing import _prompt_quarantine as prompt_quarantine
 from primrosereel.routing import _retry_budget as retry_budget
 from primrosereel.routing import _runners as runners
 from primrosereel.routing import _shards as shards_module
 from primrosereel.routing import _shared_watch as shared_watch
 from primrosereel.routing import _table as table_module
+from primrosereel.routing import blame
 
 __all__ = ['Context', 'Exchange']
 
@@ -65,7 +66,7 @@
     pool: pool_module.ConnectionPool
     response_memory: response_memory_module.ResponseMemory
     log: Any
-    quarantine: prompt_quarantine.PromptQuarantine
+    quarantine: blame.Quarantine
     time_limits: time_limits_module.TimeLimits
     demand: demand_module.DemandMeter = dataclasses.field(
         default_factory=demand_module.DemandMeter
@@ -90,7 +91,7 @@
     )
     # Called when this instance's use of the engines changed.
     uses_changed: Callable[[], None] = lambda: None
-    # Called when peers should be told which prompts crash runners.
+    # Called when peers should be told which requests crash runners.
     crash_evidence_changed: Callable[[], None] = lambda: None
     # Called with what this instance has read from the store.
     send_store_notice: Callable[[shared_watch.Notice | None], None] = (
@@ -184,6 +185,26 @@
     may_have_run: bool = False
     # The duration in seconds of each finished step, for the log.
     steps: dict[str, float] = dataclasses.field(default_factory=dict)
+    _cause: blame.Cause | None = dataclasses.field(default=None, init=False)
+
+    @property
+    def cause(self) -> blame.Cause:
+        """The request as a cause of crashes; hashed when it is needed."""
+        if self._cause is None:
+            self._cause = causes.request_cause(
+                self.request, self.route, self.service
+            )
+        return self._cause
+
+    @property
+    def part_causes(self) -> tuple[blame.Cause, ...]:
+        """The shared parts of the prompt as causes of crashes."""
+        return tuple(map(blame.part_cause, self.facts.shared_parts))
+
+    @property
+    def causes(self) -> tuple[blame.Cause, ...]:
+        """All in the request that a runner may have crashed under."""
+        return *self.part_causes, self.cause
 
     def record_step(self, name: str, started_at: float) -> None:
         """Record how long a step took."""
@@ -292,6 +313,7 @@
             shared_parts=self.facts.shared_parts,
             events_received=events_received,
             born_ms=runner.listing.born_ms,
+            request_key=self.cause.key,
         )
 
 
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -66,7 +66,7 @@
             exchange, caller, crash_reports
         )
         self._place = held_place.HeldPlace(exchange)
-        self._prompt = prompt_module.Prompt(exchange)
+        self._prompt = prompt_module.Prompt(exchange, crash_reports)
         self._rejections = rejections.Rejections(
             exchange, self._place, self._prompt
         )
@@ -156,13 +156,17 @@
         while True:
             runner = await self._choose_decode_runner()
             self._crash_reports.check(self._exchange)
+            sent_at = self._context.clock()
             try:
                 if await self._stream_from(runner):
                     return True
             except StreamBroken as error:
                 if isinstance(error.__cause__, http.BrokenResponse):
-                    await self._crash_reports.observe_lost_stream(
-                        self._exchange, runner, self._stream.events_received
+                    await self._crash_reports.observe_lost_request(
+                        self._exchange,
+                        runner,
+                        sent_at,
+                        self._stream.events_received,
                     )
                 self._handle_broken_stream(runner, str(error))
             except StreamMoved:
@@ -213,7 +217,7 @@
         """Return 503 only if no earlier attempt may have run."""
         if self._exchange.may_have_run:
             return self._exchange.failure(reason, 502)
-        refused = admission.refusal_while_backing_off(
+        refused = admission.refusal_without_runner(
             self._exchange, states.Role.DECODE
         )
         if refused is not None:
@@ -264,7 +268,10 @@
         """
         response = None
         try:
-            response = await self._open_response(runner)
+            with self._crash_reports.watched_attempt(self._exchange):
+                response = await self._open_response(runner)
+            if response is None:
+                self._crash_reports.check(self._exchange)
         finally:
             if response is None and self._move is not None:
                 await self._move.close()
@@ -335,6 +342,7 @@
         exchange.may_have_run = True
         if handle is None:
             self._set_local_prefill_runner(runner)
+        response: upstream.OpenResponse | None = None
         try:
             with anyio.move_on_after(self._first_event_s()):
                 connection = await self._connection.take(runner)
@@ -344,26 +352,26 @@
                 response = await upstream.open_response(
                     exchange, runner, options, connection
                 )
-                exchange.attempts += attempts
-                if resume_from is not None:
-                    resume_from.copy_used()
-                await self._note_handle_used(response)
-                return response
         except upstream.NotSent as error:
             exchange.may_have_run = may_have_run_before
             self._connection.record_failure(runner, str(error))
+            return None
         except upstream.Rejected as error:
             exchange.may_have_run = may_have_run_before
             self._handle_rejection(runner, handle is not None, error)
+            return None
         except http.BrokenResponse as error:
             exchange.attempts += attempts
             runner.observe_failure(self._context.clock())
             raise StreamBroken(str(error)) from error
-        else:
-            exchange.attempts += attempts
+        exchange.attempts += attempts
+        if response is None:
             runner.observe_failure(self._context.clock())
             raise StreamBroken('no response in time')
-        return None
+        if resume_from is not None:
+            resume_from.copy_used()
+        await self._note_handle_used(response)
+        return response
 
     async def _note_handle_used(self, response: upstream.OpenResponse) -> None:
         """Record that a runner fetched the KV cache as it responded.
@@ -409,7 +417,9 @@
                 'the response is unsigned or has a content encoding'
             )
         await self._stream.forward(
-            response, lambda: self._record_first_event(runner, started_at)
+            response,
+            lambda: self._record_first_event(runner, started_at),
+            lambda: self._can_continue_elsewhere(runner),
         )
         if self._move is not None and await self._move.wait_until_moved():
             raise http.BrokenResponse('the stream was stopped for a move')
@@ -425,6 +435,14 @@
         self._exchange.record_served(runner.runner_id, head.status)
         return None
 
+    def _can_continue_elsewhere(self, runner: runners.Runner) -> bool:
+        """Tell whether the stream could go on at another runner now."""
+        now = self._context.clock()
+        if self._context.budget.remaining(self._exchange.service, now) < 1:
+            return False
+        ticket = self._place.ticket_elsewhere(runner)
+        return self._context.places.choose(ticket, now) is not None
+
     def _record_first_event(
         self, runner: runners.Runner, started_at: float
     ) -> None:
--- a/primrosereel/gateway/_server.py
+++ b/primrosereel/gateway/_server.py
@@ -9,6 +9,7 @@
 from primrosereel.gateway import _crash_reports as crash_reports_module
 from primrosereel.gateway import _generation as generation
 from primrosereel.gateway import _http as http
+from primrosereel.gateway import _lingering_close as lingering_close
 from primrosereel.gateway import _plain as plain
 from primrosereel.routing import _model as model
 from primrosereel.routing import _table as table_module
@@ -31,12 +32,13 @@
         self._crash_reports = crash_reports
         self._started_at = context.clock()
         self._connections: set[callers.CallerConnection] = set()
+        self._lingering = lingering_close.LingeringCloses()
 
     async def serve_connection(self, stream: anyio.abc.SocketStream) -> None:
         """Serve one connection until it closes."""
         http.set_socket_options(stream)
         connection = callers.CallerConnection(
-            stream, self._limits, self._context.clock
+            stream, self._limits, self._context.clock, self._lingering
         )
         self._connections.add(connection)
         try:
@@ -52,6 +54,29 @@
         finally:
             self._connections.discard(connection)
             await connection.close()
+            self._record_close(connection)
+
+    def _record_close(self, connection: callers.CallerConnection) -> None:
+        """Log and count a close that can cost a caller an answer."""
+        context = self._context
+        version = context.table.version if context.table else 0
+        if connection.closed_as_idle:
+            context.count('connections.closed_idle')
+            context.log.info(
+                'idle connection closed',
+                version=version,
+                limit_s=self._limits().idle_timeout_s,
+                open_connections=len(self._connections),
+            )
+        if connection.unread_bytes:
+            context.count('connections.closed_unread')
+            context.log.info(
+                'connection closed with unread bytes',
+                version=version,
+                unread_bytes=connection.unread_bytes,
+                answered=connection.answered,
+                idle=connection.closed_as_idle,
+            )
 
     def _limits(self) -> model.CallerLimits:
         """Return the limits in force."""
@@ -60,9 +85,14 @@
 
     @property
     def open_connections(self) -> int:
-        """The callers' connections that are not closed."""
+        """The callers' connections that may carry a request."""
         return len(self._connections)
 
+    @property
+    def lingering_connections(self) -> int:
+        """The connections whose callers may still read their last answer."""
+        return len(self._lingering)
+
     def close_after_replies(self) -> None:
         """Have the next response on each connection announce its end."""
         for connection in self._connections:
@@ -162,7 +192,8 @@
                 exchange, connection, self._crash_reports
             )
             return await handler.serve()
-        await connection.reply(await plain.PlainCall(exchange).serve())
+        call = plain.PlainCall(exchange, self._crash_reports)
+        await connection.reply(await call.serve())
         return True
 
     def _record_error(
--- a/primrosereel/platform/_settings.py
+++ b/primrosereel/platform/_settings.py
@@ -1,24 +1,31 @@
 """Reads the TOML settings file that the platform puts on each machine."""
 
-import math
 import os
 import pathlib
+import re
 import tomllib
 
 import msgspec
 from returns import result
 
 from primrosereel import _ids as ids
+from primrosereel import _numbers as numbers
 from primrosereel.gateway import _settings as settings
 from primrosereel.routing import _model as model
 
-__all__ = ['read_settings', 'settings_path']
+__all__ = ['PortOutOfRange', 'read_settings', 'settings_path']
 
 PATH_VARIABLE = 'PRIMROSEREEL_CONFIG'
 BYTES_PER_MB = 1024 * 1024
+# Decimal digits alone: ``int`` accepts spaces, signs and underscores too.
+PORT = re.compile('[0-9]{1,5}')
 DEFAULT_PATH = '/etc/primrosereel/settings.toml'
 
 
+class PortOutOfRange(ValueError):
+    """The port of an address is a number that no port has."""
+
+
 class _Listen(msgspec.Struct, rename='camel'):
     frontend: str
     ready: str
@@ -26,27 +33,27 @@
 
 
 class _Limits(msgspec.Struct, rename='camel'):
-    memory_mb: float = 128
-    file_descriptors: int = 1024
+    memory_mb: numbers.MemoryMb = 128
+    file_descriptors: numbers.FileDescriptors = 1024
 
 
 class _Bounds(msgspec.Struct, rename='camel'):
     """Time limits and retry budget; each field has a default."""
 
-    drain_ms: float = 2000
-    grace_s: float = 8
-    config_apply_ms: float = 2000
-    retry_budget_ratio: float = 0.2
-    budget_window_s: float = 10
-    retry_budget_slack: float = 50
-    reuse_after_s: float = 2
-    lease_ms: float = 3000
-    stable_window_ms: float = 3000
+    drain_ms: numbers.DurationMs = 2000
+    grace_s: numbers.DurationS = 8
+    config_apply_ms: numbers.DurationMs = 2000
+    retry_budget_ratio: numbers.Weight = 0.2
+    budget_window_s: numbers.DurationS = 10
+    retry_budget_slack: numbers.Weight = 50
+    reuse_after_s: numbers.DurationS = 2
+    lease_ms: numbers.DurationMs = 3000
+    stable_window_ms: numbers.DurationMs = 3000
 
 
 class _Platform(msgspec.Struct, rename='camel'):
     address: str
-    history_s: float = 20
+    history_s: numbers.DurationS = 20
 
 
 class _File(msgspec.Struct, rename='camel'):
@@ -57,7 +64,7 @@
     region: str = ''
     ip: str = ''
     seeds: list[str] = []
-    internal_port_range: list[int] = []
+    internal_port_range: list[numbers.Port] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
@@ -83,7 +90,6 @@
 
 def _to_gateway_settings(file: _File) -> settings.GatewaySettings:
     bounds = file.bounds
-    _check_bounds(bounds)
     return settings.GatewaySettings(
         instance=ids.InstanceId(file.node_name),
         availability_zone=ids.AvailabilityZone(file.zone),
@@ -105,13 +111,6 @@
     )
 
 
-def _check_bounds(bounds: _Bounds) -> None:
-    """Raise ValueError for a bound that is negative or not finite."""
-    for name, value in msgspec.to_builtins(bounds).items():
-        if not 0 <= value < math.inf:
-            raise ValueError(f'bounds.{name}: {value} is not from 0 on')
-
-
 def _peer_address(file: _File) -> model.Address | None:
     """Return the address for peers, on the first port of the internal range.
 
@@ -124,10 +123,10 @@
 
 def parse_address(text: str) -> model.Address:
     """Parse ``IP:PORT``; raise ValueError for any other text."""
-    host, separator, port = text.rpartition(':')
-    if not separator or not host or not port.isascii():
+    host, _, port = text.rpartition(':')
+    if not host or PORT.fullmatch(port) is None:
         raise ValueError(f'{text!r} is not IP:PORT')
     number = int(port)
     if not 0 < number < 65536:
-        raise ValueError(f'{text!r}: the port is not from 1 to 65535')
+        raise PortOutOfRange(f'{text!r}: the port is not from 1 to 65535')
     return model.Address(host, number)
--- a/primrosereel/standin/_listed_runner.py
+++ b/primrosereel/standin/_listed_runner.py
@@ -86,11 +86,13 @@
     """Properties of a runner; ``stage`` is None for a plain one.
 
     A stream has ``events`` events, one every ``event_s``. ``work_s`` is the
-    duration of a prefill or a plain call, ``copy_s`` that of a copy. A runner
-    crashes when it begins to run one of ``deadly_requests``, or a stream whose
-    prompt has ``deadly_part``, and is back ``restart_s`` later.
-    ``retry_after`` is the text of the header ``Retry-After`` in refusals of
-    the fault ``BACK_OFF``.
+    duration of a prefill or a plain call, ``copy_s`` that of a copy. The body
+    of a plain answer has at least ``answer_bytes`` bytes. A runner crashes
+    when it begins to run one of ``deadly_requests``, a request for
+    ``deadly_target``, or a stream whose prompt has ``deadly_part``, and a
+    prefill runner at the end of a prefill for ``deadly_prefill``; it is back
+    ``restart_s`` later. ``retry_after`` is the text of the header
+    ``Retry-After`` in refusals of the fault ``BACK_OFF``.
     """
 
     runner: str
@@ -100,8 +102,11 @@
     event_s: float = 0.01
     work_s: float = 0.01
     copy_s: float = 0.0
+    answer_bytes: int = 0
     slots: int = 8
     deadly_part: str | None = None
+    deadly_target: str | None = None
+    deadly_prefill: str | None = None
     deadly_requests: frozenset[DeadlyRequest] = frozenset()
     restart_s: float = 0.3
     retry_after: str = '1'
@@ -255,6 +260,9 @@
         if self.options.stage != 'prefill':
             return raw_http.Answer(421)
         await anyio.sleep(self.options.work_s)
+        if request.target == self.options.deadly_prefill:
+            self.crash(request)
+            raise raw_http.Silence
         request_id = request.headers['request-id']
         self.prefills[request_id] += 1
         handle = f'h{len(self.prefills)}'
@@ -290,6 +298,7 @@
         if fault is Fault.UNSIGNED:
             return raw_http.Answer(200, [], b'not from the runner')
         body = f'answer to {request_id}'.encode()
+        body = body.ljust(self.options.answer_bytes, b'.')
         trailing = b''
         if fault is Fault.SECOND_ANSWER:
             trailing = _second_answer(request_id)
@@ -315,6 +324,8 @@
         return raw_http.Answer(200, headers, parts=parts)
 
     def _is_deadly(self, request: raw_http.Request) -> bool:
+        if request.target == self.options.deadly_target:
+            return True
         whole = DeadlyRequest(request.method, request.target, request.body)
         if whole in self.options.deadly_requests:
             return True
