Break off a resumed stream whose runner ended it without an event

What callers saw: 200 and the regular end of a stream, with 2 of 12 events. The first runner was silent, the stream was continued at a second one, and that closed its connection before the first event of an answer without a length, as a runner that crashes does.

Cause: an answer without a length ends with its connection. One without any event counted as broken only if the caller had no event yet, so a stream that was continued passed.

Fix: the runner that ends the stream must have sent an event, or its answer must have a length or chunks, whose end proves that nothing is missing. The attempt then fails like one that was broken off: it is continued elsewhere, or the caller's stream is cut.

test_resumed_stream_that_ends_without_an_event_is_not_whole failed before ("assert not reply.complete", reply.complete is True) and passes now.

--- a/primrosereel/gateway/_event_stream.py
+++ b/primrosereel/gateway/_event_stream.py
@@ -35,7 +35,7 @@
         stream = EventStream(exchange, caller, crash_reports)
         stream.start_attempt()
         await stream.forward(response, lambda: None, lambda: False)
-        stream.check_complete()
+        stream.check_complete(response.head)
         await stream.finish(response.head)
     """
 
@@ -52,6 +52,8 @@
         self._splitter = events.EventSplitter()
         self._head_sent = False
         self._events_received = 0
+        # Whether the current runner has sent events, new ones or not.
+        self._has_events = False
         self._answer_recorded = False
 
     @property
@@ -77,6 +79,7 @@
     def start_attempt(self) -> None:
         """Expect the events of another runner."""
         self._events_received = 0
+        self._has_events = False
         self._splitter = events.EventSplitter()
 
     async def forward(
@@ -107,9 +110,9 @@
                 continue
             if data is None:
                 return
-            sent = await self._send_events(
-                response.head, self._splitter.feed(data)
-            )
+            received = self._splitter.feed(data)
+            self._has_events = self._has_events or bool(received)
+            sent = await self._send_events(response.head, received)
             if not sent:
                 continue
             if not self._events_received:
@@ -120,11 +123,16 @@
             if self._events_received >= blame.PROVEN_EVENTS:
                 self._record_answer()
 
-    def check_complete(self) -> None:
-        """Raise BrokenResponse if the runner's last event is missing."""
+    def check_complete(self, head: http.ResponseHead) -> None:
+        """Raise BrokenResponse if the runner's last event is missing.
+
+        A runner that crashes may close its connection, which looks like the
+        end of a response that is not framed.
+        """
         if self._splitter.incomplete:
             raise http.BrokenResponse('the stream ended inside an event')
-        if self._progress.last_id is None and not self._progress.events:
+        is_empty = self._progress.last_id is None and not self._progress.events
+        if is_empty or not (self._has_events or head.is_framed):
             raise http.BrokenResponse('the stream ended without an event')
         if self._events_received:
             self._record_answer()
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -423,7 +423,7 @@
         )
         if self._move is not None and await self._move.wait_until_moved():
             raise http.BrokenResponse('the stream was stopped for a move')
-        self._stream.check_complete()
+        self._stream.check_complete(head)
         await self._stream.finish(head)
         facts = self._exchange.facts
         self._exchange.steps.update(
--- a/primrosereel/gateway/_http.py
+++ b/primrosereel/gateway/_http.py
@@ -100,6 +100,17 @@
     headers: Headers
     keep_alive_s: float | None = None
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the body has a length or chunks, and so an end.
+
+        Another one ends with its connection.
+        """
+        return any(
+            name.lower() in (b'content-length', b'transfer-encoding')
+            for name, _ in self.headers
+        )
+
 
 def set_socket_options(stream: anyio.abc.SocketStream) -> None:
     """Detect connections that are lost without a reset."""
--- a/tests/property/test_gateway_faulty_answers.py
+++ b/tests/property/test_gateway_faulty_answers.py
@@ -184,3 +184,21 @@
         assert reply.status == 502
 
     run(scenario)
+
+
+def test_resumed_stream_that_ends_without_an_event_is_not_whole():
+    """Guards against a stream that loses its rest at its second runner.
+
+    The first runner broke it off, and the second one ended its answer, which
+    had no length, before an event.
+    """
+
+    async def scenario(fleet):
+        fleet.gateway._context.runners.get('d2').in_flight = 3
+        fleet.runners['d1'].faults.append(Fault.BREAK_STREAM)
+        fleet.runners['d2'].faults.append(Fault.UNFRAMED_EMPTY)
+        reply = await fleet.ask('/ask/1', 'r1', method='POST', **STREAM)
+        assert reply.body.count(b'\n\n') == 2
+        assert not reply.complete
+
+    run(scenario)
