Ask for the sound requests after the faults of a soak at once

Requests that crash runners are still sent before them, so that none of them is in flight at a runner that crashes.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -138,12 +138,16 @@
                 tasks.start_soon(self.ask_once, attempt, True)
                 await anyio.sleep(seconds / count)
 
-    async def ask_patiently(self, path):
-        """Send a sound request to some process; return whether it succeeds."""
-        process = self._random.choice(self._processes)
-        attempt = self._new_attempt(process, path)
-        await self.ask_once(attempt)
-        return attempt.outcome == '200'
+    async def ask_paths(self, paths):
+        """Send sound requests to some processes; return how many succeed."""
+        attempts = [
+            self._new_attempt(self._random.choice(self._processes), path)
+            for path in paths
+        ]
+        async with anyio.create_task_group() as tasks:
+            for attempt in attempts:
+                tasks.start_soon(self.ask_once, attempt)
+        return sum(attempt.outcome == '200' for attempt in attempts)
 
     async def ask_deadly(self):
         """Send a request of each cause to some process."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -130,8 +130,7 @@
         served = 0
         for _ in range(RECOVERY_ROUNDS):
             await self._callers.ask_deadly()
-            for path in callers_module.PATHS:
-                served += await self._callers.ask_patiently(path)
+            served += await self._callers.ask_paths(callers_module.PATHS)
             await anyio.sleep(RECOVERY_GAP_S)
         count = RECOVERY_ROUNDS * len(callers_module.PATHS)
         if served < MIN_SERVED_SHARE * count:
