--- a/tests/soak/ports.py
+++ b/tests/soak/ports.py
@@ -6,7 +6,7 @@
 
 # The most processes that a run can have.
 HOST_COUNT = 24
-HOSTS = [f'247.0.0.{n + 1}' for n in range(HOST_COUNT)]
+HOSTS = [f'127.0.0.{n + 1}' for n in range(HOST_COUNT)]
 
 
 def free_port():
