Let a stream's runner work until a stop cuts the stream

Failed before: test_stream_may_run_until_a_stop_cuts_it with '8850 < 8772'.

The deadline that a decode runner gets is now the time left for an answer that has begun, which is never beyond the caller's own.

--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -352,7 +352,7 @@
         )
         options = model.RunOptions(
             runner.runner_id,
-            exchange.remaining_s,
+            exchange.time_limit.answer_remaining_s,
             exchange.route.priority,
             handle=handle,
             last_event_id=self._stream.last_event_id,
--- a/primrosereel/gateway/_time_limits.py
+++ b/primrosereel/gateway/_time_limits.py
@@ -76,7 +76,15 @@
     @property
     def remaining_s(self) -> float:
         """The time left; negative when it is over."""
-        latest_end = self._limits.latest_end(self._answer_started)
+        return self._remaining_s(self._answer_started)
+
+    @property
+    def answer_remaining_s(self) -> float:
+        """The time left for an answer that begins in time."""
+        return self._remaining_s(answer_started=True)
+
+    def _remaining_s(self, answer_started: bool) -> float:
+        latest_end = self._limits.latest_end(answer_started)
         return min(self._deadline_at, latest_end) - self._limits.clock()
 
     @property
--- a/tests/property/test_gateway_stop.py
+++ b/tests/property/test_gateway_stop.py
@@ -19,6 +19,16 @@
     await fleet.wait_for(lambda: fleet.gateway._context.refusing)
 
 
+async def use_long_timeouts(fleet):
+    """Let only a stop end requests."""
+    config = gateway_fleet.configuration(version=2)
+    for route in config['routes']:
+        route['timeoutMs'] = 30_000
+    fleet.store.put('op/config', config)
+    context = fleet.gateway._context
+    await fleet.wait_for(lambda: context.table.version == 2)
+
+
 def test_requests_that_arrive_as_idle_connections_close_are_answered():
     """Guards against requests that are dropped when a stop closes connections.
 
@@ -71,12 +81,7 @@
     """Guards against a request that a stop cuts without an answer."""
 
     async def scenario(fleet):
-        config = gateway_fleet.configuration(version=2)
-        for route in config['routes']:
-            route['timeoutMs'] = 30_000
-        fleet.store.put('op/config', config)
-        context = fleet.gateway._context
-        await fleet.wait_for(lambda: context.table.version == 2)
+        await use_long_timeouts(fleet)
         for runner in fleet.runners.values():
             if runner.options.stage != 'prefill':
                 runner.faults.extend([Fault.SILENT] * 3)
@@ -133,6 +138,30 @@
     run(scenario)
 
 
+def test_stream_may_run_until_a_stop_cuts_it():
+    """Guards against a runner that ends a stream before the stop does.
+
+    Its deadline was that of answers that have not begun.
+    """
+
+    async def scenario(fleet):
+        await use_long_timeouts(fleet)
+        fleet.gateway._stop_requested.set()
+        await fleet.wait_for(lambda: fleet.gateway._context.draining)
+        headers = {'Token_Usage': '400,40', 'Deadline_Ms': 20_000}
+        reply = await fleet.ask('/once/1', 'r1', method='POST', **headers)
+        assert reply.complete
+        (request,) = [
+            request
+            for name in ('d1', 'd2')
+            for request in fleet.runners[name].requests
+        ]
+        # Answers begin by 8.8 s and end by 9 s.
+        assert 8850 < int(request.headers['deadline-ms']) <= 9000
+
+    run(scenario, drain_limit_s=10.0)
+
+
 def test_request_that_gets_its_place_late_in_a_stop_is_refused():
     """Guards against a stream that is sent although a stop must cut it."""
 
