Reset a cut answer to a caller of HTTP/1.0

A caller of HTTP/1.0 that saw a stream cut took it for whole: such an answer has no chunks, and the end of its connection ends it.

Failed before: test_cut_answer_does_not_look_complete[1.0] with 'assert (False or False)', neither a reset nor a missing last chunk.

An unfinished answer to HTTP/1.0 is now reset, which no caller takes for its end. Answers to HTTP/1.1 end without their last chunk, as before.

--- a/primrosereel/gateway/_callers.py
+++ b/primrosereel/gateway/_callers.py
@@ -309,10 +309,22 @@
                 await self._stream.send_eof()
                 await self._lingering.discard_input(self._stream)
         finally:
+            if self._cut_looks_complete():
+                http.reset_on_close(self._stream)
             self._unread_bytes = http.unread_bytes(self._stream)
             with anyio.CancelScope(shield=True):
                 await anyio.aclose_forcefully(self._stream)
 
+    def _cut_looks_complete(self) -> bool:
+        """Tell whether a plain close would end an unfinished response.
+
+        A response to HTTP/1.0 has no chunks and ends with its connection.
+        """
+        return (
+            self._parser.our_state is h11.SEND_BODY
+            and self._parser.their_http_version == b'1.0'
+        )
+
     def _response_head(
         self, reply: Reply, headers: http.Headers
     ) -> h11.Response:
--- a/primrosereel/gateway/_http.py
+++ b/primrosereel/gateway/_http.py
@@ -7,10 +7,12 @@
 import array
 import collections
 from collections.abc import AsyncIterator
+import contextlib
 import dataclasses
 import fcntl
 import select
 import socket
+import struct
 import termios
 
 import anyio
@@ -29,6 +31,7 @@
     'OutgoingRequest',
     'ResponseHead',
     'connect',
+    'reset_on_close',
     'set_socket_options',
     'unread_bytes',
 ]
@@ -115,6 +118,16 @@
         raw.setsockopt(socket.IPPROTO_TCP, option, UNACKNOWLEDGED_TIMEOUT_MS)
 
 
+def reset_on_close(stream: anyio.abc.SocketStream) -> None:
+    """Make the close of a connection send a TCP reset."""
+    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    # The socket may be closed already.
+    with contextlib.suppress(OSError):
+        raw.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
+
+
 def unread_bytes(stream: anyio.abc.SocketStream) -> int:
     """Return how many bytes the kernel holds that were not read yet."""
     raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
--- a/tests/property/test_gateway_close.py
+++ b/tests/property/test_gateway_close.py
@@ -8,8 +8,10 @@
 import pytest
 
 from primrosereel.gateway import _lingering_close as lingering_close
+from primrosereel.standin import _listed_runner as listed_runner
 from tests import gateway_fleet
 
+Fault = listed_runner.Fault
 # The parts of a body that a caller sends before it reads an answer.
 PART = b'b' * 10_000
 PARTS = 30
@@ -155,6 +157,37 @@
     run(scenario)
 
 
+@pytest.mark.parametrize('version', [b'1.0', b'1.1'])
+def test_cut_answer_does_not_look_complete(version):
+    """Guards against a cut stream that a caller takes for whole.
+
+    An answer to HTTP/1.0 has no chunks; the end of its connection ends it.
+    """
+
+    async def scenario(fleet):
+        for name in ('d1', 'd2'):
+            fleet.runners[name].faults.append(Fault.BREAK_STREAM)
+        stream = RawStream(fleet.callers)
+        await stream.send(
+            b'POST /once/1 HTTP/%s\r\nHost: registry.example\r\n'
+            b'Request-Id: r1\r\nToken-Usage: 400,40\r\n'
+            b'Content-Length: 0\r\n\r\n' % version
+        )
+        answer = b''
+        with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)) as (
+            end
+        ):
+            while True:
+                answer += await stream.receive()
+        await stream.aclose()
+        assert answer.startswith(b'HTTP/1.1 200')
+        was_reset = end.type is anyio.BrokenResourceError
+        unfinished = b'chunked' in answer and not answer.endswith(b'0\r\n\r\n')
+        assert was_reset or unfinished
+
+    run(scenario)
+
+
 def test_caller_that_never_closes_delays_no_stop():
     """Guards against a stop that waits for callers beyond its grace."""
 
