Tell callers a true time when no runner of a service is listed

The outage is now expected to last as long again as it has lasted since the first refusal, 0.5 s to 3 s.

--- a/primrosereel/gateway/_admission.py
+++ b/primrosereel/gateway/_admission.py
@@ -185,7 +185,7 @@
 ) -> Refused | None:
     """Return the refusal of a request if no runner takes it now.
 
-    None if one may, or if nothing tells when one will.
+    None if one may.
     """
     return _refusal_while_backing_off(exchange, role) or _refusal_while_down(
         exchange, role
--- a/primrosereel/routing/_outages.py
+++ b/primrosereel/routing/_outages.py
@@ -39,6 +39,10 @@
 # An outage whose runner did not return is forgotten after this time.
 FORGET_AFTER_S = 60.0
 
+# A service without a runner counts as such until nobody has asked for it for
+# this time.
+ABSENCE_LAPSES_S = 5.0
+
 # Refused callers return spread over this share of an outage's duration.
 RETURN_SPREAD_SHARE = 0.5
 MIN_RETURN_SPREAD_S = 0.25
@@ -58,6 +62,14 @@
     in_trial: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class _Absence:
+    """A service that has no runner, though none refuses connections."""
+
+    since: float
+    asked_at: float
+
+
 class Outages:
     """The runners that refuse connections, and how long they did lately.
 
@@ -72,6 +84,7 @@
         self._random = random
         self._outages: dict[model.Address, _Outage] = {}
         self._durations: dict[ServiceRole, collections.deque[float]] = {}
+        self._absences: dict[ServiceRole, _Absence] = {}
 
     def __len__(self) -> int:
         return len(self._outages)
@@ -151,9 +164,15 @@
         ).append(duration_s)
         return duration_s
 
-    def observe_entry(self, address: model.Address, now: float) -> None:
+    def observe_run(self, listing: model.RunnerListing, now: float) -> None:
+        """Record that another run of a runner, or a new one, is listed."""
+        self._absences.pop((listing.service, listing.role), None)
+        self.observe_return(listing.address, now)
+
+    def observe_entry(self, listing: model.RunnerListing, now: float) -> None:
         """Let a runner be tried at once, as it has written to its entry."""
-        outage = self._outages.get(address)
+        self._absences.pop((listing.service, listing.role), None)
+        outage = self._outages.get(listing.address)
         if outage is not None:
             outage.retry_at = min(outage.retry_at, now)
 
@@ -166,27 +185,36 @@
 
     def retry_after_s(
         self, service: ids.ServiceId, role: states.Role, now: float
-    ) -> float | None:
+    ) -> float:
         """Return when callers of a service without a runner may return.
 
         The first of its runners is expected back by then. Callers are spread,
-        so that they do not all meet the one runner that is back. None if no
-        runner of the service refuses connections.
+        so that they do not all meet the one runner that is back.
         """
         expected_s = self.expected_s(service, role)
+        began_at = [
+            outage.since
+            for outage in self._outages.values()
+            if outage.service_role == (service, role)
+        ]
+        if not began_at:
+            # When its runners went, and which it has, is not known.
+            absent_s = now - self._absent_since((service, role), now)
+            remaining_s = timeouts.outage_retry_after_s(absent_s)
+            return remaining_s + MIN_RETURN_SPREAD_S * self._random.random()
         remaining_s = min(
-            (
-                _remaining_s(now - outage.since, expected_s)
-                for outage in self._outages.values()
-                if outage.service_role == (service, role)
-            ),
-            default=None,
+            _remaining_s(now - since, expected_s) for since in began_at
         )
-        if remaining_s is None:
-            return None
         spread_s = max(MIN_RETURN_SPREAD_S, RETURN_SPREAD_SHARE * expected_s)
         return remaining_s + spread_s * self._random.random()
 
+    def _absent_since(self, service_role: ServiceRole, now: float) -> float:
+        absence = self._absences.get(service_role)
+        if absence is None or now - absence.asked_at > ABSENCE_LAPSES_S:
+            absence = self._absences[service_role] = _Absence(now, now)
+        absence.asked_at = now
+        return absence.since
+
     def _postpone(self, outage: _Outage, now: float) -> None:
         interval_s = min(
             MIN_TRIAL_INTERVAL_S * 2**outage.refusals, MAX_TRIAL_INTERVAL_S
--- a/primrosereel/routing/_runners.py
+++ b/primrosereel/routing/_runners.py
@@ -90,10 +90,10 @@
         runner = self._runners.get(listing.runner)
         if runner is None or _is_new_run(runner.listing, listing):
             self._runners[listing.runner] = Runner(listing, record)
-            self._outages.observe_return(listing.address, now)
+            self._outages.observe_run(listing, now)
         else:
             runner.listing = listing
-            self._outages.observe_entry(listing.address, now)
+            self._outages.observe_entry(listing, now)
             runner.availability = record
 
     def remove(
@@ -170,11 +170,11 @@
     def retry_after_s(
         self, service: ids.ServiceId, role: states.Role, now: float
     ) -> float | None:
-        """Return when callers may return if all runners are down.
+        """Return when callers may return if no runner takes a request.
 
-        None if a runner can be tried, or if none refuses connections.
+        None if a runner can be tried.
         """
-        if not self._outages or self.ready(service, role, now):
+        if self.ready(service, role, now):
             return None
         return self._outages.retry_after_s(service, role, now)
 
--- a/tests/property/test_gateway_runners_down.py
+++ b/tests/property/test_gateway_runners_down.py
@@ -13,8 +13,6 @@
 STREAM = test_gateway.STREAM
 PLAIN_RUNNERS = ('s1', 's2')
 DECODE_RUNNERS = ('d1', 'd2')
-# The expected length of an outage before one was observed.
-DEFAULT_OUTAGE_S = 2.0
 
 
 class Connects:
@@ -234,3 +232,17 @@
     connects.made.clear()
     await ask_many(fleet, 10)
     assert connects.to('s1') <= 1
+
+
+@gateway_fleet.with_fleet
+async def test_service_whose_entries_are_gone_names_a_true_time(fleet):
+    """Guards against callers that return each 0.2 s as no runner is listed."""
+    for name in (*PLAIN_RUNNERS, *DECODE_RUNNERS):
+        fleet.store.delete(f'servers/{name}')
+    runners = fleet.gateway._context.runners
+    await fleet.wait_for(lambda: len(runners) == 1)
+    plain = await fleet.ask('/read/1', 'r1')
+    stream = await fleet.ask('/once/1', 'r2', method='POST', **STREAM)
+    for reply in (plain, stream):
+        assert reply.status == 503
+        assert float(reply.headers['retry-after']) >= 0.5
--- a/tests/property/test_outages.py
+++ b/tests/property/test_outages.py
@@ -159,7 +159,7 @@
     outages = make_outages()
     outages.observe_refusal(listing(), 0.0)
     assert not outages.may_connect(listing().address, 0.01)
-    outages.observe_entry(listing().address, 0.01)
+    outages.observe_entry(listing(), 0.01)
     assert outages.is_due(listing().address, 0.01)
 
 
@@ -219,3 +219,13 @@
     for number in range(1, 200):
         outages.observe_refusal(listing(number), float(number))
     assert len(outages) <= outages_module.FORGET_AFTER_S + 1
+
+
+def test_service_without_any_entry_is_expected_to_last_as_long_again():
+    """Guards against a short Retry-After as the runners' entries are gone."""
+    outages = make_outages()
+    for lasted, shortest in [(0.0, 0.5), (1.5, 1.5), (4.0, 3.0)]:
+        retry_after = outages.retry_after_s(SERVICE, PLAIN, 10.0 + lasted)
+        assert shortest <= retry_after <= shortest + 0.25
+    outages.observe_run(listing(), 15.0)
+    assert outages.retry_after_s(SERVICE, PLAIN, 15.5) <= 0.75
