--- a/primrosereel/gateway/_event_stream.py
+++ b/primrosereel/gateway/_event_stream.py
@@ -132,7 +132,7 @@
         if self._splitter.incomplete:
             raise http.BrokenResponse('the stream ended inside an event')
         is_empty = self._progress.last_id is None and not self._progress.events
-        if is_empty or not (self._has_events or head.is_framed):
+        if is_empty or (head.ends_with_connection and not self._has_events):
             raise http.BrokenResponse('the stream ended without an event')
         if self._events_received:
             self._record_answer()
--- a/primrosereel/gateway/_http.py
+++ b/primrosereel/gateway/_http.py
@@ -101,15 +101,10 @@
     keep_alive_s: float | None = None
 
     @property
-    def is_framed(self) -> bool:
-        """Whether the body has a length or chunks, and so an end.
-
-        Another one ends with its connection.
-        """
-        return any(
-            name.lower() in (b'content-length', b'transfer-encoding')
-            for name, _ in self.headers
-        )
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of the connection ends the body."""
+        names = {name.lower() for name, _ in self.headers}
+        return names.isdisjoint({b'content-length', b'transfer-encoding'})
 
 
 def set_socket_options(stream: anyio.abc.SocketStream) -> None:
