Send the answers that were due shortly before a stop ends

Callers of a busy process got no answer: a request in progress is answered at 0.88 of the grace and the process ends at 0.92 of it. A process without processor time from before the first until after the second ended at once, before the answers that were due had been sent.

The end now takes one more turn of the loop, 0.05 s, after its time. The new test stops the process from 0.8 to 1.0 of a grace of 1 s; it failed before with the same message. 'requests cut' is logged for open connections only, not for callers that had their answers.

--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -407,7 +407,11 @@
         Their time limits end before ``_end_at``. What is left then is cut;
         callers that have their answers only delay the end for a short time.
         """
-        while anyio.current_time() < self._end_at:
+        is_over = False
+        while not is_over:
+            # One more turn after the end: a process that was busy until then
+            # has not sent the answers that were due shortly before.
+            is_over = anyio.current_time() >= self._end_at
             self._server.close_idle()
             await anyio.sleep(STOP_POLL_INTERVAL_S)
             if not (
@@ -415,4 +419,5 @@
                 or self._server.lingering_connections
             ):
                 return
-        self._log.error('requests cut', active=self._context.active)
+        if self._server.open_connections:
+            self._log.error('requests cut', active=self._context.active)
--- a/tests/property/test_gateway_stop.py
+++ b/tests/property/test_gateway_stop.py
@@ -1,6 +1,7 @@
 """Requests around the end of a planned stop of the gateway."""
 
 import contextlib
+import time
 
 import anyio
 import pytest
@@ -12,6 +13,7 @@
 
 run = gateway_fleet.run_scenario
 CONNECTIONS = 5
+SCENARIO_DRAIN_S = 1.0
 
 
 async def stop(fleet):
@@ -97,6 +99,34 @@
     run(scenario)
 
 
+def test_stall_at_the_end_of_a_stop_costs_no_answer():
+    """Guards against requests that a stop cuts after a busy moment.
+
+    The process gets no processor time from before the requests are to be
+    answered until after it is to end.
+    """
+
+    async def stall():
+        await anyio.sleep(0.8 * SCENARIO_DRAIN_S)
+        time.sleep(0.2 * SCENARIO_DRAIN_S)
+
+    async def scenario(fleet):
+        await use_long_timeouts(fleet)
+        for name in ('s1', 's2'):
+            fleet.runners[name].faults.extend([Fault.SILENT] * 3)
+        async with fleet.client() as client, anyio.create_task_group() as t:
+            await client.send('/file/1', 'r1', 'POST')
+            await anyio.sleep(0.1)
+            fleet.gateway._stop_requested.set()
+            t.start_soon(stall)
+            reply = await client.receive()
+            assert (reply.status, reply.complete) == (504, True)
+        await fleet.wait_for(lambda: bool(fleet.log.named('stopped')))
+        assert not fleet.log.named('requests cut')
+
+    run(scenario, drain_limit_s=SCENARIO_DRAIN_S)
+
+
 def test_stream_that_has_begun_is_cut_as_the_last_one():
     """Guards against a stream that a stop cuts earlier than it must."""
 
