--- a/primrosereel/cmd/_remote.py
+++ b/primrosereel/cmd/_remote.py
@@ -75,7 +75,7 @@
         parser.add_argument(
             'request_id',
             metavar='REQUEST-ID',
-            help='with --log also the name of a runner',
+            help='with --log also a runner, or the key of a cause of crashes',
         )
         parser.add_argument(
             '--log',
@@ -102,9 +102,11 @@
             print(error, file=sys.stderr)
             return 1
         wanted = options.request_id
-        selected = request_log.request_lines(
-            all_lines, wanted
-        ) or request_log.runner_lines(all_lines, wanted)
+        selected = (
+            request_log.request_lines(all_lines, wanted)
+            or request_log.runner_lines(all_lines, wanted)
+            or request_log.cause_lines(all_lines, wanted)
+        )
         if options.json:
             command.print_result(selected, True)
         else:
--- a/primrosereel/cmd/_request_log.py
+++ b/primrosereel/cmd/_request_log.py
@@ -1,11 +1,17 @@
-"""Collects the log lines of one request or runner from several processes."""
+"""Collects log lines of a request, runner or cause from several processes."""
 
 from collections.abc import Iterable
 import json
 import pathlib
 from typing import Any
 
-__all__ = ['format_line', 'read_logs', 'request_lines', 'runner_lines']
+__all__ = [
+    'cause_lines',
+    'format_line',
+    'read_logs',
+    'request_lines',
+    'runner_lines',
+]
 
 # Fields that every line has, or that say nothing about the request.
 COMMON_FIELDS = frozenset(
@@ -22,6 +28,9 @@
 )
 # The gateway and the daemon log a request's id under different names.
 REQUEST_ID_FIELDS = ('request', 'request_id')
+# Fields that hold the key of a cause of crashes, and those that hold several.
+CAUSE_FIELDS = ('key', 'request_key')
+CAUSES_FIELDS = ('causes', 'crashes', 'shared_parts')
 
 
 def read_logs(paths: Iterable[pathlib.Path]) -> list[dict[str, Any]]:
@@ -67,6 +76,30 @@
     )
 
 
+def cause_lines(
+    lines: Iterable[dict[str, Any]], key: str
+) -> list[dict[str, Any]]:
+    """Return the lines of what crashes runners, ordered by timestamp.
+
+    They tell where requests with it were sent, which runs of runners ended
+    under them, and when each instance refused it.
+    """
+    return _by_time(line for line in lines if _names_cause(line, key))
+
+
+def _names_cause(line: dict[str, Any], key: str) -> bool:
+    if any(line.get(name) == key for name in CAUSE_FIELDS):
+        return True
+    for name in CAUSES_FIELDS:
+        value = line.get(name)
+        if isinstance(value, list | dict) and key in value:
+            return True
+    return line.get('event') == 'refused' and (
+        f' {key}: ' in str(line.get('detail', ''))
+        or f'part {key} of ' in str(line.get('detail', ''))
+    )
+
+
 def _by_time(lines: Iterable[dict[str, Any]]) -> list[dict[str, Any]]:
     return sorted(lines, key=lambda line: str(line.get('timestamp', '')))
 
--- a/tests/property/test_request_stories.py
+++ b/tests/property/test_request_stories.py
@@ -48,6 +48,30 @@
     assert [line['timestamp'] for line in selected] == ['1', '3']
 
 
+def test_explain_finds_the_lines_of_a_cause_of_crashes():
+    """Guards against a refused request whose story nobody can put together.
+
+    Its id differs each time that it comes; other requests' lines do not belong
+    to it.
+    """
+    refused = {'event': 'refused', 'timestamp': '5'}
+    lines = [
+        refused | {'detail': 'plain_call k1: 2 crashes'},
+        {'event': 'attempt failed', 'request_key': 'k1', 'timestamp': '1'},
+        {'event': 'attempt failed', 'request_key': 'k2', 'timestamp': '1'},
+        {
+            'event': 'request suspected of a crash',
+            'crashes': {'k1': 1},
+            'timestamp': '2',
+        },
+        {'event': 'cause quarantined', 'key': 'k1', 'timestamp': '3'},
+        {'event': 'causes cleared', 'causes': ['k1'], 'timestamp': '6'},
+        refused | {'detail': 'plain_call k11: 2 crashes'},
+    ]
+    selected = request_log.cause_lines(lines, 'k1')
+    assert [line['timestamp'] for line in selected] == [*'12356']
+
+
 async def no_capacity(fleet):
     for name in ('d1', 'd2'):
         row = fleet.gateway._context.runners.get(name)
