Report the newest crash evidence beside many quarantined causes

What callers would see: once twelve causes are quarantined, a further deadly request crashes two runners at each instance before it is refused there, as no instance hears of the other's crashes.

Cause: a datagram has twelve causes, those with most crashes, and the evidence of a new one has fewer. Half of the places now go to the newest evidence.

Found by reading; no play showed it.

--- a/primrosereel/routing/blame/_quarantine.py
+++ b/primrosereel/routing/blame/_quarantine.py
@@ -41,6 +41,8 @@
 MAX_SUSPECTS = 512
 MAX_ANSWERED_PARTS = 4096
 MAX_REPORTED_CAUSES = 12
+# Places for the causes with the newest evidence, as peers know the others.
+NEWEST_REPORTED_CAUSES = 6
 
 
 class Quarantine:
@@ -125,17 +127,30 @@
         self._drop_excess()
 
     def evidence(self, now: float) -> list[evidence_module.Evidence]:
-        """Return the evidence for peers, of the causes with most crashes."""
+        """Return the evidence for peers, as much as fits in a datagram.
+
+        It is of the causes with most crashes and of those seen last.
+        """
         self._expire(now)
-        ranked = sorted(
-            self._suspects.items(),
-            key=lambda item: (-len(item[1].crashes), -item[1].last_at),
+        suspects = self._suspects
+        newest = sorted(suspects, key=lambda c: -suspects[c].last_at)
+        most_crashes = sorted(
+            suspects,
+            key=lambda c: (-len(suspects[c].crashes), -suspects[c].last_at),
         )
+        reported = set(newest[:NEWEST_REPORTED_CAUSES])
+        for cause in most_crashes:
+            if len(reported) >= MAX_REPORTED_CAUSES:
+                break
+            reported.add(cause)
         return [
             evidence_module.Evidence(
-                cause, dict(suspect.crashes), suspect.answered_at
+                cause,
+                dict(suspects[cause].crashes),
+                suspects[cause].answered_at,
             )
-            for cause, suspect in ranked[:MAX_REPORTED_CAUSES]
+            for cause in most_crashes
+            if cause in reported
         ]
 
     def crash_count(self, cause: causes.Cause) -> int:
--- a/tests/property/test_blame.py
+++ b/tests/property/test_blame.py
@@ -323,6 +323,26 @@
     assert first.blocking_cause([X], 0.05) is None
 
 
+def test_new_crash_is_reported_beside_many_quarantined_causes():
+    """Guards against a deadly call that each instance has to find by itself.
+
+    The places of a datagram were all taken by causes with more crashes.
+    """
+    quarantine = make_quarantine()
+    numbers = itertools.count()
+    for name in range(quarantine_module.MAX_REPORTED_CAUSES):
+        for _ in range(evidence_module.MIN_CRASHES):
+            number = next(numbers)
+            quarantine.observe_crash(
+                [D._replace(key=str(name))], crash(number), SENT_AT, number
+            )
+    now = next(numbers)
+    quarantine.observe_crash([X], crash(now), SENT_AT, now)
+    reported = {evidence.cause for evidence in quarantine.evidence(now)}
+    assert X in reported
+    assert len(reported) == quarantine_module.MAX_REPORTED_CAUSES
+
+
 def test_answer_to_a_bystander_tells_it_from_the_deadly_call():
     """Guards against a deadly call that hides behind a sound one."""
     quarantine = make_quarantine()
