Refuse two deadly requests that were at the same crashes

What callers would see: two deadly requests that come together, at a service of which one runner is up at a time, crash it without end.

Cause: each of the two accounts for all crashes of the other, so neither is refused until one crashes a runner alone.

Found by reading; no play showed it.

--- a/primrosereel/routing/blame/_evidence.py
+++ b/primrosereel/routing/blame/_evidence.py
@@ -25,6 +25,9 @@
 # or of a network takes several runners at once.
 SAME_CAUSE_S = 0.1
 MAX_CRASHES_PER_CAUSE = 8
+# Two whole requests at the same crashes account for each other's up to this
+# number. A sound one is answered before, two deadly ones never are.
+MAX_SHARED_CRASHES = 4
 
 
 class Crash(NamedTuple):
@@ -151,6 +154,10 @@
         unexplained = self.independent_crashes(other.crashes)
         if self.kind is other.kind is Kind.PROMPT_PART:
             return unexplained < self.min_crashes
+        if Kind.PROMPT_PART not in (self.kind, other.kind) and (
+            self.crashes.keys() == other.crashes.keys()
+        ):
+            return self.independent_crashes() <= MAX_SHARED_CRASHES
         return unexplained < 1
 
     @property
--- a/tests/property/test_blame.py
+++ b/tests/property/test_blame.py
@@ -343,6 +343,20 @@
     assert len(reported) == quarantine_module.MAX_REPORTED_CAUSES
 
 
+def test_two_deadly_calls_at_the_same_crashes_are_refused():
+    """Guards against deadly calls that hide behind each other.
+
+    They come together each time, to a service with one runner at a time.
+    """
+    quarantine = make_quarantine()
+    for number in range(evidence_module.MAX_SHARED_CRASHES + 1):
+        now = number * STEP_S
+        for cause in (D, X):
+            quarantine.observe_crash([cause], crash(number), SENT_AT, now)
+    assert quarantine.blocking_cause([D], now) == D
+    assert quarantine.blocking_cause([X], now) == X
+
+
 def test_answer_to_a_bystander_tells_it_from_the_deadly_call():
     """Guards against a deadly call that hides behind a sound one."""
     quarantine = make_quarantine()
