Tell generations apart by the parts of their prompts, too

One crash had been under a prompt with a deadly part, another beside it; both counted for one 'generation'.

Cause: the key of a whole request is of its path, body and caller. The parts of a prompt are in a header, so all prompts of a path with the same body, deadly or not, were one cause. The key has the shared parts now. The last part is left out, as it belongs to the request.

Evidence: the test failed before: 'assert (503, True) == (200, True)'.

--- a/primrosereel/gateway/_causes.py
+++ b/primrosereel/gateway/_causes.py
@@ -1,5 +1,6 @@
 """What runners may be crashed by in a caller's request."""
 
+from primrosereel import _ids as ids
 from primrosereel.gateway import _callers as callers
 from primrosereel.routing import _model as model
 from primrosereel.routing import blame
@@ -10,12 +11,16 @@
 
 
 def request_cause(
-    request: callers.CallerRequest, route: model.Route, service: str
+    request: callers.CallerRequest,
+    route: model.Route,
+    service: str,
+    shared_parts: tuple[ids.PromptPartId, ...],
 ) -> blame.Cause:
     """Return the cause that the request as a whole is.
 
     A caller is known by its ``Authorization`` header only: its address and
-    the request's id change when the same request comes again.
+    the request's id change when the same request comes again. The parts of a
+    prompt are in a header: requests that differ in them are not the same.
     """
     kind = blame.CauseKind.PLAIN_CALL
     if route.kind is model.RouteKind.STREAMING:
@@ -31,6 +36,7 @@
         request.host.encode('latin-1'),
         request.target,
         request.body,
+        b','.join(part.encode() for part in shared_parts),
         *authorization,
     ]
     return blame.Cause(kind, blame.request_key(fields))
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -192,7 +192,10 @@
         """The request as a cause of crashes; hashed when it is needed."""
         if self._cause is None:
             self._cause = causes.request_cause(
-                self.request, self.route, self.service
+                self.request,
+                self.route,
+                self.service,
+                self.facts.shared_parts,
             )
         return self._cause
 
--- a/tests/property/test_gateway_crashing_prompts.py
+++ b/tests/property/test_gateway_crashing_prompts.py
@@ -131,6 +131,31 @@
     )
 
 
+def test_sound_prompt_with_the_body_of_deadly_ones_is_served():
+    """Guards against sound prompts that are refused for two deadly parts.
+
+    All have the same path and body, and differ in the header with the parts.
+    """
+    port = gateway_fleet.free_port()
+    own = model.Address('127.0.0.1', port)
+
+    async def scenario(fleet):
+        site = Site(fleet, port)
+        await site.wait_until_ready()
+        for part in ('dead', 'second'):
+            for runner in fleet.runners.values():
+                runner.options.deadly_part = part
+            await site.ask(f'before-{part}', part)
+            await anyio.sleep(4 * PAUSE_S)
+        assert site.crashes > 2
+        _, reply = await site.ask('other')
+        assert (reply.status, reply.complete) == (200, True)
+
+    gateway_fleet.run_scenario(
+        scenario, peer=own, seeds=(own,), stable_window_s=STABLE_WINDOW_S
+    )
+
+
 def test_instance_that_starts_refuses_what_its_peers_refuse():
     """Guards against a restart that sends a deadly prompt to runners again."""
     port = gateway_fleet.free_port()
