Close the connection of a plain answer that is not whole

What callers would see: nothing at first; each plain answer without a length whose runner crashed kept a file descriptor until the next garbage collection.

Cause: the look at whether the runner has ended was outside of the block that closes the connection on errors.

Evidence: the test failed before with 'TimeoutError' (the socket stayed open for the 20 s of the test).

--- a/primrosereel/gateway/_plain.py
+++ b/primrosereel/gateway/_plain.py
@@ -147,11 +147,11 @@
             body = await response.connection.read_body(
                 MAX_RESPONSE_BYTES, self._context.response_memory
             )
+            await upstream.check_end(self._context, runner, response.head)
         except BaseException:
             with anyio.CancelScope(shield=True):
                 await response.connection.close()
             raise
-        await upstream.check_end(self._context, runner, response.head)
         attempt.record_answer()
         now = self._context.clock()
         await upstream.keep_connection(
--- a/tests/property/test_gateway_unframed.py
+++ b/tests/property/test_gateway_unframed.py
@@ -6,6 +6,7 @@
 import anyio.abc
 import pytest
 
+from primrosereel.gateway import _http as http
 from tests import gateway_fleet
 
 STREAM = {'Token_Usage': '400,40', 'Model': 'm', 'Deadline_Ms': 3000}
@@ -103,3 +104,23 @@
     resumed = path == '/ask/1'
     assert (reply.status, reply.complete) == (200, resumed)
     assert reply.body.count(b'\n\n') == (EVENTS if resumed else 2)
+
+
+@gateway_fleet.with_fleet
+async def test_connection_of_an_answer_that_is_not_whole_is_closed(
+    fleet, monkeypatch
+):
+    """Guards against a file descriptor that is kept with each such answer."""
+    connections = []
+    connect = http.connect
+
+    async def connect_and_keep(*arguments):
+        connections.append(await connect(*arguments))
+        return connections[-1]
+
+    monkeypatch.setattr(http, 'connect', connect_and_keep)
+    await replace(fleet, 's1', PLAIN_BODY, crashes=True)
+    assert (await fleet.ask('/file/1', 'r1', method='POST')).status == 502
+    (connection,) = connections
+    raw = connection._stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    await fleet.wait_for(lambda: raw.fileno() < 0)
