--- a/primrosereel/gateway/_event_stream.py
+++ b/primrosereel/gateway/_event_stream.py
@@ -132,7 +132,8 @@
         if self._splitter.incomplete:
             raise http.BrokenResponse('the stream ended inside an event')
         is_empty = self._progress.last_id is None and not self._progress.events
-        if is_empty or (head.ends_with_connection and not self._has_events):
+        has_no_end = head.ends_with_connection and not self._has_events
+        if is_empty or has_no_end:
             raise http.BrokenResponse('the stream ended without an event')
         if self._events_received:
             self._record_answer()
--- a/tests/property/test_gateway_runners_down.py
+++ b/tests/property/test_gateway_runners_down.py
@@ -13,8 +13,6 @@
 STREAM = test_gateway.STREAM
 PLAIN_RUNNERS = ('s1', 's2')
 DECODE_RUNNERS = ('d1', 'd2')
-# The expected length of an outage before one was observed.
-DEFAULT_OUTAGE_S = 2.0
 
 
 class Connects:
@@ -27,6 +25,8 @@
         self.made = collections.Counter()
         self.most_at_once = collections.Counter()
         self.delay_s = 0.0
+        # Runners that do not answer connects.
+        self.dark = set()
         monkeypatch.setattr(http, 'connect', self._counted)
 
     async def _counted(self, address, timeout_s):
@@ -38,6 +38,9 @@
         )
         try:
             await anyio.sleep(self.delay_s)
+            if any(port == self._port(name) for name in self.dark):
+                await anyio.sleep(timeout_s)
+                raise http.ConnectFailed('timeout')
             return await self._connect(address, timeout_s)
         finally:
             self._open[port] -= 1
@@ -214,3 +217,32 @@
     reply = await fleet.ask('/read/1', 'r1')
     assert reply.status == 503
     assert 4.8 < float(reply.headers['retry-after']) < 7.6
+
+
+@gateway_fleet.with_fleet
+async def test_dark_runner_costs_its_neighbours_callers_no_time(
+    fleet, monkeypatch
+):
+    """Guards against requests that try a dark runner beside a sound one."""
+    connects = Connects(fleet, monkeypatch)
+    connects.dark.add('s1')
+    for _ in range(3):
+        for reply in await ask_many(fleet, 6):
+            assert reply.status == 200
+    connects.made.clear()
+    await ask_many(fleet, 10)
+    assert connects.to('s1') <= 1
+
+
+@gateway_fleet.with_fleet
+async def test_service_whose_entries_are_gone_names_a_true_time(fleet):
+    """Guards against callers that return each 0.2 s as no runner is listed."""
+    for name in (*PLAIN_RUNNERS, *DECODE_RUNNERS):
+        fleet.store.delete(f'servers/{name}')
+    runners = fleet.gateway._context.runners
+    await fleet.wait_for(lambda: len(runners) == 1)
+    plain = await fleet.ask('/read/1', 'r1')
+    stream = await fleet.ask('/once/1', 'r2', method='POST', **STREAM)
+    for reply in (plain, stream):
+        assert reply.status == 503
+        assert float(reply.headers['retry-after']) >= 0.5
