Keep a stand-in running when a caller resets its connection

A stand-in that wrote an answer to a connection that had been reset raised BrokenResourceError in a task group. The group wrapped it in an ExceptionGroup, which nothing caught, and all stand-ins of the test ended with it.

test_runner_goes_on_after_a_caller_that_reset_its_connection failed before (anyio.BrokenResourceError in an ExceptionGroup) and passes now.

--- a/primrosereel/standin/_raw_http.py
+++ b/primrosereel/standin/_raw_http.py
@@ -163,6 +163,11 @@
                     closed = True
                 else:
                     await anyio.sleep_forever()
+            except anyio.BrokenResourceError:
+                # The task group would wrap it in an ExceptionGroup, which
+                # would end the server.
+                closed = True
+                self._on_disconnect(request)
             tasks.cancel_scope.cancel()
         if closed or parser.our_state is not h11.DONE:
             return None
--- a/tests/property/test_listed_runner.py
+++ b/tests/property/test_listed_runner.py
@@ -1,10 +1,13 @@
 """Requests that crash the stand-in of a runner."""
 
+import time
+
 import anyio
 import pytest
 
 from primrosereel.routing import _model as model
 from primrosereel.standin import _listed_runner as listed_runner
+from primrosereel.standin import _raw_http as raw_http
 from tests import gateway_fleet
 
 DEADLY = listed_runner.DeadlyRequest('POST', '/x/1', b'deadly')
@@ -47,3 +50,35 @@
             tasks.cancel_scope.cancel()
 
     anyio.run(main)
+
+
+def test_runner_goes_on_after_a_caller_that_reset_its_connection():
+    """Guards against a stand-in that ends as it answers such a caller.
+
+    The soak with seed 2032 ended so.
+    """
+
+    async def main():
+        options = listed_runner.RunnerOptions('r1', 'any', work_s=0.0)
+        runner = listed_runner.ListedRunner(options)
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(runner.server.serve)
+            address = model.Address('127.0.0.1', runner.server.port)
+
+            async def answer(request):
+                # A reset is seen by the write that follows it.
+                raw_http._reset_on_close(caller._stream)
+                await anyio.aclose_forcefully(caller._stream)
+                time.sleep(0.05)
+                return raw_http.Answer(200, body=bytes(10_000_000))
+
+            handle, runner.server._handler = runner.server._handler, answer
+            async with gateway_fleet.Client(address) as caller:
+                await caller.send('/x/1', 'r1')
+                await anyio.sleep(0.3)
+            runner.server._handler = handle
+            async with gateway_fleet.Client(address) as client:
+                assert (await client.ask('/x/1', 'r2')).complete
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
