Count only listed runners as down

An outage is remembered after the runner's entry is gone, as Retry-After depends on it, and kept the gauge runners_down up for a runner that never returns.

--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -278,7 +278,7 @@
         metrics.gauge(
             'runners_accepting', context.runners.accepting_count(now)
         )
-        metrics.gauge('runners_down', len(context.runners.outages))
+        metrics.gauge('runners_down', context.runners.down_count())
         metrics.gauge('peers', context.ledger.peer_count(now))
         metrics.gauge('members', len(context.members))
         metrics.gauge(
--- a/primrosereel/routing/_runners.py
+++ b/primrosereel/routing/_runners.py
@@ -163,6 +163,15 @@
         ]
         return due or candidates
 
+    def down_count(self) -> int:
+        """Return how many listed runners refuse connections."""
+        if not self._outages:
+            return 0
+        return sum(
+            self.down_since(runner) is not None
+            for runner in self._runners.values()
+        )
+
     def down_since(self, runner: Runner) -> float | None:
         """Return since when a runner refuses connections; None if not."""
         return self._outages.since(runner.listing.address)
--- a/tests/property/test_gateway_runners_down.py
+++ b/tests/property/test_gateway_runners_down.py
@@ -246,3 +246,14 @@
     for reply in (plain, stream):
         assert reply.status == 503
         assert float(reply.headers['retry-after']) >= 0.5
+
+
+@gateway_fleet.with_fleet
+async def test_runner_that_is_gone_is_not_counted_as_down(fleet):
+    """Guards against a gauge that stays up after a runner was removed."""
+    runners = fleet.gateway._context.runners
+    await crash(fleet, 's1', 's2')
+    await fleet.ask('/read/1', 'r1')
+    assert runners.down_count() == 2
+    fleet.store.delete('servers/s1')
+    await fleet.wait_for(lambda: runners.down_count() == 1)
