--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -12,6 +12,7 @@
 from primrosereel.gateway import _crash_reports as crash_reports_module
 from primrosereel.gateway import _decode_connection as decode_connection
 from primrosereel.gateway import _event_stream as event_stream
+from primrosereel.gateway import _generation_errors as errors
 from primrosereel.gateway import _held_place as held_place
 from primrosereel.gateway import _http as http
 from primrosereel.gateway import _prompt as prompt_module
@@ -34,22 +35,6 @@
 RETRY_AFTER_S = 0.5
 
 
-class RequestEnded(Exception):
-    """The request ended without a stream; ``reply`` is for the caller."""
-
-    def __init__(self, reply: callers.Reply) -> None:
-        super().__init__(str(reply.status))
-        self.reply = reply
-
-
-class StreamBroken(Exception):
-    """A stream ended before its last event."""
-
-
-class StreamMoved(Exception):
-    """A stream was stopped; another runner continues it from its copy."""
-
-
 class Generation:
     """Serves one generation on a caller's connection."""
 
@@ -89,13 +74,13 @@
             with exchange.time_limit.enforce():
                 self._crash_reports.check(exchange)
                 if not await self._connection.open():
-                    raise RequestEnded(self._refusal(Reason.NO_RUNNER))
+                    raise errors.RequestEnded(self._refusal(Reason.NO_RUNNER))
                 admission.check_time_until_stop(exchange)
                 self._crash_reports.check(exchange)
                 await self._prefill()
                 return await self._stream_until_complete()
             return await self._handle_timeout()
-        except RequestEnded as ended:
+        except errors.RequestEnded as ended:
             return await self._end(ended.reply)
         except admission.Refused as refused:
             return await self._end(self._admission_reply(refused))
@@ -162,7 +147,7 @@
             try:
                 if await self._stream_from(runner):
                     return True
-            except StreamBroken as error:
+            except errors.StreamBroken as error:
                 if isinstance(error.__cause__, http.BrokenResponse):
                     await self._crash_reports.observe_lost_request(
                         self._exchange,
@@ -171,7 +156,7 @@
                         self._stream.events_received,
                     )
                 self._handle_broken_stream(runner, str(error))
-            except StreamMoved:
+            except errors.StreamMoved:
                 self._resume_from = self._move
                 self._place.exclude(runner)
 
@@ -180,11 +165,11 @@
         if self._resume_from is not None:
             return self._switch_to_copy(self._resume_from)
         if self._exchange.may_have_run and not self._exchange.route.repeatable:
-            raise RequestEnded(self._refusal(Reason.UPSTREAM_FAILED))
+            raise errors.RequestEnded(self._refusal(Reason.UPSTREAM_FAILED))
         if self._place.runner is not None:
             return self._place.runner
         if self._rejections.exhausted:
-            raise RequestEnded(self._refusal(Reason.NO_CAPACITY))
+            raise errors.RequestEnded(self._refusal(Reason.NO_CAPACITY))
         return await self._place.acquire_another(self._place_wait_s())
 
     def _place_wait_s(self) -> float:
@@ -239,9 +224,13 @@
         self._place.exclude(runner)
         may_retry = route.repeatable and exchange.attempts < route.max_attempts
         if not may_retry:
-            raise RequestEnded(exchange.failure(Reason.UPSTREAM_FAILED, 502))
+            raise errors.RequestEnded(
+                exchange.failure(Reason.UPSTREAM_FAILED, 502)
+            )
         if not self._context.budget.try_spend(exchange.service, now):
-            raise RequestEnded(exchange.failure(Reason.RETRY_BUDGET, 502))
+            raise errors.RequestEnded(
+                exchange.failure(Reason.RETRY_BUDGET, 502)
+            )
 
     async def _stream_from(self, runner: runners.Runner) -> bool:
         """Forward a runner's events; raise StreamBroken if they end early.
@@ -323,10 +312,10 @@
                 await self._forward_events(response, runner, started_at)
         except (http.BrokenResponse, events.SequenceError) as error:
             if await move.wait_until_moved():
-                raise StreamMoved from error
+                raise errors.StreamMoved from error
             move.end()
             runner.observe_failure(self._context.clock())
-            raise StreamBroken(str(error)) from error
+            raise errors.StreamBroken(str(error)) from error
         finally:
             with anyio.CancelScope(shield=True):
                 await response.connection.close()
@@ -393,11 +382,11 @@
         except http.BrokenResponse as error:
             exchange.attempts += attempts
             runner.observe_failure(self._context.clock())
-            raise StreamBroken(str(error)) from error
+            raise errors.StreamBroken(str(error)) from error
         exchange.attempts += attempts
         if response is None:
             runner.observe_failure(self._context.clock())
-            raise StreamBroken('no response in time')
+            raise errors.StreamBroken('no response in time')
         if resume_from is not None:
             resume_from.copy_used()
         await self._note_handle_used(response)
@@ -423,7 +412,7 @@
         rejected: upstream.Rejected,
     ) -> None:
         if not self._rejections.handle(runner, with_handle, rejected):
-            raise RequestEnded(self._refusal(Reason.RETRY_BUDGET))
+            raise errors.RequestEnded(self._refusal(Reason.RETRY_BUDGET))
 
     def _first_event_s(self) -> float:
         route = self._exchange.route
@@ -496,11 +485,11 @@
         if self._stream.head_sent or (
             route.repeatable and self._exchange.attempts < route.max_attempts
         ):
-            raise StreamBroken(f'status {head.status}')
+            raise errors.StreamBroken(f'status {head.status}')
         if not response.facts.signed or head.status in (408, 421, 429, 503):
-            raise RequestEnded(
+            raise errors.RequestEnded(
                 self._exchange.failure(Reason.UPSTREAM_FAILED, 502)
             )
-        raise RequestEnded(
+        raise errors.RequestEnded(
             callers.Reply(head.status, head.reason, head.headers, body)
         )
