Blame no request that was sent after its runner had crashed

A connection that was kept open may be used in the moment after a crash; the request did not reach the runner, and was counted as one that it crashed under.

--- a/primrosereel/gateway/_crash_reports.py
+++ b/primrosereel/gateway/_crash_reports.py
@@ -142,7 +142,7 @@
         if events_received >= blame.PROVEN_EVENTS:
             return
         crash = blame.Crash(runner.runner_id, runner.listing.born_ms)
-        if not await self._ended_runs.has_crashed(runner):
+        if not await self._ended_runs.has_crashed(runner, sent_at):
             return
         now = self._context.clock()
         suspected = exchange.causes
--- a/primrosereel/gateway/_ended_runs.py
+++ b/primrosereel/gateway/_ended_runs.py
@@ -18,22 +18,26 @@
 
     Example::
 
-        if await ended_runs.has_crashed(runner):
+        if await ended_runs.has_crashed(runner, sent_at):
             crash = blame.Crash(runner.runner_id, runner.listing.born_ms)
     """
 
     def __init__(self, context: context_module.Context) -> None:
         self._context = context
-        # The oldest crash comes first.
-        self._known: dict[blame.Crash, None] = {}
+        # When each crash was found; the oldest comes first.
+        self._known: dict[blame.Crash, float] = {}
         self._checks: dict[blame.Crash, anyio.Lock] = {}
 
-    async def has_crashed(self, runner: runners.Runner) -> bool:
-        """Tell whether a runner that broke a connection off has crashed.
+    async def has_crashed(
+        self, runner: runners.Runner, sent_at: float
+    ) -> bool:
+        """Tell whether a runner has crashed under a request that it lost.
 
         One that accepts connections has lost this one only, and one that had
         said that it leaves has ended as planned. Requests that lose their
-        connections at the same moment share one check.
+        connections at the same moment share one check. One that was sent
+        after the crash was found, on a connection that was still open here,
+        did not reach the runner.
         """
         crash = blame.Crash(runner.runner_id, runner.listing.born_ms)
         if runner.availability.said_leaving:
@@ -42,7 +46,7 @@
         try:
             async with check:
                 if crash in self._known:
-                    return True
+                    return sent_at <= self._known[crash]
                 if self._has_new_run(crash):
                     has_crashed = True
                 else:
@@ -60,6 +64,6 @@
         return listed is not None and listed.listing.born_ms > crash.born_ms
 
     def _add(self, crash: blame.Crash) -> None:
-        self._known[crash] = None
+        self._known[crash] = self._context.clock()
         while len(self._known) > MAX_KNOWN_CRASHES:
             del self._known[next(iter(self._known))]
--- a/tests/property/test_gateway_crashing_calls.py
+++ b/tests/property/test_gateway_crashing_calls.py
@@ -7,6 +7,7 @@
 import anyio
 import pytest
 
+from primrosereel.gateway import _upstream as upstream
 from primrosereel.routing import _model as model
 from primrosereel.standin import _listed_runner as listed_runner
 from tests import gateway_fleet
@@ -247,6 +248,41 @@
     gateway_fleet.run_scenario(scenario)
 
 
+@gateway_fleet.with_fleet
+async def test_calls_that_lost_a_runner_at_once_share_one_look_at_it(
+    fleet, monkeypatch
+):
+    """Guards against a failed connect for each request that a crash takes.
+
+    A call that is sent after the crash was found is no suspect of it.
+    """
+    context = fleet.gateway._context
+    runner = context.runners.get('s1')
+    crash_reports = fleet.gateway._server._crash_reports
+    ended_runs = crash_reports._ended_runs
+    sent_at = context.clock()
+    fleet.runners['s1'].server.crash(10.0)
+    found, looks = [], []
+    refuses_connections = upstream.refuses_connections
+
+    async def count_look(runner):
+        looks.append(runner.runner_id)
+        return await refuses_connections(runner)
+
+    monkeypatch.setattr(upstream, 'refuses_connections', count_look)
+
+    async def look():
+        found.append(await ended_runs.has_crashed(runner, sent_at))
+
+    async with anyio.create_task_group() as tasks:
+        for _ in range(5):
+            tasks.start_soon(look)
+    assert found == [True] * 5
+    assert looks == ['s1']
+    assert not ended_runs._checks
+    assert not await ended_runs.has_crashed(runner, context.clock())
+
+
 def test_call_that_waits_at_a_runner_is_taken_back_when_it_is_refused():
     """Guards against a deadly call that crashes a runner when its turn comes.
 
