Take back prompts that are prefilled when they are refused

What callers would see: a prompt whose prefill had begun crashed the prefill runner, or kept it busy, although the prompt was refused everywhere by then.

Cause: only calls and decodes were watched for a quarantine of their causes.

Evidence: the test failed before: 'not enough values to unpack (expected 1, got 0)' (no 'request taken back').

--- a/primrosereel/gateway/_prompt.py
+++ b/primrosereel/gateway/_prompt.py
@@ -86,7 +86,8 @@
         limit_s = timeouts.prefill_timeout_s(exchange.route, expected_s)
         try:
             with (
-                anyio.fail_after(limit_s),
+                anyio.fail_after(limit_s) as scope,
+                self._crash_reports.watched_attempt(exchange, scope),
                 upstream.count_in_flight(runner, tokens),
             ):
                 self._context.uses_changed()
--- a/tests/property/test_gateway_crashing_calls.py
+++ b/tests/property/test_gateway_crashing_calls.py
@@ -271,3 +271,28 @@
         assert site.crashes == before
 
     run(scenario, *IDEMPOTENT)
+
+
+def test_prompt_that_is_prefilled_is_taken_back_when_it_is_refused():
+    """Guards against a deadly prompt that crashes a prefill runner as well.
+
+    Its prefill was begun before the prompt was known to crash runners.
+    """
+
+    async def scenario(site):
+        prefill = site.runners['p1']
+        prefill.options.work_s = 2.0
+        async with site.client() as client:
+            await client.send('/once/deadly', 'early', **GENERATION)
+            await site.wait_for(lambda: bool(prefill.requests))
+            prefill.options.work_s = 0.01
+            while not site.log.named('cause quarantined'):
+                await site.ask_deadly()
+            before = site.crashes
+            reply = await client.receive()
+        assert reply.status == 503
+        (taken_back,) = site.log.named('request taken back')
+        assert taken_back['request'] == 'early'
+        assert site.crashes == before
+
+    run(scenario, *NOT_RESUMABLE)
