Try a cause again soon after its first quarantine

What callers would see: a sound request that is sent again as its runner is killed, and whose next runner is killed too, was refused everywhere for 300 to 450 s, for all callers of one path without Authorization. So was a first part that two deadly parts had in common, if no sound prompt was answered meanwhile. A caller with two deadly requests could bring this about on purpose.

Cause: the crashes that start a quarantine can't tell a lone bystander from the cause, and only the end of the quarantine lets an answer clear it. The first quarantine lasts 10 to 15 s now; a crash after it shows the cause and renews it for 600 s and more. The evidence is kept as long as before, so a deadly request costs one runner more than before, and still three in all if it was never answered.

--- a/primrosereel/routing/blame/_quarantine.py
+++ b/primrosereel/routing/blame/_quarantine.py
@@ -8,9 +8,9 @@
 Suspects of a crash are the causes of the requests that the runner had not
 answered yet. An answer clears the causes of its request. A cause is
 quarantined after some independent crashes without an answer in between;
-requests with it are refused until the quarantine lapses, then one more crash
-renews it for twice as long. All instances exchange the evidence and draw the
-same conclusions.
+requests with it are refused until the quarantine, a short one, lapses; then
+one more crash renews it for long, and each further one for twice as long. All
+instances exchange the evidence and draw the same conclusions.
 """
 
 from collections.abc import Collection
@@ -27,7 +27,10 @@
 # prompt. The first event may still be sent by a runner that crashes.
 PROVEN_EVENTS = 2
 
-# The duration of a quarantine; it doubles with each further crash.
+# The duration of the first quarantine, which may be that of a bystander: few
+# crashes do not tell who caused them, the trial after it does.
+FIRST_QUARANTINE_S = 10.0
+# The duration after one more crash; it doubles with each further one.
 QUARANTINE_S = 300.0
 MAX_DOUBLINGS = 4
 # An instance adds up to this share of the duration at random, so that not all
@@ -58,9 +61,7 @@
     """
 
     def __init__(self, random: random_module.Random) -> None:
-        self._duration_s = QUARANTINE_S * (
-            1 + DURATION_JITTER * random.random()
-        )
+        self._duration_factor = 1 + DURATION_JITTER * random.random()
         self._suspects: dict[causes.Cause, evidence_module.Suspect] = {}
         # When this instance last saw an answer to a prompt with each part;
         # the least recently answered part comes first.
@@ -176,8 +177,10 @@
 
     def _quarantine_s(self, suspect: evidence_module.Suspect) -> float:
         """Return how long a quarantine lasts after the newest evidence."""
-        doublings = min(max(0, suspect.excess_crashes), MAX_DOUBLINGS)
-        return self._duration_s * 2**doublings
+        if suspect.excess_crashes <= 0:
+            return self._duration_factor * FIRST_QUARANTINE_S
+        doublings = min(suspect.excess_crashes, MAX_DOUBLINGS)
+        return self._duration_factor * QUARANTINE_S * 2**doublings
 
     def blocking_cause(
         self, request_causes: Collection[causes.Cause], now: float
@@ -239,7 +242,8 @@
         for cause, suspect in list(self._suspects.items()):
             kept_s = PROOF_REPORTED_S
             if suspect.crashes:
-                kept_s = 2 * self._quarantine_s(suspect)
+                quarantine_s = self._quarantine_s(suspect)
+                kept_s = 2 * max(QUARANTINE_S, quarantine_s)
             last_at = max(suspect.last_at, suspect.contradicted_at)
             if now - last_at > kept_s:
                 del self._suspects[cause]
