--- a/tests/property/test_blame.py
+++ b/tests/property/test_blame.py
@@ -369,3 +369,19 @@
     assert (one == other) == (
         blame.request_key(one) == blame.request_key(other)
     )
+
+
+def test_part_that_two_deadly_requests_share_does_not_block_others():
+    """Guards against a service that refuses all requests after a restart.
+
+    Two requests crash runners, each as a whole, before an answer to the
+    system prompt that they share with all sound requests is known.
+    """
+    quarantine = make_quarantine()
+    for number in range(evidence_module.MIN_CRASHES):
+        now = number * STEP_S
+        whole = blame.Cause(blame.CauseKind.GENERATION, f'whole-{number}')
+        quarantine.observe_crash(
+            [SYSTEM, whole], crash(number), now - STEP_S / 2, now
+        )
+    assert quarantine.blocking_cause([SYSTEM, OTHER], now) is None
--- a/tests/property/test_gateway_back_off.py
+++ b/tests/property/test_gateway_back_off.py
@@ -217,3 +217,28 @@
         's1', context.clock()
     )
     assert back_off_s <= availability.MAX_BACK_OFF_S
+
+
+@gateway_fleet.with_fleet
+async def test_a_refusal_of_a_run_that_is_not_listed_yet_is_kept(fleet):
+    """Guards against requests in the time of a restarted runner's refusal.
+
+    The runner refuses before its new entry is read, which ends what was said
+    of its old run.
+    """
+    runner = fleet.runners['s1']
+    leaving.prefer(fleet, 's1')
+    runner.crash()
+    await anyio.sleep(2 * runner.options.restart_s)
+    refuse_next(fleet, 's1', '2')
+    assert (await fleet.ask('/read/1', 'r0')).status == 200
+    assert len(runner.requests) == 1
+    fleet.list_runner('s1')
+    table = fleet.gateway._context.runners
+    await fleet.wait_for(
+        lambda: table.get('s1').listing.born_ms == runner.born_ms
+    )
+    leaving.prefer(fleet, 's1')
+    for number in range(1, 5):
+        assert (await fleet.ask('/read/1', f'r{number}')).status == 200
+    assert len(runner.requests) == 1
