Keep the refusal of a run whose entry was not read yet

Cause: the runner had crashed, come back and refused before its new entry was read. A refusal is counted to the known run, and the entry of a new run ends what was said of the old one.

Fix: once a runner's port refuses connections, the known run has ended. What is refused after that is kept for the run whose entry comes next. A refusal before the port was seen closed ends with the new run as before. A runner that comes back before any connect was refused is not covered, nor is its Server-Leaving.

--- a/primrosereel/gateway/_runner_connect.py
+++ b/primrosereel/gateway/_runner_connect.py
@@ -45,7 +45,11 @@
     now = context.clock()
     if not runner.availability.accepts(now):
         return
-    if context.runners.outages.observe_refusal(runner.listing, now):
+    listing = runner.listing
+    context.runners.availability.observe_run_end(
+        listing.runner, listing.born_ms
+    )
+    if context.runners.outages.observe_refusal(listing, now):
         context.count('outages.begun')
         context.log.info(
             'runner refuses connections',
--- a/primrosereel/routing/_availability.py
+++ b/primrosereel/routing/_availability.py
@@ -221,6 +221,12 @@
         record.said_leaving = True
         self._apply(runner_id, record, event, source, now, age_s)
 
+    def observe_run_end(self, runner_id: ids.RunnerId, born_ms: int) -> None:
+        """Record that a run ended, as its port refuses connections."""
+        record = self._records.get(runner_id)
+        if record is not None and born_ms == record.version.born_ms:
+            record.run_ended = True
+
     def observe_back_off(
         self,
         runner_id: ids.RunnerId,
@@ -247,6 +253,8 @@
             return for_s
         self._advance(runner_id, record, now)
         record.back_off_until = max(record.back_off_until, until)
+        if record.run_ended:
+            record.next_back_off_until = until
         self._apply(runner_id, record, Event.REFUSED, source, now)
         return for_s
 
--- a/primrosereel/routing/_availability_record.py
+++ b/primrosereel/routing/_availability_record.py
@@ -34,6 +34,10 @@
     accepts_from: float = -math.inf
     accepts_until: float = math.inf
     back_off_until: float = -math.inf
+    # The known run has ended. What the runner refuses since then, it refuses
+    # as a run whose entry was not read yet.
+    run_ended: bool = False
+    next_back_off_until: float = -math.inf
     # A peer was refused; other runners are preferred until then.
     hinted_until: float = -math.inf
     # The entry is removed; it may come back until ``missing_until``.
@@ -103,7 +107,9 @@
             self.replaced_born_ms = 0
         self.version = RunVersion(born_ms)
         self.history = None
-        self.back_off_until = self.hinted_until = -math.inf
+        self.back_off_until = self.next_back_off_until
+        self.hinted_until = self.next_back_off_until = -math.inf
+        self.run_ended = False
         self.said_leaving = False
 
     def describe(self, now: float) -> str:
--- a/tests/property/test_gateway_back_off.py
+++ b/tests/property/test_gateway_back_off.py
@@ -229,7 +229,11 @@
     runner = fleet.runners['s1']
     leaving.prefer(fleet, 's1')
     runner.crash()
-    await anyio.sleep(2 * runner.options.restart_s)
+    assert (await fleet.ask('/read/1', 'down')).status == 200
+    assert fleet.log.named('runner refuses connections')
+    # Longer than the pause before the runner is tried again.
+    await anyio.sleep(1.5)
+    leaving.prefer(fleet, 's1')
     refuse_next(fleet, 's1', '2')
     assert (await fleet.ask('/read/1', 'r0')).status == 200
     assert len(runner.requests) == 1
