Blame parts of prompts for crashes under generations only

Cause: a caller may send the header that lists the parts of a prompt with any request, and the gateway took the parts of a plain call for suspects.

Fix: a plain call has no prompt, so only the whole call is blamed.

test_plain_calls_blame_no_part_of_prompts failed before ("assert 503 == 200") and passes now. Two deadly generations that share a part can still quarantine it (test_part_that_two_deadly_requests_share_does_not_block_others, known to fail).

--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -198,7 +198,9 @@
 
     @property
     def part_causes(self) -> tuple[blame.Cause, ...]:
-        """The shared parts of the prompt as causes of crashes."""
+        """The shared parts of a generation's prompt as causes of crashes."""
+        if self.route.kind is not model.RouteKind.STREAMING:
+            return ()
         return tuple(map(blame.part_cause, self.facts.shared_parts))
 
     @property
--- a/tests/property/test_gateway_crashing_calls.py
+++ b/tests/property/test_gateway_crashing_calls.py
@@ -4,6 +4,8 @@
 time with another request id.
 """
 
+import functools
+
 import anyio
 import pytest
 
@@ -271,3 +273,32 @@
         assert site.crashes == before
 
     run(scenario, *IDEMPOTENT)
+
+
+@gateway_fleet.with_fleet
+async def test_plain_calls_blame_no_part_of_prompts(fleet):
+    """Guards against generations that are refused for what calls crashed.
+
+    The calls had the header that lists the parts of a prompt, as a caller may
+    send it with any request.
+    """
+    prompt = {'Prompt_Prefix': 'system:9,own:9'}
+    for name in ('s1', 's2'):
+        fleet.runners[name].options.restart_s = 0.1
+        fleet.runners[name].on_crash = functools.partial(
+            fleet.list_runner, name
+        )
+        fleet.runners[name].options.deadly_requests = frozenset(
+            listed_runner.DeadlyRequest('POST', f'/read/{number}', b'')
+            for number in range(3)
+        )
+    for number in range(3):
+        reply = await fleet.ask(
+            f'/read/{number}', f'r{number}', method='POST', **prompt
+        )
+        assert reply.status in (502, 503)
+        # Longer than the pause before a runner is tried again.
+        await anyio.sleep(1.5)
+    assert sum(runner.crashes for runner in fleet.runners.values()) > 2
+    reply = await fleet.ask('/ask/1', 'sound', **GENERATION | prompt)
+    assert reply.status == 200
