Read no request that crosses the close of an idle connection

What callers would see: a whole request, sent as its connection was closed as idle (a shorter limit, a stop), was read and got neither an answer nor a refusal. One that may run once is repeated only if it was not read.

Cause: a lingering close reads and discards what arrives, also on connections that were closed as idle, whose callers have all of the last answer. Those are closed at once again: what crosses is unread, and TCP resets the connection. A caller that has not acknowledged all of its answer still gets time.

Evidence: the test failed before for both closes: 'DID NOT RAISE BrokenResourceError'.

test_many_callers_that_never_close_are_bounded closed idle connections, which do not linger now. Its callers ask for the close with the last request instead; what it checks is unchanged.

--- a/primrosereel/gateway/_callers.py
+++ b/primrosereel/gateway/_callers.py
@@ -301,11 +301,7 @@
             return
         self._closed = True
         try:
-            if self._parser.our_state in (
-                h11.IDLE,
-                h11.DONE,
-                h11.MUST_CLOSE,
-            ):
+            if self._may_have_unread_answer():
                 await self._stream.send_eof()
                 await self._lingering.discard_input(self._stream)
         finally:
@@ -313,6 +309,20 @@
             with anyio.CancelScope(shield=True):
                 await anyio.aclose_forcefully(self._stream)
 
+    def _may_have_unread_answer(self) -> bool:
+        """Tell whether the caller may still read a complete response.
+
+        Nothing is read from an idle caller that has all bytes: a request that
+        crosses the close must look unread to it, so that it is sent again.
+        """
+        if self._closed_as_idle and not http.unsent_bytes(self._stream):
+            return False
+        return self._parser.our_state in (
+            h11.IDLE,
+            h11.DONE,
+            h11.MUST_CLOSE,
+        )
+
     def _response_head(
         self, reply: Reply, headers: http.Headers
     ) -> h11.Response:
--- a/primrosereel/gateway/_http.py
+++ b/primrosereel/gateway/_http.py
@@ -117,10 +117,19 @@
 
 def unread_bytes(stream: anyio.abc.SocketStream) -> int:
     """Return how many bytes the kernel holds that were not read yet."""
+    return _queued_bytes(stream, termios.FIONREAD)
+
+
+def unsent_bytes(stream: anyio.abc.SocketStream) -> int:
+    """Return how many bytes the kernel holds that were not acknowledged."""
+    return _queued_bytes(stream, termios.TIOCOUTQ)
+
+
+def _queued_bytes(stream: anyio.abc.SocketStream, queue: int) -> int:
     raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
     waiting = array.array('i', [0])
     try:
-        fcntl.ioctl(raw.fileno(), termios.FIONREAD, waiting)
+        fcntl.ioctl(raw.fileno(), queue, waiting)
     except (OSError, ValueError):
         # The socket is closed.
         return 0
--- a/tests/property/test_gateway_close.py
+++ b/tests/property/test_gateway_close.py
@@ -155,6 +155,35 @@
     run(scenario)
 
 
+@pytest.mark.parametrize('close', [stop, shorten_idle_limit])
+def test_request_that_crosses_an_idle_close_is_not_read(close):
+    """Guards against a request that is read, then neither run nor refused.
+
+    A caller repeats one that may run once only if it was not read, which a
+    reset of the connection tells it.
+    """
+
+    async def scenario(fleet):
+        await apply(fleet, 2, idleTimeoutMs=400)
+        async with fleet.client() as client:
+            await client.ask('/file/1', 'r1', method='POST')
+            await close(fleet)
+            await fleet.wait_for(
+                lambda: (
+                    bool(fleet.log.named('idle connection closed'))
+                    or fleet.gateway._server.lingering_connections
+                )
+            )
+            await client.send_bytes(HEAD)
+            await anyio.sleep(0.1)
+            with pytest.raises(anyio.BrokenResourceError):
+                await client.send_bytes(b'Content-Length: 0\r\n\r\n')
+                await anyio.sleep(0.1)
+                await client.send_bytes(HEAD)
+
+    run(scenario)
+
+
 def test_caller_that_never_closes_delays_no_stop():
     """Guards against a stop that waits for callers beyond its grace."""
 
@@ -202,9 +231,14 @@
         async with contextlib.AsyncExitStack() as stack:
             for number in range(4):
                 client = await stack.enter_async_context(fleet.client())
-                await client.ask('/ask/1', f'r{number}', 'POST', **STREAM)
-                # The caller keeps its connection open.
-            server.close_idle()
+                # The caller keeps its connection open nevertheless.
+                await client.ask(
+                    '/ask/1',
+                    f'r{number}',
+                    'POST',
+                    Connection='close',
+                    **STREAM,
+                )
             await fleet.wait_for(lambda: not server.open_connections)
             assert server.lingering_connections == 2
             engines = fleet.gateway.engine_uses()
