--- a/tests/property/test_gateway_crashing_calls.py
+++ b/tests/property/test_gateway_crashing_calls.py
@@ -267,9 +267,9 @@
     found, looks = [], []
     refuses_connections = upstream.refuses_connections
 
-    async def count_look(runner):
+    async def count_look(context, runner):
         looks.append(runner.runner_id)
-        return await refuses_connections(runner)
+        return await refuses_connections(context, runner)
 
     monkeypatch.setattr(upstream, 'refuses_connections', count_look)
 
