Send no event of a stream whose head was not sent

The head has a time limit of its own, 0.05 s, for callers that do not read. If it was over before the head was handed to the connection, as in a process that gets no processor time at that moment, the events were sent without it.

The request now ends with its connection if the head was not sent, and the limit is 1 s. The new test failed before: AssertionError: b'15\r\n...' does not start with b'HTTP/1.1 200 '.

--- a/primrosereel/gateway/_event_stream.py
+++ b/primrosereel/gateway/_event_stream.py
@@ -18,8 +18,8 @@
 __all__ = ['EventStream']
 
 # How long the head of a response may take to be sent beyond a time limit. It
-# only waits for callers that do not read.
-SEND_HEAD_S = 0.05
+# only waits for callers that do not read, but a busy process needs some time.
+SEND_HEAD_S = 1.0
 # How often a stream whose runner is silent looks for another runner.
 SILENCE_RECHECK_S = 0.1
 
@@ -177,14 +177,17 @@
 
         It is the head of the first runner whose stream is forwarded. A time
         limit that is reached meanwhile ends the request either before it, so
-        that the caller can still get a refusal, or after it.
+        that the caller can still get a refusal, or after it. Raises
+        CallerDisconnected if it could not be sent, as no event may follow.
         """
         if self._head_sent:
             return
         await anyio.lowlevel.checkpoint_if_cancelled()
         self._head_sent = True
         self._exchange.time_limit.start_answer()
-        with anyio.move_on_after(SEND_HEAD_S, shield=True):
+        with anyio.move_on_after(SEND_HEAD_S, shield=True) as sending:
             await self._caller.send_head(
                 callers.Reply(head.status, head.reason, head.headers)
             )
+        if sending.cancelled_caught:
+            raise callers.CallerDisconnected('the head was not sent')
--- a/tests/property/test_gateway_time_limit.py
+++ b/tests/property/test_gateway_time_limit.py
@@ -3,6 +3,7 @@
 import anyio
 import pytest
 
+from primrosereel.gateway import _event_stream as event_stream
 from primrosereel.gateway import _prompt as prompt
 from primrosereel.routing import _events as events
 from primrosereel.routing import _timeouts as timeouts
@@ -102,3 +103,21 @@
         assert served['attempts'] == 1
 
     run(scenario)
+
+
+def test_no_event_follows_a_head_that_was_not_sent(monkeypatch):
+    """Guards against a stream whose caller gets its events, but no head.
+
+    The time for the head was over before it was handed to the connection, as
+    in a process that gets no processor time at that moment.
+    """
+    monkeypatch.setattr(event_stream, 'SEND_HEAD_S', 0.0)
+
+    async def scenario(fleet):
+        async with fleet.client() as client:
+            await client.send('/once/1', 'r1', 'POST', **moves.STREAM)
+            with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+                received = await client._stream.receive()
+                assert received.startswith(b'HTTP/1.1 200 '), received
+
+    run(scenario)
