--- a/tests/property/test_gateway_settings.py
+++ b/tests/property/test_gateway_settings.py
@@ -52,6 +52,7 @@
         (b'[7000, 7015]', b'[-1, 7015]', 'internalPortRange'),
         (b'graceS = 6', b'graceS = 1e300', 'graceS'),
         (b'graceS = 6', b'retryBudgetSlack = 1e300', 'retryBudgetSlack'),
+        (b'[bounds]', b'[limits]\nmemoryMb = 1e-9\n[bounds]', 'memoryMb'),
         (b'[bounds]', b'[limits]\nmemoryMb = -1\n[bounds]', 'memoryMb'),
         (b'[bounds]', b'[limits]\nmemoryMb = nan\n[bounds]', 'memoryMb'),
         (
