Name unsent_bytes among the public names of the HTTP client

The close of idle connections uses it from another module; the merge had left it out of the list. No behaviour is changed; the linters and the tests of closes pass.

--- a/primrosereel/gateway/_http.py
+++ b/primrosereel/gateway/_http.py
@@ -34,6 +34,7 @@
     'reset_on_close',
     'set_socket_options',
     'unread_bytes',
+    'unsent_bytes',
 ]
 
 READ_BYTES = 65536
