--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,6 +13,8 @@
 EVENT_S = 0.1
 # Longer than usual, shorter than the time after which clients give up.
 FIRST_EVENT_S = 2.6
+# Copies wait for others on both links.
+COPY_REST_S = 0.8
 
 
 class Engine(harness.Runner):
@@ -25,7 +27,7 @@
         super().__init__(*arguments)
         self.made = {}
         self.stopped = set()
-        self.after_copy = None
+        self.at_stop = None
 
     async def serve_run(self, request, reader, writer):
         name = request.request_id
@@ -63,6 +65,7 @@
         if name in self.made and name not in self.stopped:
             if last:
                 self.stopped.add(name)
+                await self._copy_rest(move['to'])
             status = 200 if await is_reachable(move['to']) else 503
         self.record.line(
             'runner copies',
@@ -80,10 +83,13 @@
                 json.dumps(body).encode() if status != 404 else b'',
             )
         )
-        await writer.drain()
-        if status == 200 and self.after_copy is not None:
-            after_copy, self.after_copy = self.after_copy, None
-            await after_copy(move['to'])
+
+    async def _copy_rest(self, address):
+        """Copy what is new; the destination may crash meanwhile."""
+        if self.at_stop is not None:
+            at_stop, self.at_stop = self.at_stop, None
+            asyncio.ensure_future(at_stop(address))
+        await asyncio.sleep(COPY_REST_S)
 
 
 async def is_reachable(address):
@@ -133,13 +139,14 @@
         ]
 
         async def crash(address):
+            await asyncio.sleep(COPY_REST_S / 2)
             for other in others:
                 if other.address == address:
                     record.line('runner crashes', runner=other.name)
                     await other.stop()
 
         if harness.TROUBLE:
-            source.after_copy = crash
+            source.at_stop = crash
         source.register(fleet.store, 'draining')
         broken = []
         for number, client in enumerate(clients):
