--- a/review/2/case.py
+++ b/review/2/case.py
@@ -4,6 +4,7 @@
 import json
 import pathlib
 import sys
+import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / 'lib'))
@@ -15,6 +16,7 @@
 FIRST_EVENT_S = 2.6
 # Copies wait for others on both links.
 COPY_REST_S = 0.8
+DOWN_S = 1.8
 
 
 class Engine(harness.Runner):
@@ -144,6 +146,12 @@
                 if other.address == address:
                     record.line('runner crashes', runner=other.name)
                     await other.stop()
+                    await asyncio.sleep(DOWN_S)
+                    await other.start(other.port)
+                    other.born = int(time.time() * 1000)
+                    other.sequence = 0
+                    other.register(fleet.store)
+                    record.line('runner is back', runner=other.name)
 
         if harness.TROUBLE:
             source.at_stop = crash
