Take a stream for whole only if it cannot have been stopped

Cause: whether a stream was stopped for a move was told by the handle of a move that succeeded. A stop answered with 503 whose stream may not go back to its source, a stop whose answer is lost or late, and an answer without a handle leave none, though the runner has closed the stream without its end. Without a length that close looks like the end.

Change: routing/_stream_stop.py holds what is known of a stop, and the end of a connection counts as the end of a stream only if no stop was asked for or the first call met no such run. A stopped stream goes on at its source within half of the drain, else at a third runner; an unclear stop is asked for again, and the stream goes on from the first copy. What cannot go on is cut or, where the route allows it, run again. The move lines name the state of the stop.

--- a/primrosereel/gateway/_ports.py
+++ b/primrosereel/gateway/_ports.py
@@ -189,8 +189,10 @@
     ) -> tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes]:
         """Return the call that copies a running request to another runner."""
 
-    def move_result(self, source: model.Address, body: bytes) -> str | None:
-        """Decode the response to a ``move`` call; return the copy's handle."""
+    def move_answer(
+        self, status: int, source: model.Address, last: bool, body: bytes
+    ) -> model.MoveAnswer:
+        """Decode the response to a ``move`` call."""
 
     def free_handle(self, handle: str) -> tuple[bytes, bytes]:
         """Return method and target of the call that frees a KV handle."""
--- a/primrosereel/gateway/_stream_move.py
+++ b/primrosereel/gateway/_stream_move.py
@@ -5,7 +5,9 @@
 KV cache is copied, and the other runner continues after the last event that
 the caller received. This counts as the same run, so streams that may run only
 once can be moved as well. If the other runner does not take the stream, the
-source, which still holds the KV cache, continues it.
+source, which still holds the KV cache, continues it, or copies it to a third
+runner. A stop whose answer is lost is asked for again, and the stream goes on
+from the first copy.
 """
 
 import anyio
@@ -15,30 +17,36 @@
 from primrosereel.gateway import _runner_connect as runner_connect
 from primrosereel.gateway import _runner_signs as runner_signs
 from primrosereel.routing import _decode_places as decode_places
+from primrosereel.routing import _model as model
 from primrosereel.routing import _runners as runners
+from primrosereel.routing import _stream_stop as stream_stop
 
 __all__ = ['StreamMove']
 
 # The interval between two attempts to find a place, and how long to try.
 PLACE_RETRY_INTERVAL_S = 0.2
 PLACE_SEARCH_LIMIT_S = 6.0
-# The time limit of each of the two calls, longer than the silence of a sound
-# runner: a call that is given up may have stopped the stream.
+# The time limit of each call, longer than the silence of a sound runner: a
+# call that is given up may have stopped the stream.
 CALL_TIMEOUT_S = 2.0
+# Bounds of the calls that stop one stream; the caller waits meanwhile.
+MAX_STOP_CALLS = 3
+STOP_LIMIT_S = 3.0
+STOP_RETRY_INTERVAL_S = 0.05
 FREE_TIMEOUT_S = 0.5
 MAX_RESPONSE_BYTES = 65536
 # Share of the time within which a leaving runner may be sent requests, counted
 # from when this instance learned that it leaves: it learns so a little late.
 SOURCE_SHARE_OF_DRAIN = 0.5
-NO_ROOM = 503
 
 
 class StreamMove:
     """The move of one stream from a runner that leaves.
 
-    ``target`` is the runner that holds the copy. ``handle`` is the handle of
-    the copy; it is set once the source has stopped the stream. ``next_runner``
-    is to continue it: the target, or the source after ``fall_back``.
+    ``target`` is the runner that holds the copy, and ``handle`` names it.
+    ``next_runner`` is to continue the stream: the target, or the source after
+    ``fall_back``. Once the source's stream has ended, ``settle`` tells what is
+    known of its stop, and ``can_continue`` whether there is a copy.
     """
 
     def __init__(
@@ -52,16 +60,21 @@
         self._source = source
         self._ticket = ticket
         self._done = anyio.Event()
-        self._stopping = False
+        self._stop = stream_stop.StreamStop()
         self._ended = False
         self._at_source = False
-        self._stopped = False
+        # Whether the target may hold what it needs to continue.
+        self._copied = False
         # Set once the caller has the first event; there is no run to move
         # before that.
         self.first_event_sent = False
         # The handle of a copy that the target has not continued from yet.
         self._unused_copy: str | None = None
-        self.handle: str | None = None
+
+    @property
+    def handle(self) -> str | None:
+        """The handle of the copy until it is used or freed."""
+        return self._unused_copy
 
     @property
     def target(self) -> runners.Runner | None:
@@ -78,6 +91,24 @@
         """Whether the source is to continue the stream itself."""
         return self._at_source
 
+    @property
+    def may_have_stopped(self) -> bool:
+        """Whether the source may have closed the stream before its end."""
+        return self._stop.may_have_stopped
+
+    @property
+    def can_continue(self) -> bool:
+        """Whether the stream can go on from a copy after its stop.
+
+        That it was stopped may not be certain; it is ended all the same once
+        its connection is closed.
+        """
+        return (
+            self._stop.may_have_stopped
+            and self._unused_copy is not None
+            and (self._at_source or (self._copied and bool(self.target)))
+        )
+
     def fall_back(self) -> bool:
         """Let the source continue the stream; False if it cannot.
 
@@ -93,8 +124,9 @@
         if (
             self._at_source
             or self._unused_copy is None
+            or self._stop.state is not stream_stop.StopState.STOPPED
             or now >= source_until
-            or runner_signs.backs_off(context, self._source)
+            or self._source_backs_off()
         ):
             return False
         self._at_source = True
@@ -121,9 +153,7 @@
         """Release the target's place and free a copy that was not used."""
         self.end()
         unused_copy, self._unused_copy = self._unused_copy, None
-        if unused_copy is None or runner_signs.backs_off(
-            self._context, self._source
-        ):
+        if unused_copy is None or self._source_backs_off():
             return
         method, target = self._context.dialect.free_handle(unused_copy)
         self._context.count('streams.copies_freed')
@@ -142,16 +172,18 @@
                     detail=str(error),
                 )
 
-    async def wait_until_moved(self) -> bool:
-        """Return whether the stream was moved.
+    async def settle(self) -> stream_stop.StopState:
+        """Return what is known of the stop once the source's stream ended.
 
-        It is called after the source's stream ended, and waits for a stop
-        call that is still in progress.
+        Waits for calls in progress. A stop that was not asked for yet is not
+        asked for any more.
         """
-        if self._stopping:
-            with anyio.move_on_after(CALL_TIMEOUT_S):
+        if self._stop.calls:
+            with anyio.move_on_after(STOP_LIMIT_S):
                 await self._done.wait()
-        return self.handle is not None
+        if not self._done.is_set():
+            self._ended = True
+        return self._stop.state
 
     async def run(self) -> None:
         """Copy the stream, stop it and copy the rest.
@@ -164,27 +196,33 @@
             if engine is None or not engine.moves:
                 return
             outcome = (
-                await self._acquire_place() or await self._copy_and_stop()
+                await self._acquire_place()
+                or await self._copy()
+                or await self._stop_and_copy_rest()
             )
-        except http.HttpError as error:
-            outcome = str(error)
-        except TimeoutError:
-            outcome = 'timeout'
+        except (http.HttpError, TimeoutError) as error:
+            outcome = str(error) or 'timeout'
         finally:
             self._done.set()
-            if self.handle is None or self._ended:
+            if self._ended or not self.can_continue:
                 await self.close()
-        target = self.target
-        if target is not None:
-            self._context.count('streams.moved')
-        else:
-            self._context.count('streams.not_moved')
-        self._context.log.info(
-            'stream moved' if target else 'stream not moved',
+        self._log_outcome(outcome)
+
+    def _log_outcome(self, outcome: str) -> None:
+        context = self._context
+        runner = self.next_runner if self.can_continue else None
+        state = self._stop.state
+        context.count('streams.moved' if runner else 'streams.not_moved')
+        if state is stream_stop.StopState.UNKNOWN:
+            context.count('streams.stop_unknown')
+        context.log.info(
+            'stream moved' if runner else 'stream not moved',
             request=self._exchange.facts.request_id,
             source=self._source.runner_id,
-            target=target.runner_id if target else None,
+            target=runner.runner_id if runner else None,
             outcome=outcome,
+            stop=state.value,
+            stop_calls=self._stop.calls,
         )
 
     async def _acquire_place(self) -> str:
@@ -193,9 +231,7 @@
         until = context.clock() + PLACE_SEARCH_LIMIT_S
         while not self._ended and context.clock() < until:
             runner = context.places.choose(self._ticket, context.clock())
-            may_call = self.first_event_sent and not runner_signs.backs_off(
-                context, self._source
-            )
+            may_call = self.first_event_sent and not self._source_backs_off()
             if runner is not None and may_call:
                 if not context.budget.try_spend(
                     self._exchange.service, context.clock()
@@ -207,25 +243,85 @@
             await anyio.sleep(PLACE_RETRY_INTERVAL_S)
         return 'stream ended' if self._ended else 'no place'
 
-    async def _copy_and_stop(self) -> str:
-        """Copy, stop and copy the rest; return the outcome.
-
-        ``handle`` is set if the stream was stopped.
-        """
+    async def _copy(self) -> str:
+        """Copy the stream; return why it is not to be stopped, or ''."""
         target = self.target
         assert target is not None
-        status = await self._copy_to(target, last=False)
-        if status != 200 or self._ended:
-            return f'copy: status {status}'
+        answer = await self._copy_to(target, CALL_TIMEOUT_S, last=False)
+        if answer.outcome is not model.MoveOutcome.COPIED or self._ended:
+            return f'copy: status {answer.status}'
+        self._copied = True
         if not target.availability.accepts(self._context.clock()):
             return 'the target takes no more requests'
-        self._stopping = True
-        status = await self._copy_to(target, last=True)
-        if self._stopped and (status == 200 or self.fall_back()):
-            self.handle = self._unused_copy
-        return f'stop: status {status}'
+        return ''
+
+    async def _stop_and_copy_rest(self) -> str:
+        """Stop the stream and copy the rest; return the outcome.
+
+        Without room at the target, the source or a third runner is to
+        continue the stream. A call without a clear answer is repeated.
+        """
+        outcome = 'stream ended'
+        until = self._context.clock() + STOP_LIMIT_S
+        for _ in range(MAX_STOP_CALLS):
+            remaining_s = until - self._context.clock()
+            if self._ended or remaining_s <= 0 or self._source_backs_off():
+                break
+            answer = await self._ask_to_stop(min(CALL_TIMEOUT_S, remaining_s))
+            outcome = f'stop: status {answer.status}'
+            if answer.outcome is model.MoveOutcome.UNCLEAR:
+                await anyio.sleep(STOP_RETRY_INTERVAL_S)
+                continue
+            self._copied |= answer.outcome is model.MoveOutcome.COPIED
+            if answer.outcome is not model.MoveOutcome.NO_ROOM:
+                break
+            self._copied = False
+            if self.fall_back() or not self._choose_another_target():
+                break
+        return outcome
 
-    async def _copy_to(self, runner: runners.Runner, last: bool) -> int:
+    async def _ask_to_stop(self, timeout_s: float) -> model.MoveAnswer:
+        """Make one call that stops the stream, and record its answer."""
+        target = self.target
+        assert target is not None
+        self._stop.ask()
+        try:
+            answer = await self._copy_to(target, timeout_s, last=True)
+        except (http.HttpError, TimeoutError) as error:
+            if isinstance(error, http.ConnectFailed):
+                self._stop.not_sent()
+            else:
+                self._stop.not_answered()
+            self._context.log.info(
+                'stop of a stream not answered',
+                request=self._exchange.facts.request_id,
+                source=self._source.runner_id,
+                detail=str(error) or 'timeout',
+            )
+            return model.MoveAnswer(model.MoveOutcome.UNCLEAR, 0)
+        self._stop.answered(answer.outcome)
+        return answer
+
+    def _choose_another_target(self) -> bool:
+        """Take a place at a runner that was not tried yet, if any."""
+        ticket = self._ticket
+        refused = self.target
+        assert refused is not None
+        ticket.excluded = {*ticket.excluded, refused.runner_id}
+        runner = self._context.places.choose(ticket, self._context.clock())
+        if runner is None:
+            return False
+        self._context.places.move(ticket, runner)
+        self._context.uses_changed()
+        self._context.count('streams.other_target')
+        return True
+
+    def _source_backs_off(self) -> bool:
+        return runner_signs.backs_off(self._context, self._source)
+
+    async def _copy_to(
+        self, runner: runners.Runner, timeout_s: float, last: bool
+    ) -> model.MoveAnswer:
         """Copy the stream to a runner, and keep the handle of the copy."""
         dialect = self._context.dialect
         method, target, headers, body = dialect.move(
@@ -234,20 +330,16 @@
             runner.listing.address,
             last,
         )
-        with anyio.fail_after(CALL_TIMEOUT_S):
+        with anyio.fail_after(timeout_s):
             status, response_body = await self._send_to_source(
                 http.OutgoingRequest(method, target, headers, body)
             )
-        if status == 200 or (last and status == NO_ROOM):
-            # A source that has stopped the stream names the handle also if
-            # there is no room for the rest of the copy.
-            handle = dialect.move_result(
-                self._source.listing.address, response_body
-            )
-            if status == 200 or handle is not None:
-                self._unused_copy = handle
-                self._stopped = last
-        return status
+        answer = dialect.move_answer(
+            status, self._source.listing.address, last, response_body
+        )
+        if answer.handle is not None:
+            self._unused_copy = answer.handle
+        return answer
 
     async def _send_to_source(
         self, request: http.OutgoingRequest
--- a/primrosereel/platform/_dialect.py
+++ b/primrosereel/platform/_dialect.py
@@ -60,6 +60,8 @@
 # Seconds as decimal digits; dates are not accepted. A longer value is not
 # decoded, and a large one is bounded where it is used.
 RETRY_AFTER_SECONDS = re.compile(rb'[0-9]{1,40}(\.[0-9]{1,40})?')
+OK = 200
+NOT_FOUND = 404
 UNAVAILABLE = 503
 
 
@@ -174,13 +176,22 @@
         )
         return b'POST', b'/v1/kv-move', _json_headers(runner), body
 
-    def move_result(self, source: model.Address, body: bytes) -> str | None:
-        """Decode the response to a ``move`` call; return the copy's handle.
-
-        Returns None if it cannot be decoded.
-        """
-        response = _decode_handle_body(body, _MoveBody)
-        return None if response is None else f'{source}/{response.kv_handle}'
+    def move_answer(
+        self, status: int, source: model.Address, last: bool, body: bytes
+    ) -> model.MoveAnswer:
+        """Decode the response to a ``move`` call."""
+        if status == NOT_FOUND:
+            return model.MoveAnswer(model.MoveOutcome.NO_RUN, status)
+        response = None
+        if status == OK or (last and status == UNAVAILABLE):
+            response = _decode_handle_body(body, _MoveBody)
+        if response is None:
+            return model.MoveAnswer(model.MoveOutcome.UNCLEAR, status)
+        outcome = model.MoveOutcome.COPIED
+        if status == UNAVAILABLE:
+            outcome = model.MoveOutcome.NO_ROOM
+        handle = f'{source}/{response.kv_handle}'
+        return model.MoveAnswer(outcome, status, handle)
 
     def role_order(
         self,
--- a/primrosereel/routing/_model.py
+++ b/primrosereel/routing/_model.py
@@ -12,6 +12,8 @@
     'CallerLimits',
     'Engine',
     'LoadReport',
+    'MoveAnswer',
+    'MoveOutcome',
     'PrefillResult',
     'RequestFacts',
     'ResponseFacts',
@@ -205,3 +207,26 @@
 
     handle: str
     tokens: int
+
+
+class MoveOutcome(enum.Enum):
+    """What a runner answers to a call that copies a running request."""
+
+    COPIED = 'copied'
+    # The request was stopped, and the target has no room for the copy or
+    # cannot be reached; the runner keeps the KV cache.
+    NO_ROOM = 'no_room'
+    NO_RUN = 'no_run'
+    # The answer does not tell whether the request was stopped.
+    UNCLEAR = 'unclear'
+
+
+class MoveAnswer(NamedTuple):
+    """An answer to a call that copies a running request.
+
+    ``handle`` names the KV cache; it is None unless it was copied or is kept.
+    """
+
+    outcome: MoveOutcome
+    status: int
+    handle: str | None = None
--- a/primrosereel/standin/_listed_runner.py
+++ b/primrosereel/standin/_listed_runner.py
@@ -20,7 +20,13 @@
 
 from primrosereel.standin import _raw_http as raw_http
 
-__all__ = ['DeadlyRequest', 'Fault', 'ListedRunner', 'RunnerOptions']
+__all__ = [
+    'DeadlyRequest',
+    'Fault',
+    'ListedRunner',
+    'RunnerOptions',
+    'StopFault',
+]
 
 NOT_EXECUTED_HEADER = (b'Not-Executed', b'1')
 LEAVING_HEADER = (b'Server-Leaving', b'1')
@@ -73,6 +79,18 @@
 )
 
 
+class StopFault(enum.Enum):
+    """Fault of one call that stops a stream for a move."""
+
+    # The stream stops, but there is no room for the rest of the copy.
+    NO_ROOM = 'no_room'
+    # The stream stops, and the answer is lost or says nothing.
+    LOST = 'lost'
+    WITHOUT_HANDLE = 'without_handle'
+    # The stream goes on; the call is lost.
+    NOT_RECEIVED = 'not_received'
+
+
 class DeadlyRequest(NamedTuple):
     """A request that crashes each runner that begins to run it."""
 
@@ -92,9 +110,8 @@
     ``deadly_target``, or a stream whose prompt has ``deadly_part``, and a
     prefill runner at the end of a prefill for ``deadly_prefill``; it is back
     ``restart_s`` later. ``retry_after`` is the text of the header
-    ``Retry-After`` in refusals of the fault ``BACK_OFF``. With
-    ``refuses_stop`` the last call of a move stops its stream, but there is no
-    room for the rest of the copy.
+    ``Retry-After`` in refusals of the fault ``BACK_OFF``. With ``unframed``
+    a stream has no length and ends with its connection.
     """
 
     runner: str
@@ -113,7 +130,7 @@
     restart_s: float = 0.3
     retry_after: str = '1'
     pause_s: float = 1.2
-    refuses_stop: bool = False
+    unframed: bool = False
 
 
 class ListedRunner:
@@ -129,6 +146,7 @@
             lambda request: self.disconnected_requests.append(request)
         )
         self.faults: collections.deque[Fault] = collections.deque()
+        self.stop_faults: collections.deque[StopFault] = collections.deque()
         self.runs: collections.Counter[str] = collections.Counter()
         self.prefills: collections.Counter[str] = collections.Counter()
         self.requests: list[raw_http.Request] = []
@@ -137,10 +155,12 @@
         self.orders: list[dict[str, str]] = []
         self.running = 0
         # Move calls received; the last event id of each running stream; the
-        # streams stopped by the last call of a move.
+        # streams stopped by the last call of a move, and those of them whose
+        # KV cache was not copied to its end.
         self.moves: list[dict[str, Any]] = []
         self.last_event_ids: dict[str, int] = {}
         self.stopped_streams: set[str] = set()
+        self.held_streams: dict[str, int] = {}
         self.born_ms = 1_700_000_000_000
         self.crashes = 0
         # While it is set, all answers say that the runner is leaving.
@@ -282,6 +302,7 @@
         # A stream that continues from its copy counts as the same run.
         if request.headers.get('kv-source', '').endswith(f'/{COPY_HANDLE}'):
             self.stopped_streams.discard(request_id)
+            self.held_streams.pop(request_id, None)
         else:
             self.runs[request_id] += 1
         headers = self._response_headers(request_id)
@@ -324,6 +345,9 @@
             if self.leaving:
                 headers.append(LEAVING_HEADER)
             return await _unframed_answer(headers, parts, fault)
+        if self.options.unframed:
+            head = _raw_answer(b'200 OK', headers, b'')
+            return raw_http.Answer(200, raw=head, parts=parts)
         return raw_http.Answer(200, headers, parts=parts)
 
     def _is_deadly(self, request: raw_http.Request) -> bool:
@@ -369,21 +393,35 @@
         return b'Instance-Load', load.encode()
 
     async def _answer_move(self, request: raw_http.Request) -> raw_http.Answer:
-        """Copy a stream's KV cache; with ``last`` the stream then stops."""
+        """Copy a stream's KV cache; with ``last`` the stream stops first.
+
+        A stream that was stopped can be copied to another runner as long as
+        its KV cache was not copied to its end.
+        """
         move = msgspec.json.decode(request.body)
         self.moves.append(move)
-        await anyio.sleep(self.options.copy_s)
-        if move['id'] not in self.last_event_ids:
+        name = move['id']
+        fault = None
+        if move['last'] and self.stop_faults:
+            fault = self.stop_faults.popleft()
+        if fault is StopFault.NOT_RECEIVED:
+            raise raw_http.Reset
+        created = self.last_event_ids.get(name, self.held_streams.get(name))
+        if created is None:
             return raw_http.Answer(404)
         if move['last']:
-            self.stopped_streams.add(move['id'])
-        body = {
-            'kvHandle': COPY_HANDLE,
-            'created': self.last_event_ids[move['id']],
-        }
+            self.stopped_streams.add(name)
+            self.held_streams[name] = created
+        await anyio.sleep(self.options.copy_s)
+        if move['last'] and fault is not StopFault.NO_ROOM:
+            self.held_streams.pop(name, None)
+        if fault is StopFault.LOST:
+            raise raw_http.Reset
+        if fault is StopFault.WITHOUT_HANDLE:
+            return raw_http.Answer(503)
+        body = {'kvHandle': COPY_HANDLE, 'created': created}
         close = [(b'Connection', b'close')]
-        full = move['last'] and self.options.refuses_stop
-        status = 503 if full else 200
+        status = 503 if fault is StopFault.NO_ROOM else 200
         return raw_http.Answer(status, close, msgspec.json.encode(body))
 
     async def _stream_events(
@@ -398,6 +436,8 @@
                     self.pause(self.options.pause_s)
                 await self._wait_while_paused()
                 if request_id in self.stopped_streams:
+                    if self.options.unframed:
+                        return
                     raise raw_http.Reset
                 self.last_event_ids[request_id] = number
                 if fault is Fault.TRICKLE and number == first + 2:
--- a/primrosereel/standin/_raw_http.py
+++ b/primrosereel/standin/_raw_http.py
@@ -48,7 +48,8 @@
 
     ``trailing`` is sent after the complete answer, as a second answer is, and
     ``before_next`` before the next answer on the connection. ``raw`` replaces
-    the answer; the connection ends after it, by a reset if ``reset`` is set.
+    the answer; ``parts`` then follow it as they are, and the connection ends
+    after them, by a reset if ``reset`` is set.
     """
 
     status: int
@@ -177,6 +178,9 @@
 async def _send_answer(stream, parser, answer: Answer) -> None:
     if answer.raw is not None:
         await stream.send(answer.raw)
+        if answer.parts is not None:
+            async for part in answer.parts:
+                await stream.send(part)
         if answer.reset:
             raise Reset
         return
--- a/tests/property/test_gateway_moves.py
+++ b/tests/property/test_gateway_moves.py
@@ -9,6 +9,7 @@
 from tests.property import test_gateway
 
 Fault = listed_runner.Fault
+StopFault = listed_runner.StopFault
 STREAM = test_gateway.STREAM
 EVENTS = 40
 EVENT_S = 0.05
@@ -128,7 +129,7 @@
             if refused_by == 'target':
                 target.faults.append(Fault.HANDLE_GONE)
             else:
-                source.options.refuses_stop = True
+                source.stop_faults.append(StopFault.NO_ROOM)
             fleet.list_runner(source.options.runner, 'draining')
             await fleet.wait_for(lambda: len(source.moves) == 2)
             fleet.store.delete(f'servers/{target.options.runner}')
