Give up bodies that come in too many small parts

Cause: the parser takes some 10 us a chunk, and one read of 64 kB holds 11,000 of them, so that the event loop was held for 0.1 s a read and connection. The limits counted bytes only.

--- a/primrosereel/gateway/_http.py
+++ b/primrosereel/gateway/_http.py
@@ -19,6 +19,8 @@
 import anyio.abc
 import h11
 
+from primrosereel.gateway import _part_limit as part_limit
+from primrosereel.gateway import _response_input as response_input
 from primrosereel.gateway import _response_memory as response_memory
 from primrosereel.routing import _model as model
 
@@ -174,10 +176,12 @@
     ) -> None:
         self.address = address
         self._stream = stream
+        self._input = response_input.ResponseInput(stream)
         self._parser = self._new_parser()
         self._usable = True
         self._head: ResponseHead | None = None
         self._unsent = b''
+        self._part_limit = part_limit.PartLimit(anyio.current_time())
         self._request_ids: collections.deque[str] = collections.deque(
             maxlen=MAX_REMEMBERED_REQUESTS
         )
@@ -201,6 +205,7 @@
         return (
             self._usable
             and not self._unsent
+            and not self._input.pending_bytes
             and self._parser.our_state is h11.DONE
             and self._parser.their_state is h11.DONE
             and not self._parser.trailing_data[0]
@@ -214,6 +219,7 @@
         if self._parser.our_state is h11.DONE:
             self._parser.start_next_cycle()
         self._request_ids.append(request.request_id)
+        self._part_limit = part_limit.PartLimit(anyio.current_time())
         data = self._encode(request)
         try:
             if len(request.body) <= INLINE_BODY_BYTES:
@@ -266,13 +272,23 @@
         return head
 
     async def body(self) -> AsyncIterator[bytes]:
-        """Yield the body as it arrives; raise BrokenResponse if incomplete."""
+        """Yield the body as it arrives.
+
+        Raises BrokenResponse if it is incomplete or comes in too many small
+        parts.
+        """
         try:
             while True:
                 event = self._parser.next_event()
                 if event is h11.NEED_DATA:
                     await self._receive()
                 elif isinstance(event, h11.Data):
+                    if not self._part_limit.allows(
+                        len(event.data), anyio.current_time()
+                    ):
+                        raise self._broken_response(
+                            'the body comes in too many small parts'
+                        )
                     yield bytes(event.data)
                 elif isinstance(event, h11.EndOfMessage):
                     return
@@ -385,12 +401,8 @@
             self._parser.receive_data(rest)
 
     async def _receive(self) -> None:
-        try:
-            data = await self._stream.receive(READ_BYTES)
-        except anyio.EndOfStream:
-            data = b''
+        if not await self._input.feed(self._parser):
             self._usable = False
-        self._parser.receive_data(data)
 
     def _broken_response(self, reason: str) -> BrokenResponse:
         self._usable = False
--- a/tests/property/test_gateway_endless.py
+++ b/tests/property/test_gateway_endless.py
@@ -35,6 +35,8 @@
         return b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 100
     if kind == 'other request':
         return SIGNED_HEAD % b'other', chunked(CHUNK)
+    if kind == 'small parts':
+        return SIGNED_HEAD % request_id, b'1\r\nx\r\n' * 1000
     return SIGNED_HEAD % request_id, chunked(CHUNK)
 
 
@@ -96,7 +98,14 @@
     return endless
 
 
-KINDS = ['head', 'no answer', 'informational', 'other request', 'body']
+KINDS = [
+    'head',
+    'no answer',
+    'informational',
+    'other request',
+    'body',
+    'small parts',
+]
 
 
 @pytest.mark.parametrize('kind', KINDS)
@@ -184,6 +193,41 @@
     run(scenario)
 
 
+def test_small_parts_do_not_take_the_time_of_other_requests():
+    """Guards against calls without an answer as a faulty runner floods.
+
+    Parsing chunks of one byte kept the process from all other work, and the
+    deadlines of other runners' calls passed.
+    """
+
+    async def scenario(fleet):
+        endless = await replace_runner(fleet, 's1', 'small parts')
+        fleet.list_runner('s2', 'draining')
+        table = fleet.gateway._context.runners
+        await fleet.wait_for(lambda: table.get('s2').listing.leaving)
+        replies = []
+
+        async def flood(number):
+            replies.append(
+                await fleet.ask(f'/file/{number}', f'r{number}', method='POST')
+            )
+
+        async def stream():
+            reply = await fleet.ask('/ask/1', 's1', method='POST', **STREAM)
+            assert (reply.status, reply.complete) == (200, True)
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(20):
+                tasks.start_soon(flood, number)
+            tasks.start_soon(stream)
+        assert [reply.status for reply in replies] == [502] * 20
+        assert not endless.open_connections
+        # What was parsed, and what the sockets of loopback hold.
+        assert endless.sent_bytes / 20 <= 2_000_000
+
+    run(scenario)
+
+
 def test_sound_runner_is_used_beside_an_endless_one():
     """Guards against a fault that spreads to other runners' calls."""
 
