Count all that is held of runners' responses in one limit of memory

Cause: only the bodies of plain calls had a common limit. Errors of engines, prefills, heads, the objects of a head's fields, incomplete events, bodies on their way to the caller and the kernel's buffers had none.

Change: a connection to a runner has a reservation for what it holds, and a request for the bodies that it keeps. Bodies are collected in one buffer and sent in parts, heads have 256 lines at most, and the kernel's buffers are limited. The functions on sockets move from _http.py to _socket_options.py. Two tests that wrap http.connect pass its new argument on; they check what they did.

--- a/primrosereel/gateway/_callers.py
+++ b/primrosereel/gateway/_callers.py
@@ -9,12 +9,14 @@
 
 from primrosereel.gateway import _http as http
 from primrosereel.gateway import _lingering_close as lingering_close
+from primrosereel.gateway import _socket_options as socket_options
 from primrosereel.routing import _model as model
 
 __all__ = ['CallerConnection', 'CallerDisconnected', 'CallerRequest', 'Reply']
 
 # The bytes that a caller may send before the response to its request.
 MAX_PIPELINED_BYTES = 65536
+SENT_PART_BYTES = 65536
 # How long a connection that is to be closed as idle is read once more, for
 # bytes that have arrived and are not parsed yet.
 LAST_READ_S = 0.01
@@ -263,8 +265,10 @@
         if reply.status not in (204, 304):
             headers.append((b'Content-Length', b'%d' % len(reply.body)))
         await self._send(self._response_head(reply, headers))
-        if reply.body:
-            await self._send(h11.Data(data=reply.body))
+        # Each part is copied on its way to the socket.
+        for start in range(0, len(reply.body), SENT_PART_BYTES):
+            part = reply.body[start : start + SENT_PART_BYTES]
+            await self._send(h11.Data(data=part))
         await self._send(h11.EndOfMessage())
 
     async def send_head(self, reply: Reply) -> None:
@@ -306,8 +310,8 @@
                 await self._lingering.discard_input(self._stream)
         finally:
             if self._cut_looks_complete():
-                http.reset_on_close(self._stream)
-            self._unread_bytes = http.unread_bytes(self._stream)
+                socket_options.reset_on_close(self._stream)
+            self._unread_bytes = socket_options.unread_bytes(self._stream)
             with anyio.CancelScope(shield=True):
                 await anyio.aclose_forcefully(self._stream)
 
@@ -327,7 +331,9 @@
         Nothing is read from an idle caller that has all bytes: a request that
         crosses the close must look unread to it, so that it is sent again.
         """
-        if self._closed_as_idle and not http.unsent_bytes(self._stream):
+        if self._closed_as_idle and not socket_options.unsent_bytes(
+            self._stream
+        ):
             return False
         return self._parser.our_state in (
             h11.IDLE,
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -185,8 +185,15 @@
     may_have_run: bool = False
     # The duration in seconds of each finished step, for the log.
     steps: dict[str, float] = dataclasses.field(default_factory=dict)
+    # Counts the bodies that are kept until the caller has its answer.
+    kept_responses: response_memory_module.Reservation = dataclasses.field(
+        init=False
+    )
     _cause: blame.Cause | None = dataclasses.field(default=None, init=False)
 
+    def __post_init__(self) -> None:
+        self.kept_responses = self.context.response_memory.reservation()
+
     @property
     def cause(self) -> blame.Cause:
         """The request as a cause of crashes; hashed when it is needed."""
--- a/primrosereel/gateway/_event_stream.py
+++ b/primrosereel/gateway/_event_stream.py
@@ -111,6 +111,7 @@
             if data is None:
                 return
             received = self._splitter.feed(data)
+            response.connection.held_bytes = len(self._splitter.incomplete)
             self._has_events = self._has_events or bool(received)
             sent = await self._send_events(response.head, received)
             if not sent:
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -498,7 +498,9 @@
         """Forward a runner's error response, or try another runner."""
         head = response.head
         runner.observe_error()
-        body = await response.connection.read_body(MAX_RESPONSE_BYTES)
+        body = await response.connection.read_body(
+            MAX_RESPONSE_BYTES, self._exchange.kept_responses
+        )
         route = self._exchange.route
         if self._stream.head_sent or (
             route.repeatable and self._exchange.attempts < route.max_attempts
--- a/primrosereel/gateway/_http.py
+++ b/primrosereel/gateway/_http.py
@@ -4,16 +4,10 @@
 decides whether it may be sent again.
 """
 
-import array
 import collections
 from collections.abc import AsyncIterator
-import contextlib
 import dataclasses
-import fcntl
 import select
-import socket
-import struct
-import termios
 
 import anyio
 import anyio.abc
@@ -22,6 +16,7 @@
 from primrosereel.gateway import _part_limit as part_limit
 from primrosereel.gateway import _response_input as response_input
 from primrosereel.gateway import _response_memory as response_memory
+from primrosereel.gateway import _socket_options as socket_options
 from primrosereel.routing import _model as model
 
 __all__ = [
@@ -33,19 +28,15 @@
     'OutgoingRequest',
     'ResponseHead',
     'connect',
-    'reset_on_close',
-    'set_socket_options',
-    'unread_bytes',
-    'unsent_bytes',
 ]
 
 READ_BYTES = 65536
 # Larger bodies are sent while the response is read, as a runner may respond
 # before it has read the whole body.
 INLINE_BODY_BYTES = 16384
-# A connection whose sent bytes are not acknowledged within this time is lost.
-UNACKNOWLEDGED_TIMEOUT_MS = 3000
 MAX_HEAD_BYTES = 65536
+# Each field of a head takes some hundred bytes of objects.
+MAX_HEAD_LINES = 256
 # Responses to other requests that are skipped before a connection is dropped.
 MAX_UNRELATED_RESPONSES = 3
 MAX_SKIPPED_BYTES = 1024 * 1024
@@ -106,6 +97,11 @@
     headers: Headers
     keep_alive_s: float | None = None
 
+    @property
+    def size(self) -> int:
+        """The bytes of the names and values of the headers."""
+        return sum(len(name) + len(value) for name, value in self.headers)
+
     @property
     def ends_with_connection(self) -> bool:
         """Whether only the end of the connection ends the body."""
@@ -113,49 +109,15 @@
         return names.isdisjoint({b'content-length', b'transfer-encoding'})
 
 
-def set_socket_options(stream: anyio.abc.SocketStream) -> None:
-    """Detect connections that are lost without a reset."""
-    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-    option = getattr(socket, 'TCP_USER_TIMEOUT', None)
-    if option is not None:
-        raw.setsockopt(socket.IPPROTO_TCP, option, UNACKNOWLEDGED_TIMEOUT_MS)
-
-
-def reset_on_close(stream: anyio.abc.SocketStream) -> None:
-    """Make the close of a connection send a TCP reset."""
-    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-    # The socket may be closed already.
-    with contextlib.suppress(OSError):
-        raw.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
-        )
-
-
-def unread_bytes(stream: anyio.abc.SocketStream) -> int:
-    """Return how many bytes the kernel holds that were not read yet."""
-    return _queued_bytes(stream, termios.FIONREAD)
-
-
-def unsent_bytes(stream: anyio.abc.SocketStream) -> int:
-    """Return how many bytes the kernel holds that were not acknowledged."""
-    return _queued_bytes(stream, termios.TIOCOUTQ)
-
-
-def _queued_bytes(stream: anyio.abc.SocketStream, queue: int) -> int:
-    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-    waiting = array.array('i', [0])
-    try:
-        fcntl.ioctl(raw.fileno(), queue, waiting)
-    except (OSError, ValueError):
-        # The socket is closed.
-        return 0
-    return waiting[0]
-
-
 async def connect(
-    address: model.Address, timeout_s: float
+    address: model.Address,
+    timeout_s: float,
+    memory: response_memory.ResponseMemory | None = None,
 ) -> 'HttpConnection':
-    """Open a connection; raise ConnectFailed on an error or a timeout."""
+    """Open a connection; raise ConnectFailed on an error or a timeout.
+
+    What it holds of responses is counted in ``memory``, if it is given.
+    """
     try:
         with anyio.fail_after(timeout_s):
             stream = await anyio.connect_tcp(address.host, address.port)
@@ -164,17 +126,32 @@
         refused = isinstance(error.__cause__, ConnectionRefusedError)
         failure = ConnectRefused if refused else ConnectFailed
         raise failure(f'{address}: {error!r}') from error
-    set_socket_options(stream)
-    return HttpConnection(stream, address)
+    socket_options.detect_lost_peer(stream)
+    reservation = None
+    if memory is not None:
+        socket_options.limit_receive_buffer(stream)
+        reservation = memory.reservation()
+    return HttpConnection(stream, address, reservation)
 
 
 class HttpConnection:
-    """One connection that carries one request at a time."""
+    """One connection that carries one request at a time.
+
+    ``reservation`` counts what is held of its responses: input that is not
+    parsed, the head, and ``held_bytes`` of the body.
+    """
 
     def __init__(
-        self, stream: anyio.abc.SocketStream, address: model.Address
+        self,
+        stream: anyio.abc.SocketStream,
+        address: model.Address,
+        reservation: response_memory.Reservation | None = None,
     ) -> None:
         self.address = address
+        # The bytes of the body that are kept, as far as they are known here.
+        self.held_bytes = 0
+        self._head_bytes = 0
+        self._reservation = reservation
         self._stream = stream
         self._input = response_input.ResponseInput(stream)
         self._parser = self._new_parser()
@@ -302,38 +279,34 @@
             raise self._broken_response(str(error)) from error
 
     async def read_body(
-        self,
-        limit: int,
-        memory: response_memory.ResponseMemory | None = None,
+        self, limit: int, kept: response_memory.Reservation | None = None
     ) -> bytes:
-        """Return the complete body, counted in ``memory`` until then.
+        """Return the complete body; ``kept`` then counts the response.
 
         Raises BrokenResponse if it is incomplete or too large.
         """
-        parts = []
-        size = reserved = 0
+        # Parts of one byte would take many times their size.
+        content = bytearray()
         try:
             async for part in self.body():
-                size += len(part)
-                if size > limit:
+                if len(content) + len(part) > limit:
                     raise self._broken_response(
                         'the response is larger than the limit'
                     )
-                if memory is not None:
-                    if not memory.reserve(len(part)):
-                        raise self._broken_response(
-                            'all responses are larger than the limit'
-                        )
-                    reserved += len(part)
-                parts.append(part)
-            return b''.join(parts)
+                content += part
+                self.held_bytes = len(content)
+            if kept is not None and self._reservation is not None:
+                kept.take(self._reservation, len(content) + self._head_bytes)
+            return bytes(content)
         finally:
-            if memory is not None:
-                memory.release(reserved)
+            self.held_bytes = self._head_bytes = 0
+            self._reserve(self._input.pending_bytes)
 
     async def close(self) -> None:
         """Close at once, which makes a runner drop the request."""
         self._usable = False
+        if self._reservation is not None:
+            self._reservation.release()
         await anyio.aclose_forcefully(self._stream)
 
     def has_input(self) -> bool:
@@ -385,7 +358,9 @@
                         'too many informational responses'
                     )
             elif isinstance(event, h11.Response):
-                return _head(event)
+                head = _head(event)
+                self._head_bytes = head.size
+                return head
             else:
                 raise self._broken_response(
                     'the connection ended without a response'
@@ -401,8 +376,20 @@
             self._parser.receive_data(rest)
 
     async def _receive(self) -> None:
+        """Give the parser more input; raise BrokenResponse beyond a limit."""
+        unfinished = self._parser.trailing_data[0]
+        if unfinished.count(b'\n') > MAX_HEAD_LINES:
+            raise self._broken_response('the response has too many fields')
         if not await self._input.feed(self._parser):
             self._usable = False
+        held = self._head_bytes + self.held_bytes + self._input.pending_bytes
+        if not self._reserve(held + len(self._parser.trailing_data[0])):
+            raise self._broken_response(
+                'all responses together are larger than the limit'
+            )
+
+    def _reserve(self, size: int) -> bool:
+        return self._reservation is None or self._reservation.resize(size)
 
     def _broken_response(self, reason: str) -> BrokenResponse:
         self._usable = False
--- a/primrosereel/gateway/_orders.py
+++ b/primrosereel/gateway/_orders.py
@@ -130,7 +130,11 @@
     async def _connect(self, switch: roles.RoleSwitch) -> http.HttpConnection:
         runner = self._context.runners.get(switch.runner)
         if runner is None or runner.listing.address != switch.address:
-            return await http.connect(switch.address, CONNECT_TIMEOUT_S)
+            return await http.connect(
+                switch.address,
+                CONNECT_TIMEOUT_S,
+                self._context.response_memory,
+            )
         return await runner_connect.connect(
             self._context, runner, CONNECT_TIMEOUT_S
         )
--- a/primrosereel/gateway/_plain.py
+++ b/primrosereel/gateway/_plain.py
@@ -145,7 +145,7 @@
         )
         try:
             body = await response.connection.read_body(
-                MAX_RESPONSE_BYTES, self._context.response_memory
+                MAX_RESPONSE_BYTES, exchange.kept_responses
             )
             await upstream.check_end(self._context, runner, response.head)
         except BaseException:
--- a/primrosereel/gateway/_runner_connect.py
+++ b/primrosereel/gateway/_runner_connect.py
@@ -27,7 +27,9 @@
             raise NotTried(f'{address}: refuses connections')
         context.count('connections.opened')
         try:
-            connection = await http.connect(address, timeout_s)
+            connection = await http.connect(
+                address, timeout_s, context.response_memory
+            )
         except http.ConnectRefused:
             _observe_refusal(context, runner)
             raise
--- a/primrosereel/gateway/_server.py
+++ b/primrosereel/gateway/_server.py
@@ -8,9 +8,9 @@
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _crash_reports as crash_reports_module
 from primrosereel.gateway import _generation as generation
-from primrosereel.gateway import _http as http
 from primrosereel.gateway import _lingering_close as lingering_close
 from primrosereel.gateway import _plain as plain
+from primrosereel.gateway import _socket_options as socket_options
 from primrosereel.routing import _model as model
 from primrosereel.routing import _table as table_module
 from primrosereel.routing import _timeouts as timeouts
@@ -36,7 +36,8 @@
 
     async def serve_connection(self, stream: anyio.abc.SocketStream) -> None:
         """Serve one connection until it closes."""
-        http.set_socket_options(stream)
+        socket_options.detect_lost_peer(stream)
+        socket_options.limit_send_buffer(stream)
         connection = callers.CallerConnection(
             stream, self._limits, self._context.clock, self._lingering
         )
@@ -180,6 +181,9 @@
         except Exception as error:
             self._record_error(request, error)
             return await self._answer_error(connection, exchange)
+        finally:
+            if exchange is not None:
+                exchange.kept_responses.release()
 
     async def _handle(
         self,
--- a/tests/property/test_gateway_endless.py
+++ b/tests/property/test_gateway_endless.py
@@ -1,6 +1,7 @@
 """Runners that send bytes without end, until the gateway closes."""
 
 import itertools
+import socket
 
 import anyio
 import pytest
@@ -18,6 +19,9 @@
 # body of a plain call that fits in the memory for responses, and what the
 # socket buffers of loopback hold.
 MAX_SENT_BYTES = 16_000_000 + 8_000_000
+SEND_BUFFER_BYTES = 64 * 1024
+SLOW_BYTES = 50_000
+SLOW_KINDS = ('slow head', 'slow body', 'slow event', 'slow error')
 STREAM = {'Token_Usage': '400,40', 'Model': 'm', 'Deadline_Ms': 4000}
 
 
@@ -35,13 +39,35 @@
         return b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 100
     if kind == 'other request':
         return SIGNED_HEAD % b'other', chunked(CHUNK)
+    if kind in SLOW_KINDS:
+        slow = b'x' * SLOW_BYTES
+        starts = {
+            'slow head': b'HTTP/1.1 200 OK\r\nX-Long: ' + slow,
+            'slow body': SIGNED_HEAD % request_id + chunked(slow),
+            'slow event': SIGNED_HEAD % request_id
+            + chunked(b'id: 1\ndata: ' + slow),
+            'slow error': SIGNED_HEAD.replace(b'200 OK', b'500 Error')
+            % request_id
+            + chunked(slow),
+        }
+        return starts[kind], b''
+    if kind == 'fields':
+        return b'HTTP/1.1 200 OK\r\n', b'a: b\r\n' * 100
     if kind == 'small parts':
         return SIGNED_HEAD % request_id, b'1\r\nx\r\n' * 1000
     return SIGNED_HEAD % request_id, chunked(CHUNK)
 
 
+def numbered_event(number):
+    """Return a large event as a chunk."""
+    return chunked(b'id: %d\ndata: %s\n\n' % (number, CHUNK))
+
+
 class EndlessRunner:
-    """Answers every request with bytes that never end."""
+    """Answers every request with bytes that never end.
+
+    Of a slow kind only the first ``SLOW_BYTES`` come.
+    """
 
     def __init__(self, kind):
         self._kind = kind
@@ -58,6 +84,9 @@
 
     async def _serve_connection(self, stream):
         self.open_connections += 1
+        # What counts is what the gateway and its sockets take in.
+        raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         try:
             async with stream:
                 request = await stream.receive()
@@ -68,12 +97,15 @@
                     if line.lower().startswith(b'request-id:')
                 ]
                 start, repeated = endless_parts(self._kind, request_id)
-                for part in itertools.chain(
-                    [start], itertools.repeat(repeated)
-                ):
+                parts = itertools.repeat(repeated)
+                if self._kind == 'events':
+                    parts = map(numbered_event, itertools.count(1))
+                for part in itertools.chain([start], parts):
                     if part:
                         await stream.send(part)
                     self.sent_bytes += len(part)
+                    if self._kind in SLOW_KINDS:
+                        await stream.receive()
         except (anyio.BrokenResourceError, anyio.EndOfStream, OSError):
             pass
         finally:
@@ -105,6 +137,7 @@
     'other request',
     'body',
     'small parts',
+    'fields',
 ]
 
 
--- a/tests/property/test_gateway_runners_down.py
+++ b/tests/property/test_gateway_runners_down.py
@@ -29,7 +29,7 @@
         self.dark = set()
         monkeypatch.setattr(http, 'connect', self._counted)
 
-    async def _counted(self, address, timeout_s):
+    async def _counted(self, address, timeout_s, *options):
         port = address.port
         self.made[port] += 1
         self._open[port] += 1
@@ -41,7 +41,7 @@
             if any(port == self._port(name) for name in self.dark):
                 await anyio.sleep(timeout_s)
                 raise http.ConnectFailed('timeout')
-            return await self._connect(address, timeout_s)
+            return await self._connect(address, timeout_s, *options)
         finally:
             self._open[port] -= 1
 
--- a/tests/property/test_gateway_unsent_requests.py
+++ b/tests/property/test_gateway_unsent_requests.py
@@ -115,8 +115,8 @@
         leaving.prefer(fleet, preferred)
     address = table.get(name).listing.address
 
-    async def connect_and_stop(target, timeout_s):
-        connection = await connect(target, timeout_s)
+    async def connect_and_stop(target, *options):
+        connection = await connect(target, *options)
         if target == address:
             back_off(fleet, name)
         return connection
