End a move whose caller has left during its stop

The loop ends now once the stream has ended.

test_caller_that_leaves_during_a_refused_stop_ends_its_move failed before with "part failed: AssertionError()".

--- a/primrosereel/gateway/_stream_move.py
+++ b/primrosereel/gateway/_stream_move.py
@@ -106,7 +106,8 @@
         return (
             self._stop.may_have_stopped
             and self._unused_copy is not None
-            and (self._at_source or (self._copied and bool(self.target)))
+            and (self._at_source or self._copied)
+            and self.next_runner is not None
         )
 
     def fall_back(self) -> bool:
@@ -269,6 +270,8 @@
                 break
             answer = await self._ask_to_stop(min(CALL_TIMEOUT_S, remaining_s))
             outcome = f'stop: status {answer.status}'
+            if self._ended:
+                break
             if answer.outcome is model.MoveOutcome.UNCLEAR:
                 await anyio.sleep(STOP_RETRY_INTERVAL_S)
                 continue
--- a/tests/property/test_gateway_stopped_streams.py
+++ b/tests/property/test_gateway_stopped_streams.py
@@ -171,3 +171,27 @@
         assert line['stop'] == 'not_asked'
 
     run(scenario)
+
+
+def test_caller_that_leaves_during_a_refused_stop_ends_its_move():
+    """Guards against an error, and a place that is kept, for no caller.
+
+    The place at the target is released before the refusal arrives.
+    """
+
+    async def scenario(fleet):
+        async with fleet.client() as client:
+            source, _ = await start_stream_to_move(
+                fleet, client, '/once/1', [StopFault.NO_ROOM], unframed=True
+            )
+            await fleet.add_runner('d3', 'llm', 'decode')
+            await anyio.sleep(0.2)
+            source.options.copy_s = 0.2
+            fleet.list_runner(source.options.runner, 'draining')
+            await fleet.wait_for(lambda: len(source.moves) == 2)
+        await anyio.sleep(0.5)
+        assert not fleet.log.named('part failed')
+        assert len(source.moves) == 2
+        assert not fleet.gateway.engine_uses()
+
+    run(scenario, runner_drain_s=0.0)
