Let a stream's move judge the end of its stream

A copy counts as usable only once the move has ended, so that a wait that ran out (3 s) cannot use a copy that the move is about to free; that course was read, not seen.

--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -24,7 +24,6 @@
 from primrosereel.routing import _events as events
 from primrosereel.routing import _model as model
 from primrosereel.routing import _runners as runners
-from primrosereel.routing import _stream_stop as stream_stop
 from primrosereel.routing import _timeouts as timeouts
 
 __all__ = ['Generation']
@@ -442,7 +441,8 @@
             lambda: self._record_first_event(runner, started_at),
             lambda: self._can_continue_elsewhere(runner),
         )
-        await self._check_not_stopped(head)
+        if self._move is not None:
+            await self._move.check_end(head)
         await upstream.check_end(self._context, runner, head)
         self._stream.check_complete(head)
         await self._stream.finish(head)
@@ -456,23 +456,6 @@
         self._exchange.record_served(runner.runner_id, head.status)
         return None
 
-    async def _check_not_stopped(self, head: http.ResponseHead) -> None:
-        """Raise BrokenResponse if a stream may have ended for its move.
-
-        A stream without a length ends with its connection, which looks the
-        same if its runner was told to stop it.
-        """
-        move = self._move
-        if move is None:
-            return
-        state = await move.settle()
-        if state is stream_stop.StopState.STOPPED and move.can_continue:
-            raise http.BrokenResponse('the stream was stopped for a move')
-        if head.ends_with_connection and move.may_have_stopped:
-            raise http.BrokenResponse(
-                f'the stream may have been stopped for a move: {state.value}'
-            )
-
     def _can_continue_elsewhere(self, runner: runners.Runner) -> bool:
         """Tell whether the stream could go on at another runner now."""
         now = self._context.clock()
--- a/primrosereel/gateway/_stream_move.py
+++ b/primrosereel/gateway/_stream_move.py
@@ -91,20 +91,16 @@
         """Whether the source is to continue the stream itself."""
         return self._at_source
 
-    @property
-    def may_have_stopped(self) -> bool:
-        """Whether the source may have closed the stream before its end."""
-        return self._stop.may_have_stopped
-
     @property
     def can_continue(self) -> bool:
-        """Whether the stream can go on from a copy after its stop.
+        """Whether the stream can go on from a copy after the move has ended.
 
         That it was stopped may not be certain; it is ended all the same once
         its connection is closed.
         """
         return (
-            self._stop.may_have_stopped
+            self._done.is_set()
+            and self._stop.may_have_stopped
             and self._unused_copy is not None
             and (self._at_source or self._copied)
             and self.next_runner is not None
@@ -186,6 +182,20 @@
             self._ended = True
         return self._stop.state
 
+    async def check_end(self, head: http.ResponseHead) -> None:
+        """Raise BrokenResponse if the source may have stopped the stream.
+
+        A stream without a length ends with its connection, which looks the
+        same if its runner was told to stop it.
+        """
+        state = await self.settle()
+        if state is stream_stop.StopState.STOPPED and self.can_continue:
+            raise http.BrokenResponse('the stream was stopped for a move')
+        if head.ends_with_connection and self._stop.may_have_stopped:
+            raise http.BrokenResponse(
+                f'the stream may have been stopped for a move: {state.value}'
+            )
+
     async def run(self) -> None:
         """Copy the stream, stop it and copy the rest.
 
