--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -201,6 +201,17 @@
         await self.wait_for(lambda: bool(self.log.named('started')))
         await anyio.sleep(0.05)
 
+    async def wait_until_open(self, address, limit_s=5.0):
+        """Wait until a connection to an address is accepted."""
+        with anyio.fail_after(limit_s):
+            while True:
+                try:
+                    stream = await anyio.connect_tcp(*address)
+                except OSError:
+                    await anyio.sleep(0.01)
+                    continue
+                return await anyio.aclose_forcefully(stream)
+
     async def wait_for(self, condition, limit_s=5.0):
         with anyio.fail_after(limit_s):
             while not condition():
--- a/tests/property/test_gateway_crashing_calls.py
+++ b/tests/property/test_gateway_crashing_calls.py
@@ -59,6 +59,7 @@
 
     async def wait_until_ready(self):
         fleet = self._fleet
+        await fleet.wait_until_open(self._other._settings.callers)
         for number in range(RUNNERS):
             await fleet.add_runner(f'e{number}', 'llm', 'decode')
             await fleet.add_runner(f't{number}', 'plain')
--- a/tests/property/test_gateway_endless.py
+++ b/tests/property/test_gateway_endless.py
@@ -19,6 +19,7 @@
 # body of a plain call that fits in the memory for responses, and what the
 # socket buffers of loopback hold.
 MAX_SENT_BYTES = 16_000_000 + 8_000_000
+CALL_LIMIT_MS = 10_000
 SEND_BUFFER_BYTES = 64 * 1024
 SLOW_BYTES = 50_000
 SLOW_KINDS = ('slow head', 'slow body', 'slow event', 'slow error')
@@ -234,6 +235,14 @@
     """
 
     async def scenario(fleet):
+        change = gateway_fleet.configuration(2)
+        for route in change['routes']:
+            # Without the limit on parts no time limit is long enough.
+            route['timeoutMs'] = CALL_LIMIT_MS
+        fleet.store.put('op/config', change)
+        await fleet.wait_for(
+            lambda: len(fleet.log.named('configuration in force')) == 2
+        )
         endless = await replace_runner(fleet, 's1', 'small parts')
         fleet.list_runner('s2', 'draining')
         table = fleet.gateway._context.runners
