Log how long a runner was silent, how late that was noticed, and the configuration's age

The new line 'runner silent' and the counter runners.silent say so; 'refused' and 'stream cut' have the age of the configuration in force. No logic changes.

--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -75,6 +75,8 @@
         default_factory=peer_versions_module.PeerVersions
     )
     table: table_module.RoutingTable | None = None
+    # When the table came into force.
+    table_since: float = -math.inf
     # A stop first sets ``draining`` (not ready, requests are still served),
     # then ``refusing`` (new requests are refused).
     draining: bool = False
@@ -164,6 +166,16 @@
                 del self.avoided_runners[runner_id]
                 self.uses_changed()
 
+    @property
+    def version(self) -> int:
+        """The version of the configuration in force; 0 without one."""
+        return self.table.version if self.table else 0
+
+    @property
+    def version_age_s(self) -> float | None:
+        """For how long the version has been in force; None without one."""
+        return _age_s(self.clock() - self.table_since)
+
     def count(self, name: str) -> None:
         """Increment a counter."""
         self.metrics.count(name)
@@ -293,7 +305,8 @@
             retry_after_s=retry_after_s,
             attempts=self.attempts,
             left_s=round(self.remaining_s, 3),
-            version=self.context.table.version if self.context.table else 0,
+            version=self.context.version,
+            version_age_s=self.context.version_age_s,
         )
 
     def record_failed_attempt(
@@ -320,7 +333,7 @@
             tokens=runner.tokens,
             peers=self.context.ledger.peer_use(runner.runner_id, now),
             report=runner.report,
-            report_age_s=_report_age_s(now - runner.reported_at),
+            report_age_s=_age_s(now - runner.reported_at),
             left_s=round(self.remaining_s, 3),
             shared_parts=self.facts.shared_parts,
             events_received=events_received,
@@ -329,5 +342,5 @@
         )
 
 
-def _report_age_s(seconds: float) -> float | None:
+def _age_s(seconds: float) -> float | None:
     return round(seconds, 3) if seconds < 1e6 else None
--- a/primrosereel/gateway/_event_stream.py
+++ b/primrosereel/gateway/_event_stream.py
@@ -10,8 +10,10 @@
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _crash_reports as crash_reports_module
 from primrosereel.gateway import _http as http
+from primrosereel.gateway import _silence as silence
 from primrosereel.gateway import _upstream as upstream
 from primrosereel.routing import _events as events
+from primrosereel.routing import _runners as runners
 from primrosereel.routing import _timeouts as timeouts
 from primrosereel.routing import blame
 
@@ -34,7 +36,7 @@
 
         stream = EventStream(exchange, caller, crash_reports)
         stream.start_attempt()
-        await stream.forward(response, lambda: None, lambda: False)
+        await stream.forward(response, runner, lambda: None, lambda: False)
         stream.check_complete(response.head)
         await stream.finish(response.head)
     """
@@ -85,6 +87,7 @@
     async def forward(
         self,
         response: upstream.OpenResponse,
+        runner: runners.Runner,
         on_first_event: Callable[[], None],
         can_continue_elsewhere: Callable[[], bool],
     ) -> None:
@@ -96,12 +99,23 @@
         """
         clock = self._exchange.context.clock
         body = response.connection.body()
-        late_at = clock() + self._event_limit_s()
+        event_at = clock()
+        late_at = event_at + self._event_limit_s()
+        is_silent = False
         while True:
             try:
                 with anyio.fail_after(max(0.0, late_at - clock())):
                     data = await anext(body, None)
             except TimeoutError:
+                if not is_silent:
+                    is_silent = True
+                    silence.record_silence(
+                        self._exchange,
+                        runner,
+                        event_at,
+                        self._event_limit_s(),
+                        self._events_received,
+                    )
                 if can_continue_elsewhere():
                     raise http.BrokenResponse('no event in time') from None
                 # The cancelled iterator has ended.
@@ -120,7 +134,9 @@
                 on_first_event()
             self._events_received += sent
             # Bytes that complete no event do not extend the limit.
-            late_at = clock() + self._event_limit_s()
+            event_at = clock()
+            late_at = event_at + self._event_limit_s()
+            is_silent = False
             if self._events_received >= blame.PROVEN_EVENTS:
                 self._record_answer()
 
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -18,6 +18,7 @@
 from primrosereel.gateway import _prompt as prompt_module
 from primrosereel.gateway import _rejections as rejections
 from primrosereel.gateway import _runner_signs as runner_signs
+from primrosereel.gateway import _silence as silence
 from primrosereel.gateway import _stream_move as stream_move
 from primrosereel.gateway import _upstream as upstream
 from primrosereel.routing import _decode_places as decode_places
@@ -130,6 +131,8 @@
             detail=detail,
             events=self._stream.events_sent,
             attempts=self._exchange.attempts,
+            version=self._context.version,
+            version_age_s=self._context.version_age_s,
         )
 
     async def _prefill(self) -> None:
@@ -358,6 +361,7 @@
             handle=handle,
             last_event_id=self._stream.last_event_id,
         )
+        sent_at = self._context.clock()
         may_have_run_before = exchange.may_have_run
         exchange.may_have_run = True
         if handle is None:
@@ -386,6 +390,9 @@
             raise errors.StreamBroken(str(error)) from error
         exchange.attempts += attempts
         if response is None:
+            silence.record_silence(
+                exchange, runner, sent_at, self._first_event_s(), 0
+            )
             runner.observe_failure(self._context.clock())
             raise errors.StreamBroken('no response in time')
         if resume_from is not None:
@@ -438,6 +445,7 @@
             )
         await self._stream.forward(
             response,
+            runner,
             lambda: self._record_first_event(runner, started_at),
             lambda: self._can_continue_elsewhere(runner),
         )
--- a/primrosereel/gateway/_peers.py
+++ b/primrosereel/gateway/_peers.py
@@ -315,7 +315,7 @@
                     notice or self._reader.notice(), context.clock()
                 ),
                 self._suspects() if with_crash_evidence else [],
-                context.table.version if context.table is not None else 0,
+                context.version,
                 runner_notices.encode(
                     context.runners.availability, scope, now
                 ),
--- a/primrosereel/gateway/_plain.py
+++ b/primrosereel/gateway/_plain.py
@@ -9,6 +9,7 @@
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _crash_reports as crash_reports_module
 from primrosereel.gateway import _http as http
+from primrosereel.gateway import _silence as silence
 from primrosereel.gateway import _upstream as upstream
 from primrosereel.routing import _model as model
 from primrosereel.routing import _runners as runners
@@ -87,7 +88,8 @@
         started_at = self._context.clock()
         may_have_run_before = exchange.may_have_run
         exchange.may_have_run = True
-        scope = anyio.move_on_after(self._attempt_limit_s())
+        limit_s = self._attempt_limit_s()
+        scope = anyio.move_on_after(limit_s)
         attempt = self._crash_reports.watched_attempt(exchange, scope)
         try:
             with scope, attempt:
@@ -117,6 +119,7 @@
                 exchange, runner, started_at
             )
         if scope.cancelled_caught and not attempt.taken_back:
+            silence.record_silence(exchange, runner, started_at, limit_s)
             runner.observe_silence(started_at, self._context.clock())
             exchange.record_failed_attempt(
                 Retry.PLAIN_IDEMPOTENT, runner, 'timeout'
--- a/primrosereel/gateway/_server.py
+++ b/primrosereel/gateway/_server.py
@@ -60,7 +60,7 @@
     def _record_close(self, connection: callers.CallerConnection) -> None:
         """Log and count a close that can cost a caller an answer."""
         context = self._context
-        version = context.table.version if context.table else 0
+        version = context.version
         if connection.closed_as_idle:
             context.count('connections.closed_idle')
             context.log.info(
--- a/primrosereel/gateway/_store_reader.py
+++ b/primrosereel/gateway/_store_reader.py
@@ -412,6 +412,7 @@
         if context.table and not table.replaces(context.table):
             return
         context.table = table
+        context.table_since = context.clock()
         context.places.set_services(table.services)
         context.log.info(
             'configuration in force',
