Keep a silent runner's stream until another runner goes on with it

What callers saw: a resumable stream was cut, or got 502 before its first event, though its runner was only silent for 1.5 to 2.4 s and went on; beside a change of the configuration more often, as runners refuse and reset then.

Cause: after 1.4 s (2 s before the first event) the gateway looked whether another runner could take the stream, closed the connection to the first one, and only then spent the budget, took the place, connected and asked. Each of these steps can fail. Class of fault: check, then act; something whole was given up for something that was only possible.

Change: the stream is hedged (gateway/_stream_hedge.py). Budget and place are reserved first, the other runner is asked, and the first connection stays open until the other one has sent an event; whichever goes on first is taken, and the other is closed at once. If the first one breaks meanwhile, the request waits for the other. What may have run is counted by send, as two runners can have a request at a time.

--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -6,6 +6,8 @@
 import random as random_module
 from typing import Any
 
+import anyio.abc
+
 from primrosereel import _ids as ids
 from primrosereel import _states as states
 from primrosereel.gateway import _callers as callers
@@ -191,10 +193,10 @@
     service: ids.ServiceId
     facts: model.RequestFacts
     time_limit: time_limits_module.TimeLimit
+    # The task group of the request; its tasks end with the request.
+    tasks: anyio.abc.TaskGroup
     # The number of runners that were sent the request and may have run it.
     attempts: int = 0
-    # Whether a runner may have run the request, or may still do so.
-    may_have_run: bool = False
     # The duration in seconds of each finished step, for the log.
     steps: dict[str, float] = dataclasses.field(default_factory=dict)
     # Counts the bodies that are kept until the caller has its answer.
@@ -202,6 +204,8 @@
         init=False
     )
     _cause: blame.Cause | None = dataclasses.field(default=None, init=False)
+    # The sends of which no runner has stated that the request did not run.
+    _possible_runs: int = dataclasses.field(default=0, init=False)
 
     def __post_init__(self) -> None:
         self.kept_responses = self.context.response_memory.reservation()
@@ -230,6 +234,29 @@
         """All in the request that a runner may have crashed under."""
         return *self.part_causes, self.cause
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a runner may have run the request, or may still do so."""
+        return self._possible_runs > 0
+
+    def record_sent(self) -> None:
+        """Record that a runner is about to be sent the request."""
+        self._possible_runs += 1
+
+    def record_not_run(self) -> None:
+        """Record that a runner which was sent the request did not run it."""
+        self._possible_runs -= 1
+
+    def record_internal_error(self, error: Exception) -> None:
+        """Log and count an unexpected error."""
+        self.context.count('internal_errors')
+        self.context.log.error(
+            'internal error',
+            request=self.facts.request_id,
+            detail=repr(error),
+            exc_info=error,
+        )
+
     def record_step(self, name: str, started_at: float) -> None:
         """Record how long a step took."""
         self.steps[name] = round(self.context.clock() - started_at, 4)
--- a/primrosereel/gateway/_event_stream.py
+++ b/primrosereel/gateway/_event_stream.py
@@ -1,7 +1,7 @@
 """The stream of events that a caller receives from one runner or several."""
 
+from collections.abc import AsyncIterator
 from collections.abc import Callable
-import math
 
 import anyio
 import anyio.lowlevel
@@ -10,11 +10,9 @@
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _crash_reports as crash_reports_module
 from primrosereel.gateway import _http as http
-from primrosereel.gateway import _silence as silence
+from primrosereel.gateway import _stream_hedge as stream_hedge
 from primrosereel.gateway import _upstream as upstream
 from primrosereel.routing import _events as events
-from primrosereel.routing import _runners as runners
-from primrosereel.routing import _timeouts as timeouts
 from primrosereel.routing import blame
 
 __all__ = ['EventStream']
@@ -22,8 +20,6 @@
 # How long the head of a response may take to be sent beyond a time limit. It
 # only waits for callers that do not read, but a busy process needs some time.
 SEND_HEAD_S = 1.0
-# How often a stream whose runner is silent looks for another runner.
-SILENCE_RECHECK_S = 0.1
 
 
 class EventStream:
@@ -36,7 +32,7 @@
 
         stream = EventStream(exchange, caller, crash_reports)
         stream.start_attempt()
-        await stream.forward(response, runner, lambda: None, lambda: False)
+        await stream.forward(response, body, hedge, lambda: None)
         stream.check_complete(response.head)
         await stream.finish(response.head)
     """
@@ -87,41 +83,19 @@
     async def forward(
         self,
         response: upstream.OpenResponse,
-        runner: runners.Runner,
+        body: AsyncIterator[bytes],
+        hedge: stream_hedge.StreamHedge,
         on_first_event: Callable[[], None],
-        can_continue_elsewhere: Callable[[], bool],
     ) -> None:
         """Forward a runner's events until its response ends.
 
-        A runner whose event is late is given up only if another one can
-        continue. Raises BrokenResponse or SequenceError if the response
-        cannot be continued.
+        Raises BrokenResponse or SequenceError if the response cannot be
+        continued, and StreamTakenOver if another runner continues it.
         """
-        clock = self._exchange.context.clock
-        body = response.connection.body()
-        event_at = clock()
-        late_at = event_at + self._event_limit_s()
-        is_silent = False
+        hedge.response_begun()
         while True:
-            try:
-                with anyio.fail_after(max(0.0, late_at - clock())):
-                    data = await anext(body, None)
-            except TimeoutError:
-                if not is_silent:
-                    is_silent = True
-                    silence.record_silence(
-                        self._exchange,
-                        runner,
-                        event_at,
-                        self._event_limit_s(),
-                        self._events_received,
-                    )
-                if can_continue_elsewhere():
-                    raise http.BrokenResponse('no event in time') from None
-                # The cancelled iterator has ended.
-                body = response.connection.body()
-                late_at = clock() + SILENCE_RECHECK_S
-                continue
+            with hedge.waiting():
+                data = await anext(body, None)
             if data is None:
                 return
             received = self._splitter.feed(data)
@@ -133,10 +107,8 @@
             if not self._events_received:
                 on_first_event()
             self._events_received += sent
-            # Bytes that complete no event do not extend the limit.
-            event_at = clock()
-            late_at = event_at + self._event_limit_s()
-            is_silent = False
+            # Bytes that complete no event do not end a silence.
+            hedge.event_received()
             if self._events_received >= blame.PROVEN_EVENTS:
                 self._record_answer()
 
@@ -166,17 +138,6 @@
             self._answer_recorded = True
             self._crash_reports.observe_answer(self._exchange)
 
-    def _event_limit_s(self) -> float:
-        """Return how long the runner may take for its next event."""
-        route = self._exchange.route
-        if not route.repeatable or (
-            self._exchange.attempts >= route.max_attempts
-        ):
-            return math.inf
-        if self._events_received:
-            return timeouts.stream_gap_s(route)
-        return timeouts.first_event_s(route)
-
     async def _send_events(
         self, head: http.ResponseHead, received: list[bytes]
     ) -> int:
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -1,7 +1,7 @@
 """Generations: a prefill, then a stream of events from a decode runner."""
 
+from collections.abc import AsyncIterator
 import contextlib
-import math
 
 import anyio
 
@@ -15,10 +15,11 @@
 from primrosereel.gateway import _generation_errors as errors
 from primrosereel.gateway import _held_place as held_place
 from primrosereel.gateway import _http as http
+from primrosereel.gateway import _local_prefill as local_prefill
 from primrosereel.gateway import _prompt as prompt_module
 from primrosereel.gateway import _rejections as rejections
 from primrosereel.gateway import _runner_signs as runner_signs
-from primrosereel.gateway import _silence as silence
+from primrosereel.gateway import _stream_hedge as stream_hedge
 from primrosereel.gateway import _stream_move as stream_move
 from primrosereel.gateway import _upstream as upstream
 from primrosereel.routing import _decode_places as decode_places
@@ -60,12 +61,21 @@
         self._connection = decode_connection.DecodeConnection(
             exchange, self._place
         )
-        # The decode runner that is currently prefilling the prompt itself.
-        self._local_prefill_runner: runners.Runner | None = None
+        self._hedge = stream_hedge.StreamHedge(
+            exchange,
+            self._place,
+            crash_reports,
+            lambda: self._stream.last_event_id,
+            self._may_ask_another,
+        )
+        # The prefill by the current decode runner itself.
+        self._local_prefill = local_prefill.LocalPrefill(exchange)
         # The move of the current stream, and the completed move whose copy
         # the next runner continues.
         self._move: stream_move.StreamMove | None = None
         self._resume_from: stream_move.StreamMove | None = None
+        # Whether the events of the current decode runner are forwarded.
+        self._forwarding = False
 
     async def serve(self) -> bool:
         """Respond to the caller; False if the response was cut off."""
@@ -86,6 +96,7 @@
         except admission.Refused as refused:
             return await self._end(self._admission_reply(refused))
         finally:
+            await self._hedge.close()
             self._place.release()
             if self._move is not None:
                 await self._move.close()
@@ -147,24 +158,27 @@
             runner = await self._choose_decode_runner()
             self._crash_reports.check(self._exchange)
             sent_at = self._context.clock()
+            self._hedge.watch(runner)
             try:
                 if await self._stream_from(runner):
                     return True
             except errors.StreamBroken as error:
-                if isinstance(error.__cause__, http.BrokenResponse):
-                    await self._crash_reports.observe_lost_request(
-                        self._exchange,
-                        runner,
-                        sent_at,
-                        self._stream.events_received,
-                    )
-                self._handle_broken_stream(runner, str(error))
+                await self._handle_broken_stream(runner, sent_at, error)
+            except errors.StreamTakenOver:
+                self._handle_silent_stream(runner)
             except errors.StreamMoved:
+                await self._hedge.close()
                 self._resume_from = self._move
                 self._place.exclude(runner)
+            finally:
+                self._hedge.stop()
 
     async def _choose_decode_runner(self) -> runners.Runner:
         """Return the runner of the place, or wait for another place."""
+        accepted = self._hedge.accepted
+        if accepted is not None:
+            self._place.take_over(accepted.ticket)
+            return accepted.runner
         if self._resume_from is not None:
             return self._switch_to_copy(self._resume_from)
         if self._exchange.may_have_run and not self._exchange.route.repeatable:
@@ -214,17 +228,39 @@
             return self._admission_reply(refused)
         return self._exchange.refusal(reason, RETRY_AFTER_S)
 
-    def _handle_broken_stream(
-        self, runner: runners.Runner, detail: str
+    def _handle_silent_stream(self, runner: runners.Runner) -> None:
+        """Record that another runner continues the stream."""
+        self._exchange.record_failed_attempt(
+            Retry.STREAM_SILENT,
+            runner,
+            'no event in time',
+            self._stream.events_received,
+        )
+        self._place.exclude(runner)
+
+    async def _handle_broken_stream(
+        self,
+        runner: runners.Runner,
+        sent_at: float,
+        error: errors.StreamBroken,
     ) -> None:
         """Allow another runner to be tried, or end the request."""
         exchange = self._exchange
-        route = exchange.route
-        now = self._context.clock()
+        if isinstance(error.__cause__, http.BrokenResponse):
+            await self._crash_reports.observe_lost_request(
+                exchange, runner, sent_at, self._stream.events_received
+            )
         exchange.record_failed_attempt(
-            Retry.STREAM_BROKEN, runner, detail, self._stream.events_received
+            Retry.STREAM_BROKEN,
+            runner,
+            str(error),
+            self._stream.events_received,
         )
         self._place.exclude(runner)
+        if await self._hedge.settle():
+            return
+        route = exchange.route
+        now = self._context.clock()
         may_retry = route.repeatable and exchange.attempts < route.max_attempts
         if not may_retry:
             raise errors.RequestEnded(
@@ -242,14 +278,20 @@
         """
         started_at = self._context.clock()
         self._stream.start_attempt()
+        accepted = self._hedge.take()
         try:
-            response = await self._open_response_or_free(runner)
-            if response is None:
-                return False
+            if accepted is not None:
+                response, body = accepted.response, accepted.body
+                started_at = accepted.started_at
+            else:
+                opened = await self._open_response_or_free(runner)
+                if opened is None:
+                    return False
+                response, body = opened, opened.connection.body()
             self._exchange.record_step('head_s', started_at)
-            await self._forward_and_close(response, runner, started_at)
+            await self._forward_and_close(response, body, runner, started_at)
         finally:
-            self._set_local_prefill_runner(None)
+            self._local_prefill.end()
         return True
 
     async def _open_response_or_free(
@@ -296,12 +338,14 @@
     async def _forward_and_close(
         self,
         response: upstream.OpenResponse,
+        body: AsyncIterator[bytes],
         runner: runners.Runner,
         started_at: float,
     ) -> None:
         # A stream that went back to its source is not stopped again.
         may_move = self._move is None or not self._move.at_source
         move = self._move = self._new_move(runner)
+        self._forwarding = True
         try:
             with (
                 self._context.leave_callbacks.registered(
@@ -312,7 +356,7 @@
                 if may_move
                 else contextlib.nullcontext()
             ):
-                await self._forward_events(response, runner, started_at)
+                await self._forward_events(response, body, runner, started_at)
         except (http.BrokenResponse, events.SequenceError) as error:
             await move.settle()
             if move.can_continue:
@@ -320,7 +364,11 @@
             move.end()
             runner.observe_failure(self._context.clock())
             raise errors.StreamBroken(str(error)) from error
+        except errors.StreamTakenOver:
+            move.end()
+            raise
         finally:
+            self._forwarding = False
             with anyio.CancelScope(shield=True):
                 await response.connection.close()
 
@@ -329,18 +377,6 @@
             self._exchange, runner, self._place.ticket_elsewhere(runner)
         )
 
-    def _set_local_prefill_runner(self, runner: runners.Runner | None) -> None:
-        """Count the prompt at the decode runner that prefills it, if any."""
-        if runner is self._local_prefill_runner:
-            return
-        tokens = self._exchange.facts.prompt_tokens
-        if self._local_prefill_runner is not None:
-            self._local_prefill_runner.local_prefill_tokens -= tokens
-        if runner is not None:
-            runner.local_prefill_tokens += tokens
-        self._local_prefill_runner = runner
-        self._context.uses_changed()
-
     async def _open_response(
         self, runner: runners.Runner
     ) -> upstream.OpenResponse | None:
@@ -361,40 +397,30 @@
             handle=handle,
             last_event_id=self._stream.last_event_id,
         )
-        sent_at = self._context.clock()
-        may_have_run_before = exchange.may_have_run
-        exchange.may_have_run = True
         if handle is None:
-            self._set_local_prefill_runner(runner)
-        response: upstream.OpenResponse | None = None
+            self._local_prefill.begin(runner)
         try:
-            with anyio.move_on_after(self._first_event_s()):
-                connection = await self._connection.take(runner)
-                if connection is None:
-                    exchange.may_have_run = may_have_run_before
-                    return None
-                response = await upstream.open_response(
-                    exchange, runner, options, connection
-                )
+            connection = await self._connection.take(runner)
         except upstream.NotSent as error:
-            exchange.may_have_run = may_have_run_before
             self._connection.record_failure(runner, str(error))
             return None
+        if connection is None:
+            return None
+        exchange.record_sent()
+        exchange.attempts += attempts
+        try:
+            with self._hedge.waiting():
+                response = await upstream.open_response(
+                    exchange, runner, options, connection
+                )
         except upstream.Rejected as error:
-            exchange.may_have_run = may_have_run_before
+            exchange.attempts -= attempts
+            exchange.record_not_run()
             self._handle_rejection(runner, handle is not None, error)
             return None
         except http.BrokenResponse as error:
-            exchange.attempts += attempts
             runner.observe_failure(self._context.clock())
             raise errors.StreamBroken(str(error)) from error
-        exchange.attempts += attempts
-        if response is None:
-            silence.record_silence(
-                exchange, runner, sent_at, self._first_event_s(), 0
-            )
-            runner.observe_failure(self._context.clock())
-            raise errors.StreamBroken('no response in time')
         if resume_from is not None:
             resume_from.copy_used()
         await self._note_handle_used(response)
@@ -422,17 +448,10 @@
         if not self._rejections.handle(runner, with_handle, rejected):
             raise errors.RequestEnded(self._refusal(Reason.RETRY_BUDGET))
 
-    def _first_event_s(self) -> float:
-        route = self._exchange.route
-        may_repeat = (
-            route.repeatable
-            and self._exchange.attempts + 1 < route.max_attempts
-        )
-        return timeouts.first_event_s(route) if may_repeat else math.inf
-
     async def _forward_events(
         self,
         response: upstream.OpenResponse,
+        body: AsyncIterator[bytes],
         runner: runners.Runner,
         started_at: float,
     ) -> None:
@@ -445,9 +464,9 @@
             )
         await self._stream.forward(
             response,
-            runner,
+            body,
+            self._hedge,
             lambda: self._record_first_event(runner, started_at),
-            lambda: self._can_continue_elsewhere(runner),
         )
         if self._move is not None:
             await self._move.check_end(head)
@@ -464,20 +483,20 @@
         self._exchange.record_served(runner.runner_id, head.status)
         return None
 
-    def _can_continue_elsewhere(self, runner: runners.Runner) -> bool:
-        """Tell whether the stream could go on at another runner now."""
-        now = self._context.clock()
-        if self._context.budget.remaining(self._exchange.service, now) < 1:
-            return False
-        ticket = self._place.ticket_elsewhere(runner)
-        return self._context.places.choose(ticket, now) is not None
+    def _may_ask_another(self) -> bool:
+        """Tell whether a silent stream may be continued by another runner.
+
+        A stream that is stopped for a move is silent until the runner with
+        its copy continues it.
+        """
+        return not (self._forwarding and self._move and self._move.stop_asked)
 
     def _record_first_event(
         self, runner: runners.Runner, started_at: float
     ) -> None:
         """Record that a runner began to write its part of the stream."""
         now = self._context.clock()
-        self._set_local_prefill_runner(None)
+        self._local_prefill.end()
         if self._move is not None:
             self._move.first_event_sent = True
         self._exchange.record_step('first_event_s', started_at)
--- a/primrosereel/gateway/_generation_errors.py
+++ b/primrosereel/gateway/_generation_errors.py
@@ -2,7 +2,7 @@
 
 from primrosereel.gateway import _callers as callers
 
-__all__ = ['RequestEnded', 'StreamBroken', 'StreamMoved']
+__all__ = ['RequestEnded', 'StreamBroken', 'StreamMoved', 'StreamTakenOver']
 
 
 class RequestEnded(Exception):
@@ -19,3 +19,7 @@
 
 class StreamMoved(Exception):
     """A stream was stopped; another runner continues it from its copy."""
+
+
+class StreamTakenOver(Exception):
+    """A runner was silent, and another one continues its stream."""
--- a/primrosereel/gateway/_held_place.py
+++ b/primrosereel/gateway/_held_place.py
@@ -6,6 +6,7 @@
 long as its KV cache handle lasts.
 """
 
+from collections.abc import Collection
 import dataclasses
 
 from primrosereel import _ids as ids
@@ -154,11 +155,24 @@
         self._context.places.move(ticket, runner)
         self._context.uses_changed()
 
-    def ticket_elsewhere(self, source: runners.Runner) -> decode_places.Ticket:
+    def take_over(self, ticket: decode_places.Ticket) -> None:
+        """Replace the place by that of a runner that has the request."""
+        assert self._ticket is not None
+        self._watch(None)
+        self._context.places.release(self._ticket)
+        ticket.excluded = self._excluded
+        self._ticket = ticket
+        self._context.uses_changed()
+
+    def ticket_elsewhere(
+        self,
+        source: runners.Runner,
+        unwilling: Collection[ids.RunnerId] = (),
+    ) -> decode_places.Ticket:
         """Return a ticket for a copy of the request at another runner."""
         ticket = self._ticket
         assert ticket is not None
-        excluded = {*self._excluded, source.runner_id}
+        excluded = {*self._excluded, *unwilling, source.runner_id}
         return dataclasses.replace(ticket, runner=None, excluded=excluded)
 
     def has_room_for_another(self, runner: runners.Runner) -> bool:
--- a/primrosereel/gateway/_plain.py
+++ b/primrosereel/gateway/_plain.py
@@ -86,8 +86,6 @@
     async def _send(self, runner: runners.Runner) -> callers.Reply | None:
         exchange = self._exchange
         started_at = self._context.clock()
-        may_have_run_before = exchange.may_have_run
-        exchange.may_have_run = True
         limit_s = self._attempt_limit_s()
         scope = anyio.move_on_after(limit_s)
         attempt = self._crash_reports.watched_attempt(exchange, scope)
@@ -95,16 +93,14 @@
             with scope, attempt:
                 return await self._call(runner, started_at, attempt)
         except upstream.NotSent as error:
-            exchange.may_have_run = may_have_run_before
             exchange.record_failed_attempt(
                 Retry.CONNECT_FAILED, runner, str(error)
             )
             return None
         except upstream.Withdrawn:
-            exchange.may_have_run = may_have_run_before
             return None
         except upstream.Rejected as error:
-            exchange.may_have_run = may_have_run_before
+            exchange.record_not_run()
             runner.observe_rejection(self._context.clock())
             exchange.record_failed_attempt(
                 Retry.PLAIN_NOT_RUN, runner, str(error)
@@ -134,6 +130,7 @@
     ) -> callers.Reply | None:
         exchange = self._exchange
         connection = await upstream.connect_or_reuse(exchange, runner)
+        exchange.record_sent()
         exchange.attempts += 1
         response = await upstream.open_response(
             exchange,
--- a/primrosereel/gateway/_server.py
+++ b/primrosereel/gateway/_server.py
@@ -141,7 +141,7 @@
 
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(watch)
-            reason = await self._serve(connection, request)
+            reason = await self._serve(connection, request, tasks)
             tasks.cancel_scope.cancel()
         return reason
 
@@ -164,12 +164,13 @@
         self,
         connection: callers.CallerConnection,
         request: callers.CallerRequest,
+        tasks: anyio.abc.TaskGroup,
     ) -> states.EndReason | None:
         if self._context.draining:
             connection.close_after_reply()
         exchange: context_module.Exchange | None = None
         try:
-            routed = self._route_request(request)
+            routed = self._route_request(request, tasks)
             if isinstance(routed, callers.Reply):
                 await connection.reply(routed)
                 return None
@@ -275,7 +276,9 @@
         return callers.Reply(404)
 
     def _route_request(
-        self, request: callers.CallerRequest
+        self,
+        request: callers.CallerRequest,
+        tasks: anyio.abc.TaskGroup,
     ) -> context_module.Exchange | callers.Reply:
         """Return the routed request, or the reply that refuses it."""
         context = self._context
@@ -305,4 +308,5 @@
             service,
             facts,
             context.time_limits.add(request.received_at + limit_s),
+            tasks,
         )
--- a/primrosereel/gateway/_stream_move.py
+++ b/primrosereel/gateway/_stream_move.py
@@ -91,6 +91,11 @@
         """Whether the source is to continue the stream itself."""
         return self._at_source
 
+    @property
+    def stop_asked(self) -> bool:
+        """Whether the source was asked to stop the stream."""
+        return self._stop.calls > 0
+
     @property
     def can_continue(self) -> bool:
         """Whether the stream can go on from a copy after the move has ended.
--- a/primrosereel/gateway/_upstream.py
+++ b/primrosereel/gateway/_upstream.py
@@ -23,6 +23,7 @@
     'check_end',
     'connect',
     'connect_or_reuse',
+    'connect_ready',
     'count_in_flight',
     'keep_connection',
     'open_response',
@@ -160,11 +161,35 @@
         runner.listing.address, context.clock(), exchange.facts.request_id
     )
     if connection is None:
-        connection = await connect(exchange, runner)
-    if not runner.availability.accepts(context.clock()):
+        return await connect_ready(exchange, runner)
+    await _check_ready(exchange, runner, connection)
+    return connection
+
+
+async def connect_ready(
+    exchange: context_module.Exchange, runner: runners.Runner
+) -> http.HttpConnection:
+    """Return a new connection to a runner that takes requests.
+
+    Raises the same exceptions as connect_or_reuse.
+    """
+    connection = await connect(exchange, runner)
+    await _check_ready(exchange, runner, connection)
+    return connection
+
+
+async def _check_ready(
+    exchange: context_module.Exchange,
+    runner: runners.Runner,
+    connection: http.HttpConnection,
+) -> None:
+    """Close a connection to a runner that takes no more requests.
+
+    Raises Withdrawn then.
+    """
+    if not runner.availability.accepts(exchange.context.clock()):
         await connection.close()
         raise Withdrawn(runner.runner_id)
-    return connection
 
 
 async def open_response(
--- a/primrosereel/routing/_retry_budget.py
+++ b/primrosereel/routing/_retry_budget.py
@@ -78,6 +78,12 @@
         self._window(self._sends, service, now).append(now)
         return True
 
+    def refund(self, service: ids.ServiceId, spent_at: float) -> None:
+        """Take back what was spent at a time, as nothing was sent."""
+        sends = self._sends.get(service)
+        if sends and spent_at in sends:
+            sends.remove(spent_at)
+
     def _window(self, table, service, now) -> collections.deque[float]:
         times = table.setdefault(service, collections.deque())
         oldest = now - self._bounds.window_s
