Keep a late plain call until another runner answers it

What callers saw: 502 at 45% of a call's time, though its runner was only silent and the answer was on its way; always without a retry budget, and whenever the second runner refused, reset, erred or was silent too.

Change: attempts of a call run beside each other (gateway/_attempts.py). A late one goes on while another runner gets the call, within the budget and maxAttempts; the first answer is taken and the other attempt is cancelled. An error of a runner is the answer only once no attempt is left. If no other runner takes the call, the first one has until the time limit.

--- a/primrosereel/gateway/_plain.py
+++ b/primrosereel/gateway/_plain.py
@@ -1,10 +1,14 @@
 """Plain calls: sent to one runner, and retried at another where safe."""
 
+import enum
+import math
+
 import anyio
 
 from primrosereel import _ids as ids
 from primrosereel import _states as states
 from primrosereel.gateway import _admission as admission
+from primrosereel.gateway import _attempts as attempts_module
 from primrosereel.gateway import _callers as callers
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _crash_reports as crash_reports_module
@@ -28,6 +32,19 @@
 # not forwarded from a runner that has run it.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 MIN_REMAINING_S = 0.005
+# How often it is looked for another runner while one is late.
+RECHECK_INTERVAL_S = 0.1
+
+
+class AttemptEnd(enum.Enum):
+    """What became of an attempt without an answer for the caller."""
+
+    NOT_SENT = 'not_sent'
+    # The runner stated that it did not run the call.
+    NOT_RUN = 'not_run'
+    FAILED = 'failed'
+    # It goes on.
+    LATE = 'late'
 
 
 class PlainCall:
@@ -46,6 +63,12 @@
         self._crash_reports = crash_reports
         self._excluded: set[ids.RunnerId] = set()
         self._last_error_reply: callers.Reply | None = None
+        self._attempts = attempts_module.Attempts[callers.Reply | AttemptEnd](
+            exchange.tasks
+        )
+        # The runner and the start of the last attempt, until it is late.
+        self._last_attempt: tuple[runners.Runner, float] | None = None
+        self._late_at = math.inf
         # The reason given if the call is refused without having run.
         self._refusal_reason = Reason.NO_RUNNER
 
@@ -60,52 +83,81 @@
                 return await self._try_runners()
         except admission.Refused as refused:
             return self._quarantine_reply(refused)
+        finally:
+            self._attempts.cancel()
         return self._final_reply()
 
     async def _try_runners(self) -> callers.Reply:
-        for _ in range(MAX_RUNNERS_TRIED):
+        """Send the call to runners until one of them answers it.
+
+        A runner that is late keeps the call, as it may still answer, and
+        another one gets it as well if all limits allow that.
+        """
+        may_start = True
+        while True:
             self._crash_reports.check(self._exchange)
-            reply = await self._attempt()
-            if reply is not None:
-                return reply
-        return self._final_reply()
+            if may_start:
+                self._start_attempt()
+            if not self._attempts.in_flight:
+                return self._final_reply()
+            outcome = await self._next_outcome()
+            if isinstance(outcome, callers.Reply):
+                return outcome
+            may_start = self._may_retry(outcome)
 
-    async def _attempt(self) -> callers.Reply | None:
-        """Try one runner; return None if another one may be tried."""
-        runner = self._context.placement.choose(
-            self._exchange.service,
-            self._excluded,
-            self._context.clock(),
-        )
-        if runner is None or self._exchange.remaining_s < MIN_REMAINING_S:
-            return self._final_reply()
+    def _start_attempt(self) -> None:
+        """Send the call to another runner, if there is one."""
+        runner = self._choose_runner()
+        if runner is None:
+            return
         self._excluded.add(runner.runner_id)
-        with upstream.count_in_flight(runner):
-            return await self._send(runner)
+        now = self._context.clock()
+        self._late_at = now + self._attempt_limit_s()
+        self._last_attempt = runner, now
+        self._attempts.start(lambda: self._send(runner))
 
-    async def _send(self, runner: runners.Runner) -> callers.Reply | None:
+    def _choose_runner(self) -> runners.Runner | None:
+        if (
+            len(self._excluded) >= MAX_RUNNERS_TRIED
+            or self._exchange.remaining_s < MIN_REMAINING_S
+        ):
+            return None
+        return self._context.placement.choose(
+            self._exchange.service, self._excluded, self._context.clock()
+        )
+
+    async def _next_outcome(self) -> callers.Reply | AttemptEnd:
+        """Wait for the end of an attempt, or until the last one is late."""
+        late_s = self._late_at - self._context.clock()
+        with anyio.move_on_after(max(0.0, late_s)):
+            return await self._attempts.next_outcome()
+        return AttemptEnd.LATE
+
+    async def _send(
+        self, runner: runners.Runner
+    ) -> callers.Reply | AttemptEnd:
+        """Send the call to a runner; return its answer, or why it has none."""
         exchange = self._exchange
         started_at = self._context.clock()
-        limit_s = self._attempt_limit_s()
-        scope = anyio.move_on_after(limit_s)
+        scope = anyio.CancelScope()
         attempt = self._crash_reports.watched_attempt(exchange, scope)
         try:
-            with scope, attempt:
+            with scope, attempt, upstream.count_in_flight(runner):
                 return await self._call(runner, started_at, attempt)
         except upstream.NotSent as error:
             exchange.record_failed_attempt(
                 Retry.CONNECT_FAILED, runner, str(error)
             )
-            return None
+            return AttemptEnd.NOT_SENT
         except upstream.Withdrawn:
-            return None
+            return AttemptEnd.NOT_SENT
         except upstream.Rejected as error:
             exchange.record_not_run()
             runner.observe_rejection(self._context.clock())
             exchange.record_failed_attempt(
                 Retry.PLAIN_NOT_RUN, runner, str(error)
             )
-            return self._retry()
+            return AttemptEnd.NOT_RUN
         except http.BrokenResponse as error:
             runner.observe_failure(self._context.clock())
             exchange.record_failed_attempt(
@@ -114,20 +166,14 @@
             await self._crash_reports.observe_lost_request(
                 exchange, runner, started_at
             )
-        if scope.cancelled_caught and not attempt.taken_back:
-            silence.record_silence(exchange, runner, started_at, limit_s)
-            runner.observe_silence(started_at, self._context.clock())
-            exchange.record_failed_attempt(
-                Retry.PLAIN_IDEMPOTENT, runner, 'timeout'
-            )
-        return self._retry_if_repeatable()
+        return AttemptEnd.FAILED
 
     async def _call(
         self,
         runner: runners.Runner,
         started_at: float,
         attempt: crash_reports_module.Attempt,
-    ) -> callers.Reply | None:
+    ) -> callers.Reply | AttemptEnd:
         exchange = self._exchange
         connection = await upstream.connect_or_reuse(exchange, runner)
         exchange.record_sent()
@@ -174,7 +220,7 @@
         response: upstream.OpenResponse,
         body: bytes,
         seconds: float,
-    ) -> callers.Reply | None:
+    ) -> callers.Reply | AttemptEnd:
         head = response.head
         reply = callers.Reply(head.status, head.reason, head.headers, body)
         if head.status < 500 and head.status not in NOT_RUN_STATUSES:
@@ -188,33 +234,55 @@
         self._exchange.record_failed_attempt(
             Retry.PLAIN_IDEMPOTENT, runner, f'status {head.status}'
         )
-        return self._retry_if_repeatable()
+        return AttemptEnd.FAILED
 
     def _attempt_limit_s(self) -> float:
+        """Return after which time an attempt is late."""
         exchange = self._exchange
         if not exchange.route.repeatable:
-            return exchange.remaining_s
+            return math.inf
         attempts_left = exchange.route.max_attempts - exchange.attempts - 1
+        if attempts_left < 1:
+            return math.inf
         return timeouts.plain_attempt_s(exchange.remaining_s, attempts_left)
 
-    def _retry_if_repeatable(self) -> callers.Reply | None:
-        self._crash_reports.check(self._exchange)
-        if not self._exchange.route.repeatable:
-            return self._final_reply()
-        return self._retry()
-
-    def _retry(self) -> callers.Reply | None:
-        """Return None if all limits allow a retry, else the final reply."""
+    def _may_retry(self, end: AttemptEnd) -> bool:
+        """Tell whether another runner may get the call; spend the budget."""
+        if end is AttemptEnd.NOT_SENT:
+            return True
+        if end is AttemptEnd.LATE:
+            self._observe_lateness()
         exchange = self._exchange
+        if end is not AttemptEnd.NOT_RUN and not exchange.route.repeatable:
+            return False
         if exchange.attempts >= exchange.route.max_attempts and (
             exchange.may_have_run
         ):
-            return self._final_reply()
+            return False
+        if self._choose_runner() is None:
+            return False
         now = self._context.clock()
         if not self._context.budget.try_spend(exchange.service, now):
             self._refusal_reason = Reason.RETRY_BUDGET
-            return self._final_reply()
-        return None
+            return False
+        if end is AttemptEnd.LATE:
+            self._context.count('hedges.started')
+        return True
+
+    def _observe_lateness(self) -> None:
+        """Record that the last attempt is late; look again a little later."""
+        now = self._context.clock()
+        if self._last_attempt is not None:
+            runner, started_at = self._last_attempt
+            self._last_attempt = None
+            runner.observe_silence(started_at, now)
+            silence.record_silence(
+                self._exchange,
+                runner,
+                started_at,
+                self._late_at - started_at,
+            )
+        self._late_at = now + RECHECK_INTERVAL_S
 
     def _quarantine_reply(self, refused: admission.Refused) -> callers.Reply:
         """Return the reply to a request that crashes runners.
--- a/tests/property/test_gateway_hedges.py
+++ b/tests/property/test_gateway_hedges.py
@@ -67,6 +67,7 @@
     [
         ('/ask/1', 1.7, Fault.PAUSE_STREAM, ('d1', 'd2')),
         ('/ask/1', 2.3, Fault.PAUSE, ('d1', 'd2')),
+        ('/read/1', 0.7, Fault.PAUSE, ('s1', 's2')),
     ],
 )
 @gateway_fleet.with_fleet
@@ -119,7 +120,7 @@
     assert test_gateway.run_count(fleet, 'r1') == 2
 
 
-@pytest.mark.parametrize('path', ['/ask/1'])
+@pytest.mark.parametrize('path', ['/ask/1', '/read/1'])
 @gateway_fleet.with_fleet
 async def test_refusal_by_the_second_runner_is_not_passed_on(fleet, path):
     """Guards against 503, "not run", while the first runner still runs it."""
@@ -154,13 +155,15 @@
     """
     for name in ('d1', 'd2'):
         silence(fleet, name, 1.7, Fault.PAUSE_STREAM)
+    for name in ('s1', 's2'):
+        silence(fleet, name, 0.7, Fault.PAUSE)
     replies = {}
 
     async def ask(path):
         replies[path] = await fleet.ask(path, path, method='POST', **STREAM)
 
     async with anyio.create_task_group() as tasks:
-        for path in ('/ask/1', '/once/1'):
+        for path in ('/ask/1', '/once/1', '/read/1', '/file/1'):
             tasks.start_soon(ask, path)
         await anyio.sleep(0.4)
         apply_change(fleet, change)
