Let a hedged stream outlast a late refusal or error of its first runner

What callers saw: 502 although another runner was about to go on with the stream. A silent runner that refused the request after all, or answered it with an error once all attempts were made, ended the request or cancelled the attempt at the other runner.

Change: whatever ends the first attempt, the attempts in progress are waited for, and the watch goes on asking meanwhile. An error in the watch is logged and does not end the request. Attempts may have several waiters.

Evidence: test_stream_goes_on_if_its_silent_runner_refuses_it failed on the commit before ((502, True) == (200, True)); found in a reading of the fix.

--- a/primrosereel/gateway/_attempts.py
+++ b/primrosereel/gateway/_attempts.py
@@ -42,6 +42,11 @@
         )
         self._attempt_ended = anyio.Event()
 
+    @property
+    def running(self) -> int:
+        """The attempts that have not ended."""
+        return len(self._scopes)
+
     @property
     def in_flight(self) -> int:
         """The attempts whose outcome was not taken yet."""
@@ -65,7 +70,8 @@
             self._add_outcome(scope, error)
         finally:
             self._scopes.discard(scope)
-            self._attempt_ended.set()
+            ended, self._attempt_ended = self._attempt_ended, anyio.Event()
+            ended.set()
 
     def _add_outcome(
         self, scope: anyio.CancelScope, outcome: Outcome | Exception
@@ -77,13 +83,16 @@
     async def next_outcome(self) -> Outcome:
         """Wait until an attempt has ended; raise the error that ended it."""
         while not self._outcomes:
-            self._attempt_ended = anyio.Event()
-            await self._attempt_ended.wait()
+            await self.wait_for_end()
         outcome = self._outcomes.popleft()
         if isinstance(outcome, Exception):
             raise outcome
         return outcome
 
+    async def wait_for_end(self) -> None:
+        """Wait until an attempt has ended, or was cancelled."""
+        await self._attempt_ended.wait()
+
     def cancel(self) -> None:
         """Cancel the attempts in progress and drop what was not taken."""
         self._outcomes.clear()
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -162,6 +162,10 @@
             try:
                 if await self._stream_from(runner):
                     return True
+                await self._hedge.settle()
+            except errors.RequestEnded:
+                if not await self._hedge.settle():
+                    raise
             except errors.StreamBroken as error:
                 await self._handle_broken_stream(runner, sent_at, error)
             except errors.StreamTakenOver:
--- a/primrosereel/gateway/_stream_hedge.py
+++ b/primrosereel/gateway/_stream_hedge.py
@@ -131,7 +131,7 @@
         self._cancel_attempts()
 
     def _cancel_attempts(self) -> None:
-        if self._attempts.in_flight:
+        if self._attempts.running:
             self._context.count('hedges.not_needed')
             self._attempts.cancel()
 
@@ -156,9 +156,8 @@
 
         Returns whether another runner has accepted.
         """
-        self._watching.cancel()
-        while self._accepted is None and self._attempts.in_flight:
-            await self._attempts.next_outcome()
+        while self._accepted is None and self._attempts.running:
+            await self._attempts.wait_for_end()
         return self._accepted is not None
 
     def take(self) -> AcceptedStream | None:
@@ -183,15 +182,21 @@
     async def _watch(
         self, runner: runners.Runner, scope: anyio.CancelScope
     ) -> None:
-        with scope:
-            while True:
-                event_at = await self._wait_until_silent()
-                self._record_silence(runner, event_at)
-                while self._event_at == event_at:
-                    self._ask_another(runner)
-                    with anyio.move_on_after(RECHECK_INTERVAL_S):
-                        await self._attempts.next_outcome()
-                        self._next_attempt_at = self._context.clock()
+        """Ask other runners each time that the runner is silent.
+
+        An error must not end the request.
+        """
+        try:
+            with scope:
+                while True:
+                    event_at = await self._wait_until_silent()
+                    self._record_silence(runner, event_at)
+                    while self._event_at == event_at:
+                        self._ask_another(runner)
+                        with anyio.move_on_after(RECHECK_INTERVAL_S):
+                            await self._attempts.wait_for_end()
+        except Exception as error:
+            self._exchange.record_internal_error(error)
 
     def _record_silence(self, runner: runners.Runner, since: float) -> None:
         runner.observe_silence(since, self._context.clock())
@@ -290,6 +295,7 @@
         except Exception as error:
             exchange.record_internal_error(error)
         finally:
+            self._next_attempt_at = self._context.clock()
             local_prefill.end()
             if accepted is None or accepted is not self._accepted:
                 self._release(ticket)
--- a/tests/property/test_gateway_hedges.py
+++ b/tests/property/test_gateway_hedges.py
@@ -120,6 +120,27 @@
     assert test_gateway.run_count(fleet, 'r1') == 2
 
 
+@gateway_fleet.with_fleet
+async def test_stream_goes_on_if_its_silent_runner_refuses_it(fleet):
+    """Guards against a 502 while another runner is about to go on.
+
+    The first runner refuses late, and the budget is spent by then.
+    """
+    first = fleet.runners['d1']
+    given_up.make_second_choice(fleet, 'd2')
+    fleet.runners['d2'].options.event_s = 0.3
+
+    async def refuse_late(request):
+        await fleet.wait_for(lambda: bool(fleet.runners['d2'].requests))
+        given_up.spend_budget(fleet)
+        return first._refuse(request, Fault.SHED)
+
+    first._serve = refuse_late
+    reply = await fleet.ask('/ask/1', 'r1', method='POST', **STREAM)
+    given_up.assert_events_once(reply)
+    assert test_gateway.run_count(fleet, 'r1') == 1
+
+
 @pytest.mark.parametrize('path', ['/ask/1', '/read/1'])
 @gateway_fleet.with_fleet
 async def test_refusal_by_the_second_runner_is_not_passed_on(fleet, path):
