Share the final replies of generations and plain calls

No behaviour changes; the wire, refusal, stop, back-off, outage and crash tests of the gateway pass (156).

--- a/primrosereel/gateway/_event_stream.py
+++ b/primrosereel/gateway/_event_stream.py
@@ -131,6 +131,27 @@
         """End the caller's response as complete."""
         await self._send_head(head)
         await self._caller.finish()
+        facts = self._exchange.facts
+        self._exchange.steps.update(
+            prompt_tokens=facts.prompt_tokens,
+            output_tokens=facts.output_tokens,
+            events=self.events_sent,
+            last_event=self.last_event_id or 0,
+        )
+
+    def record_cut(self, detail: str) -> None:
+        """Log and count a stream that ends before its last event."""
+        context = self._exchange.context
+        context.count('streams.cut')
+        context.log.info(
+            'stream cut',
+            request=self._exchange.facts.request_id,
+            detail=detail,
+            events=self.events_sent,
+            attempts=self._exchange.attempts,
+            version=context.version,
+            version_age_s=context.version_age_s,
+        )
 
     def _record_answer(self) -> None:
         """Record once that a runner can answer the prompt."""
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -12,6 +12,7 @@
 from primrosereel.gateway import _crash_reports as crash_reports_module
 from primrosereel.gateway import _decode_connection as decode_connection
 from primrosereel.gateway import _event_stream as event_stream
+from primrosereel.gateway import _final_replies as replies
 from primrosereel.gateway import _generation_errors as errors
 from primrosereel.gateway import _held_place as held_place
 from primrosereel.gateway import _http as http
@@ -34,7 +35,6 @@
 Retry = states.RetryReason
 
 MAX_RESPONSE_BYTES = 1024 * 1024
-RETRY_AFTER_S = 0.5
 
 
 class Generation:
@@ -85,7 +85,9 @@
             with exchange.time_limit.enforce():
                 self._crash_reports.check(exchange)
                 if not await self._connection.open():
-                    raise errors.RequestEnded(self._refusal(Reason.NO_RUNNER))
+                    raise errors.RequestEnded(
+                        replies.refusal(self._exchange, Reason.NO_RUNNER)
+                    )
                 admission.check_time_until_stop(exchange)
                 self._crash_reports.check(exchange)
                 await self._prefill()
@@ -94,7 +96,9 @@
         except errors.RequestEnded as ended:
             return await self._end(ended.reply)
         except admission.Refused as refused:
-            return await self._end(self._admission_reply(refused))
+            return await self._end(
+                replies.admission_reply(self._exchange, refused)
+            )
         finally:
             await self._hedge.close()
             self._place.release()
@@ -117,7 +121,7 @@
     async def _end(self, reply: callers.Reply) -> bool:
         """Send a final reply, or cut off a stream that has begun."""
         if self._stream.head_sent:
-            self._log_cut('the stream ended early')
+            self._stream.record_cut('the stream ended early')
             return False
         await self._caller.reply(reply)
         return True
@@ -125,27 +129,15 @@
     async def _handle_timeout(self) -> bool:
         if self._stream.head_sent:
             self._exchange.failure(Reason.UPSTREAM_TIMEOUT, 0)
-            self._log_cut('the time limit was reached')
+            self._stream.record_cut('the time limit was reached')
             return False
         if self._exchange.may_have_run:
             reply = self._exchange.failure(Reason.UPSTREAM_TIMEOUT, 504)
         else:
-            reply = self._refusal(Reason.DEADLINE)
+            reply = replies.refusal(self._exchange, Reason.DEADLINE)
         await self._caller.reply(reply)
         return True
 
-    def _log_cut(self, detail: str) -> None:
-        self._context.count('streams.cut')
-        self._context.log.info(
-            'stream cut',
-            request=self._exchange.facts.request_id,
-            detail=detail,
-            events=self._stream.events_sent,
-            attempts=self._exchange.attempts,
-            version=self._context.version,
-            version_age_s=self._context.version_age_s,
-        )
-
     async def _prefill(self) -> None:
         runner = self._place.runner
         assert runner is not None
@@ -186,11 +178,15 @@
         if self._resume_from is not None:
             return self._switch_to_copy(self._resume_from)
         if self._exchange.may_have_run and not self._exchange.route.repeatable:
-            raise errors.RequestEnded(self._refusal(Reason.UPSTREAM_FAILED))
+            raise errors.RequestEnded(
+                replies.refusal(self._exchange, Reason.UPSTREAM_FAILED)
+            )
         if self._place.runner is not None:
             return self._place.runner
         if self._rejections.exhausted:
-            raise errors.RequestEnded(self._refusal(Reason.NO_CAPACITY))
+            raise errors.RequestEnded(
+                replies.refusal(self._exchange, Reason.NO_CAPACITY)
+            )
         return await self._place.acquire_another(self._place_wait_s())
 
     def _place_wait_s(self) -> float:
@@ -213,25 +209,6 @@
         self._place.move_to(runner)
         return runner
 
-    def _admission_reply(self, refused: admission.Refused) -> callers.Reply:
-        """Return 503 only if no earlier attempt may have run."""
-        if self._exchange.may_have_run:
-            return self._exchange.failure(refused.reason, 502)
-        return self._exchange.refusal(
-            refused.reason, refused.retry_after_s, refused.detail
-        )
-
-    def _refusal(self, reason: states.RefusalReason) -> callers.Reply:
-        """Return 503 only if no earlier attempt may have run."""
-        if self._exchange.may_have_run:
-            return self._exchange.failure(reason, 502)
-        refused = admission.refusal_without_runner(
-            self._exchange, states.Role.DECODE
-        )
-        if refused is not None:
-            return self._admission_reply(refused)
-        return self._exchange.refusal(reason, RETRY_AFTER_S)
-
     def _handle_silent_stream(self, runner: runners.Runner) -> None:
         """Record that another runner continues the stream."""
         self._exchange.record_failed_attempt(
@@ -450,7 +427,9 @@
         rejected: upstream.Rejected,
     ) -> None:
         if not self._rejections.handle(runner, with_handle, rejected):
-            raise errors.RequestEnded(self._refusal(Reason.RETRY_BUDGET))
+            raise errors.RequestEnded(
+                replies.refusal(self._exchange, Reason.RETRY_BUDGET)
+            )
 
     async def _forward_events(
         self,
@@ -477,13 +456,6 @@
         await upstream.check_end(self._context, runner, head)
         self._stream.check_complete(head)
         await self._stream.finish(head)
-        facts = self._exchange.facts
-        self._exchange.steps.update(
-            prompt_tokens=facts.prompt_tokens,
-            output_tokens=facts.output_tokens,
-            events=self._stream.events_sent,
-            last_event=self._stream.last_event_id or 0,
-        )
         self._exchange.record_served(runner.runner_id, head.status)
         return None
 
--- a/primrosereel/gateway/_plain.py
+++ b/primrosereel/gateway/_plain.py
@@ -12,6 +12,7 @@
 from primrosereel.gateway import _callers as callers
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _crash_reports as crash_reports_module
+from primrosereel.gateway import _final_replies as replies
 from primrosereel.gateway import _http as http
 from primrosereel.gateway import _silence as silence
 from primrosereel.gateway import _upstream as upstream
@@ -82,7 +83,9 @@
             with exchange.time_limit.enforce():
                 return await self._try_runners()
         except admission.Refused as refused:
-            return self._quarantine_reply(refused)
+            if self._last_error_reply is not None:
+                return self._last_error_reply
+            return replies.admission_reply(exchange, refused)
         finally:
             self._attempts.cancel()
         return self._final_reply()
@@ -284,20 +287,6 @@
             )
         self._late_at = now + RECHECK_INTERVAL_S
 
-    def _quarantine_reply(self, refused: admission.Refused) -> callers.Reply:
-        """Return the reply to a request that crashes runners.
-
-        It states that the request did not run only if no runner had it.
-        """
-        exchange = self._exchange
-        if self._last_error_reply is not None:
-            return self._last_error_reply
-        if exchange.may_have_run:
-            return exchange.failure(refused.reason, 502)
-        return exchange.refusal(
-            refused.reason, refused.retry_after_s, refused.detail
-        )
-
     def _final_reply(self) -> callers.Reply:
         """Return the reply when no runner is tried any more."""
         exchange = self._exchange
@@ -311,8 +300,6 @@
         if exchange.remaining_s < MIN_REMAINING_S:
             return exchange.refusal(Reason.DEADLINE, RETRY_AFTER_S)
         refused = admission.refusal_without_runner(exchange, states.Role.PLAIN)
-        if refused is not None:
-            return exchange.refusal(
-                refused.reason, refused.retry_after_s, refused.detail
-            )
-        return exchange.refusal(self._refusal_reason, RETRY_AFTER_S)
+        if refused is None:
+            return exchange.refusal(self._refusal_reason, RETRY_AFTER_S)
+        return replies.admission_reply(exchange, refused)
