--- a/primrosereel/gateway/_settings.py
+++ b/primrosereel/gateway/_settings.py
@@ -15,7 +15,10 @@
     ``stable_window_s`` is the time after a disturbance from which on all
     bounds must hold. ``runner_drain_s`` is the time after which a leaving
     runner must not get new work, and ``configuration_s`` the time within which
-    a new configuration must take effect.
+    a new configuration must take effect. In any ``quota_window_s``, a client
+    account may exceed its quota by the share ``quota_overage`` and by
+    ``quota_slack`` units. With ``strict_revocation``, requests that need a key
+    are refused once the configuration was not confirmed for ``revoke_s``.
     """
 
     instance: ids.InstanceId
@@ -37,3 +40,8 @@
     retry_ratio: float
     retry_slack: float
     retry_window_s: float
+    quota_window_s: float = 8.0
+    quota_overage: float = 0.25
+    quota_slack: float = 0.0
+    strict_revocation: bool = False
+    revoke_s: float = 5.0
--- a/primrosereel/platform/_settings.py
+++ b/primrosereel/platform/_settings.py
@@ -49,6 +49,11 @@
     reuse_after_s: numbers.DurationS = 2
     lease_ms: numbers.DurationMs = 3000
     stable_window_ms: numbers.DurationMs = 3000
+    quota_window_s: numbers.DurationS = 8
+    quota_overage: numbers.Weight = 0.25
+    quota_slack: numbers.Rate = 0
+    strict_revocation: bool = False
+    revoke_ms: numbers.DurationMs = 5000
 
 
 class _Platform(msgspec.Struct, rename='camel'):
@@ -108,6 +113,11 @@
         retry_ratio=bounds.retry_budget_ratio,
         retry_slack=bounds.retry_budget_slack,
         retry_window_s=bounds.budget_window_s,
+        quota_window_s=bounds.quota_window_s,
+        quota_overage=bounds.quota_overage,
+        quota_slack=bounds.quota_slack,
+        strict_revocation=bounds.strict_revocation,
+        revoke_s=bounds.revoke_ms / 1000,
     )
 
 
--- a/primrosereel/routing/_model.py
+++ b/primrosereel/routing/_model.py
@@ -62,7 +62,7 @@
 
     ``priority`` 0 is the most urgent. ``max_attempts`` counts runners
     and includes the first one. ``gap_target_s`` is None on routes without
-    streams.
+    streams. A ``public`` route needs no key of a client account.
     """
 
     name: str
@@ -76,6 +76,7 @@
     priority: int
     resumable: bool = False
     gap_target_s: float | None = None
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
