--- a/primrosereel/routing/_client_accounts.py
+++ b/primrosereel/routing/_client_accounts.py
@@ -27,8 +27,8 @@
 class QuotaUnit(enum.Enum):
     """What a quota counts."""
 
-    REQUESTS = enum.auto()
-    TOKENS = enum.auto()
+    REQUESTS = 'requests'
+    TOKENS = 'tokens'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
