Authenticate callers of the gateway by keys of client accounts

Cause: the configuration may name client accounts with keys, and the gateway passed requests of any caller on.

Change: with `tenants` in the configuration, a request needs a known key unless its route is public (401, or 503 while a peer has a newer version). Runners are told the account and never the key. The key is no longer part of the hash that names a request to peers; the account is. Priorities are pairs of account and route; peers and runners get the position of the pair among those of the configuration. Without `tenants`, priorities and headers are as before.

--- a/primrosereel/_states.py
+++ b/primrosereel/_states.py
@@ -40,6 +40,7 @@
     REQUEST_QUARANTINED = 'request_quarantined'
     TOO_MANY_CONNECTIONS = 'too_many_connections'
     UNAUTHENTICATED = 'unauthenticated'
+    UNAUTHENTICATED_STALE = 'unauthenticated_stale'
     PRIORITY_NOT_ALLOWED = 'priority_not_allowed'
     UNKNOWN_SERVICE = 'unknown_service'
     UNKNOWN_CALL = 'unknown_call'
--- a/primrosereel/bench/_gateway_decisions.py
+++ b/primrosereel/bench/_gateway_decisions.py
@@ -18,6 +18,7 @@
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _model as model
 from primrosereel.routing import _placement as placement_module
+from primrosereel.routing import _priorities as priorities
 from primrosereel.routing import _runners as runners
 from primrosereel.routing import _shards as shards_module
 
@@ -107,7 +108,11 @@
 
     def decide() -> None:
         ticket = decode_places.Ticket(
-            ENGINE_SERVICE, REQUEST_TOKENS, 1, NOW_S, lambda now: now + 1.0
+            ENGINE_SERVICE,
+            REQUEST_TOKENS,
+            priorities.route_only(1),
+            NOW_S,
+            lambda now: now + 1.0,
         )
         places.add(ticket, NOW_S)
         if ticket.runner is None:
--- a/primrosereel/gateway/_admission.py
+++ b/primrosereel/gateway/_admission.py
@@ -79,7 +79,7 @@
     ticket = decode_places.Ticket(
         exchange.service,
         decode_places.tokens_needed(exchange.facts),
-        exchange.route.priority,
+        exchange.priority,
         exchange.request.received_at,
         latest_start,
         excluded=excluded,
--- a/primrosereel/gateway/_causes.py
+++ b/primrosereel/gateway/_causes.py
@@ -1,5 +1,7 @@
 """What runners may be crashed by in a caller's request."""
 
+from collections.abc import Iterable
+
 from primrosereel import _ids as ids
 from primrosereel.gateway import _callers as callers
 from primrosereel.routing import _model as model
@@ -7,29 +9,23 @@
 
 __all__ = ['request_cause']
 
-AUTHORIZATION = b'authorization'
-
 
 def request_cause(
     request: callers.CallerRequest,
     route: model.Route,
     service: str,
     shared_parts: tuple[ids.PromptPartId, ...],
+    caller: Iterable[bytes],
 ) -> blame.Cause:
     """Return the cause that the request as a whole is.
 
-    A caller is known by its ``Authorization`` header only: its address and
-    the request's id change when the same request comes again. The parts of a
-    prompt are in a header: requests that differ in them are not the same.
+    ``caller`` identifies the caller: its address and the request's id change
+    when the same request comes again. The parts of a prompt are in a header:
+    requests that differ in them are not the same.
     """
     kind = blame.CauseKind.PLAIN_CALL
     if route.kind is model.RouteKind.STREAMING:
         kind = blame.CauseKind.GENERATION
-    authorization = [
-        value
-        for name, value in request.headers
-        if name.lower() == AUTHORIZATION
-    ]
     fields = [
         service.encode(),
         request.method,
@@ -37,6 +33,6 @@
         request.target,
         request.body,
         b','.join(part.encode() for part in shared_parts),
-        *authorization,
+        *caller,
     ]
     return blame.Cause(kind, blame.request_key(fields))
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -21,6 +21,7 @@
 from primrosereel.gateway import _time_limits as time_limits_module
 from primrosereel.gateway import _unsent_places as unsent_places_module
 from primrosereel.routing import _availability as availability
+from primrosereel.routing import _client_accounts as client_accounts
 from primrosereel.routing import _decode_places as decode_places
 from primrosereel.routing import _demand as demand_module
 from primrosereel.routing import _ledger as ledger_module
@@ -29,6 +30,7 @@
 from primrosereel.routing import _peer_versions as peer_versions_module
 from primrosereel.routing import _placement as placement
 from primrosereel.routing import _prefill_plan as prefill_plan
+from primrosereel.routing import _priorities as priorities
 from primrosereel.routing import _retry_budget as retry_budget
 from primrosereel.routing import _runners as runners
 from primrosereel.routing import _shards as shards_module
@@ -189,6 +191,10 @@
 
     context: Context
     request: callers.CallerRequest
+    # The configuration version that the request began with.
+    table: table_module.RoutingTable
+    # None without client accounts, and for other callers of public routes.
+    client_account: client_accounts.ClientAccount | None
     route: model.Route
     service: ids.ServiceId
     facts: model.RequestFacts
@@ -219,9 +225,31 @@
                 self.route,
                 self.service,
                 self.facts.shared_parts,
+                self._caller_identity(),
             )
         return self._cause
 
+    def _caller_identity(self) -> list[bytes]:
+        """Return what tells callers apart for the causes of crashes.
+
+        Peers are told a hash of it. Keys of client accounts are not part of
+        it, as no trace of them may leave the process.
+        """
+        if self.table.client_accounts is None:
+            return self.context.dialect.authorization(self.request.headers)
+        return [self.account_name.encode()] if self.account_name else []
+
+    @property
+    def account_name(self) -> ids.ClientAccountId | None:
+        """The name of the client account; None without one."""
+        account = self.client_account
+        return account.name if account is not None else None
+
+    @property
+    def priority(self) -> priorities.RequestPriority:
+        """The priority by client account and route."""
+        return self.table.priority(self.route, self.client_account)
+
     @property
     def part_causes(self) -> tuple[blame.Cause, ...]:
         """The shared parts of a generation's prompt as causes of crashes."""
@@ -276,6 +304,7 @@
             'served',
             request=self.facts.request_id,
             route=self.route.name,
+            account=self.account_name,
             runner=runner,
             status=status,
             attempts=self.attempts,
@@ -326,13 +355,14 @@
             'refused',
             request=self.facts.request_id,
             service=self.service,
+            account=self.account_name,
             reason=reason.value,
             status=status,
             detail=detail,
             retry_after_s=retry_after_s,
             attempts=self.attempts,
             left_s=round(self.remaining_s, 3),
-            version=self.context.version,
+            version=self.table.version,
             version_age_s=self.context.version_age_s,
         )
 
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -363,7 +363,7 @@
         options = model.RunOptions(
             runner.runner_id,
             exchange.time_limit.answer_remaining_s,
-            exchange.route.priority,
+            exchange.priority.position,
             handle=handle,
             last_event_id=self._stream.last_event_id,
         )
--- a/primrosereel/gateway/_metrics.py
+++ b/primrosereel/gateway/_metrics.py
@@ -11,6 +11,9 @@
 __all__ = ['BUCKETS_S', 'Histogram', 'Metrics']
 
 PREFIX = 'primrosereel_'
+# Client accounts with a counter of their own; the others share one.
+MAX_ACCOUNTS = 64
+OTHER_ACCOUNTS = 'other'
 BUCKETS_S = (
     0.005,
     0.01,
@@ -60,6 +63,7 @@
 
     def __init__(self) -> None:
         self._counters: collections.Counter[str] = collections.Counter()
+        self._accounts: set[str] = set()
         self._gauges: dict[str, float] = {}
         self._histograms: dict[str, Histogram] = {}
 
@@ -67,6 +71,12 @@
         """Increment a counter; a dot separates its name from a reason."""
         self._counters[name] += 1
 
+    def account_label(self, account: str) -> str:
+        """Return the label of a client account; their number is bounded."""
+        if len(self._accounts) < MAX_ACCOUNTS:
+            self._accounts.add(account)
+        return account if account in self._accounts else OTHER_ACCOUNTS
+
     def gauge(self, name: str, value: float) -> None:
         """Set a gauge."""
         self._gauges[name] = value
--- a/primrosereel/gateway/_plain.py
+++ b/primrosereel/gateway/_plain.py
@@ -194,7 +194,7 @@
             model.RunOptions(
                 runner.runner_id,
                 exchange.remaining_s,
-                exchange.route.priority,
+                exchange.priority.position,
                 last_event_id=exchange.facts.last_event_id,
             ),
             connection,
--- a/primrosereel/gateway/_ports.py
+++ b/primrosereel/gateway/_ports.py
@@ -153,7 +153,15 @@
     def request_facts(self, headers: Headers) -> model.RequestFacts:
         """Decode a caller's headers."""
 
-    def forwarded(self, headers: Headers) -> list[tuple[bytes, bytes]]:
+    def authorization(self, headers: Headers) -> list[bytes]:
+        """Return the values of all header fields with credentials."""
+
+    def challenge(self) -> list[tuple[bytes, bytes]]:
+        """Return the headers that ask a caller for a key."""
+
+    def forwarded(
+        self, headers: Headers, with_accounts: bool
+    ) -> list[tuple[bytes, bytes]]:
         """Return the caller's headers that are forwarded to a runner."""
 
     def run_headers(
@@ -161,6 +169,11 @@
     ) -> list[tuple[bytes, bytes]]:
         """Return the headers that the router adds."""
 
+    def account_headers(
+        self, account: ids.ClientAccountId
+    ) -> list[tuple[bytes, bytes]]:
+        """Return the headers that tell a runner who calls."""
+
     def response_facts(
         self, status: int, headers: Headers
     ) -> model.ResponseFacts:
--- a/primrosereel/gateway/_prompt.py
+++ b/primrosereel/gateway/_prompt.py
@@ -148,7 +148,7 @@
         options = model.RunOptions(
             runner.runner_id,
             exchange.remaining_s,
-            exchange.route.priority,
+            exchange.priority.position,
             prefill_only=True,
         )
         response = await upstream.open_response(
--- a/primrosereel/gateway/_server.py
+++ b/primrosereel/gateway/_server.py
@@ -4,6 +4,7 @@
 import anyio.abc
 
 from primrosereel import _states as states
+from primrosereel.gateway import _authentication as authentication
 from primrosereel.gateway import _callers as callers
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _crash_reports as crash_reports_module
@@ -323,6 +324,12 @@
                 reason, timeouts.outage_retry_after_s(waited_s)
             )
         route = table.match(request.host, request.path)
+        try:
+            account = authentication.authenticate(
+                context, request, table, route
+            )
+        except authentication.Unauthenticated as error:
+            return error.reply
         if route is None or not route.services:
             return self._refuse_unknown(request, table)
         service = table_module.pick_service(route, context.random)
@@ -335,6 +342,8 @@
         return context_module.Exchange(
             context,
             request,
+            table,
+            account,
             route,
             service,
             facts,
--- a/primrosereel/gateway/_stream_hedge.py
+++ b/primrosereel/gateway/_stream_hedge.py
@@ -328,7 +328,7 @@
         options = model.RunOptions(
             runner.runner_id,
             exchange.time_limit.answer_remaining_s,
-            exchange.route.priority,
+            exchange.priority.position,
             last_event_id=self._last_event_id(),
         )
         local_prefill.begin(runner)
--- a/primrosereel/gateway/_upstream.py
+++ b/primrosereel/gateway/_upstream.py
@@ -73,8 +73,13 @@
     """Return the caller's request with the router's headers added."""
     dialect = exchange.context.dialect
     request = exchange.request
-    headers = dialect.forwarded(callers.end_to_end(request.headers))
+    headers = dialect.forwarded(
+        callers.end_to_end(request.headers),
+        exchange.table.client_accounts is not None,
+    )
     headers.extend(dialect.run_headers(options))
+    if exchange.account_name is not None:
+        headers.extend(dialect.account_headers(exchange.account_name))
     return http.OutgoingRequest(
         request.method,
         request.target,
--- a/primrosereel/platform/_dialect.py
+++ b/primrosereel/platform/_dialect.py
@@ -16,6 +16,8 @@
 
 Headers = Sequence[tuple[bytes, bytes]]
 
+AUTHORIZATION = b'authorization'
+CLIENT_ACCOUNT = b'tenant'
 REQUEST_ID = b'request-id'
 DEADLINE_MS = b'deadline-ms'
 LAST_EVENT_ID = b'last-event-id'
@@ -53,6 +55,9 @@
         b'weight-versions',
     }
 )
+# Removed as well while client accounts are in force: a caller's key, and the
+# name of the account, which is the router's to tell.
+ACCOUNT_HEADERS = frozenset({AUTHORIZATION, CLIENT_ACCOUNT})
 HIGHEST_PRIORITY = 9
 # Longer lists of parts, and longer ids, are not decoded.
 MAX_PROMPT_PARTS = 64
@@ -99,12 +104,30 @@
             shared_parts=_parse_shared_parts(values.get(PROMPT_PREFIX, b'')),
         )
 
-    def forwarded(self, headers: Headers) -> list[tuple[bytes, bytes]]:
-        """Return a caller's headers without the reserved ones."""
+    def authorization(self, headers: Headers) -> list[bytes]:
+        """Return the values of all ``Authorization`` fields."""
+        return [
+            value for name, value in headers if name.lower() == AUTHORIZATION
+        ]
+
+    def challenge(self) -> list[tuple[bytes, bytes]]:
+        """Return the headers that ask a caller for a key."""
+        return [(b'WWW-Authenticate', b'Token')]
+
+    def forwarded(
+        self, headers: Headers, with_accounts: bool
+    ) -> list[tuple[bytes, bytes]]:
+        """Return a caller's headers without the reserved ones.
+
+        With client accounts these include the caller's credentials.
+        """
+        reserved = RESERVED_HEADERS
+        if with_accounts:
+            reserved = reserved | ACCOUNT_HEADERS
         return [
             (name, value)
             for name, value in headers
-            if name.lower() not in RESERVED_HEADERS
+            if name.lower() not in reserved
         ]
 
     def run_headers(
@@ -128,6 +151,12 @@
             headers.append((b'Last-Event-Id', event_id))
         return headers
 
+    def account_headers(
+        self, account: ids.ClientAccountId
+    ) -> list[tuple[bytes, bytes]]:
+        """Return the headers that tell a runner who calls."""
+        return [(b'Tenant', account.encode())]
+
     def response_facts(
         self, status: int, headers: Headers
     ) -> model.ResponseFacts:
--- a/primrosereel/platform/_entries.py
+++ b/primrosereel/platform/_entries.py
@@ -14,6 +14,7 @@
 from primrosereel.gateway import _ports as ports
 from primrosereel.platform import _settings as settings
 from primrosereel.platform import _steps as steps
+from primrosereel.routing import _client_accounts as client_accounts
 from primrosereel.routing import _model as model
 from primrosereel.routing import _table as table_module
 
@@ -38,6 +39,10 @@
 # tens of thousands, which would hold the event loop for too long.
 CONVERTED_PER_STEP = 200
 JSON_NUMBER = re.compile(rb'-?[0-9][0-9.eE+-]*')
+# Keys that are checked and hashed in one step; each takes about 2 us.
+KEYS_PER_STEP = 1000
+# A quota with any other unit counts requests.
+QUOTA_UNITS = {'token_count': client_accounts.QuotaUnit.TOKENS}
 LEAVING_BY_STATE = {'ready': False, 'draining': True}
 
 
@@ -59,6 +64,7 @@
     traffic_split: list[_Split] = []
     resumable: bool = False
     gap_target_ms: numbers.DurationMs | None = None
+    public: bool = False
 
 
 class _Engine(msgspec.Struct, rename='camel'):
@@ -85,11 +91,23 @@
     idle_timeout_ms: numbers.PositiveMs = 15000
 
 
+class _ClientAccount(msgspec.Struct, rename='camel'):
+    name: str
+    api_keys: list[str] = []
+    priority: numbers.Priority | None = None
+    unit: str = ''
+    plain_tokens: numbers.Tokens = 1
+    rate_per_s: numbers.Rate = 0
+    burst: numbers.Rate = 0
+
+
 class _Configuration(msgspec.Struct):
     version: numbers.Whole
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    # Not null: a mistake there must not switch authentication off.
+    tenants: list[_ClientAccount] | msgspec.UnsetType = msgspec.UNSET
 
 
 class _Runner(msgspec.Struct, rename='camel'):
@@ -230,6 +248,9 @@
         raise EntryError('the type of a route is not known')
     routes = yield from _convert(configuration.routes, _to_route)
     services = yield from _convert(configuration.services, _to_service)
+    accounts = None
+    if configuration.tenants is not msgspec.UNSET:
+        accounts = yield from _convert_accounts(configuration.tenants)
     digest = hashlib.sha256((value or '').encode()).hexdigest()
     yield
     limits = configuration.limits
@@ -244,6 +265,7 @@
             limits.idle_timeout_ms / 1000,
         ),
         digest,
+        accounts,
     )
 
 
@@ -278,6 +300,70 @@
         route.priority,
         route.resumable,
         None if gap_ms is None else gap_ms / 1000,
+        route.public,
+    )
+
+
+def _convert_accounts(
+    bodies: list[_ClientAccount],
+) -> steps.Steps[client_accounts.ClientAccounts]:
+    """Index the accounts; raise EntryError for one that is not valid.
+
+    The error names the place of the account and none of its values.
+    """
+    accounts = client_accounts.ClientAccounts()
+    unfinished_keys = 0
+    for position, body in enumerate(bodies):
+        path = f'$.tenants[{position}]'
+        if not _is_header_value(body.name):
+            raise EntryError(f'the name cannot be sent in a header - {path}')
+        if ids.ClientAccountId(body.name) in accounts.by_name:
+            raise EntryError(f'two accounts have the same name - {path}')
+        account = _to_account(body)
+        accounts.add(account, ())
+        for start in range(0, len(body.api_keys), KEYS_PER_STEP):
+            keys = body.api_keys[start : start + KEYS_PER_STEP]
+            _add_keys(accounts, account, keys, path)
+            unfinished_keys += len(keys)
+            if unfinished_keys >= KEYS_PER_STEP:
+                unfinished_keys = 0
+                yield
+        if position % CONVERTED_PER_STEP == CONVERTED_PER_STEP - 1:
+            yield
+    return accounts
+
+
+def _add_keys(
+    accounts: client_accounts.ClientAccounts,
+    account: client_accounts.ClientAccount,
+    texts: list[str],
+    path: str,
+) -> None:
+    keys = [text.encode() for text in texts]
+    if not all(map(client_accounts.is_key, keys)):
+        raise EntryError(f'a key cannot be sent in a header - {path}.apiKeys')
+    try:
+        accounts.add(account, keys)
+    except client_accounts.DuplicateKey as error:
+        raise EntryError(
+            f'a key belongs to another account too - {path}.apiKeys'
+        ) from error
+
+
+def _to_account(body: _ClientAccount) -> client_accounts.ClientAccount:
+    quota = None
+    if body.rate_per_s > 0:
+        unit = QUOTA_UNITS.get(body.unit, client_accounts.QuotaUnit.REQUESTS)
+        counts_tokens = unit is client_accounts.QuotaUnit.TOKENS
+        quota = client_accounts.Quota(
+            body.rate_per_s,
+            # Without a burst of its own, an account may use one second's rate.
+            body.burst or body.rate_per_s,
+            unit,
+            body.plain_tokens if counts_tokens else 1,
+        )
+    return client_accounts.ClientAccount(
+        ids.ClientAccountId(body.name), body.priority, quota
     )
 
 
--- a/primrosereel/routing/_client_accounts.py
+++ b/primrosereel/routing/_client_accounts.py
@@ -15,13 +15,25 @@
 
 from primrosereel import _ids as ids
 
-__all__ = ['ClientAccount', 'ClientAccounts', 'Quota', 'QuotaUnit']
+__all__ = [
+    'ClientAccount',
+    'ClientAccounts',
+    'DuplicateKey',
+    'Quota',
+    'QuotaUnit',
+    'is_key',
+]
 
 HASH_KEY_BYTES = 32
 DIGEST_BYTES = 16
 # The scheme, then one or more spaces, then a key of visible characters. A
 # longer value is not looked up.
 CREDENTIALS = re.compile(rb'token +([!-~]{1,1024})', re.IGNORECASE)
+KEY = re.compile(rb'[!-~]{1,1024}')
+
+
+class DuplicateKey(ValueError):
+    """A key belongs to two accounts."""
 
 
 class QuotaUnit(enum.Enum):
@@ -67,15 +79,24 @@
     """
 
     def __init__(
-        self, accounts: Iterable[tuple[ClientAccount, Iterable[bytes]]]
+        self, accounts: Iterable[tuple[ClientAccount, Iterable[bytes]]] = ()
     ) -> None:
         self._hash_key = secrets.token_bytes(HASH_KEY_BYTES)
         self._by_name: dict[ids.ClientAccountId, ClientAccount] = {}
         self._by_digest: dict[bytes, ClientAccount] = {}
         for account, keys in accounts:
-            self._by_name[account.name] = account
-            for key in keys:
-                self._by_digest[self._digest(key)] = account
+            self.add(account, keys)
+
+    def add(self, account: ClientAccount, keys: Iterable[bytes]) -> None:
+        """Add an account, or more keys of one, while the index is built.
+
+        Raises DuplicateKey for a key of another account.
+        """
+        self._by_name[account.name] = account
+        for key in keys:
+            owner = self._by_digest.setdefault(self._digest(key), account)
+            if owner != account:
+                raise DuplicateKey
 
     @property
     def by_name(self) -> dict[ids.ClientAccountId, ClientAccount]:
@@ -100,3 +121,8 @@
         return hashlib.blake2b(
             key, digest_size=DIGEST_BYTES, key=self._hash_key
         ).digest()
+
+
+def is_key(key: bytes) -> bool:
+    """Tell whether a key can be sent in a request."""
+    return KEY.fullmatch(key) is not None
--- a/primrosereel/routing/_tickets.py
+++ b/primrosereel/routing/_tickets.py
@@ -8,13 +8,14 @@
 from primrosereel import _ids as ids
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _model as model
+from primrosereel.routing import _priorities as priorities
 from primrosereel.routing import _runners as runners
 
 __all__ = ['Ticket', 'queue_head', 'tokens_needed']
 
 # Priority of a request whose prompt was prefilled and would be wasted; the
 # operators' priorities start at 0.
-PREFILLED_PRIORITY = -1
+PREFILLED_PRIORITY = priorities.route_only(-1)
 # Share of the output tokens that is reserved: a stream holds less than its
 # final length for most of its time.
 RESERVED_OUTPUT_SHARE = 0.6
@@ -34,7 +35,7 @@
 
     service: ids.ServiceId
     tokens: int
-    priority: int
+    priority: priorities.RequestPriority
     arrived_at: float
     # Returns the latest start time that still meets the latency target. It
     # changes with the prompts that are waiting for prefill.
@@ -49,7 +50,9 @@
     displaced: bool = False
     on_admitted: Callable[[], None] = lambda: None
 
-    def rank(self, now: float) -> tuple[bool, int, float]:
+    def rank(
+        self, now: float
+    ) -> tuple[bool, priorities.RequestPriority, float]:
         """Return the sort key by which tickets get places, lowest first."""
         if self.prefilled:
             return False, PREFILLED_PRIORITY, self.arrived_at
@@ -66,5 +69,5 @@
     """Return what peers are told of a waiting ticket."""
     late, priority, _ = ticket.rank(now)
     return ledger_module.QueueHead(
-        ticket.service, late, priority, now - ticket.arrived_at
+        ticket.service, late, priority.position, now - ticket.arrived_at
     )
--- a/tests/property/test_fuzz_numbers.py
+++ b/tests/property/test_fuzz_numbers.py
@@ -200,7 +200,7 @@
         ticket = decode_places.Ticket(
             service,
             decode_places.tokens_needed(facts),
-            route.priority,
+            context.table.priority(route, None),
             self.now,
             lambda when: (
                 self.now
--- a/tests/property/test_gateway_unsent_requests.py
+++ b/tests/property/test_gateway_unsent_requests.py
@@ -5,6 +5,7 @@
 
 from primrosereel.gateway import _http as http
 from primrosereel.routing import _decode_places as decode_places
+from primrosereel.routing import _priorities as priorities
 from tests import gateway_fleet
 from tests.property import test_gateway_back_off as back_offs
 from tests.property import test_gateway_leaving_runners as leaving
@@ -75,13 +76,15 @@
     """
 
     def ticket(priority, arrived_at, **flags):
+        rank = priorities.route_only(priority)
         return decode_places.Ticket(
-            'llm', 100, priority, arrived_at, lambda _: 0.0, **flags
+            'llm', 100, rank, arrived_at, lambda _: 0.0, **flags
         )
 
     late, displaced = ticket(1, 1.0), ticket(1, 9.0, displaced=True)
-    urgent = decode_places.Ticket('llm', 9, 0, 9.5, lambda _: 99.0)
-    equal = decode_places.Ticket('llm', 9, 1, 2.0, lambda _: 99.0)
+    first, second = priorities.route_only(0), priorities.route_only(1)
+    urgent = decode_places.Ticket('llm', 9, first, 9.5, lambda _: 99.0)
+    equal = decode_places.Ticket('llm', 9, second, 2.0, lambda _: 99.0)
     prefilled = ticket(3, 9.9, prefilled=True, displaced=True)
     tickets = [late, equal, displaced, urgent, prefilled]
     assert sorted(tickets, key=lambda t: t.rank(10.0)) == [
--- a/tests/property/test_routing_places.py
+++ b/tests/property/test_routing_places.py
@@ -11,6 +11,7 @@
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _model as model
 from primrosereel.routing import _prefill_plan as prefill_plan
+from primrosereel.routing import _priorities as priorities
 from primrosereel.routing import _runners as runners
 
 SERVICE = ids.ServiceId('llm')
@@ -67,7 +68,11 @@
 
     def submit(self, tokens, now, on_time_s=0.5, priority=1):
         ticket = decode_places.Ticket(
-            SERVICE, tokens, priority, now, lambda _: now + on_time_s
+            SERVICE,
+            tokens,
+            priorities.route_only(priority),
+            now,
+            lambda _: now + on_time_s,
         )
         self.places.add(ticket, now)
         return ticket
--- a/tests/property/test_routing_shards.py
+++ b/tests/property/test_routing_shards.py
@@ -14,6 +14,7 @@
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _members as members_module
 from primrosereel.routing import _model as model
+from primrosereel.routing import _priorities as priorities
 from primrosereel.routing import _roles as roles
 from primrosereel.routing import _runners as runners
 from primrosereel.routing import _shards as shards_module
@@ -156,7 +157,7 @@
 
     def submit(self, tokens, now):
         ticket = decode_places.Ticket(
-            SERVICE, tokens, 1, now, lambda _: now + 0.5
+            SERVICE, tokens, priorities.route_only(1), now, lambda _: now + 0.5
         )
         self.places.add(ticket, now)
         return ticket
--- a/tests/property/test_runner_signs.py
+++ b/tests/property/test_runner_signs.py
@@ -52,4 +52,4 @@
 def test_callers_cannot_say_that_a_runner_leaves():
     """Guards against a caller's header that is forwarded to a runner."""
     headers = [(b'Server-Leaving', b'1'), (b'X-Own', b'kept')]
-    assert DIALECT.forwarded(headers) == [(b'X-Own', b'kept')]
+    assert DIALECT.forwarded(headers, False) == [(b'X-Own', b'kept')]
--- a/tests/property/test_wire_names.py
+++ b/tests/property/test_wire_names.py
@@ -18,7 +18,17 @@
 PAGE = (found.ROOT / 'docs' / 'wire-names.md').read_text()
 # Texts with the form of a header that are methods, values or other names.
 NO_HEADERS = {
-    *('GET', 'HEAD', 'POST', 'DELETE', 'Bearer', 'chunked', 'close', 'true'),
+    *(
+        'GET',
+        'HEAD',
+        'POST',
+        'DELETE',
+        'Bearer',
+        'Token',
+        'chunked',
+        'close',
+        'true',
+    ),
     *('timeout', 'prefill', 'no-store', 'expected-completion'),
     'routing-policy',
 }
