Keep the runners of each service and role in a list

Each look-up of ready runners scanned all listed runners, and asked for each of them whether its zone is owned. The lists are now kept until a runner is added, removed or moved, and zones are asked for once each.

--- a/primrosereel/routing/_runners.py
+++ b/primrosereel/routing/_runners.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 import math
 import random as random_module
+from typing import NamedTuple
 
 from primrosereel import _ids as ids
 from primrosereel import _states as states
@@ -17,6 +18,13 @@
 __all__ = ['Runner', 'RunnerTable']
 
 
+class _Pool(NamedTuple):
+    """The listed runners of a service with one role, and their zones."""
+
+    runners: list[Runner]
+    zones: frozenset[ids.AvailabilityZone]
+
+
 class RunnerTable:
     """All runners of the platform's list by id.
 
@@ -39,6 +47,8 @@
             outages = outages_module.Outages(random_module.Random())
         self._outages = outages
         self._runners: dict[ids.RunnerId, Runner] = {}
+        # Computed when first asked for after a runner was added or removed.
+        self._pools: dict[tuple[ids.ServiceId, states.Role], _Pool] = {}
         self._addresses = runner_addresses.RunnerAddresses()
 
     def __len__(self) -> int:
@@ -91,8 +101,11 @@
         runner = self._runners.get(listing.runner)
         if runner is None or _is_new_run(runner.listing, listing):
             self._runners[listing.runner] = Runner(listing, record)
+            self._pools.clear()
             self._outages.observe_run(listing, now)
         else:
+            if runner.listing.availability_zone != listing.availability_zone:
+                self._pools.clear()
             runner.listing = listing
             self._outages.observe_entry(listing, now)
             runner.availability = record
@@ -116,6 +129,7 @@
         )
         if not now < missing_until:
             self._runners.pop(runner_id, None)
+            self._pools.clear()
             self._addresses.remove(runner_id)
 
     def expire(self, now: float) -> list[ids.RunnerId]:
@@ -131,6 +145,7 @@
         )
         for runner_id in removed:
             del self._runners[runner_id]
+            self._pools.clear()
             self._addresses.remove(runner_id)
         return removed
 
@@ -201,10 +216,18 @@
 
         Engines of other shards are returned only if the own shard has none.
         """
-        listed = self._accepting(service, role, now, excluded)
+        pool = self._pool(service, role)
         if role is states.Role.PLAIN:
-            return listed
-        return [r for r in listed if self.owned(r)] or listed
+            return self._accepting(pool.runners, now, excluded)
+        owned = {zone for zone in pool.zones if self._owns(zone)}
+        own_shard = [
+            runner
+            for runner in pool.runners
+            if runner.listing.availability_zone in owned
+        ]
+        return self._accepting(own_shard, now, excluded) or self._accepting(
+            pool.runners, now, excluded
+        )
 
     def staying(
         self, service: ids.ServiceId, role: states.Role, now: float
@@ -215,10 +238,8 @@
         """
         return [
             runner
-            for runner in self._runners.values()
-            if runner.listing.service == service
-            and runner.listing.role is role
-            and runner.availability.accepts_from < math.inf
+            for runner in self._pool(service, role).runners
+            if runner.availability.accepts_from < math.inf
             and now < runner.availability.accepts_until
             and self.owned(runner)
         ]
@@ -229,10 +250,8 @@
         """Return the runners of a service that take no new requests."""
         return [
             runner
-            for runner in self._runners.values()
-            if runner.listing.service == service
-            and runner.listing.role is role
-            and not runner.availability.accepts(now)
+            for runner in self._pool(service, role).runners
+            if not runner.availability.accepts(now)
         ]
 
     def foreign(
@@ -243,27 +262,43 @@
         excluded: Collection[ids.RunnerId] = (),
     ) -> list[Runner]:
         """Return the engines of other shards that accept new requests."""
-        listed = self._accepting(service, role, now, excluded)
-        return [runner for runner in listed if not self.owned(runner)]
+        pool = self._pool(service, role)
+        return [
+            runner
+            for runner in self._accepting(pool.runners, now, excluded)
+            if not self.owned(runner)
+        ]
 
     def owned(self, runner: Runner) -> bool:
         """Tell whether a runner belongs to the own shard."""
         return self._owns(runner.listing.availability_zone)
 
+    def _pool(self, service: ids.ServiceId, role: states.Role) -> _Pool:
+        """Return the listed runners of a service with a role."""
+        pool = self._pools.get((service, role))
+        if pool is None:
+            listed = [
+                runner
+                for runner in self._runners.values()
+                if runner.listing.service == service
+                and runner.listing.role is role
+            ]
+            zones = {runner.listing.availability_zone for runner in listed}
+            pool = _Pool(listed, frozenset(zones))
+            self._pools[service, role] = pool
+        return pool
+
     def _accepting(
         self,
-        service: ids.ServiceId,
-        role: states.Role,
+        listed: list[Runner],
         now: float,
         excluded: Collection[ids.RunnerId],
     ) -> list[Runner]:
         accepting = [
             runner
-            for runner in self._runners.values()
-            if runner.listing.service == service
-            and runner.listing.role is role
-            and runner.availability.accepts_from <= now
-            and runner.runner_id not in excluded
+            for runner in listed
+            if runner.availability.accepts_from <= now
+            and (not excluded or runner.runner_id not in excluded)
         ]
         if self._outages:
             accepting = [
