Learn the speeds of runners from the observations of all instances

Cause: runners that look alike work at 0.6 to 1.6 times the usual time, and an instance knew only the prefill speeds that it had observed itself. With less than one generation per second and instance, a new instance chose without data, and the choice of a decode runner ignored speed altogether.

Change: routing/_runner_speeds.py keeps a shrinkage estimate per runner, run and phase, and peers are told own observations in a new last field of the datagram. Decode speed is the time between events relative to the usual one at that number of requests. With a slowness of 1.0 everywhere the decisions are unchanged.

--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -36,11 +36,13 @@
 from primrosereel.gateway import _time_limits as time_limits
 from primrosereel.gateway import _unsent_places as unsent_places
 from primrosereel.routing import _availability as availability_module
+from primrosereel.routing import _decode_speed as decode_speed
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _members as members_module
 from primrosereel.routing import _model as model
 from primrosereel.routing import _outages as outages_module
 from primrosereel.routing import _retry_budget as retry_budget
+from primrosereel.routing import _runner_speeds as runner_speeds
 from primrosereel.routing import _runners as runners
 from primrosereel.routing import _shards as shards_module
 from primrosereel.routing import blame
@@ -116,6 +118,7 @@
             outages_module.Outages(random_source),
         )
         ledger = ledger_module.Ledger(shards.owns)
+        speeds = runner_speeds.RunnerSpeeds(table)
         self._context = context_module.Context(
             settings=settings,
             clock=clock,
@@ -126,7 +129,9 @@
             placement=policy.plain(table, zone, random_source),
             ledger=ledger,
             places=policy.decode(table, ledger, zone, random_source),
-            prefills=policy.prefill(table, ledger, zone),
+            prefills=policy.prefill(table, ledger, zone, speeds),
+            runner_speeds=speeds,
+            decode_speed=decode_speed.DecodeSpeed(speeds),
             budget=retry_budget.RetryBudget(
                 retry_budget.BudgetBounds(
                     settings.retry_ratio * policy.retry_share,
@@ -353,6 +358,7 @@
             self._context.time_limits.follow_clock()
             await self._reader.remove_missing_runners()
             await self._context.pool.close_expired(clock())
+            self._context.runner_speeds.refresh(clock())
             self._update_budget_share()
             self._try_to_apply_settings()
 
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -22,6 +22,7 @@
 from primrosereel.gateway import _unsent_places as unsent_places_module
 from primrosereel.routing import _availability as availability
 from primrosereel.routing import _decode_places as decode_places
+from primrosereel.routing import _decode_speed as decode_speed
 from primrosereel.routing import _demand as demand_module
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _members as members_module
@@ -30,6 +31,7 @@
 from primrosereel.routing import _placement as placement
 from primrosereel.routing import _prefill_plan as prefill_plan
 from primrosereel.routing import _retry_budget as retry_budget
+from primrosereel.routing import _runner_speeds as runner_speeds
 from primrosereel.routing import _runners as runners
 from primrosereel.routing import _shards as shards_module
 from primrosereel.routing import _shared_watch as shared_watch
@@ -60,6 +62,8 @@
     ledger: ledger_module.Ledger
     places: decode_places.DecodePlaces
     prefills: prefill_plan.PrefillPlan
+    runner_speeds: runner_speeds.RunnerSpeeds
+    decode_speed: decode_speed.DecodeSpeed
     budget: retry_budget.RetryBudget
     members: members_module.Members
     shards: shards_module.Shards
--- a/primrosereel/gateway/_event_stream.py
+++ b/primrosereel/gateway/_event_stream.py
@@ -12,7 +12,9 @@
 from primrosereel.gateway import _http as http
 from primrosereel.gateway import _stream_hedge as stream_hedge
 from primrosereel.gateway import _upstream as upstream
+from primrosereel.routing import _decode_speed as decode_speed
 from primrosereel.routing import _events as events
+from primrosereel.routing import _runners as runners
 from primrosereel.routing import blame
 
 __all__ = ['EventStream']
@@ -32,7 +34,7 @@
 
         stream = EventStream(exchange, caller, crash_reports)
         stream.start_attempt()
-        await stream.forward(response, body, hedge, lambda: None)
+        await stream.forward(response, body, runner, hedge, lambda: None)
         stream.check_complete(response.head)
         await stream.finish(response.head)
     """
@@ -84,6 +86,7 @@
         self,
         response: upstream.OpenResponse,
         body: AsyncIterator[bytes],
+        runner: runners.Runner,
         hedge: stream_hedge.StreamHedge,
         on_first_event: Callable[[], None],
     ) -> None:
@@ -92,18 +95,24 @@
         Raises BrokenResponse or SequenceError if the response cannot be
         continued, and StreamTakenOver if another runner continues it.
         """
+        context = self._exchange.context
+        pace = decode_speed.EventPace()
+        requests = context.places.requests_at(runner, context.clock())
         hedge.response_begun()
         while True:
             with hedge.waiting():
                 data = await anext(body, None)
             if data is None:
+                self._observe_pace(runner, pace, requests)
                 return
+            read_at = context.clock()
             received = self._splitter.feed(data)
             response.connection.held_bytes = len(self._splitter.incomplete)
             self._has_events = self._has_events or bool(received)
             sent = await self._send_events(response.head, received)
             if not sent:
                 continue
+            pace.observe(len(received), read_at, context.clock())
             if not self._events_received:
                 on_first_event()
             self._events_received += sent
@@ -112,6 +121,23 @@
             if self._events_received >= blame.PROVEN_EVENTS:
                 self._record_answer()
 
+    def _observe_pace(
+        self,
+        runner: runners.Runner,
+        pace: decode_speed.EventPace,
+        requests_at_start: int,
+    ) -> None:
+        """Learn a runner's speed from its part of the stream."""
+        event_s = pace.event_s()
+        if event_s is None:
+            return
+        context = self._exchange.context
+        now = context.clock()
+        requests = context.places.requests_at(runner, now)
+        context.decode_speed.observe(
+            runner, (requests_at_start + requests) / 2, event_s, now
+        )
+
     def check_complete(self, head: http.ResponseHead) -> None:
         """Raise BrokenResponse if the runner's last event is missing.
 
--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -437,6 +437,7 @@
         await self._stream.forward(
             response,
             body,
+            runner,
             self._hedge,
             lambda: self._record_first_event(runner, started_at),
         )
--- a/primrosereel/gateway/_peer_datagram.py
+++ b/primrosereel/gateway/_peer_datagram.py
@@ -6,6 +6,7 @@
 understand each other.
 """
 
+from collections.abc import Iterable
 import math
 import typing
 from typing import Any
@@ -17,6 +18,7 @@
 from primrosereel.gateway import _runner_notices as runner_notices
 from primrosereel.routing import _demand as demand
 from primrosereel.routing import _ledger as ledger_module
+from primrosereel.routing import _runner_speeds as runner_speeds
 from primrosereel.routing import _shared_watch as shared_watch
 from primrosereel.routing import blame
 
@@ -27,14 +29,27 @@
     'Suspect',
     'decode_evidence',
     'decode_notice',
+    'decode_speeds',
     'encode_evidence',
     'encode_notice',
+    'encode_speeds',
     'peer_report',
 ]
 
 DATAGRAM_VERSION = 3
 AGE_UNIT_S = 0.001
 
+# Runner, start of its run in Unix ms, phase, slowness in thousandths, number
+# of observations in hundredths, and age of the last one in ms.
+SpeedNotice = tuple[
+    str,
+    numbers.UnixMs,
+    str,
+    numbers.Whole,
+    numbers.Whole,
+    numbers.AgeMs,
+]
+
 
 class StoreNotice(msgspec.Struct, array_like=True):
     """What the sender knows of the store; ages are in ms."""
@@ -91,6 +106,8 @@
     runners: list[runner_notices.RunnerNotice] = []
     # For how long in ms the sender has had the store without interruption.
     store_in_touch_ms: numbers.AgeMs | None = None
+    # What the sender has observed of runners' speeds.
+    speeds: list[SpeedNotice] = []
 
 
 class DatagramDecoder:
@@ -230,6 +247,42 @@
     return blame.Evidence(cause, crashes, answered_at)
 
 
+def encode_speeds(
+    reports: Iterable[runner_speeds.SpeedReport],
+) -> list[SpeedNotice]:
+    """Encode what this instance has observed of runners' speeds."""
+    return [
+        (
+            report.runner_id,
+            report.born_ms,
+            report.phase.value,
+            numbers.whole(1000 * report.slowness),
+            numbers.whole(100 * report.samples),
+            numbers.age_ms(report.age_s),
+        )
+        for report in reports
+    ]
+
+
+def decode_speeds(
+    notices: Iterable[SpeedNotice],
+) -> list[runner_speeds.SpeedReport]:
+    """Decode a peer's observations; those of unknown phases are left out."""
+    phases = {phase.value: phase for phase in runner_speeds.Phase}
+    return [
+        runner_speeds.SpeedReport(
+            ids.RunnerId(runner),
+            born_ms,
+            phases[phase],
+            slowness / 1000,
+            samples / 100,
+            age_ms / 1000,
+        )
+        for runner, born_ms, phase, slowness, samples, age_ms in notices
+        if phase in phases
+    ]
+
+
 def peer_report(datagram: Datagram) -> ledger_module.PeerReport:
     """Return the use of the engines that a datagram reports."""
     uses = {
--- a/primrosereel/gateway/_peers.py
+++ b/primrosereel/gateway/_peers.py
@@ -174,6 +174,7 @@
                 socket,
                 targets | seed_hosts - known_hosts,
                 scope=runner_notices.Scope.NEW,
+                is_heartbeat=True,
             )
             await self._gossip(socket, now)
             searching = (
@@ -283,6 +284,7 @@
         notice: shared_watch.Notice | None = None,
         with_crash_evidence: bool = False,
         scope: runner_notices.Scope = runner_notices.Scope.NONE,
+        is_heartbeat: bool = False,
     ) -> None:
         context = self._context
         own_address = context.settings.peer
@@ -320,6 +322,7 @@
                     context.runners.availability, scope, now
                 ),
                 runner_notices.in_touch_ms(self._reader.in_touch_since, now),
+                self._speeds(scope, is_heartbeat, now),
             )
         )
         for host in sorted(set(targets) - {own_address.host}):
@@ -339,6 +342,20 @@
             for evidence in self._context.quarantine.evidence(now)
         ]
 
+    def _speeds(
+        self, scope: runner_notices.Scope, is_heartbeat: bool, now: float
+    ) -> list[peer_datagram.SpeedNotice]:
+        """Return the runners' speeds that a datagram tells.
+
+        Gossip tells all that was observed here, a heartbeat what is new.
+        """
+        with_all = scope is runner_notices.Scope.ALL
+        if not with_all and not is_heartbeat:
+            return []
+        return peer_datagram.encode_speeds(
+            self._context.runner_speeds.told(now, with_all)
+        )
+
     def _demands(self) -> list[tuple[str, int, int]]:
         context = self._context
         demands = context.demand.demands(
@@ -400,6 +417,12 @@
         if datagram.suspects:
             self._receive_crash_evidence(datagram.suspects, now)
         self._receive_runner_notices(datagram, now)
+        if datagram.speeds:
+            context.runner_speeds.learn(
+                ids.InstanceId(datagram.instance),
+                peer_datagram.decode_speeds(datagram.speeds),
+                now,
+            )
         context.ledger.apply(peer_datagram.peer_report(datagram), now)
         if context.places.waiting_count:
             context.places.admit(now)
--- a/primrosereel/gateway/_prompt.py
+++ b/primrosereel/gateway/_prompt.py
@@ -172,6 +172,7 @@
             exchange.facts.prompt_tokens,
             tokens_ahead,
             now - started_at,
+            now,
         )
         exchange.record_step('prefill_s', started_at)
         engine = exchange.engine
--- a/primrosereel/routing/_decode_places.py
+++ b/primrosereel/routing/_decode_places.py
@@ -285,6 +285,10 @@
         """Tell whether a runner has memory for more tokens than are in use."""
         return self._memory.has_room(runner, tokens, now)
 
+    def requests_at(self, runner: runners.Runner, now: float) -> int:
+        """Return the estimated number of requests of all instances."""
+        return self._memory.use(runner, now).requests
+
     def _candidates(self, ticket: Ticket, now: float) -> list[runners.Runner]:
         """Return the ready runners; only available ones if there are any."""
         ready = self._table.ready(
@@ -301,9 +305,12 @@
         capacity = self._memory.capacity(runner)
         cost = (use.tokens + ticket.tokens) / capacity
         cost += use.requests / max(1, runner.listing.slots)
-        cost += LOCAL_PREFILL_COST * prefill_plan.local_prefill_s(
-            use.local_prefill_tokens
-        )
+        # A slow runner keeps the memory of a request for longer.
+        cost *= runner.decode_slowness
+        if use.local_prefill_tokens:
+            cost += LOCAL_PREFILL_COST * prefill_plan.local_prefill_s(
+                use.local_prefill_tokens
+            )
         if runner.listing.availability_zone != self._availability_zone:
             cost += OTHER_ZONE_COST
         cost += FAILURE_COST * runner.failure_rate
--- a/primrosereel/routing/_prefill_plan.py
+++ b/primrosereel/routing/_prefill_plan.py
@@ -9,6 +9,7 @@
 from primrosereel import _states as states
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _prefill_speed as prefill_speed
+from primrosereel.routing import _runner_speeds as runner_speeds
 from primrosereel.routing import _runners as runners
 
 __all__ = ['PrefillPlan', 'local_prefill_s']
@@ -18,12 +19,6 @@
 LOCAL_PREFILL_FACTOR = 2.0
 LOCAL_PREFILL_PENALTY_S = 0.7
 
-# Weight of a prefill in a runner's moving average of the slowness, and the
-# range to which its slowness is clamped.
-SLOWNESS_SAMPLE_WEIGHT = 0.2
-MAX_SLOWNESS = 8.0
-MIN_SLOWNESS = 0.3
-
 
 def local_prefill_s(
     tokens: int, token_s: float = prefill_speed.DEFAULT_TOKEN_S
@@ -40,8 +35,10 @@
         table: runners.RunnerTable,
         ledger: ledger_module.Ledger,
         availability_zone: ids.AvailabilityZone,
+        speeds: runner_speeds.RunnerSpeeds | None = None,
     ) -> None:
         self._table = table
+        self._runner_speeds = speeds or runner_speeds.RunnerSpeeds(table)
         self._ledger = ledger
         self._availability_zone = availability_zone
         self._speeds: dict[ids.ServiceId, prefill_speed.PrefillSpeed] = {}
@@ -67,19 +64,17 @@
         tokens: int,
         tokens_ahead: int,
         seconds: float,
+        now: float,
     ) -> None:
         """Update the speed and the runner's slowness from a prefill."""
         speed = self.speed(runner.listing.service)
         work = max(1, tokens + tokens_ahead)
-        slowness = min(
-            max(
-                (seconds - speed.fixed_s) / (speed.token_s * work),
-                MIN_SLOWNESS,
-            ),
-            MAX_SLOWNESS,
-        )
-        runner.slowness += SLOWNESS_SAMPLE_WEIGHT * (
-            slowness - runner.slowness
+        self._runner_speeds.observe(
+            runner.runner_id,
+            runner_speeds.Phase.PREFILL,
+            speed.token_s * work,
+            seconds - speed.fixed_s,
+            now,
         )
         speed.observe(work, seconds)
 
@@ -145,7 +140,8 @@
         )
         speed = self.speed(decode.listing.service)
         local_s = speed.fixed_s + local_prefill_s(
-            self._local_prefill_tokens(decode, now) + tokens, speed.token_s
+            self._local_prefill_tokens(decode, now) + tokens,
+            decode.decode_slowness * speed.token_s,
         )
         expected_s = self.expected_prefill_s(
             best, tokens, self.tokens_ahead(best, now)
--- a/primrosereel/routing/_runner.py
+++ b/primrosereel/routing/_runner.py
@@ -55,8 +55,10 @@
     reported_at: float = -math.inf
     peer_requests: float = 0.0
     latency_s: float | None = None
-    # Time per unit of work, relative to a typical runner.
+    # Time per unit of work, relative to a typical runner: for the prefill of
+    # prompts, and for the events of streams.
     slowness: float = 1.0
+    decode_slowness: float = 1.0
     failure_rate: float = 0.0
     failures: int = 0
     # When the first of these consecutive failures was observed.
--- a/tests/property/test_gateway_odd_datagrams.py
+++ b/tests/property/test_gateway_odd_datagrams.py
@@ -88,6 +88,7 @@
         {'runners': [('d1', LARGEST, 'leaving', LARGEST, LARGEST)]},
         {'runners': [('d1', LOWEST, 'leaving', LOWEST, LOWEST)]},
         {'store_in_touch_ms': LARGEST},
+        {'speeds': [('d1', 1, 'decode', LARGEST, LARGEST, LARGEST)]},
         {'demands': [('llm', LARGEST, LARGEST)]},
         {'heads': [('llm', False, LOWEST, LARGEST)]},
         {'configuration_version': LARGEST},
--- a/tests/property/test_prefill_speed.py
+++ b/tests/property/test_prefill_speed.py
@@ -69,7 +69,7 @@
         runner = table.get(ids.RunnerId(f'p{index % 4}'))
         factor = 3.0 if index % 4 == 0 else 1.0
         plan.observe_prefill(
-            runner, tokens, 0, 0.02 + factor * 1.8e-5 * tokens
+            runner, tokens, 0, 0.02 + factor * 1.8e-5 * tokens, float(index)
         )
     slow, *others = [table.get(ids.RunnerId(f'p{n}')) for n in range(4)]
     assert slow.slowness > 1.8 * max(runner.slowness for runner in others)
