Tell peers what is spent of quotas

Quotas need reports from every instance, but heartbeats go to the own shard only. Reports now ride on heartbeats, and other members get a datagram of about 20 bytes each second while an account has a quota. A report is ordered per account, as datagrams overtake each other. The tests of peers, datagrams and names pass; no configuration sets a quota yet.

--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -41,6 +41,7 @@
 from primrosereel.routing import _members as members_module
 from primrosereel.routing import _model as model
 from primrosereel.routing import _outages as outages_module
+from primrosereel.routing import _quotas as quotas_module
 from primrosereel.routing import _retry_budget as retry_budget
 from primrosereel.routing import _runner_speeds as runner_speeds
 from primrosereel.routing import _runners as runners
@@ -119,10 +120,11 @@
         )
         ledger = ledger_module.Ledger(shards.owns)
         speeds = runner_speeds.RunnerSpeeds(table)
+        incarnation = time.time_ns() // 1_000_000
         self._context = context_module.Context(
             settings=settings,
             clock=clock,
-            incarnation=time.time_ns() // 1_000_000,
+            incarnation=incarnation,
             random=random_source,
             dialect=dialect,
             runners=table,
@@ -140,6 +142,9 @@
                     1,
                 )
             ),
+            quotas=quotas_module.Quotas(
+                _quota_bounds(settings), incarnation, random_source
+            ),
             members=members_module.Members(
                 settings.peer.host if settings.peer else ''
             ),
@@ -166,6 +171,7 @@
         self._peers = peers.Peers(self._context, self._reader, crash_reports)
         self._orders = orders.Orders(self._context)
         self._context.uses_changed = self._peers.notify_uses_changed
+        self._context.quota_spent = self._peers.notify_quota_spent
         self._context.crash_evidence_changed = self._peers.send_crash_evidence
         self._context.availability_changed = self._peers.send_runner_notices
         self._context.send_store_notice = self._peers.send_store_notice
@@ -389,6 +395,9 @@
             new.retry_slack * self._policy.retry_share,
             new.retry_window_s,
         )
+        self._context.quotas.set_bounds(
+            new.quota_window_s, new.quota_overage, clock()
+        )
         self._log.info('settings in force')
 
     def _update_budget_share(self) -> None:
@@ -396,3 +405,14 @@
         instances = len(self._context.members) + 1
         self._max_instances_seen = max(self._max_instances_seen, instances)
         self._context.budget.set_instances(self._max_instances_seen)
+
+
+def _quota_bounds(
+    settings: settings_module.GatewaySettings,
+) -> quotas_module.QuotaBounds:
+    """Return the bounds; without seeds, the instance is the only one."""
+    return quotas_module.QuotaBounds(
+        settings.quota_window_s,
+        settings.quota_overage,
+        max(1, INSTANCES_PER_SEED * len(settings.seeds)),
+    )
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -30,6 +30,7 @@
 from primrosereel.routing import _peer_versions as peer_versions_module
 from primrosereel.routing import _placement as placement
 from primrosereel.routing import _prefill_plan as prefill_plan
+from primrosereel.routing import _quotas as quotas_module
 from primrosereel.routing import _retry_budget as retry_budget
 from primrosereel.routing import _runner_speeds as runner_speeds
 from primrosereel.routing import _runners as runners
@@ -65,6 +66,7 @@
     runner_speeds: runner_speeds.RunnerSpeeds
     decode_speed: decode_speed.DecodeSpeed
     budget: retry_budget.RetryBudget
+    quotas: quotas_module.Quotas
     members: members_module.Members
     shards: shards_module.Shards
     leave_callbacks: leave_callbacks_module.LeaveCallbacks
@@ -99,6 +101,8 @@
     )
     # Called when this instance's use of the engines changed.
     uses_changed: Callable[[], None] = lambda: None
+    # Called when peers are to be told what was spent of a quota.
+    quota_spent: Callable[[], None] = lambda: None
     # Called when peers should be told which requests crash runners.
     crash_evidence_changed: Callable[[], None] = lambda: None
     # Called with what this instance has read from the store.
--- a/primrosereel/gateway/_peer_datagram.py
+++ b/primrosereel/gateway/_peer_datagram.py
@@ -15,6 +15,7 @@
 
 from primrosereel import _ids as ids
 from primrosereel import _numbers as numbers
+from primrosereel.gateway import _quota_datagram as quota_datagram
 from primrosereel.gateway import _runner_notices as runner_notices
 from primrosereel.routing import _demand as demand
 from primrosereel.routing import _ledger as ledger_module
@@ -108,6 +109,7 @@
     store_in_touch_ms: numbers.AgeMs | None = None
     # What the sender has observed of runners' speeds.
     speeds: list[SpeedNotice] = []
+    quotas: list[quota_datagram.QuotaNotice] = []
 
 
 class DatagramDecoder:
--- a/primrosereel/gateway/_peers.py
+++ b/primrosereel/gateway/_peers.py
@@ -8,7 +8,10 @@
 the seeds, and with the free memory of the shard's runners.
 """
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Iterable
+import functools
 
 import anyio
 import anyio.abc
@@ -20,9 +23,12 @@
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _crash_reports as crash_reports_module
 from primrosereel.gateway import _peer_datagram as peer_datagram
+from primrosereel.gateway import _quota_datagram as quota_datagram
+from primrosereel.gateway import _quota_reports as quota_reports
 from primrosereel.gateway import _runner_notices as runner_notices
 from primrosereel.gateway import _store_reader as store_reader
 from primrosereel.routing import _availability as availability
+from primrosereel.routing import _quotas as quotas_module
 from primrosereel.routing import _shared_watch as shared_watch
 
 __all__ = ['Peers']
@@ -86,11 +92,18 @@
         self._other_zones_until: dict[ids.AvailabilityZone, float] = {}
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = peer_datagram.DatagramDecoder()
+        self._quota_reports = quota_reports.QuotaReports(
+            context, self._next_sequence
+        )
 
     def notify_uses_changed(self) -> None:
         """Schedule a datagram: this instance's use of the engines changed."""
         self._changed.set()
 
+    def notify_quota_spent(self) -> None:
+        """Schedule reports on quotas: this instance spent from one."""
+        self._quota_reports.notify_spent()
+
     def send_store_notice(self, notice: shared_watch.Notice | None) -> None:
         """Schedule a datagram with what was read from the store."""
         self._unsent_notice = notice
@@ -131,6 +144,7 @@
             tasks.start_soon(self._receive, socket)
             tasks.start_soon(self._send_heartbeats, socket)
             tasks.start_soon(self._update_new_members, socket)
+            tasks.start_soon(self._quota_reports.run, self._sender(socket))
             while True:
                 await self._changed.wait()
                 await anyio.sleep(COALESCE_DELAY_S)
@@ -170,11 +184,16 @@
                 del self._incarnations[host]
             seed_hosts = {seed.host for seed in context.settings.seeds}
             targets = shard_hosts | self._other_shard_hosts()
+            reports = self._quota_reports.heartbeat_reports(now)
             await self._send(
                 socket,
                 targets | seed_hosts - known_hosts,
                 scope=runner_notices.Scope.NEW,
                 is_heartbeat=True,
+                reports=reports,
+            )
+            await self._quota_reports.send_to_others(
+                reports, targets, self._sender(socket)
             )
             await self._gossip(socket, now)
             searching = (
@@ -285,11 +304,9 @@
         with_crash_evidence: bool = False,
         scope: runner_notices.Scope = runner_notices.Scope.NONE,
         is_heartbeat: bool = False,
+        reports: Iterable[quotas_module.Report] = (),
     ) -> None:
         context = self._context
-        own_address = context.settings.peer
-        assert own_address is not None
-        self._sequence += 1
         now = context.clock()
         data = self._encoder.encode(
             peer_datagram.Datagram(
@@ -297,7 +314,7 @@
                 context.settings.instance,
                 context.settings.availability_zone,
                 context.incarnation,
-                self._sequence,
+                self._next_sequence(),
                 context.engine_uses(),
                 context.places.waiting_tokens,
                 [
@@ -323,8 +340,26 @@
                 ),
                 runner_notices.in_touch_ms(self._reader.in_touch_since, now),
                 self._speeds(scope, is_heartbeat, now),
+                quota_datagram.encode_reports(reports),
             )
         )
+        await self._send_data(socket, data, targets)
+
+    def _next_sequence(self) -> int:
+        self._sequence += 1
+        return self._sequence
+
+    def _sender(
+        self, socket: anyio.abc.UDPSocket
+    ) -> Callable[[bytes, Iterable[str]], Awaitable[None]]:
+        return functools.partial(self._send_data, socket)
+
+    async def _send_data(
+        self, socket: anyio.abc.UDPSocket, data: bytes, targets: Iterable[str]
+    ) -> None:
+        context = self._context
+        own_address = context.settings.peer
+        assert own_address is not None
         for host in sorted(set(targets) - {own_address.host}):
             try:
                 async with self._sending:
@@ -373,6 +408,9 @@
     async def _receive(self, socket: anyio.abc.UDPSocket) -> None:
         async for data, (host, _) in socket:
             try:
+                if quota_datagram.is_quota_datagram(data):
+                    self._quota_reports.receive(host, data)
+                    continue
                 datagram, left_out = self._decoder.decode(data)
             except (msgspec.DecodeError, RecursionError):
                 self._context.count('peers.unreadable')
@@ -423,6 +461,13 @@
                 peer_datagram.decode_speeds(datagram.speeds),
                 now,
             )
+        self._quota_reports.apply(
+            host,
+            datagram.incarnation,
+            datagram.sequence,
+            datagram.leaving,
+            datagram.quotas,
+        )
         context.ledger.apply(peer_datagram.peer_report(datagram), now)
         if context.places.waiting_count:
             context.places.admit(now)
--- a/primrosereel/routing/_quota_bucket.py
+++ b/primrosereel/routing/_quota_bucket.py
@@ -186,6 +186,7 @@
     def apply(
         self,
         peer: str,
+        sequence: int,
         report: quota_peer_uses.Report,
         counts_all: bool,
         now: float,
@@ -198,7 +199,7 @@
         self._settle(now)
         window_units = self._quota.rate * self._terms.window_s
         most_new = window_units + self._depth if counts_all else 0.0
-        correction = self._peers.apply(peer, report, most_new, now)
+        correction = self._peers.apply(peer, sequence, report, most_new, now)
         level = self._level - correction.not_assumed
         level = max(level, -MAX_DEBT_WINDOWS * window_units)
         self._level = min(level, self._depth)
--- a/primrosereel/routing/_quota_peer_uses.py
+++ b/primrosereel/routing/_quota_peer_uses.py
@@ -40,6 +40,7 @@
     """A peer's last report, and what it is assumed to have spent since."""
 
     since: float
+    sequence: int = 0
     spent: float = 0.0
     reported_rate: float = 0.0
     assumed_rate: float = 0.0
@@ -66,14 +67,24 @@
         return self._assumed_rate
 
     def apply(
-        self, peer: str, report: Report, most_new: float, now: float
+        self,
+        peer: str,
+        sequence: int,
+        report: Report,
+        most_new: float,
+        now: float,
     ) -> Correction:
         """Replace what was assumed of a peer by its report.
 
+        A report that is older than the last one changes nothing.
+
         A first report of more than ``most_new`` units counts what was spent
         before this instance knew the peer, and changes nothing.
         """
         use = self._use(peer, now)
+        if sequence < use.sequence:
+            return Correction(0.0, 0.0)
+        use.sequence = sequence
         self._extrapolate(use, now)
         if not use.is_known and report.spent > most_new:
             use.spent = report.spent - use.assumed_units
@@ -95,6 +106,7 @@
         use = self._use(peer, now)
         self._assume(use, 0.0, now)
         use.spent = use.assumed_units = use.reported_rate = 0.0
+        use.sequence = 0
         use.is_known = True
 
     def set_silent(self, peer: str, unused_rate: float, now: float) -> None:
--- a/primrosereel/routing/_quota_runs.py
+++ b/primrosereel/routing/_quota_runs.py
@@ -14,22 +14,20 @@
 
 
 class Order(enum.Enum):
-    """How a datagram relates to the earlier ones of its sender."""
+    """The run of a peer that a datagram is from."""
 
     OUTDATED = 'outdated'
-    FIRST = 'first'
-    NEXT = 'next'
+    CURRENT = 'current'
     RESTARTED = 'restarted'
 
 
 class _Run(NamedTuple):
     incarnation: int
-    sequence: int
     since: float
 
 
 class PeerRuns:
-    """Each peer's run, its last datagram, and since when it is known.
+    """Each peer's run, and since when it is known.
 
     ``incarnation`` is the Unix millisecond of this instance's start.
     """
@@ -38,18 +36,15 @@
         self._incarnation = incarnation
         self._runs: dict[str, _Run] = {}
 
-    def observe(
-        self, peer: str, incarnation: int, sequence: int, now: float
-    ) -> Order:
-        """Record a datagram unless a later one was recorded."""
+    def observe(self, peer: str, incarnation: int, now: float) -> Order:
+        """Record the run of a datagram unless a later one was recorded."""
         known = self._runs.get(peer)
         if known is None or incarnation > known.incarnation:
-            self._runs[peer] = _Run(incarnation, sequence, now)
-            return Order.FIRST if known is None else Order.RESTARTED
-        if (incarnation, sequence) <= (known.incarnation, known.sequence):
+            self._runs[peer] = _Run(incarnation, now)
+            return Order.CURRENT if known is None else Order.RESTARTED
+        if incarnation < known.incarnation:
             return Order.OUTDATED
-        self._runs[peer] = known._replace(sequence=sequence)
-        return Order.NEXT
+        return Order.CURRENT
 
     def counts_all(self, peer: str, now: float) -> bool:
         """Tell whether a first report of a peer is all new."""
--- a/primrosereel/routing/_quotas.py
+++ b/primrosereel/routing/_quotas.py
@@ -196,10 +196,10 @@
     ) -> None:
         """Apply a datagram of a peer, with or without reports.
 
-        ``sequence`` orders the datagrams of one run of the peer.
+        ``sequence`` orders the reports of one run of the peer.
         """
         self._advance(now)
-        order = self._runs.observe(peer, incarnation, sequence, now)
+        order = self._runs.observe(peer, incarnation, now)
         if order is quota_runs.Order.OUTDATED:
             return
         if order is quota_runs.Order.RESTARTED:
@@ -215,7 +215,7 @@
         for report in reports:
             account = self._buckets.get(ids.ClientAccountId(report.account))
             if account is not None:
-                account.apply(peer, report, counts_all, now)
+                account.apply(peer, sequence, report, counts_all, now)
 
     def set_leaving(self, peer: str) -> None:
         """Assume nothing of a peer that stops in order once it is silent."""
--- a/tests/property/test_quotas.py
+++ b/tests/property/test_quotas.py
@@ -125,7 +125,8 @@
     fleet = quota_fleet.Fleet(
         quota_fleet.SpendFirst, size, case, quota, seed=seed
     ).run()
-    shared = single(quota)
+    # The fleet starts with the level of one instance, too.
+    shared = single(quota, instances=size)
     allowed = sum(
         units
         for at, units in fleet.asked
