Repeat a prefill instead of leaving it to a decode runner under contention

Cause: a stream that begins again at another decode runner, as its KV cache was gone or its runner broke off, or whose prefill failed, was prefilled by that runner. Its other streams then pause.

Change: such a prompt is prefilled again by a prefill runner if the retry budget allows it, at another one than that whose handle was gone. Only where the settings name the contention (`pressure` in `contracts`).

--- a/primrosereel/gateway/_generation.py
+++ b/primrosereel/gateway/_generation.py
@@ -139,6 +139,8 @@
         while True:
             runner = await self._choose_decode_runner()
             self._crash_reports.check(self._exchange)
+            if self._hedge.accepted is None and self._resume_from is None:
+                await self._prompt.prefill_again(runner)
             sent_at = self._context.clock()
             self._hedge.watch(runner)
             try:
--- a/primrosereel/gateway/_prompt.py
+++ b/primrosereel/gateway/_prompt.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from primrosereel import _ids as ids
 from primrosereel import _states as states
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _crash_reports as crash_reports_module
@@ -54,6 +55,9 @@
         self._crash_reports = crash_reports
         self._handle: Handle | None = None
         self._handle_invalid = False
+        self._was_prefilled = False
+        # Prefill runners whose KV cache a decode runner could not fetch.
+        self._excluded: set[ids.RunnerId] = set()
 
     async def prefill(self, decode: runners.Runner) -> None:
         """Have a prefill runner prefill the prompt for a decode runner.
@@ -62,21 +66,53 @@
         expected to be faster, or if the prefill fails.
         """
         for _ in range(MAX_PREFILL_RUNNERS):
-            now = self._context.clock()
-            tokens = self._exchange.facts.prompt_tokens
-            runner = self._context.prefills.choose(decode, tokens, now)
+            runner = self._choose(decode)
             if runner is None:
                 break
-            if not await self._prefill_at(runner, now):
+            if not await self._prefill_at(runner, self._context.clock()):
                 break
         if self._handle is None:
             self._context.count('prefill.at_decode')
 
+    async def prefill_again(self, decode: runners.Runner) -> None:
+        """Repeat a prefill whose KV cache is used up or gone.
+
+        A prefill at the decode runner delays all streams there, which costs
+        more than the retry budget that another prefill takes.
+        """
+        if not self._was_prefilled or self.usable_handle() is not None:
+            return
+        if self._choose(decode) is None or not self._try_to_repeat():
+            return
+        await self.free()
+        self._handle_invalid = False
+        self._context.count('prefill.repeated')
+        await self.prefill(decode)
+
+    def _choose(self, decode: runners.Runner) -> runners.Runner | None:
+        """Return the prefill runner; None for prefill at the decode runner."""
+        return self._context.prefills.choose(
+            decode,
+            self._exchange.facts.prompt_tokens,
+            self._context.clock(),
+            self._excluded,
+        )
+
+    def _try_to_repeat(self) -> bool:
+        """Return whether a prefill may be repeated; spend the budget."""
+        return (
+            self._context.settings.high_contention
+            and self._context.budget.try_spend(
+                self._exchange.service, self._context.clock()
+            )
+        )
+
     async def _prefill_at(self, runner: runners.Runner, now: float) -> bool:
         """Return whether another prefill runner may be tried.
 
         One that did not take the prompt is not chosen again for some time. A
-        prefill that failed later may have been in vain, and is not repeated.
+        prefill that failed later may have been in vain, and is only repeated
+        where callers compete for the memory of decode runners.
         """
         exchange = self._exchange
         tokens = exchange.facts.prompt_tokens
@@ -99,6 +135,7 @@
                 await self._request_prefill(
                     runner, connection, now, tokens_ahead
                 )
+                return False
         except upstream.NotSent as error:
             exchange.record_failed_attempt(
                 Retry.CONNECT_FAILED, runner, str(error)
@@ -121,7 +158,7 @@
             exchange.record_failed_attempt(
                 Retry.PREFILL_FAILED, runner, 'timeout'
             )
-        return False
+        return self._try_to_repeat()
 
     def _handle_rejection(
         self, runner: runners.Runner, rejected: upstream.Rejected
@@ -175,6 +212,7 @@
             now,
         )
         exchange.record_step('prefill_s', started_at)
+        self._was_prefilled = True
         engine = exchange.engine
         handle_ttl_s = engine.handle_ttl_s if engine is not None else 0.0
         self._handle = Handle(
@@ -204,6 +242,8 @@
     def invalidate_handle(self) -> None:
         """Record that a runner with free memory could not use the handle."""
         self._handle_invalid = True
+        if self._handle is not None:
+            self._excluded.add(self._handle.runner.runner_id)
 
     async def handle_used(self) -> None:
         """Record that a decode runner fetched the KV cache.
--- a/primrosereel/gateway/_settings.py
+++ b/primrosereel/gateway/_settings.py
@@ -19,6 +19,8 @@
     account may exceed its quota by the share ``quota_overage`` and by
     ``quota_slack`` units. With ``strict_revocation``, requests that need a key
     are refused once the configuration was not confirmed for ``revoke_s``.
+    ``high_contention`` is set where callers at times ask for more than the
+    engines' memory holds.
     """
 
     instance: ids.InstanceId
@@ -45,3 +47,4 @@
     quota_slack: float = 0.0
     strict_revocation: bool = False
     revoke_s: float = 5.0
+    high_contention: bool = False
--- a/primrosereel/platform/_settings.py
+++ b/primrosereel/platform/_settings.py
@@ -20,6 +20,8 @@
 # Decimal digits alone: ``int`` accepts spaces, signs and underscores too.
 PORT = re.compile('[0-9]{1,20}')
 DEFAULT_PATH = '/etc/primrosereel/settings.toml'
+# Among the names in ``contracts``: callers compete for the engines' memory.
+CONTENTION = 'pressure'
 
 
 class PortOutOfRange(ValueError):
@@ -70,6 +72,7 @@
     ip: str = ''
     seeds: list[str] = []
     internal_port_range: list[numbers.Port] = []
+    contracts: list[str] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
@@ -118,6 +121,7 @@
         quota_slack=bounds.quota_slack,
         strict_revocation=bounds.strict_revocation,
         revoke_s=bounds.revoke_ms / 1000,
+        high_contention=CONTENTION in file.contracts,
     )
 
 
--- a/primrosereel/routing/_policies.py
+++ b/primrosereel/routing/_policies.py
@@ -1,8 +1,10 @@
 """The routing policies: the production policy and a baseline."""
 
+from collections.abc import Collection
 from typing import Any
 from typing import NamedTuple
 
+from primrosereel import _ids as ids
 from primrosereel import _states as states
 from primrosereel.routing import _decode_places as decode_places
 from primrosereel.routing import _placement as placement
@@ -39,7 +41,11 @@
     """Leaves the prefill of every prompt to its decode runner."""
 
     def choose(
-        self, decode: runners.Runner, tokens: int, now: float
+        self,
+        decode: runners.Runner,
+        tokens: int,
+        now: float,
+        excluded: Collection[ids.RunnerId] = (),
     ) -> runners.Runner | None:
         """Return None for prefill at the decode runner."""
         return None
--- a/primrosereel/routing/_prefill_plan.py
+++ b/primrosereel/routing/_prefill_plan.py
@@ -5,6 +5,8 @@
 speed between the tokens of its streams, and delays these streams.
 """
 
+from collections.abc import Collection
+
 from primrosereel import _ids as ids
 from primrosereel import _states as states
 from primrosereel.routing import _ledger as ledger_module
@@ -118,20 +120,26 @@
         )
 
     def _available_prefill(
-        self, service: ids.ServiceId, now: float
+        self,
+        service: ids.ServiceId,
+        now: float,
+        excluded: Collection[ids.RunnerId] = (),
     ) -> list[runners.Runner]:
-        available = [
-            runner
-            for runner in self._table.ready(service, states.Role.PREFILL, now)
-            if runner.is_available(now)
-        ]
+        ready = self._table.ready(service, states.Role.PREFILL, now, excluded)
+        available = [runner for runner in ready if runner.is_available(now)]
         return self._table.preferred(available, now)
 
     def choose(
-        self, decode: runners.Runner, tokens: int, now: float
+        self,
+        decode: runners.Runner,
+        tokens: int,
+        now: float,
+        excluded: Collection[ids.RunnerId] = (),
     ) -> runners.Runner | None:
         """Return the prefill runner; None for prefill at the decode runner."""
-        candidates = self._available_prefill(decode.listing.service, now)
+        candidates = self._available_prefill(
+            decode.listing.service, now, excluded
+        )
         if not candidates:
             return None
         best = min(
