--- a/primrosereel/gateway/_peers.py
+++ b/primrosereel/gateway/_peers.py
@@ -14,7 +14,6 @@
 import functools
 
 import anyio
-import anyio.abc
 import msgspec
 
 from primrosereel import _ids as ids
@@ -22,6 +21,7 @@
 from primrosereel import _states as states
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _crash_reports as crash_reports_module
+from primrosereel.gateway import _datagram_socket as datagram_socket
 from primrosereel.gateway import _peer_datagram as peer_datagram
 from primrosereel.gateway import _quota_datagram as quota_datagram
 from primrosereel.gateway import _quota_reports as quota_reports
@@ -86,8 +86,8 @@
         self._new_members: set[str] = set()
         self._new_members_added = anyio.Event()
         self._sequence = 0
-        # anyio allows one sender at a time.
-        self._sending = anyio.Lock()
+        # Hosts to which the last datagram was not sent.
+        self._refused_hosts: set[str] = set()
         # Zones of other shards that are sent updates, and until when.
         self._other_zones_until: dict[ids.AvailabilityZone, float] = {}
         self._encoder = msgspec.msgpack.Encoder()
@@ -136,9 +136,7 @@
         if own_address is None:
             return
         async with (
-            await anyio.create_udp_socket(
-                local_host=own_address.host, local_port=own_address.port
-            ) as socket,
+            datagram_socket.DatagramSocket(own_address) as socket,
             anyio.create_task_group() as tasks,
         ):
             tasks.start_soon(self._receive, socket)
@@ -169,7 +167,9 @@
                     scope=scope,
                 )
 
-    async def _send_heartbeats(self, socket: anyio.abc.UDPSocket) -> None:
+    async def _send_heartbeats(
+        self, socket: datagram_socket.DatagramSocket
+    ) -> None:
         context = self._context
         started_at = context.clock()
         if context.settings.seeds:
@@ -183,6 +183,7 @@
             for host in self._incarnations.keys() - known_hosts:
                 del self._incarnations[host]
             seed_hosts = {seed.host for seed in context.settings.seeds}
+            self._refused_hosts &= known_hosts | seed_hosts
             targets = shard_hosts | self._other_shard_hosts()
             reports = self._quota_reports.heartbeat_reports(now)
             await self._send(
@@ -203,7 +204,9 @@
                 SEARCH_INTERVAL_S if searching else HEARTBEAT_INTERVAL_S
             )
 
-    async def _gossip(self, socket: anyio.abc.UDPSocket, now: float) -> None:
+    async def _gossip(
+        self, socket: datagram_socket.DatagramSocket, now: float
+    ) -> None:
         """Send some members a list of others and the shard's free memory."""
         context = self._context
         free_memory: list[tuple[ids.RunnerId, int]] = []
@@ -218,7 +221,9 @@
             scope=runner_notices.Scope.ALL,
         )
 
-    async def _update_new_members(self, socket: anyio.abc.UDPSocket) -> None:
+    async def _update_new_members(
+        self, socket: datagram_socket.DatagramSocket
+    ) -> None:
         """Send newly discovered members a snapshot without delay."""
         while True:
             await self._new_members_added.wait()
@@ -296,7 +301,7 @@
 
     async def _send(
         self,
-        socket: anyio.abc.UDPSocket,
+        socket: datagram_socket.DatagramSocket,
         targets: Iterable[str],
         members: dict[str, list[tuple[str, int]]] | None = None,
         free_memory: Iterable[tuple[str, int]] = (),
@@ -362,13 +367,20 @@
         assert own_address is not None
         for host in sorted(set(targets) - {own_address.host}):
             try:
-                async with self._sending:
-                    await socket.sendto(data, host, own_address.port)
-            except (OSError, anyio.BrokenResourceError) as error:
-                context.count('peers.send_failed')
-                context.log.info(
-                    'datagram not sent', host=host, detail=repr(error)
-                )
+                await socket.sendto(data, host, own_address.port)
+            except (OSError, TypeError, ValueError) as error:
+                self._note_refused(host, error)
+            else:
+                self._refused_hosts.discard(host)
+
+    def _note_refused(self, host: str, error: Exception) -> None:
+        """Count a datagram that was not sent; log the first to a host."""
+        self._context.count('peers.send_failed')
+        if host not in self._refused_hosts:
+            self._refused_hosts.add(host)
+            self._context.log.info(
+                'datagram not sent', host=host, detail=repr(error)
+            )
 
     def _suspects(self) -> list[peer_datagram.Suspect]:
         now = self._context.clock()
@@ -405,7 +417,7 @@
             for service, d in demands.items()
         ]
 
-    async def _receive(self, socket: anyio.abc.UDPSocket) -> None:
+    async def _receive(self, socket: datagram_socket.DatagramSocket) -> None:
         async for data, (host, _) in socket:
             try:
                 if quota_datagram.is_quota_datagram(data):
