Tell the shard once of all requests that wait at an instance

Cause: each waiting request sent the whole shard a datagram five times a second.

Change: a waiting request does so only if no datagram went to the shard in the last 0.1 s. What peers know of a queue (0.5 s) does not expire earlier.

--- a/primrosereel/gateway/_admission.py
+++ b/primrosereel/gateway/_admission.py
@@ -24,9 +24,12 @@
 
 # How often waiting requests are checked even if no change was signalled.
 RECHECK_INTERVAL_S = 0.05
-# How often peers are sent the waiting requests, and how often it is checked
-# whether all runners back off.
+# How often peers are told at least of the waiting requests, and how often it
+# is checked whether all runners back off.
 PEER_UPDATE_INTERVAL_S = 0.2
+# Peers that were told this long ago need not be told again; what they know of
+# a queue expires after 0.5 s.
+RECENTLY_TOLD_S = 0.1
 # Retry-After is lengthened by up to this share at random, so that refused
 # callers don't all return at once.
 RETRY_AFTER_JITTER = 0.3
@@ -194,7 +197,7 @@
                 if context.clock() < next_update_at:
                     continue
                 next_update_at = context.clock() + PEER_UPDATE_INTERVAL_S
-                context.uses_changed()
+                _refresh_at_peers(context)
                 without_runner = _without_runner_beyond(
                     exchange, ticket, started_at + limit_s
                 )
@@ -214,6 +217,15 @@
         raise without_runner or _no_capacity(exchange, wait_s)
 
 
+def _refresh_at_peers(context: context_module.Context) -> None:
+    """Tell peers again what waits here, unless they were told lately.
+
+    Each datagram names the queue heads, so one is enough for all that wait.
+    """
+    if context.clock() - context.shard_told_at >= RECENTLY_TOLD_S:
+        context.uses_changed()
+
+
 def _withdraw(
     exchange: context_module.Exchange, ticket: decode_places.Ticket
 ) -> None:
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -99,6 +99,8 @@
     availability_changed: Callable[[availability.Transition], None] = (
         lambda _: None
     )
+    # When the shard was last told what is used and what waits here.
+    shard_told_at: float = -math.inf
     # Called when this instance's use of the engines changed.
     uses_changed: Callable[[], None] = lambda: None
     # Called when peers are to be told what was spent of a quota.
--- a/primrosereel/gateway/_peers.py
+++ b/primrosereel/gateway/_peers.py
@@ -166,6 +166,7 @@
                     with_crash_evidence=tell_all,
                     scope=scope,
                 )
+                self._context.shard_told_at = self._context.clock()
 
     async def _send_heartbeats(
         self, socket: datagram_socket.DatagramSocket
