--- a/primrosereel/gateway/_peers.py
+++ b/primrosereel/gateway/_peers.py
@@ -355,12 +355,15 @@
         return self._sequence
 
     def _sender(
-        self, socket: anyio.abc.UDPSocket
+        self, socket: datagram_socket.DatagramSocket
     ) -> Callable[[bytes, Iterable[str]], Awaitable[None]]:
         return functools.partial(self._send_data, socket)
 
     async def _send_data(
-        self, socket: anyio.abc.UDPSocket, data: bytes, targets: Iterable[str]
+        self,
+        socket: datagram_socket.DatagramSocket,
+        data: bytes,
+        targets: Iterable[str],
     ) -> None:
         context = self._context
         own_address = context.settings.peer
