--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -23,6 +23,7 @@
 from primrosereel.routing import _availability as availability
 from primrosereel.routing import _client_accounts as client_accounts
 from primrosereel.routing import _decode_places as decode_places
+from primrosereel.routing import _decode_speed as decode_speed
 from primrosereel.routing import _demand as demand_module
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _members as members_module
@@ -31,7 +32,9 @@
 from primrosereel.routing import _placement as placement
 from primrosereel.routing import _prefill_plan as prefill_plan
 from primrosereel.routing import _priorities as priorities
+from primrosereel.routing import _quotas as quotas_module
 from primrosereel.routing import _retry_budget as retry_budget
+from primrosereel.routing import _runner_speeds as runner_speeds
 from primrosereel.routing import _runners as runners
 from primrosereel.routing import _shards as shards_module
 from primrosereel.routing import _shared_watch as shared_watch
@@ -62,7 +65,10 @@
     ledger: ledger_module.Ledger
     places: decode_places.DecodePlaces
     prefills: prefill_plan.PrefillPlan
+    runner_speeds: runner_speeds.RunnerSpeeds
+    decode_speed: decode_speed.DecodeSpeed
     budget: retry_budget.RetryBudget
+    quotas: quotas_module.Quotas
     members: members_module.Members
     shards: shards_module.Shards
     leave_callbacks: leave_callbacks_module.LeaveCallbacks
@@ -95,8 +101,12 @@
     availability_changed: Callable[[availability.Transition], None] = (
         lambda _: None
     )
+    # When the shard was last told what is used and what waits here.
+    shard_told_at: float = -math.inf
     # Called when this instance's use of the engines changed.
     uses_changed: Callable[[], None] = lambda: None
+    # Called when peers are to be told what was spent of a quota.
+    quota_spent: Callable[[], None] = lambda: None
     # Called when peers should be told which requests crash runners.
     crash_evidence_changed: Callable[[], None] = lambda: None
     # Called with what this instance has read from the store.
--- a/primrosereel/gateway/_peers.py
+++ b/primrosereel/gateway/_peers.py
@@ -8,10 +8,12 @@
 the seeds, and with the free memory of the shard's runners.
 """
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Iterable
+import functools
 
 import anyio
-import anyio.abc
 import msgspec
 
 from primrosereel import _ids as ids
@@ -19,10 +21,14 @@
 from primrosereel import _states as states
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _crash_reports as crash_reports_module
+from primrosereel.gateway import _datagram_socket as datagram_socket
 from primrosereel.gateway import _peer_datagram as peer_datagram
+from primrosereel.gateway import _quota_datagram as quota_datagram
+from primrosereel.gateway import _quota_reports as quota_reports
 from primrosereel.gateway import _runner_notices as runner_notices
 from primrosereel.gateway import _store_reader as store_reader
 from primrosereel.routing import _availability as availability
+from primrosereel.routing import _quotas as quotas_module
 from primrosereel.routing import _shared_watch as shared_watch
 
 __all__ = ['Peers']
@@ -80,17 +86,24 @@
         self._new_members: set[str] = set()
         self._new_members_added = anyio.Event()
         self._sequence = 0
-        # anyio allows one sender at a time.
-        self._sending = anyio.Lock()
+        # Hosts to which the last datagram was not sent.
+        self._refused_hosts: set[str] = set()
         # Zones of other shards that are sent updates, and until when.
         self._other_zones_until: dict[ids.AvailabilityZone, float] = {}
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = peer_datagram.DatagramDecoder()
+        self._quota_reports = quota_reports.QuotaReports(
+            context, self._next_sequence
+        )
 
     def notify_uses_changed(self) -> None:
         """Schedule a datagram: this instance's use of the engines changed."""
         self._changed.set()
 
+    def notify_quota_spent(self) -> None:
+        """Schedule reports on quotas: this instance spent from one."""
+        self._quota_reports.notify_spent()
+
     def send_store_notice(self, notice: shared_watch.Notice | None) -> None:
         """Schedule a datagram with what was read from the store."""
         self._unsent_notice = notice
@@ -123,14 +136,13 @@
         if own_address is None:
             return
         async with (
-            await anyio.create_udp_socket(
-                local_host=own_address.host, local_port=own_address.port
-            ) as socket,
+            datagram_socket.DatagramSocket(own_address) as socket,
             anyio.create_task_group() as tasks,
         ):
             tasks.start_soon(self._receive, socket)
             tasks.start_soon(self._send_heartbeats, socket)
             tasks.start_soon(self._update_new_members, socket)
+            tasks.start_soon(self._quota_reports.run, self._sender(socket))
             while True:
                 await self._changed.wait()
                 await anyio.sleep(COALESCE_DELAY_S)
@@ -154,8 +166,11 @@
                     with_crash_evidence=tell_all,
                     scope=scope,
                 )
+                self._context.shard_told_at = self._context.clock()
 
-    async def _send_heartbeats(self, socket: anyio.abc.UDPSocket) -> None:
+    async def _send_heartbeats(
+        self, socket: datagram_socket.DatagramSocket
+    ) -> None:
         context = self._context
         started_at = context.clock()
         if context.settings.seeds:
@@ -169,11 +184,18 @@
             for host in self._incarnations.keys() - known_hosts:
                 del self._incarnations[host]
             seed_hosts = {seed.host for seed in context.settings.seeds}
+            self._refused_hosts &= known_hosts | seed_hosts
             targets = shard_hosts | self._other_shard_hosts()
+            reports = self._quota_reports.heartbeat_reports(now)
             await self._send(
                 socket,
                 targets | seed_hosts - known_hosts,
                 scope=runner_notices.Scope.NEW,
+                is_heartbeat=True,
+                reports=reports,
+            )
+            await self._quota_reports.send_to_others(
+                reports, targets, self._sender(socket)
             )
             await self._gossip(socket, now)
             searching = (
@@ -183,7 +205,9 @@
                 SEARCH_INTERVAL_S if searching else HEARTBEAT_INTERVAL_S
             )
 
-    async def _gossip(self, socket: anyio.abc.UDPSocket, now: float) -> None:
+    async def _gossip(
+        self, socket: datagram_socket.DatagramSocket, now: float
+    ) -> None:
         """Send some members a list of others and the shard's free memory."""
         context = self._context
         free_memory: list[tuple[ids.RunnerId, int]] = []
@@ -198,7 +222,9 @@
             scope=runner_notices.Scope.ALL,
         )
 
-    async def _update_new_members(self, socket: anyio.abc.UDPSocket) -> None:
+    async def _update_new_members(
+        self, socket: datagram_socket.DatagramSocket
+    ) -> None:
         """Send newly discovered members a snapshot without delay."""
         while True:
             await self._new_members_added.wait()
@@ -276,18 +302,17 @@
 
     async def _send(
         self,
-        socket: anyio.abc.UDPSocket,
+        socket: datagram_socket.DatagramSocket,
         targets: Iterable[str],
         members: dict[str, list[tuple[str, int]]] | None = None,
         free_memory: Iterable[tuple[str, int]] = (),
         notice: shared_watch.Notice | None = None,
         with_crash_evidence: bool = False,
         scope: runner_notices.Scope = runner_notices.Scope.NONE,
+        is_heartbeat: bool = False,
+        reports: Iterable[quotas_module.Report] = (),
     ) -> None:
         context = self._context
-        own_address = context.settings.peer
-        assert own_address is not None
-        self._sequence += 1
         now = context.clock()
         data = self._encoder.encode(
             peer_datagram.Datagram(
@@ -295,7 +320,7 @@
                 context.settings.instance,
                 context.settings.availability_zone,
                 context.incarnation,
-                self._sequence,
+                self._next_sequence(),
                 context.engine_uses(),
                 context.places.waiting_tokens,
                 [
@@ -320,17 +345,46 @@
                     context.runners.availability, scope, now
                 ),
                 runner_notices.in_touch_ms(self._reader.in_touch_since, now),
+                self._speeds(scope, is_heartbeat, now),
+                quota_datagram.encode_reports(reports),
             )
         )
+        await self._send_data(socket, data, targets)
+
+    def _next_sequence(self) -> int:
+        self._sequence += 1
+        return self._sequence
+
+    def _sender(
+        self, socket: datagram_socket.DatagramSocket
+    ) -> Callable[[bytes, Iterable[str]], Awaitable[None]]:
+        return functools.partial(self._send_data, socket)
+
+    async def _send_data(
+        self,
+        socket: datagram_socket.DatagramSocket,
+        data: bytes,
+        targets: Iterable[str],
+    ) -> None:
+        context = self._context
+        own_address = context.settings.peer
+        assert own_address is not None
         for host in sorted(set(targets) - {own_address.host}):
             try:
-                async with self._sending:
-                    await socket.sendto(data, host, own_address.port)
-            except (OSError, anyio.BrokenResourceError) as error:
-                context.count('peers.send_failed')
-                context.log.info(
-                    'datagram not sent', host=host, detail=repr(error)
-                )
+                await socket.sendto(data, host, own_address.port)
+            except (OSError, TypeError, ValueError) as error:
+                self._note_refused(host, error)
+            else:
+                self._refused_hosts.discard(host)
+
+    def _note_refused(self, host: str, error: Exception) -> None:
+        """Count a datagram that was not sent; log the first to a host."""
+        self._context.count('peers.send_failed')
+        if host not in self._refused_hosts:
+            self._refused_hosts.add(host)
+            self._context.log.info(
+                'datagram not sent', host=host, detail=repr(error)
+            )
 
     def _suspects(self) -> list[peer_datagram.Suspect]:
         now = self._context.clock()
@@ -339,6 +393,20 @@
             for evidence in self._context.quarantine.evidence(now)
         ]
 
+    def _speeds(
+        self, scope: runner_notices.Scope, is_heartbeat: bool, now: float
+    ) -> list[peer_datagram.SpeedNotice]:
+        """Return the runners' speeds that a datagram tells.
+
+        Gossip tells all that was observed here, a heartbeat what is new.
+        """
+        with_all = scope is runner_notices.Scope.ALL
+        if not with_all and not is_heartbeat:
+            return []
+        return peer_datagram.encode_speeds(
+            self._context.runner_speeds.told(now, with_all)
+        )
+
     def _demands(self) -> list[tuple[str, int, int]]:
         context = self._context
         demands = context.demand.demands(
@@ -353,9 +421,12 @@
             for service, d in demands.items()
         ]
 
-    async def _receive(self, socket: anyio.abc.UDPSocket) -> None:
+    async def _receive(self, socket: datagram_socket.DatagramSocket) -> None:
         async for data, (host, _) in socket:
             try:
+                if quota_datagram.is_quota_datagram(data):
+                    self._quota_reports.receive(host, data)
+                    continue
                 datagram, left_out = self._decoder.decode(data)
             except (msgspec.DecodeError, RecursionError):
                 self._context.count('peers.unreadable')
@@ -400,6 +471,19 @@
         if datagram.suspects:
             self._receive_crash_evidence(datagram.suspects, now)
         self._receive_runner_notices(datagram, now)
+        if datagram.speeds:
+            context.runner_speeds.learn(
+                ids.InstanceId(datagram.instance),
+                peer_datagram.decode_speeds(datagram.speeds),
+                now,
+            )
+        self._quota_reports.apply(
+            host,
+            datagram.incarnation,
+            datagram.sequence,
+            datagram.leaving,
+            datagram.quotas,
+        )
         context.ledger.apply(peer_datagram.peer_report(datagram), now)
         if context.places.waiting_count:
             context.places.admit(now)
