Wait for the answer behind a repeated refusal without an id

A runner may repeat an earlier refusal on a kept connection, in front of its answer. A 421 without an id still ends the request, as runners with another role answer like that.

--- a/primrosereel/gateway/_http.py
+++ b/primrosereel/gateway/_http.py
@@ -79,17 +79,6 @@
     """The connection ended, or the response is invalid, after sending."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class OutgoingRequest:
-    """One request; ``target`` and ``body`` are sent unchanged."""
-
-    method: bytes
-    target: bytes
-    headers: Headers
-    body: bytes = b''
-    request_id: str = ''
-
-
 @dataclasses.dataclass(slots=True)
 class ResponseHead:
     """Status line and headers of a response, in the runner's spelling."""
@@ -111,6 +100,22 @@
         return names.isdisjoint({b'content-length', b'transfer-encoding'})
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OutgoingRequest:
+    """One request; ``target`` and ``body`` are sent unchanged.
+
+    On a connection that was used before, a response without a request id for
+    which ``may_be_repeated`` returns True counts as one to an earlier request.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes = b''
+    request_id: str = ''
+    may_be_repeated: Callable[[ResponseHead], bool] = lambda _: False
+
+
 async def connect(
     address: model.Address,
     timeout_s: float,
@@ -362,7 +367,8 @@
     async def _read_head(self, request: OutgoingRequest) -> ResponseHead:
         for _ in range(MAX_UNRELATED_RESPONSES):
             head = await self._next_head()
-            if _matches_request(head, request):
+            repeated = self.reused and request.may_be_repeated(head)
+            if not repeated and _matches_request(head, request):
                 self._head = head
                 return head
             await self._skip_response(request)
--- a/primrosereel/gateway/_upstream.py
+++ b/primrosereel/gateway/_upstream.py
@@ -9,6 +9,7 @@
 from primrosereel.gateway import _callers as callers
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _http as http
+from primrosereel.gateway import _ports as ports
 from primrosereel.gateway import _runner_connect as runner_connect
 from primrosereel.gateway import _runner_signs as runner_signs
 from primrosereel.routing import _model as model
@@ -36,6 +37,7 @@
 # milliseconds, and a lost SYN is only retransmitted after one second.
 CONNECT_TIMEOUT_S = 0.12
 MISDIRECTED = 421
+UNAVAILABLE = 503
 
 
 class Rejected(Exception):
@@ -81,9 +83,25 @@
         headers,
         request.body,
         exchange.facts.request_id,
+        lambda head: _is_unnamed_refusal(dialect, head),
     )
 
 
+def _is_unnamed_refusal(
+    dialect: ports.RequestDialect, head: http.ResponseHead
+) -> bool:
+    """Tell whether a refusal does not name the request it belongs to.
+
+    On a kept connection it may repeat that of an earlier request, in front of
+    the answer to this one. A runner with another role does not name it
+    either, but refuses with another status.
+    """
+    if head.status != UNAVAILABLE:
+        return False
+    facts = dialect.response_facts(head.status, head.headers)
+    return facts.not_run and facts.request_id is None
+
+
 @contextlib.contextmanager
 def count_in_flight(runner: runners.Runner, tokens: int = 0) -> Iterator[None]:
     """Count a request as in flight at a runner while the block runs."""
