Test the authentication of client accounts

Cause: keys, priorities and accounts had no tests of their own.

Change: tests of header variants, of each kind of send, of keys in logs, metrics and datagrams, of versions that move or withdraw keys, and of 100,000 keys. The stand-ins write configurations with accounts and keep each header field.

--- a/primrosereel/standin/_operator_config.py
+++ b/primrosereel/standin/_operator_config.py
@@ -1,9 +1,11 @@
 """Configuration in the form the users' operators write to their store."""
 
+from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Mapping
 from typing import Any
 
-__all__ = ['HOST', 'configuration']
+__all__ = ['HOST', 'add_accounts', 'configuration']
 
 HOST = 'registry.example'
 KV_CACHE_TOKENS = 50_000
@@ -75,3 +77,26 @@
         }
         | limits,
     }
+
+
+def add_accounts(
+    config: dict[str, Any],
+    keys: Mapping[str, Iterable[str]],
+    public: Collection[str] = (),
+    **fields: Any,
+) -> dict[str, Any]:
+    """Return a configuration with client accounts, by name with their keys.
+
+    ``public`` has the prefixes of routes without keys, and ``fields`` are
+    those that all accounts have.
+    """
+    return config | {
+        'routes': [
+            route | {'public': route['prefix'] in public}
+            for route in config['routes']
+        ],
+        'tenants': [
+            {'name': name, 'apiKeys': list(own)} | fields
+            for name, own in keys.items()
+        ],
+    }
--- a/primrosereel/standin/_raw_http.py
+++ b/primrosereel/standin/_raw_http.py
@@ -32,7 +32,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Request:
-    """A request with its full body; header names are in lower case."""
+    """A request with its full body; header names are in lower case.
+
+    ``fields`` has each header field, also of those that are repeated.
+    """
 
     method: str
     path: str
@@ -40,6 +43,7 @@
     headers: dict[str, str]
     body: bytes
     target: str
+    fields: Headers = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
@@ -228,7 +232,13 @@
             path, _, query = target.partition('?')
             headers = {n.decode(): v.decode() for n, v in head.headers}
             return Request(
-                head.method.decode(), path, query, headers, body, target
+                head.method.decode(),
+                path,
+                query,
+                headers,
+                body,
+                target,
+                [(bytes(name), bytes(value)) for name, value in head.headers],
             )
         else:
             return None
