--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -396,7 +396,10 @@
             new.retry_window_s,
         )
         self._context.quotas.set_bounds(
-            new.quota_window_s, new.quota_overage, clock()
+            new.quota_window_s,
+            new.quota_overage,
+            new.quota_slack,
+            clock(),
         )
         self._log.info('settings in force')
 
@@ -414,5 +417,6 @@
     return quotas_module.QuotaBounds(
         settings.quota_window_s,
         settings.quota_overage,
+        settings.quota_slack,
         max(1, INSTANCES_PER_SEED * len(settings.seeds)),
     )
--- a/primrosereel/platform/_dialect.py
+++ b/primrosereel/platform/_dialect.py
@@ -88,12 +88,14 @@
         deadline_ms = numbers.parse_decimal(
             values.get(DEADLINE_MS, b''), numbers.MAX_DURATION_MS
         )
-        prompt, output = _parse_token_counts(values.get(TOKEN_USAGE, b''))
+        usage = values.get(TOKEN_USAGE)
+        prompt, output = _parse_token_counts(usage or b'')
         return model.RequestFacts(
             request_id=values.get(REQUEST_ID, b'').decode('latin-1'),
             deadline_s=None if deadline_ms is None else deadline_ms / 1000,
             prompt_tokens=prompt,
             output_tokens=output,
+            states_tokens=usage is not None,
             last_event_id=numbers.parse_whole(values.get(LAST_EVENT_ID, b'')),
             length_hint=_parse_tokens(values.get(LENGTH_HINT, b'')),
             shared_parts=_parse_shared_parts(values.get(PROMPT_PREFIX, b'')),
--- a/primrosereel/routing/_decode_places.py
+++ b/primrosereel/routing/_decode_places.py
@@ -36,6 +36,10 @@
 # Time constant of the decaying rate of arriving tokens.
 ARRIVAL_DECAY_S = 2.0
 
+# One of this many places goes to the oldest request of its priority, also if
+# its account has used more than others.
+ARRIVAL_TURNS = 4
+
 # Cost terms; 1.0 is the cost of a runner whose whole memory is in use.
 OTHER_ZONE_COST = 0.04
 FAILURE_COST = 2.0
@@ -76,6 +80,7 @@
         self._hold = _MeanDuration(DEFAULT_HOLD_S)
         self._stream = _MeanDuration(DEFAULT_HOLD_S)
         self._suspended_until = 0.0
+        self._admitted = 0
         self._arrivals = demand.DecayingRate(ARRIVAL_DECAY_S)
         self._spillover = spillover.Spillover(table, random)
 
@@ -113,9 +118,12 @@
     def queue_heads(self, now: float) -> tuple[ledger_module.QueueHead, ...]:
         """Return the first waiting request of each service."""
         first: dict[ids.ServiceId, Ticket] = {}
-        for ticket in sorted(self._waiting, key=lambda t: t.rank(now)):
+        for ticket in self._in_order(now):
             first.setdefault(ticket.service, ticket)
-        return tuple(queue_head(ticket, now) for ticket in first.values())
+        return tuple(
+            queue_head(ticket, now, self._by_arrival)
+            for ticket in first.values()
+        )
 
     def observe_hold(self, hold_s: float, stream_s: float | None) -> None:
         """Update the mean times with those of a request that has ended.
@@ -156,11 +164,12 @@
         if now < self._suspended_until:
             return
         blocked: set[ids.ServiceId] = set()
-        for ticket in sorted(self._waiting, key=lambda t: t.rank(now)):
+        for ticket in self._in_order(now):
             if ticket.service in blocked:
                 continue
             runner = None
-            if self._ledger.is_first(queue_head(ticket, now), now):
+            head = queue_head(ticket, now, self._by_arrival)
+            if self._ledger.is_first(head, now):
                 runner = self.choose(ticket, now)
                 if runner is None or runner.availability.is_missing:
                     runner = self._spillover.choose(ticket, now) or runner
@@ -168,6 +177,7 @@
                 blocked.add(ticket.service)
                 continue
             self._waiting.remove(ticket)
+            self._admitted += 1
             ticket.runner = runner
             runner.in_flight += 1
             runner.tokens += ticket.tokens
@@ -269,7 +279,8 @@
             for other in self._waiting
             if other is not ticket
             and other.service == ticket.service
-            and other.rank(now) < ticket.rank(now)
+            and other.rank(now, by_arrival=True)
+            < ticket.rank(now, by_arrival=True)
         )
         rate = used / max(self.hold_s, 0.1)
         if ticket.is_late(now):
@@ -289,6 +300,19 @@
         """Return the estimated number of requests of all instances."""
         return self._memory.use(runner, now).requests
 
+    @property
+    def _by_arrival(self) -> bool:
+        """Whether the next place goes by arrival alone.
+
+        Each account then gets its part of these places, so that none is
+        served less than a quarter as often as all.
+        """
+        return self._admitted % ARRIVAL_TURNS == 0
+
+    def _in_order(self, now: float) -> list[Ticket]:
+        by_arrival = self._by_arrival
+        return sorted(self._waiting, key=lambda t: t.rank(now, by_arrival))
+
     def _candidates(self, ticket: Ticket, now: float) -> list[runners.Runner]:
         """Return the ready runners; only available ones if there are any."""
         ready = self._table.ready(
--- a/primrosereel/routing/_model.py
+++ b/primrosereel/routing/_model.py
@@ -169,6 +169,8 @@
     """Values from the headers of a request.
 
     ``deadline_s`` is how long the caller waits, None if it is not stated.
+    ``states_tokens`` is set if the caller stated the tokens, even if a number
+    was not valid and the default stands for it.
     """
 
     request_id: str = ''
@@ -180,6 +182,7 @@
     length_hint: int | None = None
     # The parts of the prompt that other requests may share, in order.
     shared_parts: tuple[ids.PromptPartId, ...] = ()
+    states_tokens: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/primrosereel/routing/_quota_bucket.py
+++ b/primrosereel/routing/_quota_bucket.py
@@ -39,6 +39,7 @@
 
     window_s: float
     tolerance: float
+    slack: float = 0.0
     instances: int = 1
     margin: float = 0.0
     reachable: float = 1.0
@@ -84,6 +85,11 @@
         self._settle(now)
         return self._level
 
+    def drained_share(self, now: float) -> float:
+        """Return how much of the burst is used up, from 0 to 1."""
+        self._settle(now)
+        return min(1.0, max(0.0, 1 - self._level / self._depth))
+
     def available_rate(self) -> float:
         """Return the units a second that are left for this instance."""
         return max(0.0, self._refill - self._peers.assumed_rate)
@@ -106,7 +112,7 @@
     def try_spend(self, units: float, now: float) -> bool:
         """Deduct units if the level allows it."""
         self._settle(now)
-        if self._level < min(units, self._depth):
+        if self._level < min(units, self._depth) or units > self._most:
             return False
         self._level -= units
         self._spent += units
@@ -201,7 +207,8 @@
         most_new = window_units + self._depth if counts_all else 0.0
         correction = self._peers.apply(peer, sequence, report, most_new, now)
         level = self._level - correction.not_assumed
-        level = max(level, -MAX_DEBT_WINDOWS * window_units)
+        max_debt = max(MAX_DEBT_WINDOWS * window_units, correction.spent)
+        level = max(level, min(self._level, -max_debt))
         self._level = min(level, self._depth)
         if correction.spent > 0:
             self._use.add(correction.spent, now)
@@ -215,6 +222,12 @@
         """Return the part of the rate that no instance uses."""
         return max(0.0, self._quota.rate - self._use.per_s(now))
 
+    @property
+    def _most(self) -> float:
+        """The units of the largest request that any window allows."""
+        window_units = self._quota.rate * self._terms.window_s
+        return window_units + self._quota.burst + self._terms.slack
+
     @property
     def _refill(self) -> float:
         return self._quota.rate * (1 + self._terms.margin)
--- a/primrosereel/routing/_quota_types.py
+++ b/primrosereel/routing/_quota_types.py
@@ -11,13 +11,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class QuotaBounds:
-    """The window and the share by which a quota may be exceeded in it.
+    """The window, and the share and units by which it may exceed a quota.
 
     ``instances`` is the number of instances that are expected at the start.
     """
 
     window_s: float = 8.0
     overage: float = 0.25
+    slack: float = 0.0
     instances: int = 1
 
 
--- a/primrosereel/routing/_quotas.py
+++ b/primrosereel/routing/_quotas.py
@@ -95,10 +95,12 @@
         """When peers are to be told of spending; inf if nothing is due."""
         return self._next_report_at
 
-    def set_bounds(self, window_s: float, overage: float, now: float) -> None:
+    def set_bounds(
+        self, window_s: float, overage: float, slack: float, now: float
+    ) -> None:
         """Apply changed bounds."""
         self._bounds = dataclasses.replace(
-            self._bounds, window_s=window_s, overage=overage
+            self._bounds, window_s=window_s, overage=overage, slack=slack
         )
         self._presence.set_window(window_s)
         self._update_terms(now)
@@ -163,6 +165,14 @@
             )
         return Grant(bucket, units)
 
+    def drained_share(self, account: ids.ClientAccountId, now: float) -> float:
+        """Return how much of an account's burst is used up, from 0 to 1.
+
+        An account that stays below its rate has used nothing.
+        """
+        bucket = self._buckets.get(account)
+        return 0.0 if bucket is None else bucket.drained_share(now)
+
     def reports(self, now: float, heartbeat: bool = False) -> list[Report]:
         """Return what peers are to be told now.
 
@@ -289,6 +299,7 @@
         return quota_bucket.Terms(
             self._bounds.window_s,
             self._bounds.overage / 2,
+            self._bounds.slack,
             len(self._presence) + 1,
             margin if 1 - reachable <= MAX_SILENT_SHARE else 0.0,
             reachable,
--- a/primrosereel/routing/_tickets.py
+++ b/primrosereel/routing/_tickets.py
@@ -47,24 +47,41 @@
     # The request lost its place before it was sent, as its runner takes no
     # more requests. It goes before the others of its priority.
     displaced: bool = False
+    # For how long newer requests of other accounts go before this one, as its
+    # account has used more than the rate of its quota.
+    deferral_s: float = 0.0
     on_admitted: Callable[[], None] = lambda: None
 
-    def rank(self, now: float) -> tuple[bool, int, float]:
-        """Return the sort key by which tickets get places, lowest first."""
+    def rank(
+        self, now: float, by_arrival: bool = False
+    ) -> tuple[bool, int, float]:
+        """Return the sort key by which tickets get places, lowest first.
+
+        With ``by_arrival``, accounts that used more than others don't wait
+        longer.
+        """
         if self.prefilled:
             return False, PREFILLED_PRIORITY, self.arrived_at
         if self.displaced:
             return False, self.priority, -math.inf
-        return self.is_late(now), self.priority, self.arrived_at
+        deferral_s = 0.0 if by_arrival else self.deferral_s
+        queued_at = self.arrived_at + deferral_s
+        return self.is_late(now), self.priority, queued_at
 
     def is_late(self, now: float) -> bool:
         """Tell whether the request misses its target even if it starts now."""
         return not self.displaced and now > self.latest_start(now)
 
 
-def queue_head(ticket: Ticket, now: float) -> ledger_module.QueueHead:
+def queue_head(
+    ticket: Ticket, now: float, by_arrival: bool = False
+) -> ledger_module.QueueHead:
     """Return what peers are told of a waiting ticket."""
     late, priority, _ = ticket.rank(now)
+    deferral_s = 0.0 if by_arrival else ticket.deferral_s
     return ledger_module.QueueHead(
-        ticket.service, late, priority, now - ticket.arrived_at
+        ticket.service,
+        late,
+        priority,
+        now - ticket.arrived_at - deferral_s,
     )
--- a/tests/property/quota_fleet.py
+++ b/tests/property/quota_fleet.py
@@ -5,9 +5,7 @@
 import random
 
 from primrosereel import _ids as ids
-from primrosereel.core import _rate_shares as rate_shares
 from primrosereel.routing import _client_accounts as client_accounts
-from primrosereel.routing import _demand as demand
 from primrosereel.routing import _quotas as quotas
 
 STEP_S = 0.01
@@ -36,63 +34,6 @@
     seconds: float = 22.0
 
 
-class EqualShares:
-    """Each instance has the same part of the rate and of the burst."""
-
-    def __init__(self, fleet, number):
-        self.fleet, self.level, self.at = fleet, 0.0, 0.0
-
-    def share(self, now):
-        return 1 / self.fleet.size
-
-    def try_spend(self, units, now):
-        quota, share = self.fleet.quota, self.share(now)
-        depth = max(units, quota.burst * share)
-        gained = quota.rate * share * (now - self.at)
-        self.level, self.at = min(depth, self.level + gained), now
-        if self.level < units:
-            return False
-        self.level -= units
-        return True
-
-    def configure(self, quota, now):
-        pass
-
-    def next_report(self):
-        return float('inf')
-
-    def message(self, now, heartbeat):
-        return None
-
-    def receive(self, sender, message, now):
-        pass
-
-
-class SharesByDemand(EqualShares):
-    """Each instance has a part by its demand, as told each second."""
-
-    def __init__(self, fleet, number):
-        super().__init__(fleet, number)
-        self.number, self.demand = number, demand.DecayingRate(1.0)
-        self.told = {}
-
-    def share(self, now):
-        demands = {n: d for n, (d, at) in self.told.items() if now - at < 2.5}
-        demands[self.number] = self.demand.per_s(now)
-        rate = self.fleet.quota.rate
-        return rate_shares.divide_rate(rate, demands)[self.number] / rate
-
-    def try_spend(self, units, now):
-        self.demand.add(units, now)
-        return super().try_spend(units, now)
-
-    def message(self, now, heartbeat):
-        return self.demand.per_s(now) if heartbeat else None
-
-    def receive(self, sender, message, now):
-        self.told[sender] = message, now
-
-
 class SpendFirst:
     """The quotas of the gateway."""
 
--- a/tests/property/test_routing_places.py
+++ b/tests/property/test_routing_places.py
@@ -65,9 +65,14 @@
             leaving,
         )
 
-    def submit(self, tokens, now, on_time_s=0.5, priority=1):
+    def submit(self, tokens, now, on_time_s=0.5, priority=1, deferral_s=0.0):
         ticket = decode_places.Ticket(
-            SERVICE, tokens, priority, now, lambda _: now + on_time_s
+            SERVICE,
+            tokens,
+            priority,
+            now,
+            lambda _: now + on_time_s,
+            deferral_s=deferral_s,
         )
         self.places.add(ticket, now)
         return ticket
