--- a/tests/property/test_account_fairness.py
+++ b/tests/property/test_account_fairness.py
@@ -7,15 +7,15 @@
 from tests.property import test_routing_places as places_tests
 
 TOKENS = 10_000
-WAIT_S = 2.0
+WAIT_S = 1.0
 HOLD_S = 1.0
-ACCOUNTS = {'heavy': (21.0, 1.0), 'light': (3.0, 0.0)}
+ACCOUNTS = {'heavy': (18.0, 1.0), 'light': (9.0, 0.0)}
 
 
 def served_shares(seconds=40):
     """Return the share of each account's requests that got a place.
 
-    Callers leave after two seconds; eight places are free each second.
+    Callers leave after one second; eight places are free each second.
     """
     choice = random.Random(3)
     instance = places_tests.Instance('i', decode=2)
@@ -49,11 +49,11 @@
     return total, {name: served[name] / asked[name] for name in ACCOUNTS}
 
 
-@pytest.mark.parametrize('heavy_s', [0.5, 1.0])
-def test_no_account_starves(monkeypatch, heavy_s):
+@pytest.mark.parametrize('light_per_s', [3.0, 9.0])
+def test_no_account_starves(monkeypatch, light_per_s):
     """Guards against a heavy account that costs others, or gets nothing."""
-    monkeypatch.setitem(ACCOUNTS, 'heavy', (21.0, heavy_s))
+    monkeypatch.setitem(ACCOUNTS, 'light', (light_per_s, 0.0))
     total, shares = served_shares()
     assert total < 0.6
-    assert shares['light'] > 2 * total
+    assert shares['light'] > 1.5 * total
     assert shares['heavy'] >= total / 4
