--- a/tests/property/test_routing_places.py
+++ b/tests/property/test_routing_places.py
@@ -11,6 +11,7 @@
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _model as model
 from primrosereel.routing import _prefill_plan as prefill_plan
+from primrosereel.routing import _priorities as priorities
 from primrosereel.routing import _runners as runners
 
 SERVICE = ids.ServiceId('llm')
@@ -69,7 +70,7 @@
         ticket = decode_places.Ticket(
             SERVICE,
             tokens,
-            priority,
+            priorities.route_only(priority),
             now,
             lambda _: now + on_time_s,
             deferral_s=deferral_s,
