Refuse requests over the quota of their client account

Quotas were kept and told to peers, and nothing asked them. A request now spends its units after its account is known; over the quota it gets 429, a Retry-After that follows from the level, and a log line with the level and the silent peers. A request that ends without having run gets its units back.

--- a/primrosereel/gateway/_admission.py
+++ b/primrosereel/gateway/_admission.py
@@ -9,6 +9,7 @@
 from primrosereel import _states as states
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _final_poll as final_poll
+from primrosereel.gateway import _quota_check as quota_check
 from primrosereel.routing import _decode_places as decode_places
 from primrosereel.routing import _timeouts as timeouts
 
@@ -87,6 +88,7 @@
         latest_start,
         excluded=excluded,
         on_admitted=admitted.set,
+        deferral_s=quota_check.place_deferral(exchange),
     )
     if not context.runners.ready(exchange.service, states.Role.DECODE, now):
         raise refusal_without_runner(exchange, states.Role.DECODE) or Refused(
--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -298,6 +298,14 @@
         )
         if context.table is not None:
             metrics.gauge('configuration_version', context.table.version)
+        states = context.quotas.states(now)
+        metrics.gauge_accounts(
+            'quota_level', {state.account: state.level for state in states}
+        )
+        metrics.gauge_accounts(
+            'quota_available_rate',
+            {state.account: state.available_rate for state in states},
+        )
         body, content_type = metrics.render()
         return callers.Reply(
             200, headers=[(b'Content-Type', content_type)], body=body
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -339,11 +339,12 @@
         reason: states.RefusalReason,
         retry_after_s: float,
         detail: str = '',
+        status: int = 503,
     ) -> callers.Reply:
         """Return the reply to a request that did not and will not run."""
-        self._log_refusal(reason, 503, detail, round(retry_after_s, 2))
+        self._log_refusal(reason, status, detail, round(retry_after_s, 2))
         return callers.Reply(
-            503, headers=[(b'Retry-After', b'%.2f' % retry_after_s)]
+            status, headers=[(b'Retry-After', b'%.2f' % retry_after_s)]
         )
 
     def failure(
--- a/primrosereel/gateway/_metrics.py
+++ b/primrosereel/gateway/_metrics.py
@@ -7,6 +7,7 @@
 import bisect
 import collections
 from collections.abc import Iterator
+from collections.abc import Mapping
 
 __all__ = ['BUCKETS_S', 'Histogram', 'Metrics']
 
@@ -65,6 +66,7 @@
         self._counters: collections.Counter[str] = collections.Counter()
         self._accounts: set[str] = set()
         self._gauges: dict[str, float] = {}
+        self._account_gauges: dict[str, dict[str, float]] = {}
         self._histograms: dict[str, Histogram] = {}
 
     def count(self, name: str) -> None:
@@ -81,6 +83,14 @@
         """Set a gauge."""
         self._gauges[name] = value
 
+    def gauge_accounts(self, name: str, values: Mapping[str, float]) -> None:
+        """Replace a gauge of accounts, without those that have no label."""
+        self._account_gauges[name] = {
+            account: value
+            for account, value in values.items()
+            if self.account_label(account) == account
+        }
+
     def observe(self, name: str, seconds: float) -> None:
         """Count a duration."""
         self._histograms.setdefault(name, Histogram()).observe(seconds)
@@ -114,6 +124,13 @@
         yield from families.values()
         for name, level in sorted(self._gauges.items()):
             yield core.GaugeMetricFamily(PREFIX + name, name, value=level)
+        for name, levels in sorted(self._account_gauges.items()):
+            gauge = core.GaugeMetricFamily(
+                PREFIX + name, name, labels=['account']
+            )
+            for account, level in sorted(levels.items()):
+                gauge.add_metric([account], level)
+            yield gauge
         for name, histogram in sorted(self._histograms.items()):
             yield core.HistogramMetricFamily(
                 PREFIX + name,
--- a/primrosereel/gateway/_server.py
+++ b/primrosereel/gateway/_server.py
@@ -11,6 +11,7 @@
 from primrosereel.gateway import _generation as generation
 from primrosereel.gateway import _lingering_close as lingering_close
 from primrosereel.gateway import _plain as plain
+from primrosereel.gateway import _quota_check as quota_check
 from primrosereel.gateway import _socket_options as socket_options
 from primrosereel.routing import _model as model
 from primrosereel.routing import _table as table_module
@@ -201,12 +202,18 @@
         if self._context.draining:
             connection.close_after_reply()
         exchange: context_module.Exchange | None = None
+        check: quota_check.QuotaCheck | None = None
         try:
             routed = self._route_request(request, tasks)
             if isinstance(routed, callers.Reply):
                 await connection.reply(routed)
                 return None
             exchange = routed
+            check = quota_check.QuotaCheck(exchange)
+            refusal = check.spend()
+            if refusal is not None:
+                await connection.reply(refusal)
+                return None
             complete = await self._handle(connection, exchange)
             return None if complete else states.EndReason.STREAM_CUT
         except callers.CallerDisconnected:
@@ -217,6 +224,8 @@
         finally:
             if exchange is not None:
                 exchange.kept_responses.release()
+            if check is not None:
+                check.settle()
 
     async def _handle(
         self,
--- a/primrosereel/gateway/_store_reader.py
+++ b/primrosereel/gateway/_store_reader.py
@@ -413,6 +413,10 @@
         context.table = table
         context.table_since = context.clock()
         context.places.set_services(table.services)
+        accounts = table.client_accounts
+        context.quotas.set_accounts(
+            accounts.by_name.values() if accounts else (), context.clock()
+        )
         context.log.info(
             'configuration in force',
             version=table.version,
--- a/primrosereel/routing/_quotas.py
+++ b/primrosereel/routing/_quotas.py
@@ -231,6 +231,20 @@
         """Assume nothing of a peer that stops in order once it is silent."""
         self._presence.set_leaving(peer, True)
 
+    def describe(self, account: ids.ClientAccountId, now: float) -> str:
+        """Return the state behind a decision on an account, for the log."""
+        bucket = self._buckets.get(account)
+        if bucket is None:
+            return 'no quota in force'
+        presence = self._presence
+        return (
+            f'level {bucket.level(now):.0f}, '
+            f'{bucket.available_rate():.0f} of {bucket.quota.rate:.0f} '
+            f'units/s left by peers, {len(presence.silent)} of '
+            f'{len(presence)} peers silent'
+            + (', resumed' if now < self._wait_until else '')
+        )
+
     def states(self, now: float) -> list[QuotaState]:
         """Return the state of each account with a quota."""
         return [
--- a/tests/property/test_wire_names.py
+++ b/tests/property/test_wire_names.py
@@ -134,7 +134,10 @@
     'Counters of a daemon': lambda: found.metrics('count', 'core', 'daemon'),
     'Gauges of a daemon': lambda: found.dotted_keys('core'),
     'Counters of a gateway': lambda: found.metrics('count', 'gateway'),
-    'Gauges of a gateway': lambda: found.metrics('gauge', 'gateway'),
+    'Gauges of a gateway': lambda: (
+        found.metrics('gauge', 'gateway')
+        | found.metrics('gauge_accounts', 'gateway')
+    ),
     'Histograms of a gateway': lambda: found.histograms('gateway'),
     'Files and programs': _files,
     'Stand-ins': _standins,
