Add a routing policy by the expected cost of requests

Cause: calls that look alike differ in cost by five times and more, and the rule for plain calls counts requests and compares mean latencies, which contain the waits that its own choices cause.

Change: routing/_request_costs.py learns the distribution of the cost of plain calls (by route, method and shape of the path) and of the outputs of generations, in hdrhistogram. routing/_expected_work.py chooses by expected completion, with the uncertainty of the load, the rest of calls that last longer than predicted, and a limit on the regret by the rule without predictions. It is the registry's `expected-work`; the default is unchanged. The served lines hold the inputs of decisions, and histograms compare predicted and real times. The test of wire names now also finds the names that steps are given as keywords.

--- a/primrosereel/_registry.py
+++ b/primrosereel/_registry.py
@@ -27,6 +27,7 @@
         'capacity': 'bench._capacity:run',
         'cost': 'bench._cost:run',
         'gateway-decisions': 'bench._gateway_decisions:run',
+        'mixed-costs': 'bench._mixed_costs:run',
     },
     'command': {
         'bench': 'cmd._bench:BenchCommand',
@@ -40,6 +41,7 @@
     },
     'plot': {
         'capacity': 'bench._capacity_plot:write',
+        'mixed-costs': 'bench._mixed_costs_plot:write',
         'measures': 'bench._plot:plot_measures',
     },
     'placement': {
@@ -48,6 +50,7 @@
     },
     'routing-policy': {
         'expected-completion': 'routing._policies:EXPECTED_COMPLETION',
+        'expected-work': 'routing._policies:EXPECTED_WORK',
         'baseline': 'routing._policies:BASELINE',
     },
 }
--- a/primrosereel/gateway/_admission.py
+++ b/primrosereel/gateway/_admission.py
@@ -83,6 +83,7 @@
         exchange.request.received_at,
         latest_start,
         excluded=excluded,
+        output_factor=context.output_costs.relative(exchange.output_key, now),
         on_admitted=admitted.set,
     )
     if not context.runners.ready(exchange.service, states.Role.DECODE, now):
--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -41,6 +41,7 @@
 from primrosereel.routing import _members as members_module
 from primrosereel.routing import _model as model
 from primrosereel.routing import _outages as outages_module
+from primrosereel.routing import _request_costs as request_costs
 from primrosereel.routing import _retry_budget as retry_budget
 from primrosereel.routing import _runner_speeds as runner_speeds
 from primrosereel.routing import _runners as runners
@@ -57,6 +58,10 @@
 # that cannot tell whether it is ready no new connections.
 READINESS_FAILED = 503
 METRICS_FAILED = 500
+# Calls whose times differ by less are not told apart, and the time of a call
+# before any was observed.
+CALL_RESOLUTION_S = 1e-4
+DEFAULT_CALL_S = 0.05
 # The retry budget is divided by at least this number of instances per seed, as
 # instances that are not known here spend it as well.
 INSTANCES_PER_SEED = 2
@@ -132,6 +137,12 @@
             prefills=policy.prefill(table, ledger, zone, speeds),
             runner_speeds=speeds,
             decode_speed=decode_speed.DecodeSpeed(speeds),
+            call_costs=request_costs.RequestCosts(
+                CALL_RESOLUTION_S, DEFAULT_CALL_S
+            ),
+            output_costs=request_costs.RequestCosts(
+                1.0, model.DEFAULT_OUTPUT_TOKENS
+            ),
             budget=retry_budget.RetryBudget(
                 retry_budget.BudgetBounds(
                     settings.retry_ratio * policy.retry_share,
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -30,6 +30,7 @@
 from primrosereel.routing import _peer_versions as peer_versions_module
 from primrosereel.routing import _placement as placement
 from primrosereel.routing import _prefill_plan as prefill_plan
+from primrosereel.routing import _request_costs as request_costs
 from primrosereel.routing import _retry_budget as retry_budget
 from primrosereel.routing import _runner_speeds as runner_speeds
 from primrosereel.routing import _runners as runners
@@ -64,6 +65,10 @@
     prefills: prefill_plan.PrefillPlan
     runner_speeds: runner_speeds.RunnerSpeeds
     decode_speed: decode_speed.DecodeSpeed
+    # The costs of plain calls in seconds, and the outputs of generations in
+    # tokens.
+    call_costs: request_costs.RequestCosts
+    output_costs: request_costs.RequestCosts
     budget: retry_budget.RetryBudget
     members: members_module.Members
     shards: shards_module.Shards
@@ -251,6 +256,23 @@
         """Record that a runner which was sent the request did not run it."""
         self._possible_runs -= 1
 
+    @property
+    def call_key(self) -> request_costs.CostKey:
+        """The kind of a plain call."""
+        request = self.request
+        return request_costs.call_key(
+            self.route.name, request.method, request.target
+        )
+
+    @property
+    def output_key(self) -> request_costs.CostKey:
+        """The kind of a generation by its output."""
+        return request_costs.output_key(
+            self.route.name,
+            self.facts.prompt_tokens,
+            self.facts.length_hint,
+        )
+
     def record_internal_error(self, error: Exception) -> None:
         """Log and count an unexpected error."""
         self.context.count('internal_errors')
--- a/primrosereel/gateway/_event_stream.py
+++ b/primrosereel/gateway/_event_stream.py
@@ -128,10 +128,15 @@
         requests_at_start: int,
     ) -> None:
         """Learn a runner's speed from its part of the stream."""
+        context = self._exchange.context
         event_s = pace.event_s()
+        self._exchange.steps.update(
+            event_s=round(event_s or 0.0, 5),
+            decode_slowness=round(runner.decode_slowness, 2),
+            decode_requests=requests_at_start,
+        )
         if event_s is None:
             return
-        context = self._exchange.context
         now = context.clock()
         requests = context.places.requests_at(runner, now)
         context.decode_speed.observe(
@@ -157,13 +162,19 @@
         """End the caller's response as complete."""
         await self._send_head(head)
         await self._caller.finish()
-        facts = self._exchange.facts
+        context, facts = self._exchange.context, self._exchange.facts
+        key, now = self._exchange.output_key, context.clock()
         self._exchange.steps.update(
             prompt_tokens=facts.prompt_tokens,
             output_tokens=facts.output_tokens,
             events=self.events_sent,
             last_event=self.last_event_id or 0,
+            expected_output=round(
+                context.output_costs.expected(key, now).mean
+            ),
         )
+        if facts.last_event_id is None and self.events_sent:
+            context.output_costs.observe(key, self.events_sent, now)
 
     def record_cut(self, detail: str) -> None:
         """Log and count a stream that ends before its last event."""
--- a/primrosereel/gateway/_plain.py
+++ b/primrosereel/gateway/_plain.py
@@ -9,6 +9,7 @@
 from primrosereel import _states as states
 from primrosereel.gateway import _admission as admission
 from primrosereel.gateway import _attempts as attempts_module
+from primrosereel.gateway import _call_prediction as call_prediction
 from primrosereel.gateway import _callers as callers
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _crash_reports as crash_reports_module
@@ -64,6 +65,7 @@
         self._context = exchange.context
         self._crash_reports = crash_reports
         self._excluded: set[ids.RunnerId] = set()
+        self._cost_key = exchange.call_key
         self._last_error_reply: callers.Reply | None = None
         self._attempts = attempts_module.Attempts[callers.Reply | AttemptEnd](
             exchange.tasks
@@ -127,8 +129,12 @@
             or self._exchange.remaining_s < MIN_REMAINING_S
         ):
             return None
+        now = self._context.clock()
         return self._context.placement.choose(
-            self._exchange.service, self._excluded, self._context.clock()
+            self._exchange.service,
+            self._excluded,
+            now,
+            self._context.call_costs.expected(self._cost_key, now),
         )
 
     async def _next_outcome(self) -> callers.Reply | AttemptEnd:
@@ -149,9 +155,19 @@
         started_at = self._context.clock()
         scope = anyio.CancelScope()
         attempt = self._crash_reports.watched_attempt(exchange, scope)
+        prediction = call_prediction.CallPrediction(
+            exchange, self._cost_key, runner
+        )
         try:
-            with scope, attempt, upstream.count_in_flight(runner):
-                return await self._call(runner, started_at, attempt)
+            with (
+                scope,
+                attempt,
+                upstream.count_in_flight(runner),
+                prediction.in_progress(),
+            ):
+                return await self._call(
+                    runner, started_at, attempt, prediction
+                )
         except upstream.NotSent as error:
             exchange.record_failed_attempt(
                 Retry.CONNECT_FAILED, runner, str(error)
@@ -181,6 +197,7 @@
         runner: runners.Runner,
         started_at: float,
         attempt: crash_reports_module.Attempt,
+        prediction: call_prediction.CallPrediction,
     ) -> callers.Reply | AttemptEnd:
         exchange = self._exchange
         connection = await upstream.connect_or_reuse(exchange, runner)
@@ -221,7 +238,7 @@
                 'the response is unsigned or has a content encoding'
             )
         return self._classify_response(
-            runner, response, body, now - started_at
+            runner, response, body, now - started_at, prediction
         )
 
     def _classify_response(
@@ -230,12 +247,14 @@
         response: upstream.OpenResponse,
         body: bytes,
         seconds: float,
+        prediction: call_prediction.CallPrediction,
     ) -> callers.Reply | AttemptEnd:
         head = response.head
         reply = callers.Reply(head.status, head.reason, head.headers, body)
         if head.status < 500 and head.status not in NOT_RUN_STATUSES:
             runner.observe_success(seconds, self._context.clock())
             self._crash_reports.observe_answer(self._exchange)
+            prediction.compare(response.facts.load, seconds)
             self._exchange.record_served(runner.runner_id, head.status)
             return reply
         runner.observe_error()
--- a/primrosereel/gateway/_prompt.py
+++ b/primrosereel/gateway/_prompt.py
@@ -133,7 +133,7 @@
                 # The process may have been busy since it chose the runner.
                 scope.deadline = anyio.current_time() + limit_s
                 await self._request_prefill(
-                    runner, connection, now, tokens_ahead
+                    runner, connection, now, tokens_ahead, expected_s
                 )
                 return False
         except upstream.NotSent as error:
@@ -180,6 +180,7 @@
         connection: http.HttpConnection,
         started_at: float,
         tokens_ahead: int,
+        expected_s: float,
     ) -> None:
         exchange = self._exchange
         options = model.RunOptions(
@@ -212,6 +213,12 @@
             now,
         )
         exchange.record_step('prefill_s', started_at)
+        exchange.steps.update(
+            expected_prefill_s=round(expected_s, 4),
+            tokens_ahead=tokens_ahead,
+            prefill_slowness=round(runner.slowness, 2),
+        )
+        self._context.metrics.observe('predicted_prefill_seconds', expected_s)
         self._was_prefilled = True
         engine = exchange.engine
         handle_ttl_s = engine.handle_ttl_s if engine is not None else 0.0
--- a/primrosereel/routing/_placement.py
+++ b/primrosereel/routing/_placement.py
@@ -11,9 +11,10 @@
 
 from primrosereel import _ids as ids
 from primrosereel import _states as states
+from primrosereel.routing import _request_costs as request_costs
 from primrosereel.routing import _runners as runners
 
-__all__ = ['Placement', 'PlacementPolicy', 'RandomPlacement']
+__all__ = ['Placement', 'PlacementPolicy', 'RandomPlacement', 'fastest_s']
 
 # Cost terms, in units of one typical service time.
 OTHER_ZONE_COST = 0.15
@@ -33,8 +34,12 @@
         service: ids.ServiceId,
         excluded: Collection[ids.RunnerId],
         now: float,
+        cost: request_costs.Cost | None = None,
     ) -> runners.Runner | None:
-        """Return the runner for a request; None if no candidate remains."""
+        """Return the runner for a request; None if no candidate remains.
+
+        ``cost`` is what the request is expected to cost, if it is known.
+        """
 
 
 class Placement:
@@ -56,22 +61,31 @@
         service: ids.ServiceId,
         excluded: Collection[ids.RunnerId],
         now: float,
+        cost: request_costs.Cost | None = None,
     ) -> runners.Runner | None:
         """Return the runner with the lowest cost."""
-        candidates = self._table.ready(
-            service, states.Role.PLAIN, now, excluded
-        )
-        if not candidates:
-            return None
-        if self._availability.has_spare or self._table.outages:
-            candidates = self._without_spare(candidates, now)
-        fastest = min(
-            (runner.latency_s for runner in candidates if runner.latency_s),
+        candidates = self._candidates(service, excluded, now)
+        fastest = fastest_s(candidates)
+        return min(
+            candidates,
+            key=lambda runner: self._cost(runner, fastest, now),
             default=None,
         )
-        return min(
-            candidates, key=lambda runner: self._cost(runner, fastest, now)
+
+    def _candidates(
+        self,
+        service: ids.ServiceId,
+        excluded: Collection[ids.RunnerId],
+        now: float,
+    ) -> list[runners.Runner]:
+        candidates = self._table.ready(
+            service, states.Role.PLAIN, now, excluded
         )
+        if candidates and (
+            self._availability.has_spare or self._table.outages
+        ):
+            return self._without_spare(candidates, now)
+        return candidates
 
     def _without_spare(
         self, ready: list[runners.Runner], now: float
@@ -90,6 +104,11 @@
         )
         if fastest and runner.latency_s:
             cost = (cost + 0.3) * min(runner.latency_s / fastest, 4.0)
+        return cost + self._penalty(runner, now)
+
+    def _penalty(self, runner: runners.Runner, now: float) -> float:
+        """Return the cost of all but the load, and what breaks ties."""
+        cost = 0.0
         if runner.report is not None:
             cost += max(0.0, runner.report.slowness - 1.0) * 0.5 ** (
                 max(0.0, now - runner.reported_at) / 0.5
@@ -108,6 +127,14 @@
         return cost + TIE_BREAK_JITTER * self._random.random()
 
 
+def fastest_s(candidates: list[runners.Runner]) -> float | None:
+    """Return the latency of the fastest runner; None if none is known."""
+    return min(
+        (runner.latency_s for runner in candidates if runner.latency_s),
+        default=None,
+    )
+
+
 class RandomPlacement:
     """Chooses a random ready runner; the baseline for comparisons."""
 
@@ -125,6 +152,7 @@
         service: ids.ServiceId,
         excluded: Collection[ids.RunnerId],
         now: float,
+        cost: request_costs.Cost | None = None,
     ) -> runners.Runner | None:
         """Return a random ready runner."""
         candidates = self._table.ready(
--- a/primrosereel/routing/_policies.py
+++ b/primrosereel/routing/_policies.py
@@ -1,4 +1,4 @@
-"""The routing policies: the production policy and a baseline."""
+"""The routing policies: two for production, and a baseline."""
 
 from collections.abc import Collection
 from typing import Any
@@ -7,11 +7,12 @@
 from primrosereel import _ids as ids
 from primrosereel import _states as states
 from primrosereel.routing import _decode_places as decode_places
+from primrosereel.routing import _expected_work as expected_work
 from primrosereel.routing import _placement as placement
 from primrosereel.routing import _prefill_plan as prefill_plan
 from primrosereel.routing import _runners as runners
 
-__all__ = ['BASELINE', 'EXPECTED_COMPLETION', 'Policy']
+__all__ = ['BASELINE', 'EXPECTED_COMPLETION', 'EXPECTED_WORK', 'Policy']
 
 
 class Policy(NamedTuple):
@@ -54,6 +55,11 @@
 EXPECTED_COMPLETION = Policy(
     placement.Placement, decode_places.DecodePlaces, prefill_plan.PrefillPlan
 )
+EXPECTED_WORK = Policy(
+    expected_work.WorkPlacement,
+    expected_work.WorkDecodePlaces,
+    prefill_plan.PrefillPlan,
+)
 BASELINE = Policy(
     placement.RandomPlacement,
     RandomDecodePlaces,
--- a/primrosereel/routing/_runner.py
+++ b/primrosereel/routing/_runner.py
@@ -7,6 +7,7 @@
 from primrosereel import _states as states
 from primrosereel.routing import _availability as availability_module
 from primrosereel.routing import _model as model
+from primrosereel.routing import _request_costs as request_costs
 from primrosereel.routing import _timeouts as timeouts
 
 __all__ = ['Runner']
@@ -34,6 +35,7 @@
 # Weight of a new observation in a runner's moving averages.
 LATENCY_SAMPLE_WEIGHT = 0.3
 FAILURE_SAMPLE_WEIGHT = 0.25
+PEER_REQUESTS_SAMPLE_WEIGHT = 0.1
 
 
 @dataclasses.dataclass(slots=True)
@@ -54,9 +56,15 @@
     report: model.LoadReport | None = None
     reported_at: float = -math.inf
     peer_requests: float = 0.0
+    # Moving average of other instances' requests over all reports.
+    mean_peer_requests: float = 0.0
+    # Own plain calls in progress.
+    calls: list[request_costs.CallInProgress] = dataclasses.field(
+        default_factory=list
+    )
     latency_s: float | None = None
-    # Time per unit of work, relative to a typical runner: for the prefill of
-    # prompts, and for the events of streams.
+    # Time per unit of work, relative to a typical runner: for prompts and
+    # plain calls, and for the events of streams.
     slowness: float = 1.0
     decode_slowness: float = 1.0
     failure_rate: float = 0.0
@@ -121,6 +129,9 @@
         self.reported_at = now
         total = report.running + report.waiting
         self.peer_requests = max(0.0, total - self.in_flight)
+        self.mean_peer_requests += PEER_REQUESTS_SAMPLE_WEIGHT * (
+            self.peer_requests - self.mean_peer_requests
+        )
 
     def observe_answer(self, now: float) -> None:
         """Record that the runner answered, whatever the answer is."""
--- a/primrosereel/routing/_runner_speeds.py
+++ b/primrosereel/routing/_runner_speeds.py
@@ -48,6 +48,7 @@
 
     PREFILL = 'prefill'
     DECODE = 'decode'
+    PLAIN = 'plain'
 
 
 class SpeedReport(NamedTuple):
@@ -223,10 +224,10 @@
         if runner is None:
             return
         slowness = self.slowness(runner_id, phase, now)
-        if phase is Phase.PREFILL:
-            runner.slowness = slowness
-        else:
+        if phase is Phase.DECODE:
             runner.decode_slowness = slowness
+        else:
+            runner.slowness = slowness
 
 
 def _clamped(slowness: float) -> float:
--- a/primrosereel/routing/_tickets.py
+++ b/primrosereel/routing/_tickets.py
@@ -47,6 +47,8 @@
     # The request lost its place before it was sent, as its runner takes no
     # more requests. It goes before the others of its priority.
     displaced: bool = False
+    # The expected output relative to that of the usual request.
+    output_factor: float = 1.0
     on_admitted: Callable[[], None] = lambda: None
 
     def rank(self, now: float) -> tuple[bool, int, float]:
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -185,7 +185,7 @@
         entry = self.runners[name].entry(state) | changes
         self.store.put(f'servers/{name}', entry)
 
-    async def start(self, **changes):
+    async def start(self, policy=composition.DEFAULT_POLICY, **changes):
         """Start the store and the gateway, and wait until it is ready."""
         await self.tasks.start(self.store.server.serve)
         gateway_settings = make_settings(self, **changes)
@@ -194,7 +194,11 @@
             gateway_settings.readiness,
         )
         self.gateway = composition.Gateway(
-            gateway_settings, platform.Dialect(), platform.Store, self.log
+            gateway_settings,
+            platform.Dialect(),
+            platform.Store,
+            self.log,
+            composition.Options(policy),
         )
         self.tasks.start_soon(self.gateway.run)
         await self.wait_for(lambda: self.gateway.ready)
--- a/tests/property/wire_names.py
+++ b/tests/property/wire_names.py
@@ -210,6 +210,16 @@
     return matching(r'[a-z_]+[a-z]_s', *folders)
 
 
+def step_keywords(*folders):
+    """Return the names that are given as keywords beside the durations."""
+    return {
+        keyword.arg
+        for node, _ in nodes(ast.Call, *folders)
+        if ast.unparse(node.func).endswith('.steps.update')
+        for keyword in node.keywords
+    }
+
+
 def histograms(*folders):
     """Return the histograms: given by name, or made of a list of steps."""
     rows = metrics('observe', *folders)
@@ -236,6 +246,7 @@
                 keys.add('exception')
             if None in keys:
                 keys |= {name for (name,) in steps(folder)}
+                keys |= step_keywords(folder)
             keys -= {None, 'exc_info'}
     for text in strings(*folders):
         names = re.findall(r'"(\w+)": (?:"(.+?)")?', text)
