Do not lead without contact to the instances that seeds name

Now an instance whose seeds name another host leads only while it knows others.

The new tests fail before the change.

--- a/primrosereel/gateway/_orders.py
+++ b/primrosereel/gateway/_orders.py
@@ -88,6 +88,7 @@
             peers,
             now,
             context.shards.own_zones,
+            self._in_contact(),
         )
         if leads != self._leads:
             self._leads = leads
@@ -95,6 +96,16 @@
                 'leads' if leads else 'leads no longer', peers=peers
             )
 
+    def _in_contact(self) -> bool:
+        """Return whether another instance is known, if the seeds name one."""
+        context = self._context
+        own = context.settings.peer
+        own_host = own.host if own is not None else None
+        expected = any(
+            seed.host != own_host for seed in context.settings.seeds
+        )
+        return not expected or len(context.members) > 0
+
     async def _give_order(
         self, switch: roles.RoleSwitch, engine: model.Engine
     ) -> bool:
--- a/primrosereel/routing/_roles.py
+++ b/primrosereel/routing/_roles.py
@@ -301,13 +301,15 @@
         visible_peers: int,
         now: float,
         shard_zones: frozenset[ids.AvailabilityZone] = frozenset(),
+        in_contact: bool = True,
     ) -> bool:
         """Return whether this instance may give orders now.
 
         ``candidates`` are the other processes of the shard that may lead, and
         ``visible_peers`` counts all its other visible instances, including
         those in an orderly shutdown. ``shard_zones`` are its zones, empty
-        while the fleet is one shard.
+        while the fleet is one shard. ``in_contact`` is False if there are
+        other instances, of which none is known: one of them may lead.
         """
         if shard_zones != self._shard_zones:
             # The majority of a divided fleet is that of the own shard.
@@ -317,7 +319,7 @@
         self._largest_shard = max(self._largest_shard, visible_peers + 1)
         leads = all(self._own < other for other in candidates)
         sees_majority = 2 * (visible_peers + 1) > self._largest_shard
-        if not leads or not sees_majority:
+        if not leads or not sees_majority or not in_contact:
             self._leads_since = None
             return False
         if self._leads_since is None:
--- a/tests/property/test_gateway_orders.py
+++ b/tests/property/test_gateway_orders.py
@@ -5,6 +5,8 @@
 
 from primrosereel import _ids as ids
 from primrosereel import _states as states
+from primrosereel.routing import _ledger as ledger_module
+from primrosereel.routing import _model as model
 from primrosereel.routing import _roles as roles
 from tests import gateway_fleet
 
@@ -59,3 +61,42 @@
         assert not samples
 
     run(scenario)
+
+
+@pytest.mark.parametrize(
+    ('seed', 'leads'), [('127.0.0.1', 1), ('127.0.0.2', 0)]
+)
+def test_process_that_reaches_no_seed_does_not_lead(seed, leads):
+    """Guards against two leaders, one of which knows no other instance.
+
+    One whose seeds name only itself is the first instance of a fleet.
+    """
+    port = gateway_fleet.free_port()
+
+    async def scenario(fleet):
+        samples = []
+        fleet.gateway._orders._balance.sample = lambda *_: samples.append(1)
+        await fleet.wait_for(lambda: len(samples) == 4)
+        assert len(fleet.log.named('leads')) == leads
+
+    run(
+        scenario,
+        peer=model.Address('127.0.0.1', port),
+        seeds=(model.Address(seed, port),),
+        lease_s=0.1,
+    )
+
+
+def test_process_without_contact_to_others_gives_up_the_lead():
+    """Guards against a leader in each part of a divided fleet.
+
+    An instance that is cut off forgets the others, and the zones with them.
+    """
+    leader = roles.Leadership(
+        ledger_module.Process(1, ids.InstanceId('i1')), 3.0
+    )
+    assert not leader.update([], 0, 0.0)
+    assert leader.update([], 0, 6.0)
+    assert not leader.update([], 0, 7.0, in_contact=False)
+    assert not leader.update([], 0, 8.0)
+    assert leader.update([], 0, 14.0)
