--- a/primrosereel/platform/_dialect.py
+++ b/primrosereel/platform/_dialect.py
@@ -16,6 +16,8 @@
 
 Headers = Sequence[tuple[bytes, bytes]]
 
+AUTHORIZATION = b'authorization'
+CLIENT_ACCOUNT = b'tenant'
 REQUEST_ID = b'request-id'
 DEADLINE_MS = b'deadline-ms'
 LAST_EVENT_ID = b'last-event-id'
@@ -53,6 +55,9 @@
         b'weight-versions',
     }
 )
+# Removed as well while client accounts are in force: a caller's key, and the
+# name of the account, which is the router's to tell.
+ACCOUNT_HEADERS = frozenset({AUTHORIZATION, CLIENT_ACCOUNT})
 HIGHEST_PRIORITY = 9
 # Longer lists of parts, and longer ids, are not decoded.
 MAX_PROMPT_PARTS = 64
@@ -88,23 +93,43 @@
         deadline_ms = numbers.parse_decimal(
             values.get(DEADLINE_MS, b''), numbers.MAX_DURATION_MS
         )
-        prompt, output = _parse_token_counts(values.get(TOKEN_USAGE, b''))
+        usage = values.get(TOKEN_USAGE)
+        prompt, output = _parse_token_counts(usage or b'')
         return model.RequestFacts(
             request_id=values.get(REQUEST_ID, b'').decode('latin-1'),
             deadline_s=None if deadline_ms is None else deadline_ms / 1000,
             prompt_tokens=prompt,
             output_tokens=output,
+            states_tokens=usage is not None,
             last_event_id=numbers.parse_whole(values.get(LAST_EVENT_ID, b'')),
             length_hint=_parse_tokens(values.get(LENGTH_HINT, b'')),
             shared_parts=_parse_shared_parts(values.get(PROMPT_PREFIX, b'')),
         )
 
-    def forwarded(self, headers: Headers) -> list[tuple[bytes, bytes]]:
-        """Return a caller's headers without the reserved ones."""
+    def authorization(self, headers: Headers) -> list[bytes]:
+        """Return the values of all ``Authorization`` fields."""
+        return [
+            value for name, value in headers if name.lower() == AUTHORIZATION
+        ]
+
+    def challenge(self) -> list[tuple[bytes, bytes]]:
+        """Return the headers that ask a caller for a key."""
+        return [(b'WWW-Authenticate', b'Token')]
+
+    def forwarded(
+        self, headers: Headers, with_accounts: bool
+    ) -> list[tuple[bytes, bytes]]:
+        """Return a caller's headers without the reserved ones.
+
+        With client accounts these include the caller's credentials.
+        """
+        reserved = RESERVED_HEADERS
+        if with_accounts:
+            reserved = reserved | ACCOUNT_HEADERS
         return [
             (name, value)
             for name, value in headers
-            if name.lower() not in RESERVED_HEADERS
+            if name.lower() not in reserved
         ]
 
     def run_headers(
@@ -128,6 +153,12 @@
             headers.append((b'Last-Event-Id', event_id))
         return headers
 
+    def account_headers(
+        self, account: ids.ClientAccountId
+    ) -> list[tuple[bytes, bytes]]:
+        """Return the headers that tell a runner who calls."""
+        return [(b'Tenant', account.encode())]
+
     def response_facts(
         self, status: int, headers: Headers
     ) -> model.ResponseFacts:
--- a/tests/property/test_routing_places.py
+++ b/tests/property/test_routing_places.py
@@ -11,6 +11,7 @@
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _model as model
 from primrosereel.routing import _prefill_plan as prefill_plan
+from primrosereel.routing import _priorities as priorities
 from primrosereel.routing import _runners as runners
 
 SERVICE = ids.ServiceId('llm')
@@ -65,9 +66,14 @@
             leaving,
         )
 
-    def submit(self, tokens, now, on_time_s=0.5, priority=1):
+    def submit(self, tokens, now, on_time_s=0.5, priority=1, deferral_s=0.0):
         ticket = decode_places.Ticket(
-            SERVICE, tokens, priority, now, lambda _: now + on_time_s
+            SERVICE,
+            tokens,
+            priorities.route_only(priority),
+            now,
+            lambda _: now + on_time_s,
+            deferral_s=deferral_s,
         )
         self.places.add(ticket, now)
         return ticket
