Refuse keys while the store does not confirm the version

Cause: an instance that does not reach the store accepted withdrawn keys for as long as that lasted.

Change: with strictRevocation, requests that need a key get 503 once the store has not confirmed the configuration for revokeMs. The time counts from when the confirming call began, as a suspended process may read an answer late. Pauses and watches are short enough for it then.

--- a/primrosereel/_states.py
+++ b/primrosereel/_states.py
@@ -41,6 +41,7 @@
     TOO_MANY_CONNECTIONS = 'too_many_connections'
     UNAUTHENTICATED = 'unauthenticated'
     UNAUTHENTICATED_STALE = 'unauthenticated_stale'
+    UNCONFIRMED_VERSION = 'unconfirmed_version'
     PRIORITY_NOT_ALLOWED = 'priority_not_allowed'
     UNKNOWN_SERVICE = 'unknown_service'
     UNKNOWN_CALL = 'unknown_call'
--- a/primrosereel/gateway/_authentication.py
+++ b/primrosereel/gateway/_authentication.py
@@ -42,31 +42,40 @@
     accounts = table.client_accounts
     if accounts is None:
         return None
-    authorization = context.dialect.authorization(request.headers)
-    account = accounts.authenticate(authorization)
-    if account is None and (route is None or not route.public):
-        raise Unauthenticated(_refusal(context, request, table))
+    needs_key = route is None or not route.public
+    if context.unconfirmed_s:
+        # Any key may have been withdrawn, so none is known.
+        account = None
+    else:
+        authorization = context.dialect.authorization(request.headers)
+        account = accounts.authenticate(authorization)
     if account is not None:
         label = context.metrics.account_label(account.name)
         context.count(f'requests_by_account.{label}')
+    elif needs_key:
+        raise Unauthenticated(_refuse(context, request, table))
     return account
 
 
-def _refusal(
+def _refuse(
     context: context_module.Context,
     request: callers.CallerRequest,
     table: table_module.RoutingTable,
 ) -> callers.Reply:
-    """Return the reply to a request whose key is missing or unknown.
+    """Return the reply to a request without a known key, and log it.
 
     Where peers have a newer version, its keys are not known here yet.
     """
-    reason, status = Reason.UNAUTHENTICATED, UNAUTHORIZED
-    headers = context.dialect.challenge()
+    unconfirmed_s = context.unconfirmed_s
     peer_version = context.peer_versions.newest(context.clock())
-    if peer_version > table.version:
+    reason, status = Reason.UNAUTHENTICATED, UNAUTHORIZED
+    if unconfirmed_s:
+        reason, status = Reason.UNCONFIRMED_VERSION, UNAVAILABLE
+    elif peer_version > table.version:
         reason, status = Reason.UNAUTHENTICATED_STALE, UNAVAILABLE
-        retry_after_s = timeouts.outage_retry_after_s(0.0)
+    headers = context.dialect.challenge()
+    if status == UNAVAILABLE:
+        retry_after_s = timeouts.outage_retry_after_s(unconfirmed_s)
         headers = [(b'Retry-After', b'%.2f' % retry_after_s)]
     context.count(f'refused.{reason.value}')
     context.log.info(
@@ -81,5 +90,6 @@
         version=table.version,
         version_age_s=context.version_age_s,
         peer_version=peer_version,
+        unconfirmed_s=round(unconfirmed_s, 3),
     )
     return callers.Reply(status, headers=headers)
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -87,6 +87,8 @@
     table: table_module.RoutingTable | None = None
     # When the table came into force.
     table_since: float = -math.inf
+    # When the last call began whose answer told the store's state.
+    version_confirmed_at: float = -math.inf
     # A stop first sets ``draining`` (not ready, requests are still served),
     # then ``refusing`` (new requests are refused).
     draining: bool = False
@@ -185,6 +187,18 @@
         """The version of the configuration in force; 0 without one."""
         return self.table.version if self.table else 0
 
+    @property
+    def unconfirmed_s(self) -> float:
+        """For how long keys have not been accepted; 0 while they are.
+
+        With strict revocation, the store must have confirmed the version
+        lately, as a newer one may have withdrawn any key.
+        """
+        if not self.settings.strict_revocation:
+            return 0.0
+        since = self.version_confirmed_at + self.settings.revoke_s
+        return max(0.0, self.clock() - since)
+
     @property
     def version_age_s(self) -> float | None:
         """For how long the version has been in force; None without one."""
--- a/primrosereel/gateway/_store_reader.py
+++ b/primrosereel/gateway/_store_reader.py
@@ -15,6 +15,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
+import math
 
 import anyio
 
@@ -42,6 +43,9 @@
 # therefore limited to a share of the time within which an instance must catch
 # up after an outage of the store.
 WATCH_SHARE = 0.5
+# With strict revocation, a version is confirmed from when a call begins until
+# the next one ends, so two watches and a pause must fit into ``revoke_s``.
+REVOKE_SHARE = 0.25
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
 # A call that is under way as the store returns, and this pause, must end
@@ -78,9 +82,18 @@
     @property
     def _pause_s(self) -> float:
         settings = self._context.settings
-        return PAUSE_SHARE * min(
+        pause_s = PAUSE_SHARE * min(
             settings.runner_drain_s, settings.configuration_s
         )
+        return min(pause_s, self._max_step_s)
+
+    @property
+    def _max_step_s(self) -> float:
+        """The limit of a pause, and of a watch, with strict revocation."""
+        settings = self._context.settings
+        if not settings.strict_revocation:
+            return math.inf
+        return REVOKE_SHARE * settings.revoke_s
 
     @property
     def _has_peers(self) -> bool:
@@ -99,7 +112,8 @@
             return 0.0
         if SHARES_WATCH and self._has_peers:
             return 0.0
-        return WATCH_SHARE * self._context.settings.stable_window_s
+        watch_s = WATCH_SHARE * self._context.settings.stable_window_s
+        return min(watch_s, self._max_step_s)
 
     @property
     def synchronized(self) -> bool:
@@ -155,6 +169,7 @@
         self._watch_state.reset()
 
     async def _read(self) -> None:
+        started_at = self._context.clock()
         state = await self._call(self._store.read)
         self._note_store_recovered()
         listings = []
@@ -168,6 +183,7 @@
                 if self._synchronized:
                     self._note_listing(change.runner, change.revision)
             self._apply_table(change)
+        self._context.version_confirmed_at = started_at
         self._runner_list.apply_snapshot(listings, self._context.clock(), kept)
         self._watch_state.snapshot_read(state.revision, self._context.clock())
         self._history_read, self._watched = self._history.number, False
@@ -186,6 +202,7 @@
             return await self._store.watch(since, self._watch_s)
 
         history = self._history.number
+        started_at = self._context.clock()
         state = await self._call(watch)
         self._note_store_recovered()
         if self._history.number != history:
@@ -196,6 +213,9 @@
         # A notice that arrived during the call may hold later changes.
         if state.revision >= self._watch_state.revision:
             self._apply_changes(state.changes, now)
+        # Not the time of the answer, which a process that was suspended may
+        # read long after it was sent.
+        self._context.version_confirmed_at = started_at
         self._watch_state.changes_read(
             state.revision, state.relevant_revision, now
         )
--- a/tests/property/test_gateway_accounts.py
+++ b/tests/property/test_gateway_accounts.py
@@ -7,6 +7,7 @@
 
 from primrosereel.routing import _model as model
 from primrosereel.standin import _listed_runner as listed_runner
+from primrosereel.standin import _metadata_store as metadata_store
 from primrosereel.standin import _operator_config as operator_config
 from tests import gateway_fleet
 from tests.property import test_gateway
@@ -200,6 +201,34 @@
     assert await status(fleet, '/none/1', Authorization=TOKEN) == 503
 
 
+@pytest.mark.parametrize('strict', [True, False])
+def test_keys_need_a_confirmed_version_only_if_revocation_is_strict(strict):
+    """Guards against a withdrawn key that is accepted for an outage's time."""
+
+    async def scenario(fleet):
+        await use_accounts(fleet, public=['/file/'])
+        # Quiet watches confirm the version as well.
+        await anyio.sleep(1.0)
+        assert await status(fleet, Authorization=TOKEN) == 200
+        fleet.store.mode = metadata_store.StoreMode.SILENT
+        await anyio.sleep(1.0)
+        reply = await fleet.ask('/read/1', 'r1', Authorization=TOKEN)
+        assert reply.status == (503 if strict else 200)
+        assert ('retry-after' in reply.headers) == strict
+        assert await status(fleet) == (503 if strict else 401)
+        assert await status(fleet, '/file/1') == 200
+        counters = fleet.gateway._context.metrics._counters
+        assert counters['refused.unconfirmed_version'] == 2 * strict
+        fleet.store.mode = metadata_store.StoreMode.UP
+        context = fleet.gateway._context
+        await fleet.wait_for(lambda: context.unconfirmed_s == 0)
+        assert await status(fleet, Authorization=TOKEN) == 200
+
+    gateway_fleet.run_scenario(
+        scenario, strict_revocation=strict, revoke_s=0.8, stable_window_s=3.0
+    )
+
+
 @gateway_fleet.with_fleet
 async def test_malformed_account_changes_nothing(fleet):
     """Guards against a mistake that withdraws keys or lets anyone in."""
