--- a/tests/property/test_gateway_quotas.py
+++ b/tests/property/test_gateway_quotas.py
@@ -2,8 +2,10 @@
 
 import pytest
 
+from primrosereel.routing import _model as model
 from primrosereel.standin import _listed_runner as listed_runner
 from tests import gateway_fleet
+from tests.property import test_gateway_peers as peers_tests
 
 TENANTS = [
     {'name': 'small', 'apiKeys': ['k1'], 'ratePerS': 0.001, 'burst': 2},
@@ -16,6 +18,7 @@
         'burst': 100,
     },
     {'name': 'free', 'apiKeys': ['k3']},
+    {'name': 'wide', 'apiKeys': ['k4'], 'ratePerS': 0.001, 'burst': 8},
 ]
 
 
@@ -34,7 +37,11 @@
 
 def level(fleet, account):
     """Return the units that an account may still spend."""
-    context = fleet.gateway._context
+    return level_at(fleet.gateway, account)
+
+
+def level_at(gateway, account):
+    context = gateway._context
     states = context.quotas.states(context.clock())
     return next(s.level for s in states if s.account == account)
 
@@ -88,3 +95,23 @@
     await configure(fleet, [TENANTS[0] | {'burst': 1}], version=3)
     replies = [await ask(fleet, 'k1', f'r{n}') for n in range(2)]
     assert [reply.status for reply in replies] == [200, 429]
+
+
+def test_instances_share_a_quota():
+    """Guards against a quota that each instance grants by itself."""
+    port = gateway_fleet.free_port()
+    own = model.Address('127.0.0.1', port)
+
+    async def scenario(fleet):
+        await configure(fleet, TENANTS)
+        other, _ = peers_tests.OtherInstances(fleet, port).start('127.0.0.2')
+        context = other._context
+        await fleet.wait_for(lambda: context.quotas.active)
+        await fleet.wait_for(lambda: len(context.members) == 1)
+        # Two instances are expected, and each begins with half the burst.
+        assert level_at(other, 'wide') == pytest.approx(4, abs=0.1)
+        for number in range(3):
+            assert (await ask(fleet, 'k4', f'r{number}')).status == 200
+        await fleet.wait_for(lambda: level_at(other, 'wide') < 1.1)
+
+    gateway_fleet.run_scenario(scenario, peer=own, seeds=(own,))
