--- a/primrosereel/routing/_runner_speeds.py
+++ b/primrosereel/routing/_runner_speeds.py
@@ -37,10 +37,10 @@
 # An observation is told with each heartbeat for this time.
 REPEAT_S = 3.0
 # Runners that one datagram tells of, those with the most observations.
-MAX_REPORTS = 48
+MAX_REPORTS = 24
 # Runners that are kept in mind, also before they are listed.
 MAX_RUNNERS = 2000
-REFRESH_INTERVAL_S = 2.0
+REFRESH_INTERVAL_S = 1.0
 
 
 class Phase(enum.Enum):
--- a/tests/property/test_runner_speeds.py
+++ b/tests/property/test_runner_speeds.py
@@ -13,6 +13,7 @@
 from primrosereel.routing import _ledger as ledger_module
 from primrosereel.routing import _runner_speeds as runner_speeds
 from primrosereel.routing import _runners as runners
+from tests.property import test_gateway_odd_datagrams as datagrams_tests
 from tests.property import test_routing_places as places_tests
 
 DECODE = runner_speeds.Phase.DECODE
@@ -191,3 +192,22 @@
     speeds.learn(ids.InstanceId('i2'), [report], 0.0)
     chosen = plan.choose(table.get(D0), 5000, 0.0)
     assert chosen.runner_id == 'p1'
+
+
+def test_instances_tell_each_other_over_the_network():
+    """Guards against speeds that a datagram leaves out or nobody reads."""
+
+    async def scenario(fleet, peer):
+        table = fleet.gateway._context.runners
+        born_ms = table.get(ids.RunnerId('d1')).listing.born_ms
+        await peer.send(speeds=[('d1', born_ms, 'decode', 1600, 2000, 10)])
+        await fleet.wait_for(
+            lambda: table.get(ids.RunnerId('d1')).decode_slowness > 1.4
+        )
+        reply = await fleet.ask('/ask/1', 'r1', **datagrams_tests.STREAM)
+        assert reply.status == 200
+        told = []
+        while not any(phase == 'prefill' for _, _, phase, *_ in told):
+            told = (await peer.receive()).speeds
+
+    datagrams_tests.run_with_peer(scenario)
