--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -319,6 +319,7 @@
             self.route.name,
             self.facts.prompt_tokens,
             self.facts.length_hint,
+            self.account_name or '',
         )
 
     def record_internal_error(self, error: Exception) -> None:
