Tell speeds of runners only where callers compete for them

Cause: speeds were told and decode runners weighed by them in every deployment; what is new is to take effect only where the settings call for it.

Measured: tests/property/test_runner_speeds.py passes.

--- a/primrosereel/gateway/_peers.py
+++ b/primrosereel/gateway/_peers.py
@@ -399,8 +399,11 @@
         """Return the runners' speeds that a datagram tells.
 
         Gossip tells all that was observed here, a heartbeat what is new.
+        Without contention the instances' own observations suffice.
         """
         with_all = scope is runner_notices.Scope.ALL
+        if not self._context.settings.high_contention:
+            return []
         if not with_all and not is_heartbeat:
             return []
         return peer_datagram.encode_speeds(
