--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -407,6 +407,7 @@
         self.context.log.info(
             'attempt failed',
             request=self.facts.request_id,
+            account=self.account_name,
             runner=runner.runner_id,
             reason=reason.value,
             detail=detail,
--- a/tests/property/test_request_stories.py
+++ b/tests/property/test_request_stories.py
@@ -10,6 +10,7 @@
 from primrosereel.cmd import tool
 from primrosereel.standin import _listed_runner as listed_runner
 from tests import gateway_fleet
+from tests.property import test_gateway_accounts
 
 Fault = listed_runner.Fault
 PAGE = pathlib.Path(__file__).resolve().parents[2] / 'docs' / 'OPERATIONS.md'
@@ -94,6 +95,18 @@
     assert reply.status == 504
 
 
+async def unknown_key(fleet):
+    await test_gateway_accounts.use_accounts(fleet)
+    headers = {'Authorization': 'Token unknown'}
+    assert (await fleet.ask('/read/1', 'r1', **headers)).status == 401
+
+
+async def known_key(fleet):
+    await test_gateway_accounts.use_accounts(fleet)
+    headers = {'Authorization': test_gateway_accounts.TOKEN}
+    assert (await fleet.ask('/read/1', 'r1', **headers)).status == 200
+
+
 @pytest.mark.parametrize(
     ('scenario', 'told'),
     [
@@ -112,6 +125,11 @@
             silent_filing,
             ['reason upstream_timeout', 'status 504', 'attempts 1'],
         ),
+        (
+            unknown_key,
+            ['reason unauthenticated', 'status 401', 'key_fields 1'],
+        ),
+        (known_key, ['served', 'account acme']),
     ],
 )
 def test_explain_prints_the_cause_of_a_failed_request(
@@ -144,7 +162,8 @@
     printed = capsys.readouterr().out
     for text in told:
         assert text in printed
-        assert text == 'wait' or text.split()[-1] in PAGE.read_text()
+        listed = text in ('wait', 'account acme')
+        assert listed or text.split()[-1] in PAGE.read_text()
     assert 'other' not in printed
 
 
--- a/tests/soak/answer_checks.py
+++ b/tests/soak/answer_checks.py
@@ -18,7 +18,7 @@
 ]
 
 # Refusals that state that no runner has executed the request.
-NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
+NOT_EXECUTED_STATUSES = (401, 408, 421, 429, 503)
 DEADLINE_S = callers_module.DEADLINE_MS / 1000
 STREAM_TIMEOUT_S = min(operator_module.STREAM_TIMEOUTS_MS) / 1000
 PLAIN_TIMEOUT_S = min(operator_module.PLAIN_TIMEOUTS_MS) / 1000
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -10,6 +10,7 @@
 
 from tests import gateway_fleet
 from tests.soak import deadly
+from tests.soak import operator as operator_module
 
 __all__ = [
     'ANSWER_TIMEOUT_S',
@@ -35,6 +36,9 @@
 ADDED_ROUTE_SHARE = 0.2
 LEAVE_SHARE = 0.1
 BODY_SHARE = 0.5
+# The shares of sound requests with a key that comes and goes, and without one.
+CHANGING_KEY_SHARE = 0.1
+KEYLESS_SHARE = 0.03
 SLOW_BODY_SHARE = 0.3
 MAX_BODY_BYTES = 30_000
 MAX_BODY_DELAY_S = 0.4
@@ -51,7 +55,8 @@
 
     ``sent_at`` is when its last byte was written, ``ended_at`` when its answer
     or its connection ended. ``left`` is set if the caller left before that.
-    ``cause`` is why the request crashes runners, or None.
+    ``cause`` is why the request crashes runners, or None. ``key`` is that of a
+    client account, or None.
     """
 
     request_id: str
@@ -59,6 +64,7 @@
     process: Any
     body: bytes = b''
     cause: deadly.Cause | None = None
+    key: operator_module.Key | None = operator_module.STEADY_KEY
     on_kept_connection: bool = False
     sent_at: float = math.inf
     ended_at: float = math.inf
@@ -101,6 +107,8 @@
         self.unasked = []
         self._seed = seed
         self._random = random_module.Random(f'{seed} callers')
+        # Of its own, so that it changes no other draws of a seed.
+        self._key_random = random_module.Random(f'{seed} keys')
         self._processes = processes
         self._operator = operator
         self._outcomes = outcomes
@@ -208,8 +216,18 @@
             attempt.body = random.randbytes(random.randint(1, MAX_BODY_BYTES))
         elif random.random() < DEADLY_BODY_SHARE and self._is_sound(path):
             attempt.body = deadly.BODY
+        attempt.key = self._draw_key()
         return attempt
 
+    def _draw_key(self):
+        draw = self._key_random.random()
+        if draw < KEYLESS_SHARE:
+            return None
+        keys = self._operator.keys
+        if draw < KEYLESS_SHARE + CHANGING_KEY_SHARE and keys:
+            return self._key_random.choice(keys)
+        return operator_module.STEADY_KEY
+
     def _is_sound(self, path):
         """Return whether the body of deadly requests is sound with a path."""
         return all(
@@ -253,6 +271,9 @@
         if attempt.cause is deadly.Cause.PART:
             parts.append(deadly.PART)
         prefix = ''.join(f'{part}:100,' for part in parts)
+        headers = {}
+        if attempt.key is not None:
+            headers['Authorization'] = f'Token {attempt.key.text}'
         data = client.encode(
             attempt.path,
             attempt.request_id,
@@ -261,6 +282,7 @@
             Deadline_Ms=DEADLINE_MS,
             Token_Usage='2000,100',
             Prompt_Prefix=f'{prefix}{attempt.request_id}:1800',
+            **headers,
         )
         if attempt.body and self._random.random() < SLOW_BODY_SHARE:
             head, end, data = data.partition(b'\r\n\r\n')
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -1,5 +1,6 @@
 """What must hold in a soak run, checked on the records of its end."""
 
+from tests.soak import account_checks
 from tests.soak import answer_checks
 from tests.soak import crash_checks
 from tests.soak import leaving_checks
@@ -19,6 +20,9 @@
     leaving_checks.check_leaving_answers,
     leaving_checks.check_back_off,
     crash_checks.check_crashes,
+    account_checks.check_keys,
+    account_checks.check_account_fields,
+    account_checks.check_key_texts,
 )
 
 
--- a/tests/soak/operator.py
+++ b/tests/soak/operator.py
@@ -12,7 +12,14 @@
 from tests.soak import processes
 from tests.soak import spans
 
-__all__ = ['AddedRoute', 'Operator', 'RouteState']
+__all__ = [
+    'KEY_MARK',
+    'STEADY_KEY',
+    'AddedRoute',
+    'Key',
+    'Operator',
+    'RouteState',
+]
 
 CONFIG_KEY = 'op/config'
 FIRST_IDLE_MS = 3000
@@ -20,6 +27,9 @@
 STREAM_TIMEOUTS_MS = (3000, 4000, 5000)
 PLAIN_TIMEOUTS_MS = (1000, 1500, 2000)
 MAX_ADDED_ROUTES = 6
+MAX_CHANGING_KEYS = 3
+# Part of each key, which must not leave the processes.
+KEY_MARK = 'soak-key-'
 ROUTE_CHANGE_SHARE = 0.7
 LIMIT_CHANGE_SHARE = 0.5
 # A version that was acknowledged this long ago is in force everywhere.
@@ -51,6 +61,22 @@
         return RouteState.CHANGING
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class Key:
+    """A key of a client account; times are those of acknowledgements."""
+
+    text: str
+    account: str
+    added_at: float = -math.inf
+    removed_at: float = math.inf
+
+    state = AddedRoute.state
+
+
+# All versions have it.
+STEADY_KEY = Key(f'{KEY_MARK}steady', 'steady')
+
+
 class Operator:
     """Writes configurations and runners' entries to the store.
 
@@ -63,6 +89,8 @@
         self.disturbed = spans.Spans()
         self.leaving = collections.defaultdict(spans.Spans)
         self.routes = []
+        # The keys that come and go, one with each version.
+        self.keys = []
         self._store = store
         self._runners = runners
         self._links = links
@@ -137,8 +165,17 @@
             random.choice(route_changes)(random)
         if random.random() < LIMIT_CHANGE_SHARE:
             random.choice(changes)(random)
+        self._change_keys()
         self._write_configuration()
 
+    def _change_keys(self):
+        now = anyio.current_time()
+        text = f'{KEY_MARK}{self._version}'
+        self.keys.append(Key(text, 'changing', now))
+        live = [key for key in self.keys if key.removed_at == math.inf]
+        for key in live[:-MAX_CHANGING_KEYS]:
+            key.removed_at = now
+
     def _change_idle_limit(self, random):
         self._idle_limits[-1][1] = anyio.current_time() + IN_FORCE_S
         limit_s = random.choice(IDLE_LIMITS_MS) / 1000
@@ -171,6 +208,10 @@
             kind = 'plain' if route['service'] == 'plain' else 'streaming'
             if kind in self._timeouts_ms:
                 route['timeoutMs'] = self._timeouts_ms[kind]
+        live = [key.text for key in self.keys if key.removed_at == math.inf]
+        configuration = operator_config.add_accounts(
+            configuration, {'steady': [STEADY_KEY.text], 'changing': live}
+        )
         self._store.put(CONFIG_KEY, configuration)
 
     # After a return of the store from a copy.
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -10,6 +10,7 @@
 
 from primrosereel.standin import _raw_http as raw_http
 from tests import gateway_fleet
+from tests.soak import account_checks
 from tests.soak import answer_checks
 from tests.soak import callers
 from tests.soak import crash_checks
@@ -292,3 +293,33 @@
         process.starved.add(*(SENT_AT + at for at in starved))
     found = process_faults.stopped_in_time(process, SENT_AT, status)
     assert found == in_time
+
+
+def test_keys_that_are_taken_or_told_wrongly_are_found(tmp_path):
+    """Guards against checks of accounts that excuse everything."""
+    record = Record()
+    withdrawn = operator.Key('k', 'changing', 10.0, 20.0)
+    lasting = operator.Key('k', 'changing', 10.0)
+    for key, status, told, wrong in (
+        (operator.STEADY_KEY, 200, ['steady'], ''),
+        (operator.STEADY_KEY, 401, ['steady'], 'key'),
+        (operator.STEADY_KEY, 200, ['steady', 'steady'], 'field'),
+        (withdrawn, 200, ['changing'], 'key'),
+        (withdrawn, 401, ['changing'], ''),
+        (lasting, 401, ['changing'], 'key'),
+        (lasting, 200, ['steady'], 'field'),
+        (None, 200, [], 'key'),
+        (None, 401, [], ''),
+    ):
+        attempt = record.add(SENT_AT, status)
+        attempt.key = key
+        arrival = record.items[-1][1]
+        arrival.request.fields = [(b'tenant', t.encode()) for t in told]
+        record.runners['s0'].arrivals = [arrival]
+        found = list(account_checks.check_account_fields(record))
+        assert bool(found) == (wrong == 'field')
+        record.attempts = {attempt.request_id: attempt}
+        assert bool([*account_checks.check_keys(record)]) == (wrong == 'key')
+    record.process.log = tmp_path / 'log'
+    record.process.log.write_text(f'{{"x": "{operator.STEADY_KEY.text}"}}')
+    assert list(account_checks.check_key_texts(record))
