Name the account in all refusals, and use one version for a request

Cause: refusals without a runner named neither account nor version, and a request looked up its service in versions that came later.

Change: these lines have both; a request uses the engine's capacity of the version that it began with. A test compares priorities of two versions.

Result: tests of accounts, moves, rejections, refusals and changes pass.

--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -339,8 +339,7 @@
     @property
     def engine(self) -> model.Engine | None:
         """The capacity of the service's engines; None if it has none."""
-        table = self.context.table
-        service = table.services.get(self.service) if table else None
+        service = self.table.services.get(self.service)
         return service.engine if service is not None else None
 
     @property
--- a/primrosereel/gateway/_server.py
+++ b/primrosereel/gateway/_server.py
@@ -12,6 +12,7 @@
 from primrosereel.gateway import _lingering_close as lingering_close
 from primrosereel.gateway import _plain as plain
 from primrosereel.gateway import _socket_options as socket_options
+from primrosereel.routing import _client_accounts as client_accounts
 from primrosereel.routing import _model as model
 from primrosereel.routing import _table as table_module
 from primrosereel.routing import _timeouts as timeouts
@@ -273,10 +274,19 @@
         return None
 
     def _refuse(
-        self, reason: states.RefusalReason, retry_after_s: float
+        self,
+        reason: states.RefusalReason,
+        retry_after_s: float,
+        account: client_accounts.ClientAccount | None = None,
     ) -> callers.Reply:
         self._context.count(f'refused.{reason.value}')
-        self._context.log.info('refused', reason=reason.value, status=503)
+        self._context.log.info(
+            'refused',
+            account=account.name if account is not None else None,
+            reason=reason.value,
+            status=503,
+            version=self._context.version,
+        )
         return callers.Reply(
             503, headers=[(b'Retry-After', b'%.2f' % retry_after_s)]
         )
@@ -285,6 +295,7 @@
         self,
         request: callers.CallerRequest,
         table: table_module.RoutingTable,
+        account: client_accounts.ClientAccount | None,
     ) -> callers.Reply:
         """Return the reply to a request for which there is no route.
 
@@ -303,6 +314,7 @@
             return self._refuse(
                 states.RefusalReason.NO_CONFIGURATION,
                 timeouts.outage_retry_after_s(0.0),
+                account,
             )
         context.count(f'refused.{states.RefusalReason.UNKNOWN_SERVICE.value}')
         return callers.Reply(404)
@@ -331,11 +343,11 @@
         except authentication.Unauthenticated as error:
             return error.reply
         if route is None or not route.services:
-            return self._refuse_unknown(request, table)
+            return self._refuse_unknown(request, table, account)
         service = table_module.pick_service(route, context.random)
         if service is None:
             return self._refuse(
-                states.RefusalReason.NO_RUNNER, ERROR_RETRY_AFTER_S
+                states.RefusalReason.NO_RUNNER, ERROR_RETRY_AFTER_S, account
             )
         facts = context.dialect.request_facts(request.headers)
         limit_s = timeouts.time_limit_s(route, facts)
--- a/tests/property/test_client_accounts.py
+++ b/tests/property/test_client_accounts.py
@@ -13,6 +13,7 @@
 from primrosereel.platform import _steps as steps
 from primrosereel.routing import _client_accounts as client_accounts
 from primrosereel.routing import _priorities as priorities
+from primrosereel.routing import _tickets as tickets
 from primrosereel.standin import _operator_config as operator_config
 
 PRIORITIES = st.sets(st.integers(0, 6), max_size=5)
@@ -112,6 +113,23 @@
             assert order.of(None, pair[1]).position == position
 
 
+def test_requests_of_two_versions_are_ordered_by_their_pairs():
+    """Guards against positions of two versions that are compared.
+
+    Peers, which may run an older program, are told one number.
+    """
+    old = priorities.PriorityOrder({1, 2, 3}, {0, 5}, ()).of(2, 5)
+    new = priorities.PriorityOrder({4}, {1}, ()).of(4, 1)
+    assert new.position < old.position
+    queued = [
+        tickets.Ticket('llm', 9, priority, 0.0, lambda _: 9.0)
+        for priority in (new, old)
+    ]
+    first = min(queued, key=lambda ticket: ticket.rank(1.0))
+    assert first.priority is old
+    assert tickets.queue_head(first, 1.0).priority == 3
+
+
 def test_labels_of_accounts_are_bounded():
     """Guards against a metric that grows with the configuration."""
     metrics = metrics_module.Metrics()
