Compare predicted and real stream times, and learn what is usual first

Cause: the metrics compared calls and prefills only.

Change: histograms of predicted and real stream times. The first 6 prefills of an instance only show what is usual.

--- a/primrosereel/gateway/_event_stream.py
+++ b/primrosereel/gateway/_event_stream.py
@@ -139,9 +139,34 @@
             return
         now = context.clock()
         requests = context.places.requests_at(runner, now)
-        context.decode_speed.observe(
-            runner, (requests_at_start + requests) / 2, event_s, now
+        mean_requests = (requests_at_start + requests) / 2
+        self._compare_stream(runner, mean_requests, event_s, now)
+        context.decode_speed.observe(runner, mean_requests, event_s, now)
+
+    def _compare_stream(
+        self,
+        runner: runners.Runner,
+        requests: float,
+        event_s: float,
+        now: float,
+    ) -> None:
+        """Record the expected time of a whole stream beside its time."""
+        exchange = self._exchange
+        context = exchange.context
+        usual_s = context.decode_speed.usual_s(exchange.service, requests)
+        is_part = exchange.facts.last_event_id is not None
+        if (
+            usual_s is None
+            or is_part
+            or self._events_received < (self.events_sent)
+        ):
+            return
+        output = context.output_costs.expected(exchange.output_key, now).mean
+        context.metrics.observe(
+            'predicted_stream_seconds',
+            runner.decode_slowness * usual_s * output,
         )
+        context.metrics.observe('stream_seconds', event_s * self.events_sent)
 
     def check_complete(self, head: http.ResponseHead) -> None:
         """Raise BrokenResponse if the runner's last event is missing.
--- a/primrosereel/routing/_prefill_plan.py
+++ b/primrosereel/routing/_prefill_plan.py
@@ -68,16 +68,22 @@
         seconds: float,
         now: float,
     ) -> None:
-        """Update the speed and the runner's slowness from a prefill."""
+        """Update the speed and the runner's slowness from a prefill.
+
+        Peers would be told of runners that are all as fast as the service is
+        compared with the assumed speed, so the first prefills only show what
+        is usual.
+        """
         speed = self.speed(runner.listing.service)
         work = max(1, tokens + tokens_ahead)
-        self._runner_speeds.observe(
-            runner.runner_id,
-            runner_speeds.Phase.PREFILL,
-            speed.token_s * work,
-            seconds - speed.fixed_s,
-            now,
-        )
+        if speed.is_known:
+            self._runner_speeds.observe(
+                runner.runner_id,
+                runner_speeds.Phase.PREFILL,
+                speed.token_s * work,
+                seconds - speed.fixed_s,
+                now,
+            )
         speed.observe(work, seconds)
 
     def tokens_ahead(self, runner: runners.Runner, now: float) -> int:
--- a/primrosereel/routing/_prefill_speed.py
+++ b/primrosereel/routing/_prefill_speed.py
@@ -15,6 +15,8 @@
 DEFAULT_TOKEN_S = 2.0e-5
 # Prompt sizes of the assumed observations that stand for the default.
 DEFAULT_TOKEN_COUNTS = (2_000.0, 8_000.0)
+# Observations after which the speed is known, with the assumed ones.
+MIN_WEIGHT = 7.0
 # Range of the time for each token, relative to the default: an observation
 # beyond it shows a stalled runner or a measurement without a prompt.
 MAX_DEVIATION = 20.0
@@ -51,6 +53,11 @@
         """Seconds of a prefill beside those for its tokens."""
         return self._fit.fixed(self.token_s)
 
+    @property
+    def is_known(self) -> bool:
+        """Whether enough prefills were observed to compare runners with."""
+        return self._fit.weight >= MIN_WEIGHT
+
     def expected_s(self, tokens: float, slowness: float = 1.0) -> float:
         """Return the expected time of a prefill at a runner."""
         return self.fixed_s + slowness * self.token_s * tokens
