Bound the memory and descriptors held for callers

Cause: bodies, heads, bytes read ahead, answers that are not read and connections each had a bound at most, and their sum had none; 20 bodies or 100 callers that read nothing took a process beyond memoryMb.

Change: one account of what is held for callers (_caller_memory.py, without I/O) and a watch that reads sizes from the kernel (_caller_watch.py). A request that does not fit waits up to 1 s and is refused with 503 before its body is read; slow callers are closed when memory or descriptors are short, the largest and slowest first; connections are accepted as descriptors allow. Bodies are kept once, in one buffer, and sent in parts. A large response waits for its turn instead of breaking all that are read. Large blocks go back to the system at once.

The test of wire names does not take paths under /proc for HTTP paths any more, as the gateway reads its resident size there; all others are checked as before.

--- a/primrosereel/_states.py
+++ b/primrosereel/_states.py
@@ -65,6 +65,7 @@
     UPSTREAM_FAILED = 'upstream_failed'
     UPSTREAM_TIMEOUT = 'upstream_timeout'
     RETRY_BUDGET = 'retry_budget'
+    CALLER_MEMORY = 'caller_memory'
     INTERNAL = 'internal'
 
 
--- a/primrosereel/cmd/gateway.py
+++ b/primrosereel/cmd/gateway.py
@@ -17,6 +17,7 @@
 from primrosereel import _registry as registry
 from primrosereel import platform
 from primrosereel.gateway import _composition as composition
+from primrosereel.gateway import _heap as heap
 from primrosereel.gateway import _log as log_module
 from primrosereel.gateway import _settings as settings_module
 from primrosereel.gateway import _signals as signals
@@ -94,6 +95,7 @@
     settings = parsed.unwrap()
     if options.check:
         return 0
+    heap.return_large_blocks()
     writer = log_module.BoundedWriter(sys.stdout.fileno())
     log = log_module.configure(writer, instance=settings.instance)
     gateway = composition.Gateway(
--- a/primrosereel/gateway/_callers.py
+++ b/primrosereel/gateway/_callers.py
@@ -8,8 +8,10 @@
 
 import anyio
 import anyio.abc
+import anyio.lowlevel
 import h11
 
+from primrosereel.gateway import _caller_memory as caller_memory
 from primrosereel.gateway import _http as http
 from primrosereel.gateway import _lingering_close as lingering_close
 from primrosereel.gateway import _read_limit as read_limit
@@ -20,11 +22,28 @@
 
 # The bytes that a caller may send before the response to its request.
 MAX_PIPELINED_BYTES = 65536
-SENT_PART_BYTES = 65536
+# Up to three copies of a part exist while the caller does not read it.
+SENT_PART_BYTES = 16384
+SENT_COPIES = 3
+# How long a request that does not fit into the memory waits for room, and how
+# often it looks. Then it is refused.
+ROOM_WAIT_S = 1.0
+ROOM_POLL_S = 0.05
+# The time in a refusal for lack of room.
+NO_ROOM_RETRY_AFTER_S = 1.0
+# How often it is looked whether more may be read ahead.
+READ_AHEAD_POLL_S = 0.25
+# Other tasks run after so many events of a body in tiny chunks.
+EVENTS_PER_TURN = 256
 # How long a connection that is to be closed as idle is read once more, for
 # bytes that have arrived and are not parsed yet.
 LAST_READ_S = 0.01
 
+Use = caller_memory.Use
+Wait = caller_memory.Wait
+# What is held for one request.
+REQUEST_USES = (Use.HEAD, Use.REQUEST, Use.BODY, Use.AHEAD)
+
 
 class CallerDisconnected(Exception):
     """The caller has closed its connection."""
@@ -76,7 +95,8 @@
     """One caller's connection, which carries one request at a time.
 
     ``limits`` returns the limits in force, which may change between requests
-    and while the connection is idle.
+    and while the connection is idle. What is held for the caller is counted
+    in ``memory``, if it is given.
     """
 
     def __init__(
@@ -85,7 +105,22 @@
         limits: Callable[[], model.CallerLimits],
         clock: Callable[[], float],
         lingering: lingering_close.LingeringCloses,
+        memory: caller_memory.CallerMemory | None = None,
     ) -> None:
+        if memory is None:
+            memory = caller_memory.CallerMemory(math.inf)
+        self._memory = memory
+        self._account = memory.account(
+            self._close_slow, anyio.current_time(), _remote_host(stream)
+        )
+        # The current wait for bytes to or from the caller.
+        self._caller_wait: anyio.CancelScope | None = None
+        self._close_reason: caller_memory.CloseReason | None = None
+        # What the head of the request may cost, and how long the request has
+        # waited for room.
+        self._head_cost = 0
+        self._room_wait_s = 0.0
+        self._unsent_bytes = 0
         self._stream = stream
         self._limits = limits
         self._clock = clock
@@ -142,10 +177,48 @@
         """Whether the response to the last request is complete."""
         return self._parser.our_state in (h11.DONE, h11.MUST_CLOSE)
 
+    @property
+    def account(self) -> caller_memory.Account:
+        """What is held for the caller."""
+        return self._account
+
+    @property
+    def close_reason(self) -> caller_memory.CloseReason | None:
+        """Why the connection was closed for the sake of others, if it was."""
+        return self._close_reason
+
+    def sample_kernel(self) -> None:
+        """Count what the kernel holds, and what the caller has read of it."""
+        unsent = socket_options.unsent_bytes(self._stream)
+        unread = socket_options.unread_bytes(self._stream)
+        self._account.hold(Use.KERNEL, unsent + unread)
+        read = self._unsent_bytes - unsent
+        self._unsent_bytes = unsent
+        if read > 0 and self._account.wait is Wait.READ:
+            self._account.progressed(read, anyio.current_time())
+
+    def _close_slow(self, reason: caller_memory.CloseReason) -> None:
+        """Close the connection for the sake of others.
+
+        A request that is read is refused, and an answer ends incomplete.
+        """
+        self._close_reason = reason
+        if self._account.wait is Wait.ASK:
+            self.close_when_idle()
+        elif self._caller_wait is not None:
+            self._caller_wait.cancel()
+
+    def _reopen(self) -> None:
+        """Serve a request that crossed the close of an idle connection."""
+        self._close_reason = None
+        self._account.keep()
+
     async def next_request(self) -> CallerRequest | None:
         """Read a complete request; None if the connection must be closed."""
         try:
-            return await self._read_request()
+            with anyio.CancelScope() as self._caller_wait:
+                return await self._read_request()
+            raise _UnreadableRequest(503)
         except _UnreadableRequest as refused:
             await self._refuse(refused.status)
         except h11.RemoteProtocolError as error:
@@ -155,24 +228,35 @@
         return None
 
     async def _read_request(self) -> CallerRequest | None:
+        self._head_cost = 0
+        self._room_wait_s = 0.0
+        self._count_head(self._parser.trailing_data[0])
         if not await self._wait_for_data():
             return None
         self._reading_since = self._clock()
         limits = self._limits()
         self._limit_head(limits.max_header_bytes)
+        self._account.begin_wait(Wait.SEND, anyio.current_time())
         with self._limit_reading(limits.header_timeout_s):
-            head = await self._next_event()
+            head = await self._read_head()
         if not isinstance(head, h11.Request):
             return None
         headers = [(bytes(n), bytes(v)) for n, v in head.headers.raw_items()]
         _check_framing(headers)
+        await self._hold(Use.REQUEST, caller_memory.REQUEST_BYTES)
+        length = min(_content_length(headers), limits.max_body_bytes)
+        await self._hold(Use.BODY, length)
         if self._parser.they_are_waiting_for_100_continue:
             await self._send(
                 h11.InformationalResponse(status_code=100, headers=[])
             )
+            self._account.begin_wait(Wait.SEND, anyio.current_time())
         longest_s = limits.header_timeout_s + limits.idle_timeout_s
         with self._limit_reading(longest_s, limits.idle_timeout_s):
             body = await self._read_body(limits.max_body_bytes)
+        self._account.end_wait(anyio.current_time())
+        if self._account.closing:
+            raise _UnreadableRequest(503)
         return CallerRequest(
             bytes(head.method),
             bytes(head.target),
@@ -181,6 +265,33 @@
             self._clock(),
         )
 
+    def _count_head(self, data: bytes) -> None:
+        """Count received bytes of which a head is the first part."""
+        end = data.find(b'\r\n\r\n')
+        if end < 0:
+            end = len(data)
+        self._head_cost += len(data) - end
+        self._head_cost += caller_memory.head_bytes(
+            end, data.count(b'\n', 0, end)
+        )
+
+    async def _hold(self, use: caller_memory.Use, size: int) -> None:
+        """Hold memory for the request that is read; wait a little for room.
+
+        Meanwhile nothing is read. Then the request is refused.
+        """
+        if self._account.try_hold(use, size):
+            return
+        self._account.end_wait(anyio.current_time())
+        while not self._account.try_hold(use, size):
+            growth = size - self._account.held(use)
+            self._memory.make_room(growth, anyio.current_time())
+            if self._room_wait_s >= ROOM_WAIT_S or self._memory.is_full:
+                raise _UnreadableRequest(503)
+            self._room_wait_s += ROOM_POLL_S
+            await anyio.sleep(ROOM_POLL_S)
+        self._account.begin_wait(Wait.SEND, anyio.current_time())
+
     @contextlib.contextmanager
     def _limit_reading(
         self, longest_s: float, pause_s: float = math.inf
@@ -203,15 +314,17 @@
         if self._parser.trailing_data[0]:
             return True
         idle_since = anyio.current_time()
+        self._account.begin_wait(Wait.ASK, idle_since)
         left_s = self._limits().idle_timeout_s
         while left_s > 0 and not self._close_when_idle:
             with anyio.move_on_after(left_s) as self._waiting:
-                await self._receive()
+                self._count_head(await self._receive())
                 return True
             idle_until = idle_since + self._limits().idle_timeout_s
             left_s = idle_until - anyio.current_time()
         with anyio.move_on_after(LAST_READ_S):
-            await self._receive()
+            self._count_head(await self._receive())
+            self._reopen()
             return True
         self._closed_as_idle = True
         return False
@@ -233,19 +346,35 @@
             h11.SERVER, max_incomplete_event_size=self._max_header_bytes
         )
 
+    async def _read_head(self):
+        while True:
+            await self._hold(Use.HEAD, self._head_cost)
+            event = self._parser.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            self._count_head(await self._receive())
+
     async def _read_body(self, max_bytes: int) -> bytes:
-        parts: list[bytes] = []
-        size = 0
+        # Parts of one byte would take many times their size.
+        content = bytearray()
+        events = 0
         while True:
             event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
-                return b''.join(parts)
+                break
             if not isinstance(event, h11.Data):
                 raise CallerDisconnected
-            size += len(event.data)
+            size = len(content) + len(event.data)
             if size > max_bytes:
                 raise _UnreadableRequest(413)
-            parts.append(bytes(event.data))
+            if size > self._account.held(Use.BODY):
+                await self._hold(Use.BODY, size + http.READ_BYTES)
+            content += event.data
+            events += 1
+            if events % EVENTS_PER_TURN == 0:
+                await anyio.lowlevel.checkpoint()
+        self._account.hold(Use.BODY, len(content))
+        return bytes(content)
 
     async def _next_event(self):
         while True:
@@ -254,7 +383,7 @@
                 return event
             await self._receive()
 
-    async def _receive(self) -> int:
+    async def _receive(self) -> bytes:
         try:
             data = await self._stream.receive(http.READ_BYTES)
         except anyio.EndOfStream:
@@ -266,18 +395,24 @@
         ) as error:
             raise CallerDisconnected from error
         self._parser.receive_data(data)
+        self._account.progressed(len(data), anyio.current_time())
         if self._read_limit is not None:
             self._read_limit.progressed()
-        return len(data)
+        return data
 
     async def wait_closed(self) -> None:
         """Read ahead while a request is served; return on disconnection."""
         try:
             while self._read_ahead_bytes < MAX_PIPELINED_BYTES:
-                received = await self._receive()
+                ahead = self._read_ahead_bytes + http.READ_BYTES
+                if not self._account.try_hold(Use.AHEAD, ahead):
+                    await anyio.sleep(READ_AHEAD_POLL_S)
+                    continue
+                received = len(await self._receive())
                 if not received:
                     return
                 self._read_ahead_bytes += received
+                self._account.hold(Use.AHEAD, self._read_ahead_bytes)
             await anyio.sleep_forever()
         except (CallerDisconnected, RuntimeError):
             # h11 raises RuntimeError for bytes after the end of the stream.
@@ -299,12 +434,14 @@
         headers = end_to_end(reply.headers)
         if reply.status not in (204, 304):
             headers.append((b'Content-Length', b'%d' % len(reply.body)))
+        self._account.answer_bytes = len(reply.body)
         await self._send(self._response_head(reply, headers))
         # Each part is copied on its way to the socket.
         for start in range(0, len(reply.body), SENT_PART_BYTES):
             part = reply.body[start : start + SENT_PART_BYTES]
             await self._send(h11.Data(data=part))
         await self._send(h11.EndOfMessage())
+        self._account.answer_bytes = 0
 
     async def send_head(self, reply: Reply) -> None:
         """Send the head of a response whose body follows in parts."""
@@ -323,6 +460,8 @@
     def start_next_cycle(self) -> bool:
         """Prepare for another request; False if none can follow."""
         self._read_ahead_bytes = 0
+        for use in REQUEST_USES:
+            self._account.hold(use, 0)
         if (
             self._parser.our_state is not h11.DONE
             or self._parser.their_state is not h11.DONE
@@ -339,12 +478,15 @@
         if self._closed:
             return
         self._closed = True
+        for use in REQUEST_USES:
+            self._account.hold(use, 0)
         try:
             if self._may_have_unread_answer():
                 await self._stream.send_eof()
                 await self._lingering.discard_input(self._stream)
         finally:
-            if self._cut_looks_complete():
+            self._account.release()
+            if self._cut_looks_complete() or self._closed_while_sending():
                 socket_options.reset_on_close(self._stream)
             self._unread_bytes = socket_options.unread_bytes(self._stream)
             with anyio.CancelScope(shield=True):
@@ -360,6 +502,13 @@
             and self._parser.their_http_version == b'1.0'
         )
 
+    def _closed_while_sending(self) -> bool:
+        """Tell whether the kernel holds what the caller has not read."""
+        return (
+            self._close_reason is not None
+            and self._parser.our_state is h11.SEND_BODY
+        )
+
     def _may_have_unread_answer(self) -> bool:
         """Tell whether the caller may still read a complete response.
 
@@ -388,26 +537,63 @@
     async def _refuse(self, status: int) -> None:
         self._unreadable_status = status
         self._reading_s = self._clock() - self._reading_since
+        # A caller that does not read the refusal may be closed as well.
+        self._account.keep()
+        for use in REQUEST_USES:
+            self._account.hold(use, 0)
         if self.answer_started:
             return
         self._close_after_reply = True
+        headers: http.Headers = []
+        if status == 503:
+            headers.append((b'Retry-After', b'%.2f' % NO_ROOM_RETRY_AFTER_S))
         try:
-            await self.reply(Reply(status))
+            await self.reply(Reply(status, headers=headers))
         except (CallerDisconnected, h11.LocalProtocolError):
             return
 
+    async def refuse_unread(self) -> None:
+        """Refuse whatever the caller asks for, without reading it."""
+        await self._refuse(503)
+
     async def _send(self, event) -> None:
         data = self._parser.send(event)
         if not data:
             return
+        account = self._account
+        if account.closing:
+            raise CallerDisconnected
+        account.hold(Use.SENDING, SENT_COPIES * len(data))
+        account.begin_wait(Wait.READ, anyio.current_time())
         try:
-            await self._stream.send(data)
+            with anyio.CancelScope() as self._caller_wait:
+                await self._stream.send(data)
+                account.progressed(len(data), anyio.current_time())
+                return
         except (
             OSError,
             anyio.BrokenResourceError,
             anyio.ClosedResourceError,
         ) as error:
             raise CallerDisconnected from error
+        finally:
+            account.end_wait(anyio.current_time())
+            account.hold(Use.SENDING, 0)
+        raise CallerDisconnected(str(account.close_reason))
+
+
+def _remote_host(stream: anyio.abc.SocketStream) -> str:
+    address = stream.extra(anyio.abc.SocketAttribute.remote_address, '')
+    return str(address[0]) if isinstance(address, tuple) else ''
+
+
+def _content_length(headers: http.Headers) -> int:
+    """Return the length of a body; 0 if it is not stated."""
+    for name, value in headers:
+        # The parser has checked that it is a number.
+        if name.lower() == b'content-length':
+            return int(value.partition(b',')[0])
+    return 0
 
 
 def _check_framing(headers: http.Headers) -> None:
--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -208,6 +208,7 @@
                 self._peers.run,
                 self._context.leave_callbacks.run,
                 self._context.pool.run,
+                self._server.watch_callers,
             ]
             if self._policy.balances_roles:
                 parts.append(self._orders.run)
@@ -244,6 +245,7 @@
                     self._settings.callers,
                     self._server.serve_connection,
                     tasks,
+                    self._server.may_accept,
                 )
                 self._log.info('started')
                 await self._stop_requested.wait()
@@ -273,6 +275,7 @@
         metrics.gauge(
             'lingering_connections', self._server.lingering_connections
         )
+        metrics.gauge('caller_bytes', self._server.caller_bytes)
         metrics.gauge('waiting_requests', context.places.waiting_count)
         metrics.gauge('loop_late_seconds', self._loop_watch.recent_late_s(now))
         metrics.gauge('runners', len(context.runners))
@@ -297,10 +300,11 @@
         address: model.Address,
         handler: Callable[[anyio.abc.SocketStream], Awaitable[None]],
         connections: anyio.abc.TaskGroup,
+        may_accept: Callable[[int], bool] = lambda _: True,
     ) -> None:
         """Accept connections until cancelled; they outlast the listener."""
         await listener_module.Listener(
-            address, handler, connections, self._accept_failed
+            address, handler, connections, self._accept_failed, may_accept
         ).run()
 
     def _accept_failed(self, address: model.Address, error: OSError) -> None:
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -173,6 +173,11 @@
         """The version of the configuration in force; 0 without one."""
         return self.table.version if self.table else 0
 
+    @property
+    def caller_limits(self) -> model.CallerLimits:
+        """The limits of callers' requests that are in force."""
+        return self.table.limits if self.table else model.CallerLimits()
+
     @property
     def version_age_s(self) -> float | None:
         """For how long the version has been in force; None without one."""
--- a/primrosereel/gateway/_http.py
+++ b/primrosereel/gateway/_http.py
@@ -36,6 +36,7 @@
 # Larger bodies are sent while the response is read, as a runner may respond
 # before it has read the whole body.
 INLINE_BODY_BYTES = 16384
+SENT_PIECE_BYTES = 65536
 MAX_HEAD_BYTES = 65536
 # Each field of a head takes some hundred bytes of objects.
 MAX_HEAD_LINES = 256
@@ -104,6 +105,15 @@
         """The bytes of the names and values of the headers."""
         return sum(len(name) + len(value) for name, value in self.headers)
 
+    @property
+    def content_length(self) -> int:
+        """The stated length of the body; 0 without one."""
+        for name, value in self.headers:
+            # The parser has checked that it is a number.
+            if name.lower() == b'content-length':
+                return int(value.partition(b',')[0])
+        return 0
+
     @property
     def ends_with_connection(self) -> bool:
         """Whether only the end of the connection ends the body."""
@@ -131,7 +141,7 @@
     socket_options.detect_lost_peer(stream)
     reservation = None
     if memory is not None:
-        socket_options.limit_receive_buffer(stream)
+        socket_options.limit_runner_buffers(stream)
         reservation = memory.reservation()
     return HttpConnection(stream, address, reservation)
 
@@ -159,7 +169,8 @@
         self._parser = self._new_parser()
         self._usable = True
         self._head: ResponseHead | None = None
-        self._unsent = b''
+        # Whether a part of the last request has not been sent.
+        self._sending = False
         self._on_input: Callable[[], None] | None = None
         self._part_limit = part_limit.PartLimit(anyio.current_time())
         self._request_ids: collections.deque[str] = collections.deque(
@@ -188,7 +199,7 @@
         """Whether another request may be sent on the connection."""
         return (
             self._usable
-            and not self._unsent
+            and not self._sending
             and not self._input.pending_bytes
             and self._parser.our_state is h11.DONE
             and self._parser.their_state is h11.DONE
@@ -204,12 +215,12 @@
             self._parser.start_next_cycle()
         self._request_ids.append(request.request_id)
         self._part_limit = part_limit.PartLimit(anyio.current_time())
-        data = self._encode(request)
+        parts = self._encode(request)
         try:
             if len(request.body) <= INLINE_BODY_BYTES:
-                await self._stream.send(data)
+                await self._stream.send(b''.join(parts))
                 return await self._read_head(request)
-            return await self._send_and_read_head(request, data)
+            return await self._send_and_read_head(request, parts)
         except (OSError, anyio.BrokenResourceError) as error:
             raise self._broken_response(repr(error)) from error
         except anyio.ClosedResourceError as error:
@@ -218,21 +229,25 @@
             raise self._broken_response(str(error)) from error
 
     async def _send_and_read_head(
-        self, request: OutgoingRequest, data: bytes
+        self, request: OutgoingRequest, parts: list[bytes]
     ) -> ResponseHead:
         """Read the response while the body is sent.
 
         A response that arrives before the body has been sent stops the
         sending, and the connection is not used again.
         """
-        self._unsent = data
+        self._sending = True
         head: ResponseHead | None = None
         failure: Exception | None = None
 
         async def send() -> None:
             try:
-                await self._stream.send(data)
-                self._unsent = b''
+                for part in parts:
+                    # Each piece is copied on its way to the socket.
+                    for start in range(0, len(part), SENT_PIECE_BYTES):
+                        piece = part[start : start + SENT_PIECE_BYTES]
+                        await self._stream.send(piece)
+                self._sending = False
             except (
                 OSError,
                 anyio.BrokenResourceError,
@@ -311,6 +326,8 @@
         # Parts of one byte would take many times their size.
         content = bytearray()
         try:
+            if self._reservation is not None:
+                await self._reservation.announce(self._announced_bytes(limit))
             async for part in self.body():
                 if len(content) + len(part) > limit:
                     raise self._broken_response(
@@ -323,8 +340,15 @@
             return bytes(content)
         finally:
             self.held_bytes = self._head_bytes = 0
+            if self._reservation is not None:
+                self._reservation.forget_announced()
             self._reserve(self._input.pending_bytes)
 
+    def _announced_bytes(self, limit: int) -> int:
+        """Return the stated length of the body that is read, if it fits."""
+        length = self._head.content_length if self._head is not None else 0
+        return length if length <= limit else 0
+
     async def close(self) -> None:
         """Close at once, which makes a runner drop the request."""
         self._usable = False
@@ -341,7 +365,7 @@
             return True
         return bool(readable)
 
-    def _encode(self, request: OutgoingRequest) -> bytes:
+    def _encode(self, request: OutgoingRequest) -> list[bytes]:
         headers = list(request.headers)
         if request.body or request.method not in (b'GET', b'HEAD', b'DELETE'):
             headers.append((b'Content-Length', b'%d' % len(request.body)))
@@ -357,7 +381,7 @@
         if request.body:
             parts.append(self._parser.send(h11.Data(data=request.body)))
         parts.append(self._parser.send(h11.EndOfMessage()))
-        return b''.join(part for part in parts if part)
+        return [part for part in parts if part]
 
     async def _read_head(self, request: OutgoingRequest) -> ResponseHead:
         for _ in range(MAX_UNRELATED_RESPONSES):
--- a/primrosereel/gateway/_listener.py
+++ b/primrosereel/gateway/_listener.py
@@ -28,7 +28,9 @@
 
     Connections are served in the task group ``connections`` and outlast the
     listener. A connection that cannot be accepted, as no file descriptor is
-    left, ends no others; ``on_error`` gets the exception.
+    left, ends no others; ``on_error`` gets the exception. Connections wait in
+    the kernel while ``may_accept`` is false, which gets the number of accepted
+    connections without a handler.
     """
 
     def __init__(
@@ -37,11 +39,15 @@
         handler: Handler,
         connections: anyio.abc.TaskGroup,
         on_error: Callable[[model.Address, OSError], None],
+        may_accept: Callable[[int], bool] = lambda _: True,
     ) -> None:
         self._address = address
         self._handler = handler
         self._connections = connections
         self._on_error = on_error
+        self._may_accept = may_accept
+        # The connections that were accepted and have no handler yet.
+        self._opening = 0
 
     async def run(self) -> None:
         """Accept connections until cancelled.
@@ -59,8 +65,13 @@
                 self._accept_all(listening)
 
     def _accept_all(self, listening: socket.socket) -> bool:
-        """Accept the connections that have arrived; False after an error."""
+        """Accept the connections that have arrived.
+
+        False if that is to be tried again later.
+        """
         while True:
+            if not self._may_accept(self._opening):
+                return False
             try:
                 accepted, _ = listening.accept()
             except BlockingIOError:
@@ -68,6 +79,7 @@
             except OSError as error:
                 self._on_error(self._address, error)
                 return False
+            self._opening += 1
             self._connections.start_soon(self._serve, accepted)
 
     async def _serve(self, accepted: socket.socket) -> None:
@@ -79,4 +91,6 @@
             # The caller has closed the connection already.
             accepted.close()
             return
+        finally:
+            self._opening -= 1
         await self._handler(stream)
--- a/primrosereel/gateway/_pool.py
+++ b/primrosereel/gateway/_pool.py
@@ -33,6 +33,11 @@
         self._dropped: list[http.HttpConnection] = []
         self._wakeup = anyio.Event()
 
+    @property
+    def idle_count(self) -> int:
+        """The idle connections, each of which has a file descriptor."""
+        return sum(map(len, self._idle.values()))
+
     def drop(self, address: model.Address) -> None:
         """Use no idle connection to an address any more, and close them."""
         for _, connection in self._idle.pop(address, []):
--- a/primrosereel/gateway/_response_memory.py
+++ b/primrosereel/gateway/_response_memory.py
@@ -6,6 +6,8 @@
 of a response, an incomplete event, and a body until it has been sent.
 """
 
+import anyio
+
 __all__ = ['Reservation', 'ResponseMemory']
 
 # Share of the memory of the process.
@@ -14,6 +16,11 @@
 # runner's endless responses do not break the streams of the others.
 LARGE_SHARE = 0.8
 SMALL_BYTES = 16 * 1024
+# How long the next large response waits until others have been sent. Then it
+# is read anyway, as a faulty runner may announce more than it sends.
+MAX_WAIT_S = 1.0
+# The large responses that may wait before new calls are refused.
+MAX_WAITING = 8
 
 
 class ResponseMemory:
@@ -23,12 +30,27 @@
         self._limit = int(MEMORY_SHARE * process_bytes)
         self._large_limit = int(LARGE_SHARE * self._limit)
         self._reserved = 0
+        # What the responses that are read have announced and not sent yet.
+        self._expected = 0
+        self._waiting = 0
+        self._turn = anyio.Lock()
+        self._shrunk = anyio.Event()
+
+    @property
+    def limit(self) -> int:
+        """Bytes that can be reserved."""
+        return self._limit
 
     @property
     def reserved(self) -> int:
         """Bytes that are reserved now."""
         return self._reserved
 
+    @property
+    def is_crowded(self) -> bool:
+        """Whether so many responses wait that no others should follow."""
+        return self._waiting >= MAX_WAITING
+
     def reservation(self) -> 'Reservation':
         """Return an empty reservation."""
         return Reservation(self)
@@ -44,8 +66,35 @@
         if growth > 0 and self._reserved + growth > limit:
             return False
         self._reserved += growth
+        if growth < 0:
+            self._shrunk.set()
         return True
 
+    def expect(self, growth: int) -> None:
+        """Change what responses have announced and not sent yet."""
+        self._expected += growth
+        if growth < 0:
+            self._shrunk.set()
+
+    async def wait_for_room(self, size: int) -> None:
+        """Wait until a response of so many bytes fits, one after the other.
+
+        Many that are read at once would all break before one is complete.
+        """
+        self._waiting += 1
+        try:
+            async with self._turn:
+                with anyio.move_on_after(MAX_WAIT_S):
+                    while not self._fits(size):
+                        self._shrunk = anyio.Event()
+                        await self._shrunk.wait()
+        finally:
+            self._waiting -= 1
+
+    def _fits(self, size: int) -> bool:
+        room = self._large_limit - self._reserved - self._expected
+        return size <= room or size > self._large_limit
+
 
 class Reservation:
     """The bytes that are held of one response.
@@ -61,6 +110,7 @@
     def __init__(self, memory: ResponseMemory) -> None:
         self._memory = memory
         self._size = 0
+        self._announced = 0
 
     @property
     def size(self) -> int:
@@ -71,15 +121,32 @@
         """Reserve so many bytes; return False if the limit forbids it."""
         if not self._memory.change(self._size, size):
             return False
-        self._size = size
+        self._set(size, self._announced)
         return True
 
+    async def announce(self, size: int) -> None:
+        """Expect a response of so many bytes; wait until it fits."""
+        if size <= SMALL_BYTES:
+            return
+        await self._memory.wait_for_room(size)
+        self._set(self._size, size)
+
+    def forget_announced(self) -> None:
+        """Expect no more bytes of the response."""
+        self._set(self._size, 0)
+
+    def _set(self, size: int, announced: int) -> None:
+        old = max(0, self._announced - self._size)
+        self._size, self._announced = size, announced
+        self._memory.expect(max(0, announced - size) - old)
+
     def take(self, other: 'Reservation', size: int) -> None:
         """Take over a part of another reservation of the same memory."""
         size = min(size, other._size)
-        other._size -= size
-        self._size += size
+        other._set(other._size - size, 0)
+        self._set(self._size + size, 0)
 
     def release(self) -> None:
         """Reserve nothing any more."""
         self.resize(0)
+        self.forget_announced()
--- a/primrosereel/gateway/_server.py
+++ b/primrosereel/gateway/_server.py
@@ -4,6 +4,7 @@
 import anyio.abc
 
 from primrosereel import _states as states
+from primrosereel.gateway import _caller_watch as caller_watch
 from primrosereel.gateway import _callers as callers
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _crash_reports as crash_reports_module
@@ -33,6 +34,9 @@
         self._started_at = context.clock()
         self._connections: set[callers.CallerConnection] = set()
         self._lingering = lingering_close.LingeringCloses()
+        self._caller_watch = caller_watch.CallerWatch(
+            context, self._connections
+        )
         self._in_progress: dict[
             callers.CallerConnection, callers.CallerRequest
         ] = {}
@@ -40,13 +44,20 @@
     async def serve_connection(self, stream: anyio.abc.SocketStream) -> None:
         """Serve one connection until it closes."""
         socket_options.detect_lost_peer(stream)
-        socket_options.limit_send_buffer(stream)
+        socket_options.limit_caller_buffers(stream)
         connection = callers.CallerConnection(
-            stream, self._limits, self._context.clock, self._lingering
+            stream,
+            lambda: self._context.caller_limits,
+            self._context.clock,
+            self._lingering,
+            self._caller_watch.memory,
         )
         self._connections.add(connection)
         try:
-            await self._serve_requests(connection)
+            if self._caller_watch.must_refuse(len(self._lingering)):
+                await connection.refuse_unread()
+            else:
+                await self._serve_requests(connection)
         except callers.CallerDisconnected:
             self._context.count('callers.gone')
         except Exception as error:
@@ -69,7 +80,17 @@
             context.log.info(
                 'idle connection closed',
                 version=version,
-                limit_s=self._limits().idle_timeout_s,
+                limit_s=context.caller_limits.idle_timeout_s,
+                open_connections=len(self._connections),
+            )
+        if connection.close_reason is not None:
+            reason = connection.close_reason.value
+            context.count(f'callers.closed.{reason}')
+            context.log.info(
+                'caller closed',
+                reason=reason,
+                version=version,
+                held_bytes=self.caller_bytes,
                 open_connections=len(self._connections),
             )
         if connection.unreadable_status is not None:
@@ -91,10 +112,18 @@
                 idle=connection.closed_as_idle,
             )
 
-    def _limits(self) -> model.CallerLimits:
-        """Return the limits in force."""
-        table = self._context.table
-        return table.limits if table else model.CallerLimits()
+    def may_accept(self, opening: int) -> bool:
+        """Tell whether one more connection may be accepted."""
+        return self._caller_watch.may_accept(opening, len(self._lingering))
+
+    async def watch_callers(self) -> None:
+        """Keep callers within memory and descriptors until cancelled."""
+        await self._caller_watch.run()
+
+    @property
+    def caller_bytes(self) -> int:
+        """The memory that is held for callers."""
+        return self._caller_watch.memory.held
 
     @property
     def open_connections(self) -> int:
@@ -228,6 +257,12 @@
                 exchange, connection, self._crash_reports
             )
             return await handler.serve()
+        if self._context.response_memory.is_crowded:
+            reply = exchange.refusal(
+                states.RefusalReason.CALLER_MEMORY, ERROR_RETRY_AFTER_S
+            )
+            await connection.reply(reply)
+            return True
         call = plain.PlainCall(exchange, self._crash_reports)
         await connection.reply(await call.serve())
         return True
@@ -316,6 +351,10 @@
         table = context.table
         if context.refusing:
             return self._refuse(states.RefusalReason.DRAINING, 0.0)
+        if context.active > self._caller_watch.max_active:
+            return self._refuse(
+                states.RefusalReason.TOO_MANY_CONNECTIONS, ERROR_RETRY_AFTER_S
+            )
         if table is None:
             reason = states.RefusalReason.NO_CONFIGURATION
             waited_s = context.clock() - self._started_at
--- a/primrosereel/gateway/_socket_options.py
+++ b/primrosereel/gateway/_socket_options.py
@@ -11,8 +11,8 @@
 
 __all__ = [
     'detect_lost_peer',
-    'limit_receive_buffer',
-    'limit_send_buffer',
+    'limit_caller_buffers',
+    'limit_runner_buffers',
     'reset_on_close',
     'unread_bytes',
     'unsent_bytes',
@@ -23,6 +23,7 @@
 # Limits of the kernel's buffers of one connection, which count as memory of
 # the process and grow to megabytes without a limit. The kernel doubles them.
 RECEIVE_BUFFER_BYTES = 32 * 1024
+CALLER_RECEIVE_BUFFER_BYTES = 64 * 1024
 SEND_BUFFER_BYTES = 64 * 1024
 
 
@@ -34,13 +35,15 @@
         raw.setsockopt(socket.IPPROTO_TCP, option, UNACKNOWLEDGED_TIMEOUT_MS)
 
 
-def limit_send_buffer(stream: anyio.abc.SocketStream) -> None:
-    """Limit what the kernel holds for a caller that does not read."""
+def limit_caller_buffers(stream: anyio.abc.SocketStream) -> None:
+    """Limit what the kernel holds of a caller, and for it."""
     _set_buffer(stream, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+    _set_buffer(stream, socket.SO_RCVBUF, CALLER_RECEIVE_BUFFER_BYTES)
 
 
-def limit_receive_buffer(stream: anyio.abc.SocketStream) -> None:
-    """Limit what the kernel holds of a runner that sends without end."""
+def limit_runner_buffers(stream: anyio.abc.SocketStream) -> None:
+    """Limit what the kernel holds of a runner, and for it."""
+    _set_buffer(stream, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
     _set_buffer(stream, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
 
 
--- a/tests/property/test_wire_names.py
+++ b/tests/property/test_wire_names.py
@@ -30,7 +30,7 @@
     ('Exchange',),
     ('authorization',),
 }
-PATH = '/(?!etc/|standin/)'
+PATH = '/(?!etc/|proc/|standin/)'
 
 
 def _json(folder):
