--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -204,6 +204,11 @@
         since = self.version_confirmed_at + self.settings.revoke_s
         return max(0.0, self.clock() - since)
 
+    @property
+    def caller_limits(self) -> model.CallerLimits:
+        """The limits of callers' requests that are in force."""
+        return self.table.limits if self.table else model.CallerLimits()
+
     @property
     def version_age_s(self) -> float | None:
         """For how long the version has been in force; None without one."""
