Treat a divided fleet as one whose callers compete for the engines

Change: they are on in a divided fleet too, whose shards are small, and where the settings name the contention.

--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -192,6 +192,15 @@
         """The version of the configuration in force; 0 without one."""
         return self.table.version if self.table else 0
 
+    @property
+    def contended(self) -> bool:
+        """Whether callers may compete for the memory of decode runners.
+
+        The settings say so, or the fleet is divided: each shard then has few
+        runners, which its bursts fill, and each instance sees few requests.
+        """
+        return self.settings.high_contention or self.shards.divided
+
     @property
     def unconfirmed_s(self) -> float:
         """For how long keys have not been accepted; 0 while they are.
--- a/primrosereel/gateway/_event_stream.py
+++ b/primrosereel/gateway/_event_stream.py
@@ -135,7 +135,7 @@
             decode_slowness=round(runner.decode_slowness, 2),
             decode_requests=requests_at_start,
         )
-        if event_s is None or not context.settings.high_contention:
+        if event_s is None or not context.contended:
             return
         now = context.clock()
         requests = context.places.requests_at(runner, now)
--- a/primrosereel/gateway/_peers.py
+++ b/primrosereel/gateway/_peers.py
@@ -402,7 +402,7 @@
         Without contention the instances' own observations suffice.
         """
         with_all = scope is runner_notices.Scope.ALL
-        if not self._context.settings.high_contention:
+        if not self._context.contended:
             return []
         if not with_all and not is_heartbeat:
             return []
--- a/primrosereel/gateway/_prompt.py
+++ b/primrosereel/gateway/_prompt.py
@@ -100,11 +100,8 @@
 
     def _try_to_repeat(self) -> bool:
         """Return whether a prefill may be repeated; spend the budget."""
-        return (
-            self._context.settings.high_contention
-            and self._context.budget.try_spend(
-                self._exchange.service, self._context.clock()
-            )
+        return self._context.contended and self._context.budget.try_spend(
+            self._exchange.service, self._context.clock()
         )
 
     async def _prefill_at(self, runner: runners.Runner, now: float) -> bool:
