Show client accounts in the demonstration, and bound debts of quotas

The demonstration had no accounts; now one of two is over its quota (3 of 5 calls served, 2 refused with 429). A peer's report could put an account into a debt of any size; it is now at most one window's rate or one request. The small datagram counts as a sign of life of a member, and of unknown hosts it is ignored.

--- a/primrosereel/bench/_gateway_demo.py
+++ b/primrosereel/bench/_gateway_demo.py
@@ -20,8 +20,19 @@
 
 GENERATIONS = 8
 FILINGS = 6
+ACCOUNT_CALLS = 5
 START_TIMEOUT_S = 15.0
 STOP_TIMEOUT_S = 15.0
+# Two client accounts; the quota of the second one allows three requests.
+TENANTS: list[dict[str, Any]] = [
+    {'name': 'analysts', 'apiKeys': ['demo-key-1']},
+    {
+        'name': 'visitors',
+        'apiKeys': ['demo-key-2'],
+        'ratePerS': 0.001,
+        'burst': 3,
+    },
+]
 RUNNERS = (
     ('p1', 'llm', 'prefill'),
     ('d1', 'llm', 'decode'),
@@ -49,7 +60,9 @@
     async with anyio.create_task_group() as tasks:
         store = metadata_store.MetadataStore()
         await tasks.start(store.server.serve)
-        store.put('op/config', operator_config.configuration())
+        store.put(
+            'op/config', operator_config.configuration() | {'tenants': TENANTS}
+        )
         runners = {}
         for name, service, stage in RUNNERS:
             runner = listed_runner.ListedRunner(
@@ -131,10 +144,31 @@
             'filed': sum(answer.is_success for answer in filed),
             'executed': executed,
         },
+        'accounts': await _call_as_accounts(client),
         'stop': await _stop_during_stream(client, process),
     }
 
 
+async def _call_as_accounts(client) -> dict[str, dict[str, int]]:
+    """Return how many calls of each account were served or over its quota."""
+    counts = {}
+    for account in TENANTS:
+        name, key = account['name'], account['apiKeys'][0]
+        answers = [
+            await client.get(
+                '/read/1', headers=_headers(f'{name}{number}', key=key)
+            )
+            for number in range(ACCOUNT_CALLS)
+        ]
+        statuses = [answer.status_code for answer in answers]
+        counts[name] = {
+            'asked': ACCOUNT_CALLS,
+            'served': statuses.count(200),
+            'over_quota': statuses.count(429),
+        }
+    return counts
+
+
 async def _stop_during_stream(client, process) -> dict[str, Any]:
     """Stop the gateway during a stream; report on both."""
     text = ''
@@ -154,8 +188,14 @@
     }
 
 
-def _headers(request_id: str, tokens: str = '') -> dict[str, str]:
-    headers = {'Request-Id': request_id, 'Deadline-Ms': '3000'}
+def _headers(
+    request_id: str, tokens: str = '', key: str = 'demo-key-1'
+) -> dict[str, str]:
+    headers = {
+        'Request-Id': request_id,
+        'Deadline-Ms': '3000',
+        'Authorization': f'Token {key}',
+    }
     if tokens:
         headers['Token-Usage'] = tokens
     return headers
--- a/primrosereel/cmd/_demo.py
+++ b/primrosereel/cmd/_demo.py
@@ -31,9 +31,12 @@
         ran_once = report['certification']['executed'] == 1
         generations = platform['generations']
         filings = platform['filings']
+        accounts = platform['accounts']
         platform_ok = (
             generations['whole'] == generations['asked']
             and filings['executed'] == filings['filed'] == filings['asked']
+            and accounts['analysts']['served'] == accounts['analysts']['asked']
+            and accounts['visitors']['over_quota'] > 0
             and platform['stop'] == {'stream_whole': True, 'exit_status': 0}
         )
         return 0 if all_answered and ran_once and platform_ok else 1
--- a/primrosereel/gateway/_quota_reports.py
+++ b/primrosereel/gateway/_quota_reports.py
@@ -83,8 +83,17 @@
         )
 
     def receive(self, host: str, data: bytes) -> None:
-        """Apply a small datagram; raise DecodeError if it is none."""
+        """Apply a small datagram; raise DecodeError if it is none.
+
+        One of an instance that is not known yet is ignored; the next ones
+        have the same counters.
+        """
         datagram = self._decoder.decode(data)
+        members = self._context.members
+        if host not in members:
+            return
+        zone = members[host].availability_zone
+        members.observe(host, zone, self._context.clock())
         self.apply(
             host,
             datagram.incarnation,
--- a/primrosereel/routing/_members.py
+++ b/primrosereel/routing/_members.py
@@ -48,6 +48,9 @@
     def __iter__(self) -> Iterator[Member]:
         return iter(self._by_host.values())
 
+    def __contains__(self, host: str) -> bool:
+        return host in self._by_host
+
     def __getitem__(self, host: str) -> Member:
         return self._by_host[host]
 
--- a/primrosereel/routing/_quota_bucket.py
+++ b/primrosereel/routing/_quota_bucket.py
@@ -207,7 +207,8 @@
         most_new = window_units + self._depth if counts_all else 0.0
         correction = self._peers.apply(peer, sequence, report, most_new, now)
         level = self._level - correction.not_assumed
-        max_debt = max(MAX_DEBT_WINDOWS * window_units, correction.spent)
+        # A single request may be larger than what a window refills.
+        max_debt = max(self._max_debt, min(correction.spent, self._most))
         level = max(level, min(self._level, -max_debt))
         self._level = min(level, self._depth)
         if correction.spent > 0:
@@ -222,6 +223,11 @@
         """Return the part of the rate that no instance uses."""
         return max(0.0, self._quota.rate - self._use.per_s(now))
 
+    @property
+    def _max_debt(self) -> float:
+        window_units = self._quota.rate * self._terms.window_s
+        return MAX_DEBT_WINDOWS * window_units
+
     @property
     def _most(self) -> float:
         """The units of the largest request that any window allows."""
@@ -247,5 +253,6 @@
         if elapsed_s <= 0:
             return
         gained = (self._refill - self._peers.assumed_rate) * elapsed_s
-        self._level = min(self._level + gained, self._depth)
+        lowest = min(self._level, -self._max_debt)
+        self._level = min(max(self._level + gained, lowest), self._depth)
         self._updated_at = now
