--- a/primrosereel/gateway/_admission.py
+++ b/primrosereel/gateway/_admission.py
@@ -87,6 +87,7 @@
         exchange.request.received_at,
         latest_start,
         excluded=excluded,
+        output_factor=context.output_costs.relative(exchange.output_key, now),
         on_admitted=admitted.set,
         deferral_s=quota_check.place_deferral(exchange),
     )
--- a/primrosereel/routing/_tickets.py
+++ b/primrosereel/routing/_tickets.py
@@ -51,6 +51,8 @@
     # For how long newer requests of other accounts go before this one, as its
     # account has used more than the rate of its quota.
     deferral_s: float = 0.0
+    # The expected output relative to that of the usual request.
+    output_factor: float = 1.0
     on_admitted: Callable[[], None] = lambda: None
 
     def rank(
