Give the soak an account with a quota

No run had a quota beside faults. A tenth of the soak's requests now has the key of an account with one request a second, and the requests that ran within a window are checked against the bound, with 6 requests of slack.

--- a/tests/soak/account_checks.py
+++ b/tests/soak/account_checks.py
@@ -1,9 +1,15 @@
 """Checks of a soak run on client accounts and their keys."""
 
 from tests.soak import operator as operator_module
+from tests.soak import processes
 from tests.soak import record as record_module
 
-__all__ = ['check_account_fields', 'check_key_texts', 'check_keys']
+__all__ = [
+    'check_account_fields',
+    'check_key_texts',
+    'check_keys',
+    'check_quota',
+]
 
 
 def check_keys(record):
@@ -60,3 +66,27 @@
             yield record_module.Violation(
                 f'{process.host} has logged a key', ''
             )
+
+
+def check_quota(record):
+    """An account with a quota runs no more than the bound in any window."""
+    sent = sorted(
+        attempt.sent_at
+        for attempt in record.attempts.values()
+        if attempt.key is operator_module.LIMITED_KEY
+        and attempt.reply is not None
+        and attempt.reply.status == 200
+    )
+    quota = operator_module.QUOTA
+    allowed = quota['ratePerS'] * processes.QUOTA_WINDOW_S + quota['burst']
+    allowed = allowed * (1 + processes.QUOTA_OVERAGE) + processes.QUOTA_SLACK
+    for first, start in enumerate(sent):
+        end = start + processes.QUOTA_WINDOW_S
+        count = sum(start <= at < end for at in sent[first:])
+        if count > allowed:
+            yield record_module.Violation(
+                f'{count} requests of an account ran within a window, and '
+                f'{allowed:.0f} may',
+                '',
+            )
+            return
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -39,6 +39,8 @@
 # The shares of sound requests with a key that comes and goes, and without one.
 CHANGING_KEY_SHARE = 0.1
 KEYLESS_SHARE = 0.03
+# The share with the key of the account with a quota.
+LIMITED_KEY_SHARE = 0.1
 SLOW_BODY_SHARE = 0.3
 MAX_BODY_BYTES = 30_000
 MAX_BODY_DELAY_S = 0.4
@@ -226,6 +228,8 @@
         keys = self._operator.keys
         if draw < KEYLESS_SHARE + CHANGING_KEY_SHARE and keys:
             return self._key_random.choice(keys)
+        if draw > 1 - LIMITED_KEY_SHARE:
+            return operator_module.LIMITED_KEY
         return operator_module.STEADY_KEY
 
     def _is_sound(self, path):
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -23,6 +23,7 @@
     account_checks.check_keys,
     account_checks.check_account_fields,
     account_checks.check_key_texts,
+    account_checks.check_quota,
 )
 
 
--- a/tests/soak/operator.py
+++ b/tests/soak/operator.py
@@ -14,6 +14,8 @@
 
 __all__ = [
     'KEY_MARK',
+    'LIMITED_KEY',
+    'QUOTA',
     'STEADY_KEY',
     'AddedRoute',
     'Key',
@@ -75,6 +77,9 @@
 
 # All versions have it.
 STEADY_KEY = Key(f'{KEY_MARK}steady', 'steady')
+LIMITED_KEY = Key(f'{KEY_MARK}limited', 'limited')
+# In requests; callers of the limited account ask for more.
+QUOTA = {'ratePerS': 1, 'burst': 2}
 
 
 class Operator:
@@ -210,8 +215,14 @@
                 route['timeoutMs'] = self._timeouts_ms[kind]
         live = [key.text for key in self.keys if key.removed_at == math.inf]
         configuration = operator_config.add_accounts(
-            configuration, {'steady': [STEADY_KEY.text], 'changing': live}
+            configuration,
+            {
+                'steady': [STEADY_KEY.text],
+                'changing': live,
+                'limited': [LIMITED_KEY.text],
+            },
         )
+        configuration['tenants'][-1] |= QUOTA
         self._store.put(CONFIG_KEY, configuration)
 
     # After a return of the store from a copy.
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -34,6 +34,10 @@
 STABLE_WINDOW_S = 2.0
 GRACE_S = 6.0
 LOSS_SLACK_S = 0.2
+QUOTA_WINDOW_S = 8.0
+QUOTA_OVERAGE = 0.25
+# Processes that are cut off from each other may each spend the burst.
+QUOTA_SLACK = 6
 SETTINGS_TEMPLATE = f"""
 nodeName = "soak-{{number}}"
 zone = "zone-a"
@@ -51,6 +55,7 @@
 retryBudgetRatio = 0.2
 budgetWindowS = 10
 retryBudgetSlack = 50
+quotaSlack = {QUOTA_SLACK}
 [platform]
 address = "127.0.0.1:{{store}}"
 """
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -323,3 +323,13 @@
     record.process.log = tmp_path / 'log'
     record.process.log.write_text(f'{{"x": "{operator.STEADY_KEY.text}"}}')
     assert list(account_checks.check_key_texts(record))
+
+
+@pytest.mark.parametrize(('count', 'found'), [(18, 0), (19, 1)])
+def test_account_above_its_quota_is_found(count, found):
+    """Guards against a check that allows an account anything."""
+    record = Record()
+    for number in range(count):
+        attempt = record.add(SENT_AT + number / 10)
+        attempt.key = operator.LIMITED_KEY
+    assert len(list(account_checks.check_quota(record))) == found
