Check the health of a runner that ended an answer without a length

Now a leaving runner is excepted only once its drain time is over or its entry is gone, and an end that was noticed a second late or more leaves the answer unknown.

The new tests fail before the change, but for those that guard against answers that count as broken. The stand-in of a runner leaves checks of its health out of its requests.

--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -170,6 +170,9 @@
         self._server = server_module.Server(self._context, crash_reports)
         self._peers = peers.Peers(self._context, self._reader, crash_reports)
         self._orders = orders.Orders(self._context)
+        self._context.loop_late_s = lambda: self._loop_watch.recent_late_s(
+            clock()
+        )
         self._context.uses_changed = self._peers.notify_uses_changed
         self._context.quota_spent = self._peers.notify_quota_spent
         self._context.crash_evidence_changed = self._peers.send_crash_evidence
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -105,6 +105,8 @@
     shard_told_at: float = -math.inf
     # Called when this instance's use of the engines changed.
     uses_changed: Callable[[], None] = lambda: None
+    # Returns how late the event loop ran lately, in seconds.
+    loop_late_s: Callable[[], float] = lambda: 0.0
     # Called when peers are to be told what was spent of a quota.
     quota_spent: Callable[[], None] = lambda: None
     # Called when peers should be told which requests crash runners.
--- a/primrosereel/gateway/_upstream.py
+++ b/primrosereel/gateway/_upstream.py
@@ -8,12 +8,15 @@
 
 from primrosereel.gateway import _callers as callers
 from primrosereel.gateway import _context as context_module
+from primrosereel.gateway import _final_poll as final_poll
 from primrosereel.gateway import _http as http
 from primrosereel.gateway import _ports as ports
 from primrosereel.gateway import _runner_connect as runner_connect
 from primrosereel.gateway import _runner_signs as runner_signs
+from primrosereel.routing import _availability as availability
 from primrosereel.routing import _model as model
 from primrosereel.routing import _runners as runners
+from primrosereel.routing import _timeouts as timeouts
 
 __all__ = [
     'NotSent',
@@ -36,6 +39,8 @@
 # The time limit of a TCP handshake. A reachable runner accepts within a few
 # milliseconds, and a lost SYN is only retransmitted after one second.
 CONNECT_TIMEOUT_S = 0.12
+# A runner that crashed does not accept connections again before this time.
+MIN_RESTART_S = 1.0
 MISDIRECTED = 421
 UNAVAILABLE = 503
 
@@ -165,18 +170,72 @@
 
     The system closes the connections of a process that ends, which looks like
     the end of a body without a length. A runner that leaves may have ended
-    after its last answer.
+    after its last answer, but not before the time that it serves on. If this
+    process was late, another run may accept connections at the address.
     """
-    if (
-        head.ends_with_connection
-        and not runner_signs.has_left(context, runner)
-        and await refuses_connections(context, runner)
+    if not head.ends_with_connection:
+        return
+    if context.loop_late_s() >= MIN_RESTART_S:
+        raise http.BrokenResponse(
+            f'{runner.listing.address}: the end of the response was noticed '
+            'late, and the runner may have been started again'
+        )
+    if not _may_have_ended(context, runner) and not await _answers(
+        context, runner
     ):
         raise http.BrokenResponse(
             f'{runner.listing.address}: the runner ended with its response'
         )
 
 
+def _may_have_ended(
+    context: context_module.Context, runner: runners.Runner
+) -> bool:
+    """Tell whether a runner's process may have ended as planned."""
+    if not runner_signs.has_left(context, runner):
+        return False
+    record = runner.availability
+    now = context.clock()
+    return (
+        record.state_at(now) is availability.Availability.GONE
+        or now - record.since >= context.settings.runner_drain_s
+    )
+
+
+async def _answers(
+    context: context_module.Context, runner: runners.Runner
+) -> bool:
+    """Tell whether a runner answers a check of its health.
+
+    A process that is killed may accept connections for some milliseconds
+    after it has closed others, so that an accepted one proves nothing.
+    """
+    listing = runner.listing
+    table = context.table
+    service = table.services.get(listing.service) if table else None
+    path = service.health_path if service is not None else '/'
+    host = str(listing.address).encode()
+    request = http.OutgoingRequest(b'GET', path.encode(), [(b'Host', host)])
+    try:
+        connection = await runner_connect.connect(
+            context, runner, CONNECT_TIMEOUT_S
+        )
+    except http.ConnectFailed as error:
+        return not isinstance(
+            error, http.ConnectRefused | runner_connect.NotTried
+        )
+    try:
+        with final_poll.move_on_after(timeouts.SOUND_SILENCE_S):
+            await connection.send_request(request)
+            return True
+    except http.BrokenResponse:
+        pass
+    finally:
+        with anyio.CancelScope(shield=True):
+            await connection.close()
+    return False
+
+
 async def connect_or_reuse(
     exchange: context_module.Exchange, runner: runners.Runner
 ) -> http.HttpConnection:
--- a/primrosereel/standin/_listed_runner.py
+++ b/primrosereel/standin/_listed_runner.py
@@ -201,7 +201,8 @@
             await anyio.sleep_until(self._paused_until)
 
     async def _handle(self, request: raw_http.Request) -> raw_http.Answer:
-        self.requests.append(request)
+        if request.path != HEALTH_PATH:
+            self.requests.append(request)
         self.arrived_at.append(anyio.current_time())
         await self._wait_while_paused()
         answer = await self._answer(request)
--- a/tests/property/test_gateway_unframed.py
+++ b/tests/property/test_gateway_unframed.py
@@ -1,9 +1,11 @@
 """Answers with neither a length nor chunks, which end with a connection."""
 
 import contextlib
+import time
 
 import anyio
 import anyio.abc
+import anyio.lowlevel
 import pytest
 
 from primrosereel.gateway import _http as http
@@ -32,6 +34,8 @@
         self._crashes = crashes
         self._listener = None
         self.port = 0
+        # Awaited between the request and its answer.
+        self.before_answer = anyio.lowlevel.checkpoint
 
     async def serve(self, *, task_status):
         multi = await anyio.create_tcp_listener(local_host='127.0.0.1')
@@ -47,6 +51,7 @@
         with contextlib.suppress(anyio.EndOfStream):
             async with stream:
                 await stream.receive()
+                await self.before_answer()
                 if self._crashes:
                     await self._listener.aclose()
                 await stream.send(HEAD + self._body)
@@ -60,6 +65,7 @@
     row = fleet.gateway._context.runners.get
     await fleet.wait_for(lambda: row(name).listing.address.port == runner.port)
     row('d2' if name == 'd1' else 's2').in_flight = 3
+    return runner
 
 
 @pytest.mark.parametrize(
@@ -76,6 +82,71 @@
     assert (reply.status, reply.complete, reply.body) == (status, True, body)
 
 
+@pytest.mark.parametrize(('drain_s', 'status'), [(9.0, 502), (0.0, 200)])
+def test_answer_of_a_runner_that_crashes_as_it_leaves_is_not_whole(
+    drain_s, status
+):
+    """Guards against the end of a leaving runner that counts as planned.
+
+    It serves on for the drain time. Once that is over, it may have ended
+    after a whole answer.
+    """
+
+    async def scenario(fleet):
+        runner = await replace(fleet, 's1', PLAIN_BODY, crashes=True)
+        row = fleet.gateway._context.runners.get('s1')
+
+        async def leave():
+            fleet.list_runner(
+                's1', 'draining', address=f'127.0.0.1:{runner.port}'
+            )
+            await fleet.wait_for(lambda: row.listing.leaving)
+
+        runner.before_answer = leave
+        reply = await fleet.ask('/file/1', 'r1', method='POST')
+        assert (reply.status, reply.complete) == (status, True)
+
+    gateway_fleet.run_scenario(scenario, runner_drain_s=drain_s)
+
+
+@gateway_fleet.with_fleet
+async def test_accepted_connection_does_not_prove_that_an_answer_is_whole(
+    fleet,
+):
+    """Guards against a killed process whose port is closed last."""
+    runner = await replace(fleet, 's1', PLAIN_BODY, crashes=False)
+
+    async def close_the_next():
+        runner.before_answer = end
+
+    async def end():
+        raise anyio.EndOfStream
+
+    runner.before_answer = close_the_next
+    reply = await fleet.ask('/file/1', 'r1', method='POST')
+    assert (reply.status, reply.complete, reply.body) == (502, True, b'')
+
+
+@pytest.mark.parametrize(('frozen_s', 'status'), [(1.5, 502), (0.0, 200)])
+@gateway_fleet.with_fleet
+async def test_answer_whose_end_is_noticed_late_is_not_whole(
+    fleet, frozen_s, status
+):
+    """Guards against a new run that is taken for the one that answered.
+
+    The runner crashed and was started again while this process was frozen.
+    """
+    await gateway_fleet.use_long_timeouts(fleet)
+    runner = await replace(fleet, 's1', PLAIN_BODY, crashes=False)
+
+    async def freeze():
+        time.sleep(frozen_s)
+
+    runner.before_answer = freeze
+    reply = await fleet.ask('/file/1', 'r1', method='POST')
+    assert (reply.status, reply.complete) == (status, True)
+
+
 @gateway_fleet.with_fleet
 async def test_plain_answer_may_end_with_its_connection(fleet):
     """Guards against a whole answer that counts as broken."""
