--- a/primrosereel/gateway/_composition.py
+++ b/primrosereel/gateway/_composition.py
@@ -42,6 +42,7 @@
 from primrosereel.routing import _model as model
 from primrosereel.routing import _outages as outages_module
 from primrosereel.routing import _quotas as quotas_module
+from primrosereel.routing import _request_costs as request_costs
 from primrosereel.routing import _retry_budget as retry_budget
 from primrosereel.routing import _runner_speeds as runner_speeds
 from primrosereel.routing import _runners as runners
@@ -58,6 +59,10 @@
 # that cannot tell whether it is ready no new connections.
 READINESS_FAILED = 503
 METRICS_FAILED = 500
+# Calls whose times differ by less are not told apart, and the time of a call
+# before any was observed.
+CALL_RESOLUTION_S = 1e-4
+DEFAULT_CALL_S = 0.05
 # The retry budget is divided by at least this number of instances per seed, as
 # instances that are not known here spend it as well.
 INSTANCES_PER_SEED = 2
@@ -134,6 +139,12 @@
             prefills=policy.prefill(table, ledger, zone, speeds),
             runner_speeds=speeds,
             decode_speed=decode_speed.DecodeSpeed(speeds),
+            call_costs=request_costs.RequestCosts(
+                CALL_RESOLUTION_S, DEFAULT_CALL_S
+            ),
+            output_costs=request_costs.RequestCosts(
+                1.0, model.DEFAULT_OUTPUT_TOKENS
+            ),
             budget=retry_budget.RetryBudget(
                 retry_budget.BudgetBounds(
                     settings.retry_ratio * policy.retry_share,
@@ -222,6 +233,7 @@
                 self._peers.run,
                 self._context.leave_callbacks.run,
                 self._context.pool.run,
+                self._server.watch_callers,
             ]
             if self._policy.balances_roles:
                 parts.append(self._orders.run)
@@ -258,6 +270,7 @@
                     self._settings.callers,
                     self._server.serve_connection,
                     tasks,
+                    self._server.may_accept,
                 )
                 self._log.info('started')
                 await self._stop_requested.wait()
@@ -287,6 +300,7 @@
         metrics.gauge(
             'lingering_connections', self._server.lingering_connections
         )
+        metrics.gauge('caller_bytes', self._server.caller_bytes)
         metrics.gauge('waiting_requests', context.places.waiting_count)
         metrics.gauge('loop_late_seconds', self._loop_watch.recent_late_s(now))
         metrics.gauge('runners', len(context.runners))
@@ -301,6 +315,14 @@
         )
         if context.table is not None:
             metrics.gauge('configuration_version', context.table.version)
+        states = context.quotas.states(now)
+        metrics.gauge_accounts(
+            'quota_level', {state.account: state.level for state in states}
+        )
+        metrics.gauge_accounts(
+            'quota_available_rate',
+            {state.account: state.available_rate for state in states},
+        )
         body, content_type = metrics.render()
         return callers.Reply(
             200, headers=[(b'Content-Type', content_type)], body=body
@@ -311,10 +333,11 @@
         address: model.Address,
         handler: Callable[[anyio.abc.SocketStream], Awaitable[None]],
         connections: anyio.abc.TaskGroup,
+        may_accept: Callable[[int], bool] = lambda _: True,
     ) -> None:
         """Accept connections until cancelled; they outlast the listener."""
         await listener_module.Listener(
-            address, handler, connections, self._accept_failed
+            address, handler, connections, self._accept_failed, may_accept
         ).run()
 
     def _accept_failed(self, address: model.Address, error: OSError) -> None:
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -33,6 +33,7 @@
 from primrosereel.routing import _prefill_plan as prefill_plan
 from primrosereel.routing import _priorities as priorities
 from primrosereel.routing import _quotas as quotas_module
+from primrosereel.routing import _request_costs as request_costs
 from primrosereel.routing import _retry_budget as retry_budget
 from primrosereel.routing import _runner_speeds as runner_speeds
 from primrosereel.routing import _runners as runners
@@ -67,6 +68,10 @@
     prefills: prefill_plan.PrefillPlan
     runner_speeds: runner_speeds.RunnerSpeeds
     decode_speed: decode_speed.DecodeSpeed
+    # The costs of plain calls in seconds, and the outputs of generations in
+    # tokens.
+    call_costs: request_costs.RequestCosts
+    output_costs: request_costs.RequestCosts
     budget: retry_budget.RetryBudget
     quotas: quotas_module.Quotas
     members: members_module.Members
@@ -87,6 +92,8 @@
     table: table_module.RoutingTable | None = None
     # When the table came into force.
     table_since: float = -math.inf
+    # When the last call began whose answer told the store's state.
+    version_confirmed_at: float = -math.inf
     # A stop first sets ``draining`` (not ready, requests are still served),
     # then ``refusing`` (new requests are refused).
     draining: bool = False
@@ -187,6 +194,23 @@
         """The version of the configuration in force; 0 without one."""
         return self.table.version if self.table else 0
 
+    @property
+    def unconfirmed_s(self) -> float:
+        """For how long keys have not been accepted; 0 while they are.
+
+        With strict revocation, the store must have confirmed the version
+        lately, as a newer one may have withdrawn any key.
+        """
+        if not self.settings.strict_revocation:
+            return 0.0
+        since = self.version_confirmed_at + self.settings.revoke_s
+        return max(0.0, self.clock() - since)
+
+    @property
+    def caller_limits(self) -> model.CallerLimits:
+        """The limits of callers' requests that are in force."""
+        return self.table.limits if self.table else model.CallerLimits()
+
     @property
     def version_age_s(self) -> float | None:
         """For how long the version has been in force; None without one."""
@@ -287,6 +311,24 @@
         """Record that a runner which was sent the request did not run it."""
         self._possible_runs -= 1
 
+    @property
+    def call_key(self) -> request_costs.CostKey:
+        """The kind of a plain call."""
+        request = self.request
+        return request_costs.call_key(
+            self.route.name, request.method, request.target
+        )
+
+    @property
+    def output_key(self) -> request_costs.CostKey:
+        """The kind of a generation by its output."""
+        return request_costs.output_key(
+            self.route.name,
+            self.facts.prompt_tokens,
+            self.facts.length_hint,
+            self.account_name or '',
+        )
+
     def record_internal_error(self, error: Exception) -> None:
         """Log and count an unexpected error."""
         self.context.count('internal_errors')
@@ -327,8 +369,7 @@
     @property
     def engine(self) -> model.Engine | None:
         """The capacity of the service's engines; None if it has none."""
-        table = self.context.table
-        service = table.services.get(self.service) if table else None
+        service = self.table.services.get(self.service)
         return service.engine if service is not None else None
 
     @property
@@ -341,11 +382,12 @@
         reason: states.RefusalReason,
         retry_after_s: float,
         detail: str = '',
+        status: int = 503,
     ) -> callers.Reply:
         """Return the reply to a request that did not and will not run."""
-        self._log_refusal(reason, 503, detail, round(retry_after_s, 2))
+        self._log_refusal(reason, status, detail, round(retry_after_s, 2))
         return callers.Reply(
-            503, headers=[(b'Retry-After', b'%.2f' % retry_after_s)]
+            status, headers=[(b'Retry-After', b'%.2f' % retry_after_s)]
         )
 
     def failure(
@@ -395,6 +437,7 @@
         self.context.log.info(
             'attempt failed',
             request=self.facts.request_id,
+            account=self.account_name,
             runner=runner.runner_id,
             reason=reason.value,
             detail=detail,
--- a/primrosereel/gateway/_event_stream.py
+++ b/primrosereel/gateway/_event_stream.py
@@ -128,15 +128,45 @@
         requests_at_start: int,
     ) -> None:
         """Learn a runner's speed from its part of the stream."""
+        context = self._exchange.context
         event_s = pace.event_s()
-        if event_s is None:
+        self._exchange.steps.update(
+            event_s=round(event_s or 0.0, 5),
+            decode_slowness=round(runner.decode_slowness, 2),
+            decode_requests=requests_at_start,
+        )
+        if event_s is None or not context.settings.high_contention:
             return
-        context = self._exchange.context
         now = context.clock()
         requests = context.places.requests_at(runner, now)
-        context.decode_speed.observe(
-            runner, (requests_at_start + requests) / 2, event_s, now
+        mean_requests = (requests_at_start + requests) / 2
+        self._compare_stream(runner, mean_requests, event_s, now)
+        context.decode_speed.observe(runner, mean_requests, event_s, now)
+
+    def _compare_stream(
+        self,
+        runner: runners.Runner,
+        requests: float,
+        event_s: float,
+        now: float,
+    ) -> None:
+        """Record the expected time of a whole stream beside its time."""
+        exchange = self._exchange
+        context = exchange.context
+        usual_s = context.decode_speed.usual_s(exchange.service, requests)
+        is_part = exchange.facts.last_event_id is not None
+        if (
+            usual_s is None
+            or is_part
+            or self._events_received < (self.events_sent)
+        ):
+            return
+        output = context.output_costs.expected(exchange.output_key, now).mean
+        context.metrics.observe(
+            'predicted_stream_seconds',
+            runner.decode_slowness * usual_s * output,
         )
+        context.metrics.observe('stream_seconds', event_s * self.events_sent)
 
     def check_complete(self, head: http.ResponseHead) -> None:
         """Raise BrokenResponse if the runner's last event is missing.
@@ -157,13 +187,19 @@
         """End the caller's response as complete."""
         await self._send_head(head)
         await self._caller.finish()
-        facts = self._exchange.facts
+        context, facts = self._exchange.context, self._exchange.facts
+        key, now = self._exchange.output_key, context.clock()
         self._exchange.steps.update(
             prompt_tokens=facts.prompt_tokens,
             output_tokens=facts.output_tokens,
             events=self.events_sent,
             last_event=self.last_event_id or 0,
+            expected_output=round(
+                context.output_costs.expected(key, now).mean
+            ),
         )
+        if facts.last_event_id is None and self.events_sent:
+            context.output_costs.observe(key, self.events_sent, now)
 
     def record_cut(self, detail: str) -> None:
         """Log and count a stream that ends before its last event."""
--- a/primrosereel/gateway/_server.py
+++ b/primrosereel/gateway/_server.py
@@ -5,13 +5,16 @@
 
 from primrosereel import _states as states
 from primrosereel.gateway import _authentication as authentication
+from primrosereel.gateway import _caller_watch as caller_watch
 from primrosereel.gateway import _callers as callers
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _crash_reports as crash_reports_module
 from primrosereel.gateway import _generation as generation
 from primrosereel.gateway import _lingering_close as lingering_close
 from primrosereel.gateway import _plain as plain
+from primrosereel.gateway import _quota_check as quota_check
 from primrosereel.gateway import _socket_options as socket_options
+from primrosereel.routing import _client_accounts as client_accounts
 from primrosereel.routing import _model as model
 from primrosereel.routing import _table as table_module
 from primrosereel.routing import _timeouts as timeouts
@@ -34,6 +37,9 @@
         self._started_at = context.clock()
         self._connections: set[callers.CallerConnection] = set()
         self._lingering = lingering_close.LingeringCloses()
+        self._caller_watch = caller_watch.CallerWatch(
+            context, self._connections
+        )
         self._in_progress: dict[
             callers.CallerConnection, callers.CallerRequest
         ] = {}
@@ -41,13 +47,20 @@
     async def serve_connection(self, stream: anyio.abc.SocketStream) -> None:
         """Serve one connection until it closes."""
         socket_options.detect_lost_peer(stream)
-        socket_options.limit_send_buffer(stream)
+        socket_options.limit_caller_buffers(stream)
         connection = callers.CallerConnection(
-            stream, self._limits, self._context.clock, self._lingering
+            stream,
+            lambda: self._context.caller_limits,
+            self._context.clock,
+            self._lingering,
+            self._caller_watch.memory,
         )
         self._connections.add(connection)
         try:
-            await self._serve_requests(connection)
+            if self._caller_watch.must_refuse(len(self._lingering)):
+                await connection.refuse_unread()
+            else:
+                await self._serve_requests(connection)
         except callers.CallerDisconnected:
             self._context.count('callers.gone')
         except Exception as error:
@@ -70,7 +83,17 @@
             context.log.info(
                 'idle connection closed',
                 version=version,
-                limit_s=self._limits().idle_timeout_s,
+                limit_s=context.caller_limits.idle_timeout_s,
+                open_connections=len(self._connections),
+            )
+        if connection.close_reason is not None:
+            reason = connection.close_reason.value
+            context.count(f'callers.closed.{reason}')
+            context.log.info(
+                'caller closed',
+                reason=reason,
+                version=version,
+                held_bytes=self.caller_bytes,
                 open_connections=len(self._connections),
             )
         if connection.unreadable_status is not None:
@@ -92,10 +115,18 @@
                 idle=connection.closed_as_idle,
             )
 
-    def _limits(self) -> model.CallerLimits:
-        """Return the limits in force."""
-        table = self._context.table
-        return table.limits if table else model.CallerLimits()
+    def may_accept(self, opening: int) -> bool:
+        """Tell whether one more connection may be accepted."""
+        return self._caller_watch.may_accept(opening, len(self._lingering))
+
+    async def watch_callers(self) -> None:
+        """Keep callers within memory and descriptors until cancelled."""
+        await self._caller_watch.run()
+
+    @property
+    def caller_bytes(self) -> int:
+        """The memory that is held for callers."""
+        return self._caller_watch.memory.held
 
     @property
     def open_connections(self) -> int:
@@ -201,12 +232,18 @@
         if self._context.draining:
             connection.close_after_reply()
         exchange: context_module.Exchange | None = None
+        check: quota_check.QuotaCheck | None = None
         try:
             routed = self._route_request(request, tasks)
             if isinstance(routed, callers.Reply):
                 await connection.reply(routed)
                 return None
             exchange = routed
+            check = quota_check.QuotaCheck(exchange)
+            refusal = check.spend()
+            if refusal is not None:
+                await connection.reply(refusal)
+                return None
             complete = await self._handle(connection, exchange)
             return None if complete else states.EndReason.STREAM_CUT
         except callers.CallerDisconnected:
@@ -217,6 +254,8 @@
         finally:
             if exchange is not None:
                 exchange.kept_responses.release()
+            if check is not None:
+                check.settle()
 
     async def _handle(
         self,
@@ -229,6 +268,12 @@
                 exchange, connection, self._crash_reports
             )
             return await handler.serve()
+        if self._context.response_memory.is_crowded:
+            reply = exchange.refusal(
+                states.RefusalReason.CALLER_MEMORY, ERROR_RETRY_AFTER_S
+            )
+            await connection.reply(reply)
+            return True
         call = plain.PlainCall(exchange, self._crash_reports)
         await connection.reply(await call.serve())
         return True
@@ -273,10 +318,19 @@
         return None
 
     def _refuse(
-        self, reason: states.RefusalReason, retry_after_s: float
+        self,
+        reason: states.RefusalReason,
+        retry_after_s: float,
+        account: client_accounts.ClientAccount | None = None,
     ) -> callers.Reply:
         self._context.count(f'refused.{reason.value}')
-        self._context.log.info('refused', reason=reason.value, status=503)
+        self._context.log.info(
+            'refused',
+            account=account.name if account is not None else None,
+            reason=reason.value,
+            status=503,
+            version=self._context.version,
+        )
         return callers.Reply(
             503, headers=[(b'Retry-After', b'%.2f' % retry_after_s)]
         )
@@ -285,6 +339,7 @@
         self,
         request: callers.CallerRequest,
         table: table_module.RoutingTable,
+        account: client_accounts.ClientAccount | None,
     ) -> callers.Reply:
         """Return the reply to a request for which there is no route.
 
@@ -303,6 +358,7 @@
             return self._refuse(
                 states.RefusalReason.NO_CONFIGURATION,
                 timeouts.outage_retry_after_s(0.0),
+                account,
             )
         context.count(f'refused.{states.RefusalReason.UNKNOWN_SERVICE.value}')
         return callers.Reply(404)
@@ -317,6 +373,10 @@
         table = context.table
         if context.refusing:
             return self._refuse(states.RefusalReason.DRAINING, 0.0)
+        if context.active > self._caller_watch.max_active:
+            return self._refuse(
+                states.RefusalReason.TOO_MANY_CONNECTIONS, ERROR_RETRY_AFTER_S
+            )
         if table is None:
             reason = states.RefusalReason.NO_CONFIGURATION
             waited_s = context.clock() - self._started_at
@@ -331,11 +391,11 @@
         except authentication.Unauthenticated as error:
             return error.reply
         if route is None or not route.services:
-            return self._refuse_unknown(request, table)
+            return self._refuse_unknown(request, table, account)
         service = table_module.pick_service(route, context.random)
         if service is None:
             return self._refuse(
-                states.RefusalReason.NO_RUNNER, ERROR_RETRY_AFTER_S
+                states.RefusalReason.NO_RUNNER, ERROR_RETRY_AFTER_S, account
             )
         facts = context.dialect.request_facts(request.headers)
         limit_s = timeouts.time_limit_s(route, facts)
