End unread answers only while another response lacks room

Two callers that paused for 2 s while they read answers of 3 MB from a process of 72 MB held more than half of the limit of responses; no other response needed it.

--- a/primrosereel/gateway/_caller_watch.py
+++ b/primrosereel/gateway/_caller_watch.py
@@ -29,9 +29,6 @@
 # for it, and how many connections are then refused at a time.
 REFUSE_AFTER_S = 1.0
 MAX_REFUSED = 16
-# Responses fill this share of their limit before answers that are not read
-# are ended.
-RESPONSES_PRESSED_SHARE = 0.5
 # Share of the memory of the process, resident and in the kernel, above which
 # callers are closed that hold less than their limit.
 RESIDENT_PRESSED_SHARE = 0.92
@@ -123,12 +120,7 @@
         for account in memory.accounts:
             if account.unread_s(now) >= limit_s:
                 account.close(caller_memory.CloseReason.ANSWER_NOT_READ)
-        responses = self._context.response_memory
-        memory.free_answers(
-            responses.reserved
-            - int(RESPONSES_PRESSED_SHARE * responses.limit),
-            now,
-        )
+        memory.free_answers(self._context.response_memory.take_missing(), now)
         memory.make_room(self._excess_bytes(), now)
 
     def _excess_bytes(self) -> int:
--- a/primrosereel/gateway/_response_memory.py
+++ b/primrosereel/gateway/_response_memory.py
@@ -33,6 +33,8 @@
         # What the responses that are read have announced and not sent yet.
         self._expected = 0
         self._waiting = 0
+        # The bytes that were not granted, or are waited for.
+        self._refused = self._wanted = 0
         self._turn = anyio.Lock()
         self._shrunk = anyio.Event()
 
@@ -51,6 +53,12 @@
         """Whether so many responses wait that no others should follow."""
         return self._waiting >= MAX_WAITING
 
+    def take_missing(self) -> int:
+        """Return the bytes that were missing since the last call."""
+        missing = self._wanted + self._refused
+        self._refused = 0
+        return min(missing, self._limit)
+
     def reservation(self) -> 'Reservation':
         """Return an empty reservation."""
         return Reservation(self)
@@ -64,6 +72,7 @@
         is_large = new_size > SMALL_BYTES
         limit = self._large_limit if is_large else self._limit
         if growth > 0 and self._reserved + growth > limit:
+            self._refused = max(self._refused, growth)
             return False
         self._reserved += growth
         if growth < 0:
@@ -82,6 +91,7 @@
         Many that are read at once would all break before one is complete.
         """
         self._waiting += 1
+        self._wanted += size
         try:
             async with self._turn:
                 with anyio.move_on_after(MAX_WAIT_S):
@@ -90,6 +100,7 @@
                         await self._shrunk.wait()
         finally:
             self._waiting -= 1
+            self._wanted -= size
 
     def _fits(self, size: int) -> bool:
         room = self._large_limit - self._reserved - self._expected
