--- a/tests/property/test_gateway_accounts.py
+++ b/tests/property/test_gateway_accounts.py
@@ -242,6 +242,9 @@
             {'tenants': [{'name': 'a', 'apiKeys': [KEY, 'with space']}]},
             {'tenants': [{'name': 'a', 'apiKeys': [KEY, 9]}]},
             {'tenants': [{'name': n, 'apiKeys': [KEY]} for n in 'ab']},
+            {'tenants': [{'name': 'a', 'priority': -1}]},
+            {'tenants': [{'name': 'a', 'ratePerS': -1}]},
+            {'tenants': [{'apiKeys': [KEY]}]},
         ]
     ):
         config = gateway_fleet.configuration(3 + number) | change
