Test that an answer which is read late confirms no version

Cause: nothing held that a confirmation counts from the beginning of a call to the store.

Change: a test with a watch whose answers are read late.

--- a/tests/property/test_gateway_accounts.py
+++ b/tests/property/test_gateway_accounts.py
@@ -229,6 +229,35 @@
     )
 
 
+def test_an_answer_that_is_read_late_confirms_nothing(monkeypatch):
+    """Guards against a suspended process that trusts an old answer."""
+
+    async def scenario(fleet):
+        await use_accounts(fleet)
+        store = fleet.gateway._reader._store
+        watch = store.watch
+        answers = 0
+
+        async def watch_late(after, _):
+            nonlocal answers
+            state = await watch(after, 0.0)
+            await anyio.sleep(1.2)
+            answers += 1
+            return state
+
+        monkeypatch.setattr(store, 'watch', watch_late)
+        await fleet.wait_for(lambda: answers > 1)
+        await anyio.sleep(0.05)
+        assert await status(fleet, Authorization=TOKEN) == 503
+        monkeypatch.setattr(store, 'watch', watch)
+        context = fleet.gateway._context
+        await fleet.wait_for(lambda: context.unconfirmed_s == 0)
+
+    gateway_fleet.run_scenario(
+        scenario, strict_revocation=True, revoke_s=0.8, stable_window_s=3.0
+    )
+
+
 @gateway_fleet.with_fleet
 async def test_malformed_account_changes_nothing(fleet):
     """Guards against a mistake that withdraws keys or lets anyone in."""
