List fewer members in gossip while accounts have quotas

With quotas each instance hears from all others each second anyway.

Change: gossip then lists 8 members.

--- a/primrosereel/gateway/_peers.py
+++ b/primrosereel/gateway/_peers.py
@@ -47,6 +47,9 @@
 # that it lists at most. Both bound the traffic of a large fleet.
 GOSSIP_TARGETS = 3
 GOSSIP_MEMBERS = 64
+# While accounts have quotas, each instance sends all others a datagram each
+# second. Lists then only spread the news of members that are not known yet.
+GOSSIP_MEMBERS_WITH_QUOTAS = 8
 # The number of runners that a gossip datagram lists, those with the most free
 # memory.
 GOSSIP_RUNNERS = 16
@@ -213,10 +216,13 @@
         free_memory: list[tuple[ids.RunnerId, int]] = []
         if context.shards.divided:
             free_memory = context.places.free_memory(now)[:GOSSIP_RUNNERS]
+        listed = GOSSIP_MEMBERS
+        if context.quotas.active:
+            listed = GOSSIP_MEMBERS_WITH_QUOTAS
         await self._send(
             socket,
             self._members.sample(GOSSIP_TARGETS, context.random),
-            self._gossip_members(now),
+            self._gossip_members(now, listed),
             free_memory,
             with_crash_evidence=True,
             scope=runner_notices.Scope.ALL,
@@ -290,10 +296,12 @@
             if member.availability_zone in zones
         }
 
-    def _gossip_members(self, now: float) -> dict[str, list[tuple[str, int]]]:
+    def _gossip_members(
+        self, now: float, count: int = GOSSIP_MEMBERS
+    ) -> dict[str, list[tuple[str, int]]]:
         sample: dict[str, list[tuple[str, int]]] = {}
         random = self._context.random
-        for host in self._members.sample(GOSSIP_MEMBERS, random):
+        for host in self._members.sample(count, random):
             member = self._members[host]
             age_ms = numbers.age_ms(now - member.last_seen)
             hosts = sample.setdefault(member.availability_zone, [])
