Log a few of the peers that are found at a start

Each instance logged a line for each other one as it found it: 8,190 lines at a start of 91 instances. It now logs eight per heartbeat interval, and one line with the number of the others. In a test with 90 peers at once, an instance writes 9 lines instead of 90.

--- a/primrosereel/gateway/_peers.py
+++ b/primrosereel/gateway/_peers.py
@@ -50,6 +50,9 @@
 # The number of runners that a gossip datagram lists, those with the most free
 # memory.
 GOSSIP_RUNNERS = 16
+# The peers that are logged one by one in each heartbeat interval. At a start
+# of a large fleet each instance finds all others.
+LOGGED_PEERS = 8
 # Sources that only this instance has; an entry is read by all instances.
 OWN_SOURCES = frozenset(
     {availability.Source.ANSWER, availability.Source.REFUSAL}
@@ -86,6 +89,8 @@
         self._new_members: set[str] = set()
         self._new_members_added = anyio.Event()
         self._sequence = 0
+        # Peers that were found since the last heartbeat.
+        self._found_count = 0
         # Hosts to which the last datagram was not sent.
         self._refused_hosts: set[str] = set()
         # Zones of other shards that are sent updates, and until when.
@@ -177,6 +182,7 @@
             context.places.suspend_until(started_at + STARTUP_WAIT_S)
         while True:
             now = context.clock()
+            self._log_more_found()
             self._members.expire(now)
             self._update_shards()
             shard_hosts = self._shard_hosts()
@@ -451,7 +457,7 @@
         if self._incarnations.get(host) != datagram.incarnation:
             # A restarted process has lost what it was sent before.
             self._incarnations[host] = datagram.incarnation
-            context.log.info('peer found', peer=datagram.instance, host=host)
+            self._log_found(datagram.instance, host)
             self._add_new_member(host)
         for other_zone, hosts in datagram.members.items():
             for other, age_ms in hosts:
@@ -491,6 +497,18 @@
         if context.places.waiting_count:
             context.places.admit(now)
 
+    def _log_found(self, peer: str, host: str) -> None:
+        """Log a peer that was found, unless there are many at a time."""
+        self._found_count += 1
+        if self._found_count <= LOGGED_PEERS:
+            self._context.log.info('peer found', peer=peer, host=host)
+
+    def _log_more_found(self) -> None:
+        """Log how many peers were found since the last heartbeat."""
+        more, self._found_count = self._found_count - LOGGED_PEERS, 0
+        if more > 0:
+            self._context.log.info('more peers found', count=more)
+
     def _receive_crash_evidence(
         self, suspects: list[peer_datagram.Suspect], now: float
     ) -> None:
--- a/tests/property/test_gateway_peers.py
+++ b/tests/property/test_gateway_peers.py
@@ -5,6 +5,7 @@
 from primrosereel import _ids as ids
 from primrosereel import platform
 from primrosereel.gateway import _composition as composition
+from primrosereel.gateway import _peer_datagram as peer_datagram
 from primrosereel.gateway import _peers as peers
 from primrosereel.routing import _model as model
 from primrosereel.routing import _shards as shards
@@ -206,3 +207,21 @@
         assert found_hosts(fleet.log) == {'127.0.0.2'}
 
     run(scenario, peer=own, seeds=(own,))
+
+
+def test_start_of_a_large_fleet_takes_few_log_lines():
+    """Guards against a line per pair of instances, 8,000 in a fleet of 90."""
+    own = model.Address('127.0.0.1', gateway_fleet.free_port())
+
+    async def scenario(fleet):
+        for number in range(90):
+            fleet.gateway._peers._apply_datagram(
+                f'127.0.1.{number}',
+                peer_datagram.Datagram(3, f'p{number}', 'a', 1, 1, [], 0, []),
+            )
+        await fleet.wait_for(lambda: bool(fleet.log.named('more peers found')))
+        [line] = fleet.log.named('more peers found')
+        logged = len(fleet.log.named('peer found'))
+        assert (logged, line['count']) == (peers.LOGGED_PEERS, 90 - logged)
+
+    run(scenario, peer=own, seeds=(own,))
