Rank a waiting request once per estimate of its wait

The estimate compared each other request with the rank of this one, computed anew each time over all prefill runners. Each waiting request is estimated again every 50 ms once it is late.

--- a/primrosereel/routing/_decode_places.py
+++ b/primrosereel/routing/_decode_places.py
@@ -274,13 +274,15 @@
         if not used and not free:
             return float('inf')
         tokens_ahead = ticket.tokens + self._ledger.waiting_tokens(now)
+        # A rank depends on the expected duration of a prefill, which is
+        # computed over all prefill runners.
+        own_rank = ticket.rank(now, by_arrival=True)
         tokens_ahead += sum(
             other.tokens
             for other in self._waiting
             if other is not ticket
             and other.service == ticket.service
-            and other.rank(now, by_arrival=True)
-            < ticket.rank(now, by_arrival=True)
+            and other.rank(now, by_arrival=True) < own_rank
         )
         rate = used / max(self.hold_s, 0.1)
         if ticket.is_late(now):
