--- a/tests/soak/test_crowds.py
+++ b/tests/soak/test_crowds.py
@@ -160,3 +160,31 @@
         member.shutdown(socket.SHUT_WR)
 
     meet(100, act, crowds.Limits(answer_bytes=1 * MB), 3.0)
+
+
+def test_large_body_is_served_in_calm():
+    """Guards against a limit that a single sound request reaches."""
+    sent = {'Content-Length': 4 * MB, 'Request-Id': 'calm'}
+    received = []
+
+    async def act(loop, member, number):
+        fields = [f'{name}: {value}' for name, value in sent.items()]
+        member.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 * KB)
+        await loop.sock_sendall(
+            member, crowds.head('/file/1', *fields, method='POST')
+        )
+        for _ in range(4):
+            await loop.sock_sendall(member, b'b' * MB)
+            await asyncio.sleep(0.7)
+        size = 0
+        while size < 3 * MB:
+            data = await loop.sock_recv(member, 64 * KB)
+            if not data:
+                break
+            size += len(data)
+            if size < 128 * KB:
+                await asyncio.sleep(0.7)
+        received.append(size)
+
+    crowds.run(crowds.Crowd(1, act, 7.0), crowds.Limits(answer_bytes=3 * MB))
+    assert received and received[0] >= 3 * MB
