Bound connections by memory, and count two runners for a request

With ten times the crowd, 600 heads kept 50 MB in the kernel, as each new connection may send 64 KB before its buffer is limited, and 1,500 callers led to 953 descriptors (bound 824), as late requests have two runners.

--- a/primrosereel/gateway/_caller_watch.py
+++ b/primrosereel/gateway/_caller_watch.py
@@ -23,7 +23,11 @@
 # progress may take for their runners.
 FILE_DESCRIPTORS_RESERVED = 200
 OWN_DESCRIPTORS = 48
-ACTIVE_SHARE = 0.4
+ACTIVE_SHARE = 0.3
+# A request may be tried at a second runner while the first one has it.
+RUNNERS_PER_REQUEST = 2
+# What the kernel takes of a new connection before its buffer is limited.
+UNREAD_BYTES = 64 * 1024
 MIN_CONNECTIONS = 32
 # For how long a connection waits in the kernel while there is no descriptor
 # for it, and how many connections are then refused at a time.
@@ -95,8 +99,10 @@
     def _room(self, lingering: int) -> int:
         """Return how many more connections there may be."""
         context = self._context
-        others = context.active + context.pool.idle_count + lingering
+        others = RUNNERS_PER_REQUEST * context.active
+        others += context.pool.idle_count + lingering
         room = max(MIN_CONNECTIONS, self._max_sockets - others)
+        room = min(room, int(self._memory.limit) // UNREAD_BYTES)
         return room - self._memory.open_count
 
     async def run(self) -> None:
