--- a/primrosereel/routing/_quota_bucket.py
+++ b/primrosereel/routing/_quota_bucket.py
@@ -12,7 +12,6 @@
 from primrosereel.routing import _client_accounts as client_accounts
 from primrosereel.routing import _demand as demand
 from primrosereel.routing import _quota_peer_uses as quota_peer_uses
-from primrosereel.routing import _quota_write_offs as quota_write_offs
 
 __all__ = ['Bucket', 'Terms']
 
@@ -75,8 +74,6 @@
         self._reported_at = now
         # When the next refused request of this instance may be granted.
         self._next_retry_at = now
-        self._write_offs = quota_write_offs.WriteOffs()
-        self._update_write_offs(now)
 
     @property
     def quota(self) -> client_accounts.Quota:
@@ -110,14 +107,12 @@
             self._level = min(quota.burst, max(0.0, self._level))
         self._quota = quota
         self._level = min(self._level, self._depth)
-        self._update_write_offs(now)
 
     def set_terms(self, terms: Terms, now: float) -> None:
         """Apply the part of the quota that may be used from now on."""
         self._settle(now)
         self._terms = terms
         self._level = min(self._level, self._depth)
-        self._update_write_offs(now)
 
     def try_spend(self, units: float, now: float) -> bool:
         """Deduct units if the level allows it."""
@@ -220,7 +215,6 @@
         # A single request may be larger than what a window refills.
         max_debt = max(self._max_debt, min(correction.spent, self._most))
         level = max(level, min(self._level, -max_debt))
-        level += self._write_offs.take(-level, now)
         self._level = min(level, self._depth)
         if correction.spent > 0:
             self._use.add(correction.spent, now)
@@ -243,24 +237,6 @@
         use = min([*self._past_uses, self._use.per_s(now)])
         return max(0.0, self._quota.rate - use)
 
-    def _update_write_offs(self, now: float) -> None:
-        """Set what the bound spares beside rate, burst and margin.
-
-        While many instances are silent it is needed for what they spend.
-        """
-        terms, quota = self._terms, self._quota
-        spared = 0.0
-        if terms.margin > 0:
-            window_units = quota.rate * terms.window_s
-            overage = 2 * terms.tolerance * (window_units + quota.burst)
-            spared = overage - terms.margin * window_units + terms.slack
-        self._write_offs.set_spared(spared, terms.window_s, now)
-
-    @property
-    def _max_debt(self) -> float:
-        window_units = self._quota.rate * self._terms.window_s
-        return MAX_DEBT_WINDOWS * window_units
-
     @property
     def _most(self) -> float:
         """The units of the largest request that any window allows."""
