--- a/primrosereel/routing/_quota_bucket.py
+++ b/primrosereel/routing/_quota_bucket.py
@@ -237,6 +237,11 @@
         use = min([*self._past_uses, self._use.per_s(now)])
         return max(0.0, self._quota.rate - use)
 
+    @property
+    def _max_debt(self) -> float:
+        window_units = self._quota.rate * self._terms.window_s
+        return MAX_DEBT_WINDOWS * window_units
+
     @property
     def _most(self) -> float:
         """The units of the largest request that any window allows."""
