Check a gateway's configuration before it is sent

Cause: operators learn from a gateway's log that a configuration is refused, and not at all that an entry has no effect, that limits contradict each other, or what callers will notice of a change.

Errors come from the gateway's own decoder, which now also names the path of a route's unknown type.

--- a/primrosereel/platform/__init__.py
+++ b/primrosereel/platform/__init__.py
@@ -6,8 +6,18 @@
 names the field.
 """
 
+from primrosereel.platform._configuration_check import check_configuration
+from primrosereel.platform._configuration_check import Finding
+from primrosereel.platform._configuration_check import Severity
 from primrosereel.platform._dialect import Dialect
 from primrosereel.platform._settings import read_settings
 from primrosereel.platform._store import Store
 
-__all__ = ['Dialect', 'Store', 'read_settings']
+__all__ = [
+    'Dialect',
+    'Finding',
+    'Severity',
+    'Store',
+    'check_configuration',
+    'read_settings',
+]
--- a/primrosereel/platform/_entries.py
+++ b/primrosereel/platform/_entries.py
@@ -18,7 +18,15 @@
 from primrosereel.routing import _model as model
 from primrosereel.routing import _table as table_module
 
-__all__ = ['EntryError', 'decode_listing', 'table_steps']
+__all__ = [
+    'ClientAccount',
+    'Configuration',
+    'EntryError',
+    'Route',
+    'decode_configuration',
+    'decode_listing',
+    'table_steps',
+]
 
 Fault = ports.EntryFault
 Body = TypeVar('Body', bound=msgspec.Struct)
@@ -46,12 +54,12 @@
 LEAVING_BY_STATE = {'ready': False, 'draining': True}
 
 
-class _Split(msgspec.Struct):
+class Split(msgspec.Struct):
     service: str
     weight: numbers.Weight
 
 
-class _Route(msgspec.Struct, rename='camel'):
+class Route(msgspec.Struct, rename='camel'):
     name: str
     host: str
     prefix: str
@@ -61,13 +69,13 @@
     priority: numbers.Priority = 5
     max_attempts: numbers.Attempts = 1
     service: str | None = None
-    traffic_split: list[_Split] = []
+    traffic_split: list[Split] = []
     resumable: bool = False
     gap_target_ms: numbers.DurationMs | None = None
     public: bool = False
 
 
-class _Engine(msgspec.Struct, rename='camel'):
+class Engine(msgspec.Struct, rename='camel'):
     slots: numbers.Slots = 1
     kv_cache_tokens: numbers.Whole = 0
     kv_token_bytes: numbers.Rate = 0
@@ -77,21 +85,21 @@
     moves: bool = False
 
 
-class _Service(msgspec.Struct, rename='camel'):
+class Service(msgspec.Struct, rename='camel'):
     name: str
     health_path: str = '/health'
     max_connections: numbers.Whole = 100
-    engine: _Engine | None = None
+    engine: Engine | None = None
 
 
-class _Limits(msgspec.Struct, rename='camel'):
+class Limits(msgspec.Struct, rename='camel'):
     max_header_bytes: numbers.HeadBytes = 16384
     max_body_bytes: numbers.Bytes = 4194304
     header_timeout_ms: numbers.PositiveMs = 3000
     idle_timeout_ms: numbers.PositiveMs = 15000
 
 
-class _ClientAccount(msgspec.Struct, rename='camel'):
+class ClientAccount(msgspec.Struct, rename='camel'):
     name: str
     api_keys: list[str] = []
     priority: numbers.Priority | None = None
@@ -101,13 +109,13 @@
     burst: numbers.Rate = 0
 
 
-class _Configuration(msgspec.Struct):
+class Configuration(msgspec.Struct):
     version: numbers.Whole
-    routes: list[_Route]
-    services: list[_Service]
-    limits: _Limits = msgspec.field(default_factory=_Limits)
+    routes: list[Route]
+    services: list[Service]
+    limits: Limits = msgspec.field(default_factory=Limits)
     # Not null: a mistake there must not switch authentication off.
-    tenants: list[_ClientAccount] | msgspec.UnsetType = msgspec.UNSET
+    tenants: list[ClientAccount] | msgspec.UnsetType = msgspec.UNSET
 
 
 class _Runner(msgspec.Struct, rename='camel'):
@@ -229,6 +237,14 @@
     return bool(text) and text.isprintable() and text == text.strip()
 
 
+def decode_configuration(value: str | None) -> Configuration:
+    """Decode a configuration's fields; raise EntryError on a wrong one.
+
+    ``table_steps`` refuses some of the values that this accepts.
+    """
+    return _decode_body(_decode_text(value), Configuration)
+
+
 def table_steps(
     value: str | None,
 ) -> steps.Steps[table_module.RoutingTable]:
@@ -240,12 +256,12 @@
     """
     body = _decode_text(value)
     yield
-    configuration = _decode_body(body, _Configuration)
+    configuration = _decode_body(body, Configuration)
     yield
-    if any(
-        route.route_type not in ROUTE_KINDS for route in configuration.routes
-    ):
-        raise EntryError('the type of a route is not known')
+    for position, route in enumerate(configuration.routes):
+        if route.route_type not in ROUTE_KINDS:
+            path = f'$.routes[{position}].routeType'
+            raise EntryError(f'the type of a route is not known - {path}')
     routes = yield from _convert(configuration.routes, _to_route)
     services = yield from _convert(configuration.services, _to_service)
     accounts = None
@@ -280,10 +296,10 @@
     return converted
 
 
-def _to_route(route: _Route) -> model.Route:
+def _to_route(route: Route) -> model.Route:
     targets = route.traffic_split
     if route.service is not None:
-        targets = [_Split(route.service, 1.0)]
+        targets = [Split(route.service, 1.0)]
     gap_ms = route.gap_target_ms
     return model.Route(
         route.name,
@@ -305,7 +321,7 @@
 
 
 def _convert_accounts(
-    bodies: list[_ClientAccount],
+    bodies: list[ClientAccount],
 ) -> steps.Steps[client_accounts.ClientAccounts]:
     """Index the accounts; raise EntryError for one that is not valid.
 
@@ -350,7 +366,7 @@
         ) from error
 
 
-def _to_account(body: _ClientAccount) -> client_accounts.ClientAccount:
+def _to_account(body: ClientAccount) -> client_accounts.ClientAccount:
     quota = None
     if body.rate_per_s > 0:
         unit = QUOTA_UNITS.get(body.unit, client_accounts.QuotaUnit.REQUESTS)
@@ -367,7 +383,7 @@
     )
 
 
-def _to_service(service: _Service) -> model.Service:
+def _to_service(service: Service) -> model.Service:
     engine = None
     if service.engine is not None:
         engine = model.Engine(
