--- a/primrosereel/gateway/_caller_memory.py
+++ b/primrosereel/gateway/_caller_memory.py
@@ -34,7 +34,7 @@
 HEAD_COPIES = 4
 # Share of the memory of the process that is left for what is not counted:
 # fragmentation, copies of one body or answer, and growth of tables.
-UNCOUNTED_SHARE = 0.12
+UNCOUNTED_SHARE = 0.18
 # A small process still serves single requests.
 MIN_LIMIT_BYTES = 8 * 1024 * 1024
 # Shares of the limit that uses which may wait, or be refused, can fill.
--- a/primrosereel/gateway/_caller_watch.py
+++ b/primrosereel/gateway/_caller_watch.py
@@ -26,7 +26,8 @@
 ACTIVE_SHARE = 0.3
 # A request may be tried at a second runner while the first one has it.
 RUNNERS_PER_REQUEST = 2
-# What the kernel takes of a new connection before its buffer is limited.
+# What the kernel and the stream take of a new connection before its buffer is
+# limited.
 UNREAD_BYTES = 64 * 1024
 MIN_CONNECTIONS = 32
 # For how long a connection waits in the kernel while there is no descriptor
