Keep the receive buffer of a caller at 64 KB from the start

Cause: with 16 KB, the rest of a body could not arrive while the process had no processor time, and the request got 408 (test_gateway_held_reading.py[pauses3-body3], 2 of 2 runs).

Measured: the tests of held reading, late processes and time over pass.

--- a/primrosereel/gateway/_socket_options.py
+++ b/primrosereel/gateway/_socket_options.py
@@ -24,8 +24,9 @@
 # Limits of the kernel's buffers of one connection, which count as memory of
 # the process and grow to megabytes without a limit. The kernel doubles them.
 RECEIVE_BUFFER_BYTES = 32 * 1024
-# A caller's head fits into the first; bodies that have room get the second.
-HEAD_BUFFER_BYTES = 16 * 1024
+# What arrives while the process has no processor time must fit into the first,
+# as a request is late else. Bodies that have room get the second.
+HEAD_BUFFER_BYTES = 64 * 1024
 BODY_BUFFER_BYTES = 64 * 1024
 SEND_BUFFER_BYTES = 64 * 1024
 
