Move callers' messages and the targets of datagrams into modules of their own

Change: _caller_messages.py has the request, the reply and their headers, _peer_targets.py which instances get the datagrams; _http.content_length serves both sides. No change of behaviour.

--- a/primrosereel/gateway/_callers.py
+++ b/primrosereel/gateway/_callers.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
-import dataclasses
 import math
 
 import anyio
@@ -12,10 +11,13 @@
 import h11
 
 from primrosereel.gateway import _caller_memory as caller_memory
+from primrosereel.gateway import _caller_messages as caller_messages
 from primrosereel.gateway import _http as http
 from primrosereel.gateway import _lingering_close as lingering_close
 from primrosereel.gateway import _read_limit as read_limit
 from primrosereel.gateway import _socket_options as socket_options
+from primrosereel.gateway._caller_messages import CallerRequest
+from primrosereel.gateway._caller_messages import Reply
 from primrosereel.routing import _model as model
 
 __all__ = ['CallerConnection', 'CallerDisconnected', 'CallerRequest', 'Reply']
@@ -49,40 +51,6 @@
     """The caller has closed its connection."""
 
 
-@dataclasses.dataclass(slots=True)
-class CallerRequest:
-    """A complete request; header names keep the caller's spelling."""
-
-    method: bytes
-    target: bytes
-    headers: http.Headers
-    body: bytes
-    received_at: float
-
-    @property
-    def host(self) -> str:
-        """The host that the request is addressed to."""
-        for name, value in self.headers:
-            if name.lower() == b'host':
-                return value.decode('latin-1')
-        return ''
-
-    @property
-    def path(self) -> str:
-        """The path without the query."""
-        return self.target.partition(b'?')[0].decode('latin-1')
-
-
-@dataclasses.dataclass(slots=True)
-class Reply:
-    """A complete response to a caller."""
-
-    status: int
-    reason: bytes = b''
-    headers: http.Headers = dataclasses.field(default_factory=list)
-    body: bytes = b''
-
-
 class _UnreadableRequest(Exception):
     """A request that cannot be read; ``status`` is sent to the caller."""
 
@@ -242,9 +210,10 @@
         if not isinstance(head, h11.Request):
             return None
         headers = [(bytes(n), bytes(v)) for n, v in head.headers.raw_items()]
-        _check_framing(headers)
+        if caller_messages.has_two_framings(headers):
+            raise _UnreadableRequest(400)
         await self._hold(Use.REQUEST, caller_memory.REQUEST_BYTES)
-        length = min(_content_length(headers), limits.max_body_bytes)
+        length = min(http.content_length(headers), limits.max_body_bytes)
         await self._hold(Use.BODY, length)
         if self._parser.they_are_waiting_for_100_continue:
             await self._send(
@@ -431,7 +400,7 @@
 
     async def reply(self, reply: Reply) -> None:
         """Send a complete response."""
-        headers = end_to_end(reply.headers)
+        headers = caller_messages.end_to_end(reply.headers)
         if reply.status not in (204, 304):
             headers.append((b'Content-Length', b'%d' % len(reply.body)))
         self._account.answer_bytes = len(reply.body)
@@ -445,7 +414,7 @@
 
     async def send_head(self, reply: Reply) -> None:
         """Send the head of a response whose body follows in parts."""
-        headers = end_to_end(reply.headers)
+        headers = caller_messages.end_to_end(reply.headers)
         headers.append((b'Transfer-Encoding', b'chunked'))
         await self._send(self._response_head(reply, headers))
 
@@ -585,39 +554,3 @@
 def _remote_host(stream: anyio.abc.SocketStream) -> str:
     address = stream.extra(anyio.abc.SocketAttribute.remote_address, '')
     return str(address[0]) if isinstance(address, tuple) else ''
-
-
-def _content_length(headers: http.Headers) -> int:
-    """Return the length of a body; 0 if it is not stated."""
-    for name, value in headers:
-        # The parser has checked that it is a number.
-        if name.lower() == b'content-length':
-            return int(value.partition(b',')[0])
-    return 0
-
-
-def _check_framing(headers: http.Headers) -> None:
-    """Reject a request with both Transfer-Encoding and Content-Length.
-
-    Two implementations could disagree on where such a request ends.
-    """
-    names = [name.lower() for name, _ in headers]
-    if b'transfer-encoding' in names and b'content-length' in names:
-        raise _UnreadableRequest(400)
-
-
-def end_to_end(headers: http.Headers) -> http.Headers:
-    """Return headers without hop-by-hop and framing headers."""
-    named: set[bytes] = set()
-    for name, value in headers:
-        if name.lower() == b'connection':
-            named.update(part.strip().lower() for part in value.split(b','))
-    # No request can be sent without it.
-    named.discard(b'host')
-    return [
-        (name, value)
-        for name, value in headers
-        if name.lower() not in http.HOP_BY_HOP
-        and name.lower() != b'content-length'
-        and name.lower() not in named
-    ]
--- a/primrosereel/gateway/_http.py
+++ b/primrosereel/gateway/_http.py
@@ -30,6 +30,7 @@
     'OutgoingRequest',
     'ResponseHead',
     'connect',
+    'content_length',
 ]
 
 READ_BYTES = 65536
@@ -80,6 +81,15 @@
     """The connection ended, or the response is invalid, after sending."""
 
 
+def content_length(headers: Headers) -> int:
+    """Return the stated length of a body; 0 without one."""
+    for name, value in headers:
+        # The parser has checked that it is a number.
+        if name.lower() == b'content-length':
+            return int(value.partition(b',')[0])
+    return 0
+
+
 @dataclasses.dataclass(slots=True)
 class ResponseHead:
     """Status line and headers of a response, in the runner's spelling."""
@@ -97,11 +107,7 @@
     @property
     def content_length(self) -> int:
         """The stated length of the body; 0 without one."""
-        for name, value in self.headers:
-            # The parser has checked that it is a number.
-            if name.lower() == b'content-length':
-                return int(value.partition(b',')[0])
-        return 0
+        return content_length(self.headers)
 
     @property
     def ends_with_connection(self) -> bool:
--- a/primrosereel/gateway/_peers.py
+++ b/primrosereel/gateway/_peers.py
@@ -18,11 +18,11 @@
 
 from primrosereel import _ids as ids
 from primrosereel import _numbers as numbers
-from primrosereel import _states as states
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _crash_reports as crash_reports_module
 from primrosereel.gateway import _datagram_socket as datagram_socket
 from primrosereel.gateway import _peer_datagram as peer_datagram
+from primrosereel.gateway import _peer_targets as peer_targets
 from primrosereel.gateway import _quota_datagram as quota_datagram
 from primrosereel.gateway import _quota_reports as quota_reports
 from primrosereel.gateway import _runner_notices as runner_notices
@@ -60,8 +60,6 @@
 OWN_SOURCES = frozenset(
     {availability.Source.ANSWER, availability.Source.REFUSAL}
 )
-# For how long another shard is still sent updates after its engines were used.
-OTHER_SHARD_UPDATE_S = 3.0
 
 
 class Peers:
@@ -96,8 +94,7 @@
         self._found_count = 0
         # Hosts to which the last datagram was not sent.
         self._refused_hosts: set[str] = set()
-        # Zones of other shards that are sent updates, and until when.
-        self._other_zones_until: dict[ids.AvailabilityZone, float] = {}
+        self._targets = peer_targets.PeerTargets(context)
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = peer_datagram.DatagramDecoder()
         self._quota_reports = quota_reports.QuotaReports(
@@ -155,7 +152,10 @@
                 await self._changed.wait()
                 await anyio.sleep(COALESCE_DELAY_S)
                 self._changed = anyio.Event()
-                targets = self._shard_hosts() | self._other_shard_hosts()
+                targets = (
+                    self._targets.shard_hosts()
+                    | self._targets.other_shard_hosts()
+                )
                 notice, self._unsent_notice = self._unsent_notice, None
                 tell_all, self._crash_evidence_unsent = (
                     self._crash_evidence_unsent,
@@ -187,14 +187,14 @@
             now = context.clock()
             self._log_more_found()
             self._members.expire(now)
-            self._update_shards()
-            shard_hosts = self._shard_hosts()
+            self._targets.update_shards()
+            shard_hosts = self._targets.shard_hosts()
             known_hosts = {member.host for member in self._members}
             for host in self._incarnations.keys() - known_hosts:
                 del self._incarnations[host]
             seed_hosts = {seed.host for seed in context.settings.seeds}
             self._refused_hosts &= known_hosts | seed_hosts
-            targets = shard_hosts | self._other_shard_hosts()
+            targets = shard_hosts | self._targets.other_shard_hosts()
             reports = self._quota_reports.heartbeat_reports(now)
             await self._send(
                 socket,
@@ -243,7 +243,7 @@
             await anyio.sleep(COALESCE_DELAY_S)
             self._new_members_added = anyio.Event()
             new_members, self._new_members = self._new_members, set()
-            self._update_shards()
+            self._targets.update_shards()
             now = self._context.clock()
             await self._send(
                 socket,
@@ -253,55 +253,6 @@
                 scope=runner_notices.Scope.ALL,
             )
 
-    def _update_shards(self) -> None:
-        context = self._context
-        zones = self._members.zones()
-        own_zone = context.settings.availability_zone
-        # A zone without decode runners cannot place any request on its own.
-        decode_zones = {
-            runner.listing.availability_zone
-            for runner in context.runners
-            if runner.listing.role is states.Role.DECODE
-        }
-        changed = context.shards.update(
-            len(self._members) + 1, {own_zone, *zones}, decode_zones
-        )
-        if changed:
-            context.log.info(
-                'shards changed',
-                divided=context.shards.divided,
-                zones=sorted(context.shards.zones(own_zone)),
-                members=len(self._members),
-            )
-
-    def _shard_hosts(self) -> set[str]:
-        shards = self._context.shards
-        return {
-            member.host
-            for member in self._members
-            if shards.owns(member.availability_zone)
-        }
-
-    def _other_shard_hosts(self) -> set[str]:
-        """Return hosts of other shards whose engines were used here lately."""
-        context = self._context
-        if not context.shards.divided:
-            return set()
-        now = context.clock()
-        for zone in context.other_shard_zones():
-            self._other_zones_until[zone] = now + OTHER_SHARD_UPDATE_S
-        zones: set[ids.AvailabilityZone] = set()
-        for zone, until in list(self._other_zones_until.items()):
-            if now >= until:
-                del self._other_zones_until[zone]
-            else:
-                zones |= context.shards.zones(zone)
-        return {
-            member.host
-            for member in self._members
-            if member.availability_zone in zones
-        }
-
     def _gossip_members(
         self, now: float, count: int = GOSSIP_MEMBERS
     ) -> dict[str, list[tuple[str, int]]]:
--- a/primrosereel/gateway/_upstream.py
+++ b/primrosereel/gateway/_upstream.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from primrosereel.gateway import _callers as callers
+from primrosereel.gateway import _caller_messages as caller_messages
 from primrosereel.gateway import _context as context_module
 from primrosereel.gateway import _final_poll as final_poll
 from primrosereel.gateway import _http as http
@@ -81,7 +81,7 @@
     dialect = exchange.context.dialect
     request = exchange.request
     headers = dialect.forwarded(
-        callers.end_to_end(request.headers),
+        caller_messages.end_to_end(request.headers),
         exchange.table.client_accounts is not None,
     )
     headers.extend(dialect.run_headers(options))
