Mend what a first reading of the change found

Cause: a reader who had not seen the code found faults and unclear texts.

Change: - an interim response no longer hides the wait of a body, so that a slow caller is closed then as well; - a heartbeat's reports on quotas are encoded before newer ones can be sent; - kinds of requests of removed routes no longer keep new ones out, and old observations end with their age; - runners with few slots can count as free in the policy expected-work; - the order of waiting requests is made anew after each place; - the retry budget is not spent after the last prefill; - a closed socket ends no datagrams to other hosts, `quotaWindowS` is above 0, and a quota whose unit changes begins with a new bucket; - Retry-After is written in one place; comments and log texts are clearer.

Measured: two new tests fail before the change (a slow caller after an interim response, a full table of kinds); the tests of peers, callers, quotas, places, accounts and names pass. The other faults have no test of their own.

--- a/primrosereel/_numbers.py
+++ b/primrosereel/_numbers.py
@@ -30,6 +30,7 @@
     'MemoryMb',
     'Port',
     'PositiveMs',
+    'PositiveS',
     'Priority',
     'QueueRank',
     'Rate',
@@ -77,6 +78,7 @@
 DurationMs = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_MS)]
 DurationS = Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_S)]
 AgeMs = Annotated[int, msgspec.Meta(ge=0, le=int(MAX_DURATION_MS))]
+PositiveS = Annotated[float, msgspec.Meta(gt=0, le=MAX_DURATION_S)]
 PositiveMs = Annotated[float, msgspec.Meta(gt=0, le=MAX_DURATION_MS)]
 Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 Tokens = Annotated[int, msgspec.Meta(ge=0, le=MAX_TOKENS)]
--- a/primrosereel/gateway/_authentication.py
+++ b/primrosereel/gateway/_authentication.py
@@ -1,10 +1,11 @@
 """Decides whether a caller's request may be served, by its key.
 
-Nothing else is done for a request before this, so that callers without a key
+This comes before quotas, queues and runners, so that callers without a key
 cost little. No key and no header value is logged.
 """
 
 from primrosereel import _states as states
+from primrosereel.gateway import _caller_messages as caller_messages
 from primrosereel.gateway import _callers as callers
 from primrosereel.gateway import _context as context_module
 from primrosereel.routing import _client_accounts as client_accounts
@@ -76,7 +77,7 @@
     headers = context.dialect.challenge()
     if status == UNAVAILABLE:
         retry_after_s = timeouts.outage_retry_after_s(unconfirmed_s)
-        headers = [(b'Retry-After', b'%.2f' % retry_after_s)]
+        headers = [caller_messages.retry_after(retry_after_s)]
     context.count(f'refused.{reason.value}')
     context.log.info(
         'refused',
--- a/primrosereel/gateway/_caller_memory.py
+++ b/primrosereel/gateway/_caller_memory.py
@@ -104,7 +104,7 @@
 
     Example::
 
-        account = memory.account(connection.evict, now)
+        account = memory.account(on_close, now)
         if not account.try_hold(Use.BODY, length):
             memory.make_room(length, now)
         account.release()
@@ -172,7 +172,7 @@
             account.close(CloseReason.MEMORY)
 
     def free_answers(self, size: int, now: float) -> None:
-        """Have callers closed that do not read answers of so many bytes."""
+        """Close callers that do not read, until so many bytes are freed."""
         room = sum(a.answer_bytes for a in self._accounts if a.closing)
         for account in self._slowest(now):
             if room >= size:
@@ -207,7 +207,7 @@
         return pressed
 
     def skip(self, seconds: float) -> None:
-        """Blame no caller for a time in which the process did not run."""
+        """Do not count time in which the process did not run."""
         for account in self._accounts:
             account.skip(seconds)
 
@@ -340,7 +340,7 @@
         return (self._size + self.answer_bytes) * self.slow_s(now)
 
     def keep(self) -> None:
-        """Take a close back."""
+        """Cancel a close."""
         self._close_reason = None
 
     def close(self, reason: CloseReason) -> None:
--- a/primrosereel/gateway/_caller_messages.py
+++ b/primrosereel/gateway/_caller_messages.py
@@ -9,6 +9,7 @@
     'Reply',
     'end_to_end',
     'has_two_framings',
+    'retry_after',
 ]
 
 
@@ -46,6 +47,11 @@
     body: bytes = b''
 
 
+def retry_after(seconds: float) -> tuple[bytes, bytes]:
+    """Return the header that tells a caller when to come back."""
+    return b'Retry-After', b'%.2f' % seconds
+
+
 def has_two_framings(headers: http.Headers) -> bool:
     """Tell whether headers have Transfer-Encoding and Content-Length.
 
--- a/primrosereel/gateway/_caller_watch.py
+++ b/primrosereel/gateway/_caller_watch.py
@@ -45,7 +45,7 @@
 
     Example::
 
-        watch = CallerWatch(context, memory, connections)
+        watch = CallerWatch(context, connections)
         tasks.start_soon(watch.run)
     """
 
@@ -131,7 +131,7 @@
         memory.make_room(self._excess_bytes(), now)
 
     def _excess_bytes(self) -> int:
-        """Return what must be freed; negative if nothing must be."""
+        """Return how many bytes must be freed."""
         process = self._context.settings.memory_bytes
         kernel = sum(
             account.held(caller_memory.Use.KERNEL)
--- a/primrosereel/gateway/_callers.py
+++ b/primrosereel/gateway/_callers.py
@@ -515,7 +515,7 @@
         self._close_after_reply = True
         headers: http.Headers = []
         if status == 503:
-            headers.append((b'Retry-After', b'%.2f' % NO_ROOM_RETRY_AFTER_S))
+            headers.append(caller_messages.retry_after(NO_ROOM_RETRY_AFTER_S))
         try:
             await self.reply(Reply(status, headers=headers))
         except (CallerDisconnected, h11.LocalProtocolError):
@@ -534,6 +534,8 @@
             raise CallerDisconnected
         account.hold(Use.SENDING, SENT_COPIES * len(data))
         account.begin_wait(Wait.READ, anyio.current_time())
+        # An interim response is sent while a request is read.
+        outer_wait = self._caller_wait
         try:
             with anyio.CancelScope() as self._caller_wait:
                 await self._stream.send(data)
@@ -546,6 +548,7 @@
         ) as error:
             raise CallerDisconnected from error
         finally:
+            self._caller_wait = outer_wait
             account.end_wait(anyio.current_time())
             account.hold(Use.SENDING, 0)
         raise CallerDisconnected(str(account.close_reason))
--- a/primrosereel/gateway/_context.py
+++ b/primrosereel/gateway/_context.py
@@ -10,6 +10,7 @@
 
 from primrosereel import _ids as ids
 from primrosereel import _states as states
+from primrosereel.gateway import _caller_messages as caller_messages
 from primrosereel.gateway import _callers as callers
 from primrosereel.gateway import _causes as causes
 from primrosereel.gateway import _leave_callbacks as leave_callbacks_module
@@ -396,7 +397,7 @@
         """Return the reply to a request that did not and will not run."""
         self._log_refusal(reason, status, detail, round(retry_after_s, 2))
         return callers.Reply(
-            status, headers=[(b'Retry-After', b'%.2f' % retry_after_s)]
+            status, headers=[caller_messages.retry_after(retry_after_s)]
         )
 
     def failure(
--- a/primrosereel/gateway/_http.py
+++ b/primrosereel/gateway/_http.py
@@ -120,8 +120,9 @@
 class OutgoingRequest:
     """One request; ``target`` and ``body`` are sent unchanged.
 
-    On a connection that was used before, a response without a request id for
-    which ``may_be_repeated`` returns True counts as one to an earlier request.
+    On a connection that was used before, a response for which
+    ``answers_earlier_request`` returns True counts as one to an earlier
+    request.
     """
 
     method: bytes
@@ -129,7 +130,7 @@
     headers: Headers
     body: bytes = b''
     request_id: str = ''
-    may_be_repeated: Callable[[ResponseHead], bool] = lambda _: False
+    answers_earlier_request: Callable[[ResponseHead], bool] = lambda _: False
 
 
 async def connect(
@@ -397,7 +398,7 @@
     async def _read_head(self, request: OutgoingRequest) -> ResponseHead:
         for _ in range(MAX_UNRELATED_RESPONSES):
             head = await self._next_head()
-            repeated = self.reused and request.may_be_repeated(head)
+            repeated = self.reused and request.answers_earlier_request(head)
             if not repeated and _matches_request(head, request):
                 self._head = head
                 return head
--- a/primrosereel/gateway/_peers.py
+++ b/primrosereel/gateway/_peers.py
@@ -93,7 +93,7 @@
         # Peers that were found since the last heartbeat.
         self._found_count = 0
         # Hosts to which the last datagram was not sent.
-        self._refused_hosts: set[str] = set()
+        self._unreachable_hosts: set[str] = set()
         self._targets = peer_targets.PeerTargets(context)
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = peer_datagram.DatagramDecoder()
@@ -193,9 +193,12 @@
             for host in self._incarnations.keys() - known_hosts:
                 del self._incarnations[host]
             seed_hosts = {seed.host for seed in context.settings.seeds}
-            self._refused_hosts &= known_hosts | seed_hosts
+            self._unreachable_hosts &= known_hosts | seed_hosts
             targets = shard_hosts | self._targets.other_shard_hosts()
             reports = self._quota_reports.heartbeat_reports(now)
+            # Encoded before other reports can be sent, as later datagrams
+            # replace what earlier ones say.
+            quota_data = self._quota_reports.encode(reports)
             await self._send(
                 socket,
                 targets | seed_hosts - known_hosts,
@@ -204,7 +207,7 @@
                 reports=reports,
             )
             await self._quota_reports.send_to_others(
-                reports, targets, self._sender(socket)
+                quota_data, targets, self._sender(socket)
             )
             await self._gossip(socket, now)
             searching = (
@@ -337,16 +340,21 @@
         for host in sorted(set(targets) - {own_address.host}):
             try:
                 await socket.sendto(data, host, own_address.port)
-            except (OSError, TypeError, ValueError) as error:
-                self._note_refused(host, error)
+            except (
+                OSError,
+                TypeError,
+                ValueError,
+                anyio.BrokenResourceError,
+            ) as error:
+                self._record_send_failure(host, error)
             else:
-                self._refused_hosts.discard(host)
+                self._unreachable_hosts.discard(host)
 
-    def _note_refused(self, host: str, error: Exception) -> None:
+    def _record_send_failure(self, host: str, error: Exception) -> None:
         """Count a datagram that was not sent; log the first to a host."""
         self._context.count('peers.send_failed')
-        if host not in self._refused_hosts:
-            self._refused_hosts.add(host)
+        if host not in self._unreachable_hosts:
+            self._unreachable_hosts.add(host)
             self._context.log.info(
                 'datagram not sent', host=host, detail=repr(error)
             )
--- a/primrosereel/gateway/_prompt.py
+++ b/primrosereel/gateway/_prompt.py
@@ -65,11 +65,12 @@
         The decode runner prefills the prompt itself if no prefill runner is
         expected to be faster, or if the prefill fails.
         """
-        for _ in range(MAX_PREFILL_RUNNERS):
+        for attempts_left in reversed(range(MAX_PREFILL_RUNNERS)):
             runner = self._choose(decode)
             if runner is None:
                 break
-            if not await self._prefill_at(runner, self._context.clock()):
+            now = self._context.clock()
+            if not await self._prefill_at(runner, now, attempts_left):
                 break
         if self._handle is None:
             self._context.count('prefill.at_decode')
@@ -104,7 +105,9 @@
             self._exchange.service, self._context.clock()
         )
 
-    async def _prefill_at(self, runner: runners.Runner, now: float) -> bool:
+    async def _prefill_at(
+        self, runner: runners.Runner, now: float, attempts_left: int
+    ) -> bool:
         """Return whether another prefill runner may be tried.
 
         One that did not take the prompt is not chosen again for some time. A
@@ -155,7 +158,7 @@
             exchange.record_failed_attempt(
                 Retry.PREFILL_FAILED, runner, 'timeout'
             )
-        return self._try_to_repeat()
+        return attempts_left > 0 and self._try_to_repeat()
 
     def _handle_rejection(
         self, runner: runners.Runner, rejected: upstream.Rejected
--- a/primrosereel/gateway/_quota_reports.py
+++ b/primrosereel/gateway/_quota_reports.py
@@ -1,9 +1,9 @@
 """Tells peers what this instance spends of quotas, and learns what they do.
 
-Reports ride on the heartbeats where these go. All other members get a small
-datagram each second while an account has a quota, so that each instance knows
-which others it cannot reach. Spending of a busy account is told between two
-heartbeats.
+Reports are sent with the heartbeats where these go. All other members get a
+small datagram each second while an account has a quota, so that each instance
+knows which others it cannot reach. Spending of a busy account is told between
+two heartbeats.
 """
 
 from collections.abc import Awaitable
@@ -62,13 +62,13 @@
 
     async def send_to_others(
         self,
-        reports: list[quotas_module.Report],
+        data: bytes,
         told: Set[str],
         send: Send,
     ) -> None:
         """Send the heartbeat's reports to the members that got none."""
         if self._context.quotas.active:
-            await send(self.encode(reports), self._member_hosts() - told)
+            await send(data, self._member_hosts() - told)
 
     def encode(self, reports: list[quotas_module.Report]) -> bytes:
         """Encode a small datagram."""
--- a/primrosereel/gateway/_server.py
+++ b/primrosereel/gateway/_server.py
@@ -5,6 +5,7 @@
 
 from primrosereel import _states as states
 from primrosereel.gateway import _authentication as authentication
+from primrosereel.gateway import _caller_messages as caller_messages
 from primrosereel.gateway import _caller_watch as caller_watch
 from primrosereel.gateway import _callers as callers
 from primrosereel.gateway import _context as context_module
@@ -332,7 +333,7 @@
             version=self._context.version,
         )
         return callers.Reply(
-            503, headers=[(b'Retry-After', b'%.2f' % retry_after_s)]
+            503, headers=[caller_messages.retry_after(retry_after_s)]
         )
 
     def _refuse_unknown(
--- a/primrosereel/routing/_decode_places.py
+++ b/primrosereel/routing/_decode_places.py
@@ -164,6 +164,15 @@
         if now < self._suspended_until:
             return
         blocked: set[ids.ServiceId] = set()
+        while self._admit_one(blocked, now):
+            pass
+
+    def _admit_one(self, blocked: set[ids.ServiceId], now: float) -> bool:
+        """Give the next place, whose order may differ from the last one's.
+
+        Services without a place for their first ticket are added to
+        ``blocked``. Returns False if no ticket gets a place.
+        """
         for ticket in self._in_order(now):
             if ticket.service in blocked:
                 continue
@@ -182,6 +191,8 @@
             runner.in_flight += 1
             runner.tokens += ticket.tokens
             ticket.on_admitted()
+            return True
+        return False
 
     def move(self, ticket: Ticket, runner: runners.Runner) -> None:
         """Release a ticket's place and reserve one at another runner."""
--- a/primrosereel/routing/_decode_speed.py
+++ b/primrosereel/routing/_decode_speed.py
@@ -13,7 +13,8 @@
 
 # Events of a stream from which a time for each is taken.
 MIN_EVENTS = 8
-# Streams that show what is usual before a runner is compared with it.
+# Weight of the streams, without what was forgotten, from which on a runner is
+# compared with what is usual.
 MIN_STREAMS = 6.0
 
 
--- a/primrosereel/routing/_expected_work.py
+++ b/primrosereel/routing/_expected_work.py
@@ -35,8 +35,8 @@
 MAX_COST_FACTOR = 8.0
 # Weight of a call in the moving average of the usual cost.
 USUAL_SAMPLE_WEIGHT = 0.02
-# Variance of the requests that arrived at a runner since its report or are on
-# their way there from other instances, at least.
+# Minimum variance of the number of requests at a runner that are not in its
+# last report.
 MIN_REQUEST_VARIANCE = 10.0
 # Cost of the usual output at the usual speed, where a runner whose whole
 # memory is in use costs 1.0; and the range of a request's expected output,
@@ -160,7 +160,9 @@
         mean = runner.mean_peer_requests
         self.others = known * runner.peer_requests + (1.0 - known) * mean
         self._requests = runner.in_flight + self.others
-        self._variance = MIN_REQUEST_VARIANCE + (1.0 - known) * mean
+        # A runner with few slots would never count as free otherwise.
+        least = min(MIN_REQUEST_VARIANCE, runner.listing.slots / 2)
+        self._variance = least + (1.0 - known) * mean
 
     @property
     def at_most(self) -> float:
--- a/primrosereel/routing/_prefill_plan.py
+++ b/primrosereel/routing/_prefill_plan.py
@@ -70,9 +70,8 @@
     ) -> None:
         """Update the speed and the runner's slowness from a prefill.
 
-        Peers would be told of runners that are all as fast as the service is
-        compared with the assumed speed, so the first prefills only show what
-        is usual.
+        Runners are compared only once the service's usual speed is known;
+        against the assumed speed, all would look equally slow or fast.
         """
         speed = self.speed(runner.listing.service)
         work = max(1, tokens + tokens_ahead)
--- a/primrosereel/routing/_prefill_speed.py
+++ b/primrosereel/routing/_prefill_speed.py
@@ -15,7 +15,8 @@
 DEFAULT_TOKEN_S = 2.0e-5
 # Prompt sizes of the assumed observations that stand for the default.
 DEFAULT_TOKEN_COUNTS = (2_000.0, 8_000.0)
-# Observations after which the speed is known, with the assumed ones.
+# Weight of the observations, with the assumed ones and without what was
+# forgotten, from which on the speed is known.
 MIN_WEIGHT = 7.0
 # Range of the time for each token, relative to the default: an observation
 # beyond it shows a stalled runner or a measurement without a prompt.
--- a/primrosereel/routing/_quota_bucket.py
+++ b/primrosereel/routing/_quota_bucket.py
@@ -102,9 +102,6 @@
     def set_quota(self, quota: client_accounts.Quota, now: float) -> None:
         """Apply a changed quota; a lower burst lowers the level."""
         self._settle(now)
-        if quota.unit is not self._quota.unit:
-            # What was counted in the other unit means nothing in this one.
-            self._level = min(quota.burst, max(0.0, self._level))
         self._quota = quota
         self._level = min(self._level, self._depth)
 
@@ -135,10 +132,12 @@
         self._own_units.add(-units, now)
 
     def retry_after_s(self, units: float, now: float) -> float:
-        """Return when a request may be granted; each call returns later.
+        """Return when a request may be granted.
 
         Refused callers are spread by the rate at which this instance's share
-        of the quota allows their requests.
+        of the quota allows their requests, so that each call returns a later
+        time, up to one window. A request that no window allows gets a time
+        as well.
         """
         missing = max(0.0, min(units, self._depth) - self._level)
         limit_s = self._terms.window_s
--- a/primrosereel/routing/_quotas.py
+++ b/primrosereel/routing/_quotas.py
@@ -124,10 +124,14 @@
         for name in self._buckets.keys() - quotas.keys():
             self._spent_before[name] = self._buckets.pop(name).spent
         for name, quota in quotas.items():
-            if name in self._buckets:
-                self._buckets[name].set_quota(quota, now)
+            bucket = self._buckets.get(name)
+            if bucket is not None and bucket.quota.unit is quota.unit:
+                bucket.set_quota(quota, now)
                 continue
+            # What was counted in another unit means nothing in this one.
             spent = self._spent_before.pop(name, 0.0)
+            if bucket is not None:
+                spent = bucket.spent
             self._buckets[name] = quota_bucket.Bucket(
                 quota, self._terms, share, spent, now
             )
@@ -168,7 +172,8 @@
     def drained_share(self, account: ids.ClientAccountId, now: float) -> float:
         """Return how much of an account's burst is used up, from 0 to 1.
 
-        An account that stays below its rate has used nothing.
+        A process that has just started counts its share of the burst as all
+        that is left.
         """
         bucket = self._buckets.get(account)
         return 0.0 if bucket is None else bucket.drained_share(now)
@@ -244,7 +249,11 @@
             f'{bucket.available_rate():.0f} of {bucket.quota.rate:.0f} '
             f'units/s left by peers, {len(presence.silent)} of '
             f'{len(presence)} peers silent'
-            + (', resumed' if now < self._wait_until else '')
+            + (
+                ', waits for reports after a suspension'
+                if now < self._wait_until
+                else ''
+            )
         )
 
     def states(self, now: float) -> list[QuotaState]:
@@ -259,7 +268,7 @@
         return Denied(max(MIN_RETRY_AFTER_S, retry_after_s) * jitter)
 
     def _advance(self, now: float) -> None:
-        """Notice time that has passed, in this process or without it."""
+        """Handle suspensions of this process and peers that became silent."""
         if self._started_at is None:
             self._started_at = now
         last, self._active_at = self._active_at, now
--- a/primrosereel/routing/_request_costs.py
+++ b/primrosereel/routing/_request_costs.py
@@ -142,9 +142,9 @@
     def observe(self, amount: float, now: float) -> None:
         """Add an observation."""
         current = self._current
-        if (
-            now - current.began_at > PERIOD_S
-            and current.samples >= MIN_PERIOD_SAMPLES
+        age_s = now - current.began_at
+        if age_s > MAX_AGE_S or (
+            age_s > PERIOD_S and current.samples >= MIN_PERIOD_SAMPLES
         ):
             self._previous = current
             current = self._current = _Generation(now)
@@ -265,6 +265,12 @@
 
     def _drop_oldest(self, now: float) -> None:
         """Make room for a new kind in place of one that is out of use."""
-        oldest = min(self._kinds, key=lambda one: self._kinds[one].last_at)
-        if oldest.shape and now - self._kinds[oldest].last_at > PERIOD_S:
+        for key, kind in list(self._kinds.items()):
+            if now - kind.last_at > MAX_AGE_S:
+                del self._kinds[key]
+        shaped = [key for key in self._kinds if key.shape]
+        if len(self._kinds) < MAX_KINDS or not shaped:
+            return
+        oldest = min(shaped, key=lambda key: self._kinds[key].last_at)
+        if now - self._kinds[oldest].last_at > PERIOD_S:
             del self._kinds[oldest]
--- a/primrosereel/routing/_runner_speeds.py
+++ b/primrosereel/routing/_runner_speeds.py
@@ -39,7 +39,7 @@
 # Runners that one datagram tells of, those with the most observations.
 MAX_REPORTS = 24
 # Runners that are kept in mind, also before they are listed.
-MAX_RUNNERS = 2000
+MAX_KEYS = 4000
 REFRESH_INTERVAL_S = 1.0
 
 
@@ -152,7 +152,7 @@
         return math.exp(weighted_log / (total + PRIOR_SAMPLES))
 
     def told(self, now: float, with_all: bool = True) -> list[SpeedReport]:
-        """Return what to tell peers: own observations, the surest first.
+        """Return what to tell peers, runners with the most samples first.
 
         Without ``with_all`` these are only the latest ones.
         """
@@ -184,7 +184,7 @@
             by_instance = self._told.get(key)
             is_first = by_instance is None
             if by_instance is None:
-                if len(self._told) >= 2 * MAX_RUNNERS:
+                if len(self._told) >= MAX_KEYS:
                     continue
                 by_instance = self._told[key] = {}
             by_instance[instance] = _Observed(
--- a/tests/property/test_caller_memory.py
+++ b/tests/property/test_caller_memory.py
@@ -92,3 +92,31 @@
             assert (await kept.ask('/read/1', 'r2')).complete
 
     gateway_fleet.run_scenario(scenario, memory_bytes=16 * 1024 * 1024)
+
+
+def test_caller_is_closed_while_its_body_is_read_after_an_interim_response():
+    """Guards against a slow caller that keeps its memory after its close.
+
+    The interim response is sent while the request is being read.
+    """
+
+    async def scenario(fleet):
+        async with fleet.client() as slow:
+            await slow.send_bytes(
+                b'POST /file/1 HTTP/1.1\r\nHost: registry.example\r\n'
+                b'Request-Id: r1\r\nExpect: 100-continue\r\n'
+                b'Content-Length: 50000\r\n\r\n'
+            )
+            await slow._stream.receive()
+            await slow.send_bytes(b'x' * 1000)
+            connections = fleet.gateway._server._connections
+            (connection,) = connections
+            with anyio.fail_after(2.0):
+                connection.account.close(caller_memory.CloseReason.MEMORY)
+                await fleet.wait_for(
+                    lambda: (
+                        connection not in fleet.gateway._server._connections
+                    )
+                )
+
+    gateway_fleet.run_scenario(scenario)
--- a/tests/property/test_expected_work.py
+++ b/tests/property/test_expected_work.py
@@ -159,3 +159,13 @@
         assert lines['r3']['decode_slowness'] == 1.0
 
     gateway_fleet.run_scenario(scenario, policy=policy)
+
+
+def test_removed_route_does_not_keep_new_kinds_out():
+    """Guards against a full table that learns nothing new."""
+    costs = request_costs.RequestCosts(1e-4, 0.05)
+    costs.observe(request_costs.CostKey('removed', 'GET /a'), 0.05, 0.0)
+    for number in range(2 * request_costs.MAX_KINDS):
+        key = request_costs.CostKey('kept', f'GET /{number}')
+        costs.observe(key, 0.05, 100.0 + 70.0 * number)
+    assert key in costs._kinds
