Compute the units of a window in one place

The units that the rate of an account refills in a window were computed in four places of the bucket, the tolerance twice beside each other, and the exit status of the configuration check stood once as a number.

The bucket has one property for the units of a window. The tolerance, the exit status and the context of the peer targets are each named once. No behaviour changes.

--- a/primrosereel/cmd/_check.py
+++ b/primrosereel/cmd/_check.py
@@ -64,7 +64,7 @@
                 bodies.append(path.read_bytes())
             except OSError as error:
                 print(f'{path}: {error.strerror}', file=sys.stderr)
-                return 2
+                return EXIT_ERRORS
         if options.gateway is not None:
             findings = platform.check_configuration(*bodies)
             return _print_findings(options, findings)
--- a/primrosereel/gateway/_event_stream.py
+++ b/primrosereel/gateway/_event_stream.py
@@ -158,7 +158,7 @@
         if (
             usual_s is None
             or is_part
-            or self._events_received < (self.events_sent)
+            or self._events_received < self.events_sent
         ):
             return
         output = context.output_costs.expected(exchange.output_key, now).mean
--- a/primrosereel/gateway/_peer_targets.py
+++ b/primrosereel/gateway/_peer_targets.py
@@ -21,7 +21,7 @@
     def update_shards(self) -> None:
         """Divide the known instances and runners into shards."""
         context = self._context
-        zones = self._context.members.zones()
+        zones = context.members.zones()
         own_zone = context.settings.availability_zone
         # A zone without decode runners cannot place any request on its own.
         decode_zones = {
@@ -30,14 +30,14 @@
             if runner.listing.role is states.Role.DECODE
         }
         changed = context.shards.update(
-            len(self._context.members) + 1, {own_zone, *zones}, decode_zones
+            len(context.members) + 1, {own_zone, *zones}, decode_zones
         )
         if changed:
             context.log.info(
                 'shards changed',
                 divided=context.shards.divided,
                 zones=sorted(context.shards.zones(own_zone)),
-                members=len(self._context.members),
+                members=len(context.members),
             )
 
     def shard_hosts(self) -> set[str]:
@@ -65,6 +65,6 @@
                 zones |= context.shards.zones(zone)
         return {
             member.host
-            for member in self._context.members
+            for member in context.members
             if member.availability_zone in zones
         }
--- a/primrosereel/routing/_quota_bucket.py
+++ b/primrosereel/routing/_quota_bucket.py
@@ -167,8 +167,7 @@
         All instances together may deviate by a part of the tolerance.
         """
         terms = self._terms
-        quota = self._quota
-        tolerated = terms.tolerance * (quota.rate * terms.window_s)
+        tolerated = terms.tolerance * self._window_units
         assumed = self._reported.spent + self._reported.rate * (
             now - self._reported_at
         )
@@ -207,8 +206,7 @@
         window can spend that much.
         """
         self._settle(now)
-        window_units = self._quota.rate * self._terms.window_s
-        most_new = window_units + self._depth if counts_all else 0.0
+        most_new = self._window_units + self._depth if counts_all else 0.0
         correction = self._peers.apply(peer, sequence, report, most_new, now)
         level = self._level - correction.not_assumed
         # A single request may be larger than what a window refills.
@@ -236,16 +234,19 @@
         use = min([*self._past_uses, self._use.per_s(now)])
         return max(0.0, self._quota.rate - use)
 
+    @property
+    def _window_units(self) -> float:
+        """The units that the rate refills in a window."""
+        return self._quota.rate * self._terms.window_s
+
     @property
     def _max_debt(self) -> float:
-        window_units = self._quota.rate * self._terms.window_s
-        return MAX_DEBT_WINDOWS * window_units
+        return MAX_DEBT_WINDOWS * self._window_units
 
     @property
     def _most(self) -> float:
         """The units of the largest request that any window allows."""
-        window_units = self._quota.rate * self._terms.window_s
-        return window_units + self._quota.burst + self._terms.slack
+        return self._window_units + self._quota.burst + self._terms.slack
 
     @property
     def _refill(self) -> float:
--- a/primrosereel/routing/_quotas.py
+++ b/primrosereel/routing/_quotas.py
@@ -320,13 +320,13 @@
 
     def _new_terms(self, now: float) -> quota_bucket.Terms:
         reachable = self._presence.reachable_share(now)
-        margin = self._bounds.overage / 2
+        tolerance = self._bounds.overage / 2
         return quota_bucket.Terms(
             self._bounds.window_s,
-            self._bounds.overage / 2,
+            tolerance,
             self._bounds.slack,
             len(self._presence) + 1,
-            margin if 1 - reachable <= MAX_SILENT_SHARE else 0.0,
+            tolerance if 1 - reachable <= MAX_SILENT_SHARE else 0.0,
             reachable,
         )
 
